--- /dev/null
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -0,0 +1,32 @@
+/** One finished request as the proxy saw it; the source of histograms, counters and the access log. */
+export interface RequestRecord {
+    readonly requestId: string;
+    readonly method: string;
+    readonly path: string;
+    readonly route: string | undefined;
+    readonly service: string | undefined;
+    readonly class: string | undefined;
+    readonly status: number;
+    /** Value of `papayaturn-outcome`. */
+    readonly outcome: string;
+    readonly attempts: number;
+    /** How the last attempt reached its server: `local`, `direct` (slot lease) or `relayed`. */
+    readonly hop: string | undefined;
+    /** Id of the member that answered. */
+    readonly server: string | undefined;
+    readonly latencyMs: number;
+    readonly queuedMs: number;
+}
+
+/** Counted events: `refused`, `retried` or `ejected`, each with its reason. */
+export interface CountedEvent {
+    readonly kind: "refused" | "retried" | "ejected";
+    readonly reason: string;
+    readonly service: string | undefined;
+    readonly class: string | undefined;
+}
+
+export interface RequestRecorder {
+    record(record: RequestRecord): void;
+    count(event: CountedEvent): void;
+}
--- /dev/null
+++ b/src/state/members/index.ts
@@ -0,0 +1,2 @@
+export { MemberState } from "./Member.js";
+export type { Member, ServerRecord } from "./Member.js";
--- /dev/null
+++ b/src/state/store/StorePort.ts
@@ -0,0 +1,61 @@
+import type { Either } from "purify-ts/Either";
+
+/** Version of one object, given by the store; it rises with each write of that object. */
+export type ObjectVersion = number;
+
+/** An object read from the store. `value` is UTF-8 text, at most 1 MB. */
+export interface StoredObject {
+    readonly key: string;
+    readonly value: string;
+    readonly version: ObjectVersion;
+}
+
+/** One entry of a listing, without its value. */
+export interface ListedObject {
+    readonly key: string;
+    readonly version: ObjectVersion;
+}
+
+/** Condition of a write: the object is absent, or is at exactly this version. */
+export type PutCondition =
+    | { readonly kind: "absent"; }
+    | { readonly kind: "version"; readonly version: ObjectVersion; };
+
+/** The store performed nothing and said why. `condition` means that another write came first. */
+export interface StoreRefused {
+    readonly kind: "refused";
+    readonly reason: "condition" | "rate" | "too-large" | "invalid";
+    readonly detail: string;
+}
+
+/** The request did not reach the store; nothing was performed. */
+export interface StoreUnreachable {
+    readonly kind: "unreachable";
+    readonly detail: string;
+}
+
+/** The request was sent and no answer came; a write may or may not have taken effect. */
+export interface StoreOutcomeUnknown {
+    readonly kind: "unknown";
+    readonly detail: string;
+}
+
+export type StoreError = StoreRefused | StoreUnreachable | StoreOutcomeUnknown;
+
+export type StoreResult<T> = Promise<Either<StoreError, T>>;
+
+/** The platform's store as this project uses it. No method rejects; failures are `Left`. */
+export interface StorePort {
+    get(key: string, signal?: AbortSignal): StoreResult<StoredObject | undefined>;
+    put(key: string, value: string, condition: PutCondition, signal?: AbortSignal): StoreResult<ObjectVersion>;
+    /** Deletes the object when it is at `version`; an absent object is a success. */
+    delete(key: string, version: ObjectVersion, signal?: AbortSignal): StoreResult<void>;
+    list(prefix: string, signal?: AbortSignal): StoreResult<readonly ListedObject[]>;
+    /** Waits at most `waitMs` for a version of `key` above `after`; `undefined` when none came. */
+    watch(
+        key: string,
+        after: ObjectVersion,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): StoreResult<StoredObject | undefined>;
+}
--- /dev/null
+++ b/src/state/versions/index.ts
@@ -0,0 +1,1 @@
+export type * from "./Version.js";
