--- a/scripts/ensure-installed.mjs
+++ b/scripts/ensure-installed.mjs
@@ -8,7 +8,9 @@
 const hash = createHash("sha256").update(readFileSync("package-lock.json")).digest("hex");
 
 if (!existsSync(MARK) || readFileSync(MARK, "utf8") !== hash) {
-    const result = spawnSync("npm", ["install", "--no-save", "--no-fund", "--no-audit"], { stdio: ["ignore", "ignore", "inherit"] });
+    const result = spawnSync("npm", ["install", "--no-save", "--no-fund", "--no-audit"], {
+        stdio: ["ignore", "ignore", "inherit"],
+    });
     if (result.status !== 0) {
         process.exit(result.status ?? 1);
     }
