Add the entry of the measurements

Cause: several measurements need one command. Change: measure/Measure.ts loads the named measurement from its folder.

--- /dev/null
+++ b/measure/Measure.ts
@@ -0,0 +1,21 @@
+/** Entry of `npm run measure -- NAME`: each measurement is a folder beside this file. */
+
+const MEASUREMENTS = ["convergence", "herd", "outage", "requests", "faults"] as const;
+
+/** What the `index.ts` of each measurement exports. */
+interface MeasurementModule {
+    /** Runs the measurement, prints its result and returns the process's exit code. */
+    runMeasurement(args: readonly string[]): Promise<number>;
+}
+
+async function runMeasure(args: readonly string[]): Promise<number> {
+    const [name, ...rest] = args;
+    if (!MEASUREMENTS.some(known => known === name)) {
+        process.stderr.write(`measure: expected one of ${MEASUREMENTS.join(", ")}.\n`);
+        return 2;
+    }
+    const measurement = await import(`./${name}/index.js`) as MeasurementModule;
+    return measurement.runMeasurement(rest);
+}
+
+process.exitCode = await runMeasure(process.argv.slice(2));
