--- /dev/null
+++ b/src/state/document/DocumentFormat.ts
@@ -0,0 +1,29 @@
+/** Formats a document as YAML, with keys in the order of the schema. */
+import type { TSchema } from "@sinclair/typebox";
+import { stringify } from "yaml";
+import type { SourceDocument } from "./DocumentSchema.js";
+import { DocumentSchema } from "./DocumentSchema.js";
+
+/** Columns of a line after which the YAML writer would fold text; 0 means never. */
+const YAML_LINE_WIDTH = 0;
+
+/** Orders the keys of a value as in its schema, and the names of a mapping alphabetically. */
+function orderKeys(schema: TSchema | undefined, value: unknown): unknown {
+    if (typeof value !== "object" || value === null || Array.isArray(value) || schema === undefined) {
+        return value;
+    }
+    const properties = schema["properties"] as Readonly<Record<string, TSchema>> | undefined;
+    const items = Object.values((schema["patternProperties"] ?? {}) as Readonly<Record<string, TSchema>>)[0];
+    const given = value as Readonly<Record<string, unknown>>;
+    const keys = items === undefined ? Object.keys(properties ?? {}) : Object.keys(given).sort();
+    return Object.fromEntries(
+        keys.filter(key => Object.hasOwn(given, key)).map(
+            key => [key, orderKeys(items ?? properties?.[key], given[key])],
+        ),
+    );
+}
+
+/** Formats a validated document as YAML. */
+export function formatDocument(source: SourceDocument): string {
+    return stringify(orderKeys(DocumentSchema, source), { lineWidth: YAML_LINE_WIDTH });
+}
--- /dev/null
+++ b/src/state/document/DocumentValidation.ts
@@ -0,0 +1,44 @@
+/** Validates a document as a whole: schema, references between parts, and sizes. */
+import type { Either } from "purify-ts/Either";
+import { Left, Right } from "purify-ts/Either";
+import { MAXIMUM_FINDINGS } from "./DocumentConstants.js";
+import type { SourceDocument } from "./DocumentSchema.js";
+import type { Finding, Problem } from "./Finding.js";
+import { formatPath } from "./Finding.js";
+import { listReferenceProblems } from "./ReferenceRules.js";
+import { listSchemaProblems } from "./SchemaRules.js";
+import { listSizeProblems } from "./SizeRules.js";
+
+/** Lists all faults of a value. References are checked only in a value that fits the schema. */
+export function listProblems(value: unknown): readonly Problem[] {
+    const schemaProblems = listSchemaProblems(value);
+    if (schemaProblems.length > 0) {
+        return schemaProblems;
+    }
+    const source = value as SourceDocument;
+    return [...listReferenceProblems(source), ...listSizeProblems(source)];
+}
+
+/** Keeps the first findings of a long list and says how many were left out. */
+export function limitFindings(findings: readonly Finding[]): readonly Finding[] {
+    if (findings.length <= MAXIMUM_FINDINGS) {
+        return findings;
+    }
+    return [...findings.slice(0, MAXIMUM_FINDINGS), {
+        expected: "fewer",
+        message: `${findings.length - MAXIMUM_FINDINGS} more findings are not shown.`,
+        path: "",
+        segments: [],
+    }];
+}
+
+/** Validates a value that has no text, for example a document from a form. */
+export function validateDocument(value: unknown): Either<readonly Finding[], SourceDocument> {
+    const findings = listProblems(value).map(({ expected, message, segments }) => ({
+        expected,
+        message,
+        path: formatPath(segments),
+        segments,
+    }));
+    return findings.length > 0 ? Left(limitFindings(findings)) : Right(value as SourceDocument);
+}
--- /dev/null
+++ b/src/state/document/ReferenceRules.ts
@@ -0,0 +1,134 @@
+/** Rules between the parts of a document, checked once each part fits the schema. */
+import type { SourceDocument, SourceRoute, SourceService } from "./DocumentSchema.js";
+import type { PathSegment, Problem } from "./Finding.js";
+import { parseQuantity, QuantityKind } from "./Quantity.js";
+import { describeKnown } from "./Suggestion.js";
+
+function createProblem(segments: readonly PathSegment[], message: string, expected: string): Problem {
+    return { at: "value", expected, message, segments };
+}
+
+/** Reports a reference to a name that the document does not define. */
+function* checkReference(
+    kind: string,
+    name: string,
+    defined: Readonly<Record<string, unknown>>,
+    segments: readonly PathSegment[],
+): Generator<Problem> {
+    if (!Object.hasOwn(defined, name)) {
+        yield createProblem(
+            segments,
+            `The document has no ${kind} "${name}".`,
+            describeKnown(name, Object.keys(defined)),
+        );
+    }
+}
+
+function* checkRegions(source: SourceDocument): Generator<Problem> {
+    const regionOfDomain = new Map<string, string>();
+    for (const [region, { failureDomains }] of Object.entries(source.mesh.regions)) {
+        for (const [index, domain] of failureDomains.entries()) {
+            const other = regionOfDomain.get(domain);
+            if (other !== undefined && other !== region) {
+                yield createProblem(
+                    ["mesh", "regions", region, "failureDomains", index],
+                    `Failure domain "${domain}" is already in region "${other}".`,
+                    "each failure domain in one region",
+                );
+            }
+            regionOfDomain.set(domain, region);
+        }
+    }
+    yield* checkReference("region", source.mesh.storeRegion, source.mesh.regions, ["mesh", "storeRegion"]);
+}
+
+function* checkService(name: string, service: SourceService, domains: readonly string[]): Generator<Problem> {
+    for (const domain of Object.keys(service.servers)) {
+        if (!domains.includes(domain)) {
+            yield {
+                at: "key",
+                expected: describeKnown(domain, domains),
+                message: `No region has the failure domain "${domain}".`,
+                segments: ["services", name, "servers", domain],
+            };
+        }
+    }
+    if (service.connections < service.slots) {
+        yield createProblem(
+            ["services", name, "connections"],
+            `${service.connections} connections are too few for ${service.slots} slots.`,
+            `at least ${service.slots}`,
+        );
+    }
+    yield* checkDelays(name, service);
+}
+
+function* checkDelays(name: string, service: SourceService): Generator<Problem> {
+    const { baseDelay, maximumDelay } = service.retry ?? {};
+    if (baseDelay === undefined || maximumDelay === undefined) {
+        return;
+    }
+    const base = parseQuantity(QuantityKind.Duration, baseDelay) ?? 0;
+    const maximum = parseQuantity(QuantityKind.Duration, maximumDelay) ?? 0;
+    if (maximum < base) {
+        yield createProblem(
+            ["services", name, "retry", "maximumDelay"],
+            `The largest delay ${maximumDelay} is below the base delay ${baseDelay}.`,
+            `at least ${baseDelay}`,
+        );
+    }
+}
+
+function* checkRoute(name: string, route: SourceRoute, source: SourceDocument): Generator<Problem> {
+    const segments = ["routes", name];
+    yield* checkReference("service", route.service, source.services, [...segments, "service"]);
+    yield* checkReference("class", route.class, source.classes, [...segments, "class"]);
+    for (const [index, resource] of (route.resources ?? []).entries()) {
+        yield* checkReference("resource", resource, source.resources ?? {}, [...segments, "resources", index]);
+    }
+}
+
+/** Paths that match the same requests: a slash at the end makes no difference. */
+function normalizePath(path: string): string {
+    return path.replace(/\/+$/, "");
+}
+
+function hasCommonMethod(first: SourceRoute, second: SourceRoute): boolean {
+    const methods = first.match.methods ?? [];
+    const others = second.match.methods ?? [];
+    return methods.length === 0 || others.length === 0 || methods.some(method => others.includes(method));
+}
+
+/** Reports routes with the same host and path of which one request matches both. */
+function* checkMatches(source: SourceDocument): Generator<Problem> {
+    const routesByPlace = new Map<string, string[]>();
+    for (const [name, route] of Object.entries(source.routes)) {
+        const place = `${route.match.host ?? "*"} ${normalizePath(route.match.path)}`;
+        const others = routesByPlace.get(place) ?? [];
+        const other = others.find(candidate => {
+            const found = source.routes[candidate];
+            return found !== undefined && hasCommonMethod(route, found);
+        });
+        if (other !== undefined) {
+            yield createProblem(
+                ["routes", name, "match"],
+                `Route "${name}" matches the same requests as route "${other}".`,
+                "another path, host or method",
+            );
+        }
+        routesByPlace.set(place, [...others, name]);
+    }
+}
+
+/** Lists the faults between the parts of a document that fits the schema. */
+export function* listReferenceProblems(source: SourceDocument): Generator<Problem> {
+    const domains = Object.values(source.mesh.regions).flatMap(region => region.failureDomains);
+    yield* checkRegions(source);
+    for (const [name, service] of Object.entries(source.services)) {
+        yield* checkService(name, service, domains);
+    }
+    for (const [name, route] of Object.entries(source.routes)) {
+        yield* checkRoute(name, route, source);
+    }
+    yield* checkMatches(source);
+}
--- a/src/state/versions/index.ts
+++ b/src/state/versions/index.ts
@@ -1,1 +1,2 @@
-export type * from "./Version.js";
+export { computeHash, createResource, formatCanonicalJson } from "./ResourceContent.js";
+export type { Head, Manifest, Resource, Snapshot, VersionDelta } from "./Version.js";
