--- /dev/null
+++ b/src/state/versions/Parts.ts
@@ -0,0 +1,106 @@
+/** Packs the resources of a version into parts that fit into values of the store. */
+import type { Either } from "purify-ts/Either";
+import { Left, Right } from "purify-ts/Either";
+import { invariant } from "../shared/index.js";
+import { computeHash } from "./ResourceContent.js";
+import type { Resource } from "./Version.js";
+import { MAXIMUM_PART_BYTES, PART_TARGET_BYTES } from "./VersionConstants.js";
+import type { VersionMismatch } from "./VersionDeltas.js";
+import { findForgedResource } from "./VersionDeltas.js";
+import { computeRootHash, mapResources } from "./VersionRoot.js";
+import { isResource } from "./VersionShapes.js";
+
+/** Immutable value of the store that holds some resources of a version. */
+export interface Part {
+    /** SHA-256 of `text`, hexadecimal. */
+    readonly hash: string;
+    /** JSON text of a `PartContent`. */
+    readonly text: string;
+}
+
+interface PartContent {
+    readonly resources: readonly Resource[];
+}
+
+/** Resources whose name hashes begin with the same bits. */
+interface Bucket {
+    readonly resources: readonly HashedResource[];
+    readonly bits: number;
+}
+
+interface HashedResource {
+    readonly resource: Resource;
+    readonly nameHash: Buffer;
+}
+
+/** Bits of a name hash that can divide buckets. */
+const MAXIMUM_BITS = 64;
+
+function readBit(hash: Buffer, bit: number): number {
+    return ((hash[bit >> 3] ?? 0) >> (7 - (bit & 7))) & 1;
+}
+
+function encodePart(resources: readonly Resource[]): string {
+    const content: PartContent = { resources: [...resources].sort((a, b) => a.name < b.name ? -1 : 1) };
+    return JSON.stringify(content);
+}
+
+/**
+ * Packs resources into parts by a hash of their name: a bucket above the target size is divided by
+ * the next bit of the hash. A change therefore rewrites one part, and rarely divides one in two.
+ */
+export function buildParts(resources: Iterable<Resource>): readonly Part[] {
+    const hashed = [...resources].map(resource => ({
+        nameHash: Buffer.from(computeHash(resource.name), "hex"),
+        resource,
+    }));
+    const pending: Bucket[] = [{ bits: 0, resources: hashed }];
+    const parts: Part[] = [];
+    for (let bucket = pending.pop(); bucket !== undefined; bucket = pending.pop()) {
+        const { bits, resources: members } = bucket;
+        const text = encodePart(members.map(member => member.resource));
+        const bytes = Buffer.byteLength(text);
+        if (bytes <= PART_TARGET_BYTES || members.length === 1) {
+            invariant(bytes <= MAXIMUM_PART_BYTES, "a validated resource fits into one part");
+            parts.push({ hash: computeHash(text), text });
+            continue;
+        }
+        invariant(bits < MAXIMUM_BITS, "name hashes differ in their first bits");
+        for (const bit of [1, 0]) {
+            const half = members.filter(member => readBit(member.nameHash, bits) === bit);
+            if (half.length > 0) {
+                pending.push({ bits: bits + 1, resources: half });
+            }
+        }
+    }
+    return parts;
+}
+
+/** Unpacks the parts of a version and checks that they hold exactly the resources of its root hash. */
+export function unpackParts(
+    texts: readonly string[],
+    root: string,
+): Either<VersionMismatch, ReadonlyMap<string, Resource>> {
+    const unpacked = texts.flatMap(text => parsePart(text));
+    const forged = findForgedResource(unpacked);
+    if (forged !== undefined) {
+        return Left({ detail: `The content of "${forged.name}" has another hash.`, kind: "content" });
+    }
+    const resources = mapResources(unpacked);
+    const unpackedRoot = computeRootHash(resources);
+    return unpackedRoot === root
+        ? Right(resources)
+        : Left({ detail: `The parts have root ${unpackedRoot}, not ${root}.`, kind: "root" });
+}
+
+function parsePart(text: string): readonly Resource[] {
+    try {
+        const content = JSON.parse(text) as Partial<PartContent> | null;
+        const resources = Array.isArray(content?.resources) ? content.resources as readonly unknown[] : [];
+        return resources.filter(isResource);
+    }
+    catch {
+        // Cut-off text holds no resources; the root hash then differs.
+        return [];
+    }
+}
--- a/src/state/versions/Version.ts
+++ b/src/state/versions/Version.ts
@@ -29,7 +29,7 @@
     /** Time of acceptance as the author's clock gave it, milliseconds. */
     readonly time: number;
     readonly message: string;
-    /** HMAC-SHA256 with the mesh key over version, root, previous, author and time, hexadecimal. */
+    /** HMAC-SHA256 with the mesh key over version, root, previous, author, time and message, hexadecimal. */
     readonly mac: string;
 }
 
