Add the store protocol, its client and a stand-in server

The project knows the store only as a port; the HTTP client is the one module that knows the wire format, which docs/store.md describes. It separates refused, unreachable (nothing was sent) and unknown (answer lost), and counts the bytes of its connections. The stand-in is Nest on Fastify with conditional writes, long-poll watches, 1 MB values, rate limits and switches for outage, slowness and lost answers.

A test against a missing server found that undici gives no socket instead of null when a connection fails, which had thrown in the byte counter.

--- a/src/state/store/index.ts
+++ b/src/state/store/index.ts
@@ -1,1 +1,2 @@
+export { MAXIMUM_VALUE_BYTES } from "./StoreConstants.js";
 export type * from "./StorePort.js";
--- /dev/null
+++ b/standins/store/StoreRefusal.ts
@@ -0,0 +1,10 @@
+import { HttpException } from "@nestjs/common";
+
+const STATUSES = { condition: 412, invalid: 400, "not-found": 404, rate: 429, "too-large": 413 } as const;
+
+/** An error answer of the protocol; nothing was performed. */
+export class StoreRefusal extends HttpException {
+    constructor(code: keyof typeof STATUSES, message: string) {
+        super({ error: { code, message } }, STATUSES[code]);
+    }
+}
