Add the claim ledger

`src/coordination/claims` holds the ledger: one writer per shard with group commit, backoff, sealing of tails above 64 KB, retention, waiting for runs in progress, and the release of claims that were possibly written but whose caller was told "refused". Entries age by a shard clock that only counts time observed by daemons, so a wall clock that jumps cannot end the retention early. The number of shards is fixed in the store at first use: taken from each daemon's configuration, a change of it would place one key in two shards.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 
 /** Verbs that function names may begin with; docs/glossary.md lists them. */
 const VERBS = (
-    "accept add admit advance announce answer append apply assert await balance begin build bump cancel check choose claim classify clean clear "
+    "abandon accept add admit advance announce answer append apply assert await balance begin build bump cancel check choose claim classify clean clear "
     + "close collect combine commit compact compare complete compute connect consume copy count create decay decide decode "
     + "deflate delete deliver derive describe detect diff dispatch divide drain draw drop eject emit encode end enqueue ensure enter escape estimate evict "
     + "execute expect expire explain export extract fail fetch fill filter find finish fit flush fold force format forward freeze generate get give grant handle "
--- /dev/null
+++ b/src/coordination/claims/ClaimConstants.ts
@@ -0,0 +1,28 @@
+/** A tail above this size is moved to a sealed object, because each commit writes the whole tail. */
+export const SEAL_ABOVE_BYTES = 64 * 1024;
+
+/** Operations that one commit carries at most; keeps the object below the store's 1 MB limit. */
+export const BATCH_BYTES = 256 * 1024;
+
+/** One writer commits a shard at most this often: 32 shards stay within 320 writes/s at one holder each. */
+export const COMMIT_INTERVAL_MS = 100;
+
+/** A cached head older than this is read again before a write, since a failed write costs the store more. */
+export const HEAD_FRESH_MS = 1_000;
+
+/** Rounds without an answer from the store after which new keys are refused until the next try. */
+export const FAILURES_BEFORE_REFUSAL = 3;
+
+/** Backoff between rounds, with full jitter. */
+export const BACKOFF_BASE_MS = 20;
+export const BACKOFF_MAXIMUM_MS = 1_000;
+
+/** Interval at which a run in progress on another daemon is looked up; doubles up to the maximum. */
+export const POLL_BASE_MS = 100;
+export const POLL_MAXIMUM_MS = 1_000;
+
+/** Settled attempts that wait for the store at most; beyond it the oldest stay claimed in the store. */
+export const PENDING_SETTLEMENTS = 10_000;
+
+/** Sealed objects that one lookup reads at the same time. */
+export const SEALED_READS_AT_ONCE = 8;
--- /dev/null
+++ b/src/coordination/claims/ClaimLedger.ts
@@ -0,0 +1,215 @@
+import type { Claim, ShardOperation } from "../../state/claims/index.js";
+import type { Random } from "../../state/shared/index.js";
+import type { StorePort } from "../../state/store/index.js";
+import type { ClaimOutcome, ClaimPort, KeptAnswer } from "./ClaimPort.js";
+import type { RunEnd } from "./LocalRuns.js";
+import type { CommitFailure, CommitResult, ShardCommitter } from "./ShardCommitter.js";
+import type { Wait } from "./Waiting.js";
+
+import { Left } from "purify-ts/Either";
+import { ClaimState, hashKey, selectShard } from "../../state/claims/index.js";
+import { decodeAnswer, encodeAnswer } from "./AnswerEncoding.js";
+import { POLL_BASE_MS, POLL_MAXIMUM_MS } from "./ClaimConstants.js";
+import { createDirectCommitter } from "./DirectCommitter.js";
+import { LocalRuns } from "./LocalRuns.js";
+import { createShardLayout } from "./ShardLayout.js";
+import { awaitUnlessAborted, generatePollDelays, startDeadline } from "./Waiting.js";
+
+/** Settings of claims, from the document in force. */
+export interface ClaimSettings {
+    /** Used only when the store has no claims yet. */
+    readonly shards: number;
+    readonly retentionMs: number;
+    /** Largest body of an answer that is kept. */
+    readonly answerBytes: number;
+}
+
+export interface ClaimLedgerOptions {
+    readonly store: StorePort;
+    /** Id of this daemon. */
+    readonly executor: string;
+    readonly readSettings: () => ClaimSettings;
+    /** Present time in milliseconds, on the scale of the deadlines given to `claim`. */
+    readonly now: () => number;
+    /** Monotonic time in milliseconds; measures retention and backoff. */
+    readonly uptime: () => number;
+    readonly wait: Wait;
+    readonly random: Random;
+    /** Whether the daemon is known to be dead; repetitions then do not wait for its attempts. */
+    readonly isExecutorGone?: (executor: string) => boolean;
+    /** Wraps the committer that writes to the store, for example to forward operations to a holder. */
+    readonly wrapCommitter?: (direct: ShardCommitter) => ShardCommitter;
+}
+
+export interface ClaimLedger extends ClaimPort {
+    /** Applies operations that other daemons forward to this one. */
+    readonly committer: ShardCommitter;
+    /** Ends all waits; calls in progress end as refused or unknown. */
+    stop(): void;
+}
+
+const ID_DIGITS = 8;
+
+/** Creates the ledger of one daemon. Its executor's id is extended by a part that is new at each start. */
+export function createClaimLedger(options: ClaimLedgerOptions): ClaimLedger {
+    const { store, now, wait, readSettings } = options;
+    const instance = `${drawId(options.random)}${drawId(options.random)}`;
+    const executor = `${options.executor}/${instance}`;
+    let lastId = 0;
+    const createId = (): string => `${executor}/${++lastId}`;
+    const readShardCount = createShardLayout(store, () => readSettings().shards);
+    const direct = createDirectCommitter({
+        ...options,
+        createId,
+        readRetentionMs: () => readSettings().retentionMs,
+    });
+    const committer = options.wrapCommitter?.(direct) ?? direct;
+    const runs = new LocalRuns();
+
+    async function claim(
+        service: string,
+        key: string,
+        deadline: number,
+        signal?: AbortSignal,
+    ): Promise<ClaimOutcome> {
+        const ending = startDeadline(deadline - now(), wait, signal);
+        const operation = { kind: "claim", keyHash: hashKey(service, key), executor, attempt: createId() } as const;
+        try {
+            return await claimUntil(operation, ending.signal);
+        }
+        finally {
+            ending.clear();
+        }
+    }
+
+    /** Tries until the key is granted, its end is known, or the signal aborts. */
+    async function claimUntil(
+        operation: ShardOperation & { readonly kind: "claim"; },
+        signal: AbortSignal,
+    ): Promise<ClaimOutcome> {
+        const pollDelays = generatePollDelays(POLL_BASE_MS, POLL_MAXIMUM_MS);
+        for (let rival: Claim | undefined;;) {
+            const localEnd = await awaitLocalRun(operation.keyHash, signal);
+            if (localEnd) {
+                return localEnd;
+            }
+            const result = await submit(operation, signal, rival !== undefined);
+            if (result.isLeft()) {
+                return tellFailure(operation, result.extract() as CommitFailure, rival);
+            }
+            const entry = result.extract() as Claim;
+            if (entry.attempt === operation.attempt) {
+                return grant(operation, entry, signal);
+            }
+            const end = describeEnd(entry);
+            if (end) {
+                return end;
+            }
+            rival = entry;
+            await wait(pollDelays.next().value, signal);
+        }
+    }
+
+    async function submit(
+        operation: ShardOperation,
+        signal: AbortSignal | undefined,
+        isFresh: boolean,
+    ): Promise<CommitResult> {
+        const shards = await awaitUnlessAborted(readShardCount(), signal);
+        if (shards === undefined || shards.isLeft()) {
+            const detail = shards ? shards.extract() as string : "the deadline passed";
+            return Left({ possiblyCommitted: false, detail });
+        }
+        const shard = selectShard(operation.keyHash, shards.extract() as number);
+        return committer.submit(shard, operation, { isFresh, ...(signal && { signal }) });
+    }
+
+    /** Waits for a run of the key in this process; undefined when there is none or it did not run. */
+    async function awaitLocalRun(keyHash: string, signal: AbortSignal): Promise<ClaimOutcome | undefined> {
+        const run = runs.get(keyHash);
+        if (run === undefined) {
+            return undefined;
+        }
+        const end = await awaitUnlessAborted(run.ended, signal);
+        switch (end?.kind) {
+            case "done":
+                return end.answer ? { kind: "answered", answer: end.answer } : { kind: "already-ran" };
+            case "released":
+                return undefined;
+            case "abandoned":
+                return { kind: "unknown", detail: "the end of an earlier attempt cannot be known" };
+            default:
+                return { kind: "unknown", detail: "an earlier attempt is still running" };
+        }
+    }
+
+    /** The deadline may have passed between the commit and this call; such a claim is never executed. */
+    function grant(operation: ShardOperation, entry: Claim, signal: AbortSignal): ClaimOutcome {
+        if (entry.state !== ClaimState.Claimed || signal.aborted) {
+            cancelClaim(operation);
+            return { kind: "refused", detail: "the key was claimed too late and is given back" };
+        }
+        runs.begin(operation.keyHash, operation.attempt);
+        return { kind: "granted", attempt: operation.attempt };
+    }
+
+    /**
+     * A claim that may be in the store is told as refused all the same: only this call could have
+     * executed it. It is released so that a repetition of the key is not blocked by it.
+     */
+    function tellFailure(operation: ShardOperation, failure: CommitFailure, rival: Claim | undefined): ClaimOutcome {
+        if (failure.possiblyCommitted) {
+            cancelClaim(operation);
+        }
+        return rival
+            ? { kind: "unknown", detail: `${rival.executor} holds the key and its run has not ended` }
+            : { kind: "refused", detail: failure.detail };
+    }
+
+    function cancelClaim(operation: ShardOperation): void {
+        void submit({ ...operation, kind: "settle", state: ClaimState.Released }, undefined, false);
+    }
+
+    /** Returns the outcome that another attempt's entry decides, or undefined while it may be running. */
+    function describeEnd(entry: Claim): ClaimOutcome | undefined {
+        if (entry.state === ClaimState.Done) {
+            return entry.answer ? { kind: "answered", answer: decodeAnswer(entry.answer) } : { kind: "already-ran" };
+        }
+        const daemon = entry.executor.slice(0, entry.executor.lastIndexOf("/"));
+        const isEarlierStart = daemon === options.executor && entry.executor !== executor;
+        if (entry.state === ClaimState.Abandoned || isEarlierStart || options.isExecutorGone?.(daemon)) {
+            return { kind: "unknown", detail: `the end of the attempt on ${daemon} cannot be known` };
+        }
+        return undefined;
+    }
+
+    /** Records the end of an attempt, first for waiters in this process and then in the store. */
+    async function settle(service: string, key: string, attempt: string, end: RunEnd): Promise<void> {
+        const keyHash = hashKey(service, key);
+        runs.end(keyHash, attempt, end);
+        const answer = end.kind === "done" && end.answer
+            ? encodeAnswer(end.answer, readSettings().answerBytes)
+            : undefined;
+        const operation = { kind: "settle", keyHash, executor, attempt, state: end.kind } as const;
+        await submit({ ...operation, ...(answer && { answer }) }, undefined, false);
+        runs.remove(keyHash, attempt);
+    }
+
+    function complete(service: string, key: string, attempt: string, answer: KeptAnswer | undefined): Promise<void> {
+        return settle(service, key, attempt, { kind: "done", answer });
+    }
+
+    function release(service: string, key: string, attempt: string): Promise<void> {
+        return settle(service, key, attempt, { kind: "released" });
+    }
+
+    function abandon(service: string, key: string, attempt: string): Promise<void> {
+        return settle(service, key, attempt, { kind: "abandoned" });
+    }
+
+    return { claim, complete, release, abandon, committer: direct, stop: () => committer.stop() };
+}
+
+function drawId(random: Random): string {
+    return Math.floor(random() * 0x1_0000_0000).toString(16).padStart(ID_DIGITS, "0");
+}
--- a/src/coordination/claims/ClaimPort.ts
+++ b/src/coordination/claims/ClaimPort.ts
@@ -15,14 +15,18 @@
     | { readonly kind: "already-ran"; }
     /** Another attempt claimed the key and its end cannot be known. */
     | { readonly kind: "unknown"; readonly detail: string; }
-    /** The key could not be claimed and certainly was not claimed; nothing ran under this call. */
+    /** The key was not granted: nothing ran under this call and nothing ever will. */
     | { readonly kind: "refused"; readonly detail: string; };
 
 /** Claims idempotency keys so that a non-repeatable request runs at most once in the mesh. */
 export interface ClaimPort {
     /** `deadline` is a time in milliseconds; a run of the same key in progress is awaited until then. */
     claim(service: string, key: string, deadline: number, signal?: AbortSignal): Promise<ClaimOutcome>;
-    /** Records that the attempt ran; `answer` is undefined when it is too large to keep or was cut. */
+    /**
+     * Records that the attempt ran; `answer` is undefined when it is too large to keep or was cut.
+     * Like `release` and `abandon` it resolves when the store holds the record, which can take long
+     * during an outage: an answer to the caller should not wait for it.
+     */
     complete(service: string, key: string, attempt: string, answer: KeptAnswer | undefined): Promise<void>;
     /** Gives the key back; only when the request provably was not run. */
     release(service: string, key: string, attempt: string): Promise<void>;
--- /dev/null
+++ b/src/coordination/claims/PendingOperations.ts
@@ -0,0 +1,128 @@
+import type { Claim, ShardOperation } from "../../state/claims/index.js";
+import type { CommitResult } from "./ShardCommitter.js";
+
+import { Left, Right } from "purify-ts/Either";
+import { BATCH_BYTES, PENDING_SETTLEMENTS } from "./ClaimConstants.js";
+
+/** Estimated size of an entry without its answer, in bytes. */
+const ENTRY_BYTES = 200;
+
+interface PendingOperation {
+    readonly operation: ShardOperation;
+    /** The operation must be applied to a head read at or after this time. */
+    readonly freshSince: number;
+    /** Part of a write whose answer has not come. */
+    isInFlight: boolean;
+    /** Part of an earlier write whose answer was lost. */
+    isDoubtful: boolean;
+    readonly resolve: (result: CommitResult) => void;
+}
+
+/** The operations that one write carries. */
+export interface OperationBatch {
+    readonly operations: readonly ShardOperation[];
+    /**
+     * Returns the operations whose submitters still wait. To be called directly before the write:
+     * an operation that was cancelled earlier was reported as certainly not committed.
+     */
+    dropCancelled(): OperationBatch;
+    markInFlight(): void;
+    /** Called after the write; `isLost` when its answer was lost. */
+    markWritten(isLost: boolean): void;
+    /** Resolves the operations with their keys' entries, in the same order. */
+    deliver(entries: readonly Claim[]): void;
+}
+
+/** Operations of one shard that wait for a commit, in the order of their arrival. */
+export class PendingOperations {
+    readonly #pending = new Set<PendingOperation>();
+
+    get size(): number {
+        return this.#pending.size;
+    }
+
+    /** Latest time since which a pending operation requires the head to have been read. */
+    get freshSince(): number {
+        return Math.max(-Infinity, ...[...this.#pending].map(pending => pending.freshSince));
+    }
+
+    /** Resolves when the operation was delivered, failed, or the signal aborted. */
+    add(operation: ShardOperation, freshSince: number, signal: AbortSignal | undefined): Promise<CommitResult> {
+        this.#dropOldestSettlement();
+        return new Promise(resolve => {
+            const pending: PendingOperation = {
+                operation,
+                freshSince,
+                isInFlight: false,
+                isDoubtful: false,
+                resolve: result => {
+                    signal?.removeEventListener("abort", cancel);
+                    this.#pending.delete(pending);
+                    resolve(result);
+                },
+            };
+            const cancel = (): void => fail(pending, "the deadline passed or the caller left");
+            this.#pending.add(pending);
+            if (signal?.aborted) {
+                cancel();
+            }
+            signal?.addEventListener("abort", cancel, { once: true });
+        });
+    }
+
+    /** Selects the oldest operations up to the size that one write may carry. */
+    selectBatch(): OperationBatch {
+        const selected: PendingOperation[] = [];
+        let bytes = 0;
+        for (const pending of this.#pending) {
+            bytes += estimateBytes(pending.operation);
+            if (bytes > BATCH_BYTES && selected.length > 0) {
+                break;
+            }
+            selected.push(pending);
+        }
+        return this.#createBatch(selected);
+    }
+
+    /** Fails the operations for which `matches` returns true. */
+    fail(matches: (operation: ShardOperation) => boolean, detail: string): void {
+        for (const pending of [...this.#pending]) {
+            if (matches(pending.operation)) {
+                fail(pending, detail);
+            }
+        }
+    }
+
+    #createBatch(selected: readonly PendingOperation[]): OperationBatch {
+        return {
+            operations: selected.map(pending => pending.operation),
+            dropCancelled: () => this.#createBatch(selected.filter(pending => this.#pending.has(pending))),
+            markInFlight: () => selected.forEach(pending => pending.isInFlight = true),
+            markWritten: isLost =>
+                selected.forEach(pending => {
+                    pending.isInFlight = false;
+                    pending.isDoubtful ||= isLost;
+                }),
+            deliver: entries => selected.forEach((pending, index) => pending.resolve(Right(entries[index] as Claim))),
+        };
+    }
+
+    #dropOldestSettlement(): void {
+        if (this.#pending.size >= PENDING_SETTLEMENTS) {
+            const oldest = [...this.#pending].find(pending => pending.operation.kind === "settle");
+            if (oldest) {
+                fail(oldest, "too many operations wait for the store");
+            }
+        }
+    }
+}
+
+function fail(pending: PendingOperation, detail: string): void {
+    pending.resolve(Left({ possiblyCommitted: pending.isInFlight || pending.isDoubtful, detail }));
+}
+
+function estimateBytes(operation: ShardOperation): number {
+    return operation.kind === "settle" && operation.answer
+        ? ENTRY_BYTES + JSON.stringify(operation.answer).length
+        : ENTRY_BYTES;
+}
--- /dev/null
+++ b/src/coordination/claims/ShardWriter.ts
@@ -0,0 +1,217 @@
+import type { Either } from "purify-ts/Either";
+import type { Claim, ClaimShard, ShardOperation } from "../../state/claims/index.js";
+import type { Random } from "../../state/shared/index.js";
+import type { StoredObject, StoreError, StorePort } from "../../state/store/index.js";
+import type { CommitResult, SubmitOptions } from "./ShardCommitter.js";
+import type { ShardHead } from "./TailSealing.js";
+import type { Wait } from "./Waiting.js";
+
+import { Left, Right } from "purify-ts/Either";
+import { applyOperations, decodeShard, encodeClaims, formatShardObject } from "../../state/claims/index.js";
+import {
+    BACKOFF_BASE_MS,
+    BACKOFF_MAXIMUM_MS,
+    COMMIT_INTERVAL_MS,
+    FAILURES_BEFORE_REFUSAL,
+    HEAD_FRESH_MS,
+} from "./ClaimConstants.js";
+import { PendingOperations } from "./PendingOperations.js";
+import { createSealedClaims } from "./SealedClaims.js";
+import { createTailSealing } from "./TailSealing.js";
+import { drawBackoff } from "./Waiting.js";
+
+/** What a writer needs from its surroundings. */
+export interface ShardWriterContext {
+    readonly store: StorePort;
+    /** Monotonic time in milliseconds; must not follow steps of the wall clock. */
+    readonly uptime: () => number;
+    readonly wait: Wait;
+    readonly random: Random;
+    readonly readRetentionMs: () => number;
+    /** Returns an id that is unique in the mesh. */
+    readonly createId: () => string;
+}
+
+/** Why a round had no effect: another writer came first, the store is busy, or it gave no answer. */
+type RoundFailure = { readonly kind: "contended" | "failed"; readonly detail: string; };
+
+const EMPTY_SHARD: ClaimShard = { clock: 0, tail: [], sealed: [], removed: [] };
+
+/**
+ * Writes one shard by conditional updates. Operations that arrive during a write are carried by the
+ * next one. Rounds run one after the other while operations are pending; each round reads the head
+ * when the cached one is too old, applies the pending operations and writes the result.
+ */
+export class ShardWriter {
+    readonly #context: ShardWriterContext;
+    readonly #objectName: string;
+    readonly #pending: PendingOperations;
+    readonly #sealed;
+    readonly #sealing;
+    readonly #stopped = new AbortController();
+    #head: ShardHead | undefined;
+    /** Pair of shard clock and uptime at the first read; later shard clocks are derived from it. */
+    #clockBase: { readonly clock: number; readonly uptime: number; } | undefined;
+    #isRunning = false;
+    #lastWriteAt = -Infinity;
+    #failures = 0;
+    #contentions = 0;
+    #nextRoundAt = -Infinity;
+
+    constructor(shard: number, context: ShardWriterContext) {
+        this.#context = context;
+        this.#objectName = formatShardObject(shard);
+        this.#pending = new PendingOperations();
+        this.#sealed = createSealedClaims(context.store);
+        this.#sealing = createTailSealing(context.store, shard, context.createId);
+    }
+
+    submit(operation: ShardOperation, options: SubmitOptions): Promise<CommitResult> {
+        if (this.#stopped.signal.aborted) {
+            return Promise.resolve(Left({ possiblyCommitted: false, detail: "the ledger has stopped" }));
+        }
+        const now = this.#context.uptime();
+        if (operation.kind === "claim" && this.#failures >= FAILURES_BEFORE_REFUSAL && now < this.#nextRoundAt) {
+            return Promise.resolve(Left({ possiblyCommitted: false, detail: "the store gives no answer" }));
+        }
+        const result = this.#pending.add(operation, options.isFresh ? now : -Infinity, options.signal);
+        this.#start();
+        return result;
+    }
+
+    stop(): void {
+        this.#stopped.abort();
+        this.#pending.fail(() => true, "the ledger has stopped");
+    }
+
+    #start(): void {
+        if (!this.#isRunning) {
+            this.#isRunning = true;
+            void this.#runRounds().finally(() => {
+                this.#isRunning = false;
+            });
+        }
+    }
+
+    async #runRounds(): Promise<void> {
+        const { uptime, wait } = this.#context;
+        while (this.#pending.size > 0 && !this.#stopped.signal.aborted) {
+            const pauseMs = Math.max(this.#nextRoundAt, this.#lastWriteAt + COMMIT_INTERVAL_MS) - uptime();
+            if (pauseMs > 0) {
+                await wait(pauseMs, this.#stopped.signal);
+                continue;
+            }
+            const result = await this.#runRound();
+            result.ifLeft(failure => this.#handleFailure(failure));
+        }
+    }
+
+    async #runRound(): Promise<Either<RoundFailure, void>> {
+        const { uptime, readRetentionMs } = this.#context;
+        const selected = this.#pending.selectBatch();
+        const read = await this.#readHead(this.#pending.freshSince);
+        if (read.isLeft()) {
+            return Left(read.extract() as RoundFailure);
+        }
+        const head = read.extract() as ShardHead;
+        const base = await this.#sealing.prepare(head);
+        const sealedEntries = await this.#sealed.find(base.sealed, selectUnknownKeys(base, selected.operations));
+        if (sealedEntries.isLeft()) {
+            this.#head = undefined;
+            return Left({ kind: "failed", detail: sealedEntries.extract() as string });
+        }
+        const batch = selected.dropCancelled();
+        const applied = applyOperations(base, batch.operations, {
+            clock: this.#advanceClock(base.clock, uptime()),
+            retentionMs: readRetentionMs(),
+            sealedEntries: sealedEntries.extract() as ReadonlyMap<string, Claim>,
+        });
+        if (applied.isChanged) {
+            const written = await this.#writeHead(head, applied.shard, () => batch.markInFlight());
+            if (written.isLeft()) {
+                const error = written.extract() as StoreError;
+                batch.markWritten(error.kind === "unknown");
+                return Left(classifyWriteError(error));
+            }
+            batch.markWritten(false);
+        }
+        this.#failures = 0;
+        this.#contentions = 0;
+        batch.deliver(applied.entries);
+        return Right(undefined);
+    }
+
+    async #readHead(freshSince: number): Promise<Either<RoundFailure, ShardHead>> {
+        const startedAt = this.#context.uptime();
+        const known = this.#head;
+        if (known && known.confirmedAt >= freshSince && startedAt - known.confirmedAt < HEAD_FRESH_MS) {
+            return Right(known);
+        }
+        const result = await this.#context.store.get(this.#objectName);
+        return result
+            .mapLeft((error): RoundFailure => ({ kind: "failed", detail: error.detail }))
+            .chain(object => decodeHead(object, startedAt))
+            .ifRight(head => {
+                this.#head = head;
+                this.#clockBase ??= { clock: head.shard.clock, uptime: startedAt };
+            });
+    }
+
+    async #writeHead(
+        head: ShardHead,
+        shard: ClaimShard,
+        onSend: () => void,
+    ): Promise<Either<StoreError, ShardHead>> {
+        const startedAt = this.#context.uptime();
+        this.#lastWriteAt = startedAt;
+        onSend();
+        const result = await this.#context.store.put(
+            this.#objectName,
+            encodeClaims(shard),
+            head.version === undefined ? { kind: "absent" } : { kind: "version", version: head.version },
+        );
+        const written = result.map((version): ShardHead => ({ shard, version, confirmedAt: startedAt }));
+        this.#head = written.isRight() ? written.extract() as ShardHead : undefined;
+        if (written.isRight() && shard.removed.length > 0) {
+            void this.#sealing.clean(shard);
+        }
+        return written;
+    }
+
+    /** Advances by the time that this process has observed, so a wrong wall clock expires nothing early. */
+    #advanceClock(clock: number, uptime: number): number {
+        const base = this.#clockBase;
+        return base ? Math.max(clock, Math.floor(base.clock + uptime - base.uptime)) : clock;
+    }
+
+    #handleFailure(failure: RoundFailure): void {
+        const { random, uptime } = this.#context;
+        this.#failures += failure.kind === "failed" ? 1 : 0;
+        this.#contentions += failure.kind === "contended" ? 1 : 0;
+        const doublings = this.#failures + this.#contentions;
+        this.#nextRoundAt = uptime() + drawBackoff(doublings, BACKOFF_BASE_MS, BACKOFF_MAXIMUM_MS, random);
+        if (this.#failures >= FAILURES_BEFORE_REFUSAL) {
+            this.#pending.fail(operation => operation.kind === "claim", failure.detail);
+        }
+    }
+}
+
+function decodeHead(object: StoredObject | undefined, confirmedAt: number): Either<RoundFailure, ShardHead> {
+    if (object === undefined) {
+        return Right({ shard: EMPTY_SHARD, version: undefined, confirmedAt });
+    }
+    return decodeShard(object.value)
+        .mapLeft((detail): RoundFailure => ({ kind: "failed", detail: `${object.key} is damaged: ${detail}` }))
+        .map(shard => ({ shard, version: object.version, confirmedAt }));
+}
+
+/** A rate limit is treated as contention: the store answers, and waiting helps. */
+function classifyWriteError(error: StoreError): RoundFailure {
+    const isContended = error.kind === "refused" && (error.reason === "condition" || error.reason === "rate");
+    return { kind: isContended ? "contended" : "failed", detail: error.detail };
+}
+
+function selectUnknownKeys(shard: ClaimShard, operations: readonly ShardOperation[]): ReadonlySet<string> {
+    const inTail = new Set(shard.tail.map(entry => entry.keyHash));
+    return new Set(operations.map(operation => operation.keyHash).filter(key => !inTail.has(key)));
+}
--- /dev/null
+++ b/src/coordination/claims/TailSealing.ts
@@ -0,0 +1,88 @@
+import type { ClaimShard, SealedReference } from "../../state/claims/index.js";
+import type { ObjectVersion, StorePort } from "../../state/store/index.js";
+
+import { encodeClaims, formatSealedObject } from "../../state/claims/index.js";
+import { SEAL_ABOVE_BYTES } from "./ClaimConstants.js";
+
+/** A shard's mutable object as last confirmed by the store; `version` is undefined while it is absent. */
+export interface ShardHead {
+    readonly shard: ClaimShard;
+    readonly version: ObjectVersion | undefined;
+    /** Time in milliseconds at which the confirming call to the store began. */
+    readonly confirmedAt: number;
+}
+
+/** A sealed object that was written for one version of the head and is not yet named by the head. */
+interface Draft {
+    readonly headVersion: ObjectVersion;
+    readonly reference: SealedReference;
+}
+
+/** Moves large tails of one shard to sealed objects and deletes sealed objects that are not needed. */
+export interface TailSealing {
+    /** Returns the content that the next write starts from: the head's, with a large tail sealed. */
+    prepare(head: ShardHead): Promise<ClaimShard>;
+    /** Deletes expired objects that the written head lists as removed. */
+    clean(shard: ClaimShard): Promise<void>;
+}
+
+/** `createId` returns an id that no other writer ever uses. */
+export function createTailSealing(store: StorePort, shardNumber: number, createId: () => string): TailSealing {
+    let draft: Draft | undefined;
+    const deleted = new Set<string>();
+
+    /** A draft of an older head version can no longer be named by any write that succeeds. */
+    async function dropStaleDraft(head: ShardHead): Promise<void> {
+        if (draft === undefined || head.version === undefined || head.version <= draft.headVersion) {
+            return;
+        }
+        const { name, version } = draft.reference;
+        draft = undefined;
+        const isNamed = [...head.shard.sealed, ...head.shard.removed].some(reference => reference.name === name);
+        if (!isNamed) {
+            await store.delete(name, version);
+        }
+    }
+
+    /** Resolves a lost answer: the id is this writer's alone, so an object of that name is its own. */
+    async function readVersion(name: string): Promise<ObjectVersion | undefined> {
+        const result = await store.get(name);
+        return result.orDefault(undefined)?.version;
+    }
+
+    async function createDraft(head: ShardHead, headVersion: ObjectVersion): Promise<Draft | undefined> {
+        const name = formatSealedObject(shardNumber, createId());
+        const written = await store.put(name, encodeClaims(head.shard.tail), { kind: "absent" });
+        const version = written.isRight() ? written.extract() : await readVersion(name);
+        const newestAt = Math.max(...head.shard.tail.map(entry => entry.at));
+        return version === undefined ? undefined : { headVersion, reference: { name, version, newestAt } };
+    }
+
+    async function prepare(head: ShardHead): Promise<ClaimShard> {
+        await dropStaleDraft(head);
+        const shard = { ...head.shard, removed: head.shard.removed.filter(({ name }) => !deleted.has(name)) };
+        const isLarge = Buffer.byteLength(encodeClaims(shard.tail)) > SEAL_ABOVE_BYTES;
+        if (!isLarge || head.version === undefined) {
+            return shard;
+        }
+        draft ??= await createDraft(head, head.version);
+        return draft ? { ...shard, sealed: [...shard.sealed, draft.reference], tail: [] } : shard;
+    }
+
+    async function clean(shard: ClaimShard): Promise<void> {
+        const listed = new Set(shard.removed.map(({ name }) => name));
+        for (const name of deleted) {
+            if (!listed.has(name)) {
+                deleted.delete(name);
+            }
+        }
+        for (const { name, version } of shard.removed.filter(reference => !deleted.has(reference.name))) {
+            const result = await store.delete(name, version);
+            if (result.isRight()) {
+                deleted.add(name);
+            }
+        }
+    }
+
+    return { prepare, clean };
+}
