--- /dev/null
+++ b/src/transport/metrics/Series.ts
@@ -0,0 +1,99 @@
+import type { Histogram } from "hdr-histogram-js";
+import type { RequestRecord } from "../../coordination/recording/index.js";
+
+import { build } from "hdr-histogram-js";
+import { HIGHEST_ATTEMPTS, HIGHEST_LATENCY_MS, LATENCY_DIGITS, MICROSECONDS_PER_MS } from "./MetricsConstants.js";
+
+/** Percentiles of one histogram in the unit of the recorded values. */
+export interface Distribution {
+    readonly mean: number;
+    readonly p50: number;
+    readonly p90: number;
+    readonly p99: number;
+    readonly p999: number;
+    readonly maximum: number;
+}
+
+/** Histograms of the requests of one class to one service since the daemon started. */
+export interface SeriesSummary {
+    readonly class: string;
+    readonly service: string;
+    readonly count: number;
+    readonly latencyMs: Distribution;
+    readonly queuedMs: Distribution;
+    readonly attempts: Distribution;
+}
+
+/** Histograms of one pair of class and service. */
+export interface Series {
+    readonly class: string;
+    readonly service: string;
+    record(request: RequestRecord): void;
+    summarize(): SeriesSummary;
+    /** Returns count and latency in milliseconds since the last call. */
+    takeInterval(): { readonly count: number; readonly latencyMs: Distribution; };
+}
+
+export function createSeries(labels: { readonly class: string; readonly service: string; }): Series {
+    const latency = createTimeHistogram();
+    const recentLatency = createTimeHistogram();
+    const queued = createTimeHistogram();
+    const attempts = build({
+        autoResize: false,
+        highestTrackableValue: HIGHEST_ATTEMPTS,
+        numberOfSignificantValueDigits: 1,
+    });
+
+    function record(request: RequestRecord): void {
+        recordTime(latency, request.latencyMs);
+        recordTime(recentLatency, request.latencyMs);
+        recordTime(queued, request.queuedMs);
+        attempts.recordValue(Math.min(HIGHEST_ATTEMPTS, Math.max(0, request.attempts)));
+    }
+
+    function summarize(): SeriesSummary {
+        return {
+            ...labels,
+            count: latency.totalCount,
+            latencyMs: describeHistogram(latency, MICROSECONDS_PER_MS),
+            queuedMs: describeHistogram(queued, MICROSECONDS_PER_MS),
+            attempts: describeHistogram(attempts, 1),
+        };
+    }
+
+    function takeInterval() {
+        const interval = {
+            count: recentLatency.totalCount,
+            latencyMs: describeHistogram(recentLatency, MICROSECONDS_PER_MS),
+        };
+        recentLatency.reset();
+        return interval;
+    }
+
+    return { ...labels, record, summarize, takeInterval };
+}
+
+function createTimeHistogram(): Histogram {
+    return build({
+        autoResize: false,
+        highestTrackableValue: HIGHEST_LATENCY_MS * MICROSECONDS_PER_MS,
+        numberOfSignificantValueDigits: LATENCY_DIGITS,
+    });
+}
+
+function recordTime(histogram: Histogram, ms: number): void {
+    const clamped = Math.min(HIGHEST_LATENCY_MS, Math.max(0, ms));
+    histogram.recordValue(Math.round(clamped * MICROSECONDS_PER_MS));
+}
+
+function describeHistogram(histogram: Histogram, unit: number): Distribution {
+    const readPercentile = (percentile: number): number => histogram.getValueAtPercentile(percentile) / unit;
+    return {
+        mean: histogram.totalCount === 0 ? 0 : histogram.mean / unit,
+        p50: readPercentile(50),
+        p90: readPercentile(90),
+        p99: readPercentile(99),
+        p999: readPercentile(99.9),
+        maximum: histogram.maxValue / unit,
+    };
+}
