Load less code for metrics

Cause: loading the metrics modules took 26 MB of a daemon's 64 MB.

Change: the histogram module is loaded without the package's WebAssembly code and compression, and hot-shots only when an address is configured.

--- a/src/transport/metrics/MetricsConstants.ts
+++ b/src/transport/metrics/MetricsConstants.ts
@@ -13,6 +13,7 @@
 export const LATENCY_DIGITS = 2;
 
 export const HIGHEST_ATTEMPTS = 64;
+export const ATTEMPTS_DIGITS = 1;
 
 export const DEFAULT_FLUSH_INTERVAL_MS = 10_000;
 export const METRICS_PREFIX = "papayaturn.";
--- a/src/transport/metrics/MetricsSender.ts
+++ b/src/transport/metrics/MetricsSender.ts
@@ -1,7 +1,7 @@
+import type { StatsD } from "hot-shots";
 import type { EventCount, RequestMetrics } from "./RequestMetrics.js";
 import type { Series } from "./Series.js";
 
-import { StatsD } from "hot-shots";
 import { DATAGRAM_BYTES, DEFAULT_FLUSH_INTERVAL_MS, METRICS_PREFIX } from "./MetricsConstants.js";
 
 /** Where metrics are sent, as UDP datagrams in the StatsD format with tags. */
@@ -26,11 +26,13 @@
  * Sends the changes of each interval, so that traffic depends on the number of series and not on
  * the rate of requests. Returns its teardown, which sends the last interval.
  */
-export function registerMetricsSender(options: MetricsSenderOptions): () => Promise<void> {
+export async function registerMetricsSender(options: MetricsSenderOptions): Promise<() => Promise<void>> {
     const { metrics, target, onError } = options;
     if (target === undefined) {
         return () => Promise.resolve();
     }
+    // Loaded only when used, because the module takes about 12 MB of the daemon's memory.
+    const { StatsD } = await import("hot-shots");
     const client = new StatsD({
         host: target.address,
         port: target.port,
--- a/src/transport/metrics/Series.ts
+++ b/src/transport/metrics/Series.ts
@@ -1,8 +1,25 @@
-import type { Histogram } from "hdr-histogram-js";
+import type histogramModule from "hdr-histogram-js/dist/Int32Histogram.js";
 import type { RequestRecord } from "../../coordination/recording/index.js";
 
-import { build } from "hdr-histogram-js";
-import { HIGHEST_ATTEMPTS, HIGHEST_LATENCY_MS, LATENCY_DIGITS, MICROSECONDS_PER_MS } from "./MetricsConstants.js";
+import { createRequire } from "node:module";
+import {
+    ATTEMPTS_DIGITS,
+    HIGHEST_ATTEMPTS,
+    HIGHEST_LATENCY_MS,
+    LATENCY_DIGITS,
+    MICROSECONDS_PER_MS,
+} from "./MetricsConstants.js";
+
+/**
+ * The package's entry would also load its WebAssembly code and compression, 14 MB that are not used.
+ * The module is CommonJS with a `default` export, which Node.js and test runners import differently.
+ */
+const { default: Int32Histogram } = createRequire(import.meta.url)(
+    "hdr-histogram-js/dist/Int32Histogram.js",
+) as typeof histogramModule;
+type Histogram = InstanceType<typeof Int32Histogram>;
+
+const LOWEST_VALUE = 1;
 
 /** Percentiles of one histogram in the unit of the recorded values. */
 export interface Distribution {
@@ -38,11 +55,7 @@
     const latency = createTimeHistogram();
     const recentLatency = createTimeHistogram();
     const queued = createTimeHistogram();
-    const attempts = build({
-        autoResize: false,
-        highestTrackableValue: HIGHEST_ATTEMPTS,
-        numberOfSignificantValueDigits: 1,
-    });
+    const attempts = new Int32Histogram(LOWEST_VALUE, HIGHEST_ATTEMPTS, ATTEMPTS_DIGITS);
 
     function record(request: RequestRecord): void {
         recordTime(latency, request.latencyMs);
@@ -74,11 +87,7 @@
 }
 
 function createTimeHistogram(): Histogram {
-    return build({
-        autoResize: false,
-        highestTrackableValue: HIGHEST_LATENCY_MS * MICROSECONDS_PER_MS,
-        numberOfSignificantValueDigits: LATENCY_DIGITS,
-    });
+    return new Int32Histogram(LOWEST_VALUE, HIGHEST_LATENCY_MS * MICROSECONDS_PER_MS, LATENCY_DIGITS);
 }
 
 function recordTime(histogram: Histogram, ms: number): void {
--- a/src/transport/metrics/__tests__/unit/Metrics.test.ts
+++ b/src/transport/metrics/__tests__/unit/Metrics.test.ts
@@ -65,8 +65,10 @@
     metrics.count({ kind: "retried", reason: "closed", service: "status-desk", class: "families" });
     const onError = (error: Error): void => expect.unreachable(error.message);
     const options = { metrics, tags: { daemon: "erie-a-1" }, onError };
-    await registerMetricsSender({ ...options, target: undefined })();
-    const stop = registerMetricsSender({ ...options, target: { address: "127.0.0.1", port: receiver.address().port } });
+    const stopNothing = await registerMetricsSender({ ...options, target: undefined });
+    await stopNothing();
+    const target = { address: "127.0.0.1", port: receiver.address().port };
+    const stop = await registerMetricsSender({ ...options, target });
     const arrived = once(receiver, "message");
     await stop();
     await arrived;
