--- /dev/null
+++ b/src/coordination/admission/ClassQueues.ts
@@ -0,0 +1,114 @@
+import type { AdmissionRequest } from "./AdmissionTypes.js";
+
+interface ClassQueue {
+    readonly requests: AdmissionRequest[];
+    weight: number;
+    /** Virtual time at which the class's next request starts. */
+    start: number;
+}
+
+/** Queues of waiting requests, one for each class, served by weighted fair queueing. */
+export class ClassQueues {
+    readonly #queues = new Map<string, ClassQueue>();
+    #virtualTime = 0;
+    #length = 0;
+
+    get length(): number {
+        return this.#length;
+    }
+
+    enqueue(request: AdmissionRequest): void {
+        let queue = this.#queues.get(request.class);
+        if (queue === undefined) {
+            queue = { requests: [], weight: request.weight, start: this.#virtualTime };
+            this.#queues.set(request.class, queue);
+        }
+        if (queue.requests.length === 0) {
+            // A class that was idle gets no credit for the time in which it asked for nothing.
+            queue.start = Math.max(queue.start, this.#virtualTime);
+        }
+        queue.weight = request.weight;
+        queue.requests.push(request);
+        this.#length++;
+    }
+
+    has(request: AdmissionRequest): boolean {
+        return this.#queues.get(request.class)?.requests.includes(request) ?? false;
+    }
+
+    remove(request: AdmissionRequest): boolean {
+        const queue = this.#queues.get(request.class);
+        const index = queue?.requests.indexOf(request) ?? -1;
+        if (queue === undefined || index < 0) {
+            return false;
+        }
+        queue.requests.splice(index, 1);
+        this.#length--;
+        return true;
+    }
+
+    /** Takes the request of the class with the earliest virtual start, among those that may start. */
+    takeNext(mayStart: (request: AdmissionRequest) => boolean): AdmissionRequest | undefined {
+        let chosen: ClassQueue | undefined;
+        for (const queue of this.#queues.values()) {
+            const first = queue.requests[0];
+            if (first !== undefined && (chosen === undefined || queue.start < chosen.start) && mayStart(first)) {
+                chosen = queue;
+            }
+        }
+        const request = chosen?.requests.shift();
+        if (chosen === undefined || request === undefined) {
+            return undefined;
+        }
+        this.#length--;
+        this.#virtualTime = Math.max(this.#virtualTime, chosen.start);
+        chosen.start += 1 / chosen.weight;
+        return request;
+    }
+
+    takeExpired(now: number): AdmissionRequest[] {
+        const expired: AdmissionRequest[] = [];
+        for (const queue of this.#queues.values()) {
+            for (let index = queue.requests.length - 1; index >= 0; index--) {
+                const request = queue.requests[index];
+                if (request !== undefined && request.deadline <= now) {
+                    queue.requests.splice(index, 1);
+                    expired.push(request);
+                }
+            }
+        }
+        this.#length -= expired.length;
+        return expired;
+    }
+
+    /** Whether a class holds less of the queue than its weight entitles it to. */
+    isBelowShare(className: string, weight: number, queueLength: number): boolean {
+        let weights = weight;
+        for (const [name, queue] of this.#queues) {
+            if (name !== className && queue.requests.length > 0) {
+                weights += queue.weight;
+            }
+        }
+        const held = this.#queues.get(className)?.requests.length ?? 0;
+        return held < Math.floor(queueLength * weight / weights);
+    }
+
+    /** Takes the newest request of the class with the most requests for its weight, other than `className`. */
+    evict(className: string): AdmissionRequest | undefined {
+        let largest: ClassQueue | undefined;
+        for (const [name, queue] of this.#queues) {
+            if (
+                name !== className && queue.requests.length > 0
+                && (largest === undefined
+                    || queue.requests.length / queue.weight > largest.requests.length / largest.weight)
+            ) {
+                largest = queue;
+            }
+        }
+        const evicted = largest?.requests.pop();
+        if (evicted !== undefined) {
+            this.#length--;
+        }
+        return evicted;
+    }
+}
--- /dev/null
+++ b/src/coordination/balancing/LoadBalancer.ts
@@ -0,0 +1,215 @@
+import type { Member } from "../../state/members/index.js";
+import type { Random } from "../../state/shared/index.js";
+import { rankByRendezvous } from "../../state/shared/index.js";
+import type { MeshView } from "../../state/view/index.js";
+import { EJECTION_MAXIMUM_SHARE, LEAVING_AVOIDANCE_MS } from "./BalancingConstants.js";
+import { buildLocalityGroups, computeGroupShare } from "./LocalityGroups.js";
+import type { LocalityGroups, Place } from "./LocalityGroups.js";
+import { ServerStatistics } from "./ServerStatistics.js";
+import type { ReportedLoad } from "./ServerStatistics.js";
+
+/** Result of one attempt as it bears on its server. */
+export const AttemptEffect = {
+    Success: "success",
+    Failure: "failure",
+    /** Says nothing about the server: refused for load, or given up by the caller. */
+    None: "none",
+} as const;
+export type AttemptEffect = (typeof AttemptEffect)[keyof typeof AttemptEffect];
+
+/** One choice among the servers of a service. */
+export interface ChoiceQuery {
+    readonly service: string;
+    readonly slowStartMs: number;
+    /** Servers already tried for this request. */
+    readonly excluded: ReadonlySet<string>;
+    readonly now: number;
+}
+
+export interface LoadBalancerOptions {
+    readonly place: Place;
+    readonly readView: () => MeshView;
+    readonly random: Random;
+    /** Whether a request would go to the server in one hop now. */
+    readonly isOneHop: (memberId: string, now: number) => boolean;
+}
+
+interface CachedGroups {
+    readonly members: readonly Member[];
+    readonly cutOffDomains: ReadonlySet<string>;
+    readonly groups: LocalityGroups;
+}
+
+/** Statistics of members that left are dropped when this many exceed the members known. */
+const STATISTICS_SLACK = 256;
+
+/** Chooses servers for requests and keeps what was observed of each. */
+export class LoadBalancer {
+    readonly #options: LoadBalancerOptions;
+    readonly #statistics = new Map<string, ServerStatistics>();
+    readonly #groups = new Map<string, CachedGroups>();
+
+    constructor(options: LoadBalancerOptions) {
+        this.#options = options;
+    }
+
+    /** Chooses a server by distance, then by two random choices; undefined when there is none. */
+    choose(query: ChoiceQuery): Member | undefined {
+        const groups = this.readGroups(query.service, query.now);
+        const usable = groups.map(group => group.filter(member => this.#isUsable(member, query)));
+        const group = this.#chooseGroup(usable, query.now)
+            ?? groups.map(each => each.filter(member => !query.excluded.has(member.id))).find(each => each.length > 0);
+        return group === undefined ? undefined : this.#chooseOfTwo(group, query);
+    }
+
+    /** Orders all live servers of a service for a key, so that repetitions meet at one owner. */
+    rankForKey(service: string, key: string, now: number): readonly Member[] {
+        const view = this.#options.readView();
+        const live = (view.membersByService.get(service) ?? []).filter(member => member.state === "live");
+        const ranked = rankByRendezvous(key, live);
+        // Servers that fail or cannot be reached come last but stay candidates.
+        const isAvoided = (member: Member): boolean =>
+            view.cutOffDomains.has(member.failureDomain)
+            || this.#statistics.get(member.id)?.ejection.isEjected(now) === true;
+        return [...ranked.filter(member => !isAvoided(member)), ...ranked.filter(isAvoided)];
+    }
+
+    noteBegin(memberId: string, now: number): void {
+        this.getStatistics(memberId, now).noteBegin(now);
+    }
+
+    /** Records the end of an attempt; true when its result ejected the server. */
+    noteEnd(service: string, memberId: string, effect: AttemptEffect, latencyMs: number, now: number): boolean {
+        const statistics = this.getStatistics(memberId, now);
+        statistics.noteEnd();
+        switch (effect) {
+            case AttemptEffect.Success:
+                statistics.recordLatency(latencyMs);
+                statistics.ejection.recordSuccess(now);
+                return false;
+            case AttemptEffect.Failure:
+                return statistics.ejection.recordFailure(this.#mayEject(service, now), now);
+            default:
+                statistics.ejection.noteNoResult();
+                return false;
+        }
+    }
+
+    /** Notes that a server refused work because it is leaving; its member record follows. */
+    noteLeaving(memberId: string, now: number): void {
+        this.getStatistics(memberId, now).avoidUntil = now + LEAVING_AVOIDANCE_MS;
+    }
+
+    recordLoad(memberId: string, load: ReportedLoad, now: number): void {
+        this.getStatistics(memberId, now).recordLoad(load, now);
+    }
+
+    /** Groups of a service's live servers; rebuilt only when its members or the cut-off domains change. */
+    readGroups(service: string, now: number): LocalityGroups {
+        const view = this.#options.readView();
+        const members = view.membersByService.get(service) ?? [];
+        const cached = this.#groups.get(service);
+        if (cached?.members === members && cached.cutOffDomains === view.cutOffDomains) {
+            return cached.groups;
+        }
+        const groups = buildLocalityGroups(this.#options.place, members, view.cutOffDomains);
+        this.#groups.set(service, { members, cutOffDomains: view.cutOffDomains, groups });
+        this.#dropOldStatistics(view);
+        for (const member of groups.flat()) {
+            this.getStatistics(member.id, now);
+        }
+        return groups;
+    }
+
+    getStatistics(memberId: string, now: number): ServerStatistics {
+        let statistics = this.#statistics.get(memberId);
+        if (statistics === undefined) {
+            statistics = new ServerStatistics(now);
+            this.#statistics.set(memberId, statistics);
+        }
+        return statistics;
+    }
+
+    #dropOldStatistics(view: MeshView): void {
+        if (this.#statistics.size <= view.members.size + STATISTICS_SLACK) {
+            return;
+        }
+        for (const [memberId, statistics] of this.#statistics) {
+            if (!view.members.has(memberId) && statistics.inFlight === 0) {
+                this.#statistics.delete(memberId);
+            }
+        }
+    }
+
+    #isUsable(member: Member, query: ChoiceQuery): boolean {
+        const statistics = this.getStatistics(member.id, query.now);
+        return !query.excluded.has(member.id) && statistics.avoidUntil <= query.now
+            && statistics.ejection.isAvailable(query.now);
+    }
+
+    /** Takes the nearest group with a probability that falls with its utilization. */
+    #chooseGroup(groups: LocalityGroups, now: number): readonly Member[] | undefined {
+        let leastUtilized: readonly Member[] | undefined;
+        let lowest = Number.POSITIVE_INFINITY;
+        for (const group of groups) {
+            if (group.length === 0) {
+                continue;
+            }
+            const utilization = this.#estimateGroupUtilization(group, now);
+            const share = computeGroupShare(utilization);
+            if (share >= 1 || share > 0 && this.#options.random() < share) {
+                return group;
+            }
+            if (utilization < lowest) {
+                lowest = utilization;
+                leastUtilized = group;
+            }
+        }
+        return leastUtilized;
+    }
+
+    #estimateGroupUtilization(group: readonly Member[], now: number): number {
+        let used = 0;
+        let slots = 0;
+        for (const member of group) {
+            const serverSlots = member.server?.slots ?? 1;
+            used += serverSlots * this.getStatistics(member.id, now).estimateUtilization(serverSlots, now);
+            slots += serverSlots;
+        }
+        return used / Math.max(1, slots);
+    }
+
+    #chooseOfTwo(group: readonly Member[], query: ChoiceQuery): Member | undefined {
+        const oneHop = group.filter(member => this.#options.isOneHop(member.id, query.now));
+        const candidates = oneHop.length > 0 ? oneHop : group;
+        const first = this.#drawMember(candidates);
+        if (candidates.length < 2) {
+            return first;
+        }
+        const second = this.#drawMember(candidates.filter(member => member !== first));
+        if (first === undefined || second === undefined) {
+            return first ?? second;
+        }
+        return this.#computeCost(second, query) < this.#computeCost(first, query) ? second : first;
+    }
+
+    #drawMember(members: readonly Member[]): Member | undefined {
+        return members[Math.floor(this.#options.random() * members.length)];
+    }
+
+    /** Expected time in the server, in arbitrary units: load times latency, divided by the weight. */
+    #computeCost(member: Member, query: ChoiceQuery): number {
+        const statistics = this.getStatistics(member.id, query.now);
+        const utilization = statistics.estimateUtilization(member.server?.slots ?? 1, query.now);
+        const latency = Math.max(1, statistics.latencyMs ?? 1);
+        return (statistics.inFlight + 1) * (1 + utilization) * Math.sqrt(latency)
+            / statistics.computeWeight(query.slowStartMs, query.now);
+    }
+
+    #mayEject(service: string, now: number): boolean {
+        const members = (this.#options.readView().membersByService.get(service) ?? [])
+            .filter(member => member.state === "live");
+        const ejected = members.filter(member => this.#statistics.get(member.id)?.ejection.isEjected(now) === true);
+        return ejected.length + 1 <= Math.floor(members.length * EJECTION_MAXIMUM_SHARE);
+    }
+}
--- /dev/null
+++ b/src/coordination/balancing/LocalityGroups.ts
@@ -0,0 +1,55 @@
+import { MemberState } from "../../state/members/index.js";
+import type { Member } from "../../state/members/index.js";
+import { rankByRendezvous } from "../../state/shared/index.js";
+import { SPILL_START_UTILIZATION, SUBSET_SIZE } from "./BalancingConstants.js";
+
+/** Place of the daemon that chooses. */
+export interface Place {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly region: string;
+}
+
+/** Servers of one service in the order of distance: own failure domain, own region, the rest. */
+export type LocalityGroups = readonly (readonly Member[])[];
+
+/**
+ * Divides the live servers by distance and limits each group to a subset that depends on the
+ * daemon's id. Servers of cut-off domains are left out, unless no other is left.
+ */
+export function buildLocalityGroups(
+    place: Place,
+    members: readonly Member[],
+    cutOffDomains: ReadonlySet<string>,
+): LocalityGroups {
+    const live = members.filter(member => member.state === MemberState.Live && member.server !== undefined);
+    const reachable = live.filter(member => !cutOffDomains.has(member.failureDomain));
+    const candidates = reachable.length > 0 ? reachable : live;
+    const groups: Member[][] = [[], [], []];
+    for (const member of candidates) {
+        groups[computeDistance(place, member)]?.push(member);
+    }
+    return groups.map(group => selectSubset(place.id, group));
+}
+
+function computeDistance(place: Place, member: Member): 0 | 1 | 2 {
+    if (member.failureDomain === place.failureDomain) {
+        return 0;
+    }
+    return member.region === place.region ? 1 : 2;
+}
+
+/** Selects the daemon's servers of a group; its own server always belongs to them. */
+function selectSubset(daemonId: string, group: readonly Member[]): readonly Member[] {
+    if (group.length <= SUBSET_SIZE) {
+        return group;
+    }
+    const subset = rankByRendezvous(daemonId, group).slice(0, SUBSET_SIZE);
+    const own = group.find(member => member.id === daemonId);
+    return own === undefined || subset.includes(own) ? subset : [...subset.slice(1), own];
+}
+
+/** Share of requests that a group keeps: 1 up to the spill start, then falling to 0 at saturation. */
+export function computeGroupShare(utilization: number): number {
+    return Math.min(1, Math.max(0, (1 - utilization) / (1 - SPILL_START_UTILIZATION)));
+}
--- /dev/null
+++ b/src/coordination/balancing/OutlierEjection.ts
@@ -0,0 +1,85 @@
+import {
+    EJECTION_BASE_MS,
+    EJECTION_CONSECUTIVE_FAILURES,
+    EJECTION_FAILURE_RATE,
+    EJECTION_MAXIMUM_MS,
+    EJECTION_MINIMUM_RESULTS,
+    RESULT_HALF_LIFE_MS,
+} from "./BalancingConstants.js";
+
+/** Judges one server by the results of its requests. Reported health has no part in it. */
+export class OutlierEjection {
+    #consecutiveFailures = 0;
+    #successes = 0;
+    #failures = 0;
+    #decayedAt = 0;
+    #ejectedUntil = 0;
+    /** Ejections without a success since; each doubles the next one's length. */
+    #ejections = 0;
+    #isTrialRunning = false;
+
+    /** Whether the server is out of balancing now. */
+    isEjected(now: number): boolean {
+        return now < this.#ejectedUntil;
+    }
+
+    /** Whether the server may get one request at a time to show that it works again. */
+    isOnTrial(now: number): boolean {
+        return this.#ejections > 0 && !this.isEjected(now);
+    }
+
+    /** Whether the server may be chosen now. */
+    isAvailable(now: number): boolean {
+        return !this.isEjected(now) && !(this.#ejections > 0 && this.#isTrialRunning);
+    }
+
+    /** Marks the begin of a request; a server on trial gets no other until it ended. */
+    noteBegin(now: number): void {
+        if (this.isOnTrial(now)) {
+            this.#isTrialRunning = true;
+        }
+    }
+
+    /** Marks an end that says nothing about the server, for example a cancellation. */
+    noteNoResult(): void {
+        this.#isTrialRunning = false;
+    }
+
+    recordSuccess(now: number): void {
+        this.#decay(now);
+        this.#isTrialRunning = false;
+        this.#consecutiveFailures = 0;
+        this.#successes++;
+        if (!this.isEjected(now)) {
+            this.#ejections = 0;
+        }
+    }
+
+    /** Counts a failure; true when it ejects the server. `mayEject` is false while too many others are ejected. */
+    recordFailure(mayEject: boolean, now: number): boolean {
+        this.#decay(now);
+        this.#isTrialRunning = false;
+        this.#consecutiveFailures++;
+        this.#failures++;
+        const results = this.#successes + this.#failures;
+        const isOutlier = this.isOnTrial(now)
+            || this.#consecutiveFailures >= EJECTION_CONSECUTIVE_FAILURES
+            || results >= EJECTION_MINIMUM_RESULTS && this.#failures / results > EJECTION_FAILURE_RATE;
+        if (!isOutlier || !mayEject || this.isEjected(now)) {
+            return false;
+        }
+        this.#ejectedUntil = now + Math.min(EJECTION_MAXIMUM_MS, EJECTION_BASE_MS * 2 ** this.#ejections);
+        this.#ejections++;
+        this.#consecutiveFailures = 0;
+        this.#successes = 0;
+        this.#failures = 0;
+        return true;
+    }
+
+    #decay(now: number): void {
+        const factor = 0.5 ** (Math.max(0, now - this.#decayedAt) / RESULT_HALF_LIFE_MS);
+        this.#successes *= factor;
+        this.#failures *= factor;
+        this.#decayedAt = now;
+    }
+}
--- /dev/null
+++ b/src/coordination/leases/LeaseConstants.ts
@@ -0,0 +1,10 @@
+/** Validity of a slot lease. The holder counts from sending its renewal, the owner from receiving it. */
+export const LEASE_MS = 2_000;
+/** Interval at which a holder renews its leases. */
+export const LEASE_RENEWAL_INTERVAL_MS = 1_000;
+/** Slots that an owner keeps for its own and relayed requests. */
+export const RESERVED_SLOTS = 2;
+/** A lease without requests for this long is returned. */
+export const LEASE_IDLE_MS = 5_000;
+/** An applicant displaces a holder only when it sends this many times the requests, which prevents alternation. */
+export const DISPLACEMENT_FACTOR = 2;
--- /dev/null
+++ b/src/coordination/retries/index.ts
@@ -0,0 +1,3 @@
+export { generateBackoffDelays } from "./Backoff.js";
+export { RetryBudget } from "./RetryBudget.js";
+export type { RetryBudgetSettings } from "./RetryBudget.js";
--- /dev/null
+++ b/src/coordination/routing/index.ts
@@ -0,0 +1,2 @@
+export { hasDotSegment, matchRoute } from "./RouteTable.js";
+export type { RouteQuery } from "./RouteTable.js";
--- /dev/null
+++ b/src/protocol/request/HeaderForwarding.ts
@@ -0,0 +1,85 @@
+import { isMeshHeader, MeshHeader } from "./MeshHeaders.js";
+
+/** Headers that concern one connection only (RFC 9110 section 7.6.1) and are never forwarded. */
+const HOP_BY_HOP_HEADERS = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+]);
+
+/** `expect` is answered by the daemon itself. Trailers of requests are dropped, which RFC 9110 section 6.5.1 allows. */
+const REQUEST_ONLY_HOP_HEADERS = new Set(["expect", "trailer"]);
+
+/**
+ * Copies the headers of a request for the next hop: without hop-by-hop headers, headers named by
+ * `Connection`, and mesh headers. `rawHeaders` and the result alternate names and values.
+ */
+export function copyRequestHeaders(rawHeaders: readonly string[], connection: string | undefined): string[] {
+    const named = parseConnectionOptions(connection);
+    const copied: string[] = [];
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+        const rawName = rawHeaders[index] as string;
+        const name = rawName.toLowerCase();
+        if (
+            HOP_BY_HOP_HEADERS.has(name) || REQUEST_ONLY_HOP_HEADERS.has(name) || isMeshHeader(name)
+            || named?.has(name) === true
+        ) {
+            continue;
+        }
+        copied.push(name, rawHeaders[index + 1] as string);
+    }
+    return copied;
+}
+
+/** Copies the headers of an answer for the caller, by the same rules; `Trailer` is kept. */
+export function copyAnswerHeaders(rawHeaders: readonly string[], connection: string | undefined): string[] {
+    const named = parseConnectionOptions(connection);
+    const copied: string[] = [];
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+        const rawName = rawHeaders[index] as string;
+        const name = rawName.toLowerCase();
+        if (HOP_BY_HOP_HEADERS.has(name) || isMeshHeader(name) || named?.has(name) === true) {
+            continue;
+        }
+        copied.push(rawName, rawHeaders[index + 1] as string);
+    }
+    return copied;
+}
+
+/** Trailer fields that may be forwarded: none that frames, routes or speaks for the mesh. */
+const FORBIDDEN_TRAILERS = new Set(["content-length", "transfer-encoding", "host", "trailer", "content-encoding"]);
+
+export function copyTrailers(rawTrailers: readonly string[]): [name: string, value: string][] {
+    const copied: [string, string][] = [];
+    for (let index = 0; index + 1 < rawTrailers.length; index += 2) {
+        const name = (rawTrailers[index] as string).toLowerCase();
+        if (!FORBIDDEN_TRAILERS.has(name) && !HOP_BY_HOP_HEADERS.has(name) && !isMeshHeader(name)) {
+            copied.push([name, rawTrailers[index + 1] as string]);
+        }
+    }
+    return copied;
+}
+
+function parseConnectionOptions(connection: string | undefined): Set<string> | undefined {
+    if (connection === undefined || connection === "keep-alive" || connection === "close") {
+        return undefined;
+    }
+    return new Set(connection.toLowerCase().split(",").map(option => option.trim()));
+}
+
+const DEADLINE_PATTERN = /^[0-9]{1,9}$/;
+
+/** Remaining milliseconds that a request's deadline header states; undefined when absent or malformed. */
+export function parseDeadlineMs(value: string | string[] | undefined): number | undefined {
+    return typeof value === "string" && DEADLINE_PATTERN.test(value) ? Number(value) : undefined;
+}
+
+/** Adds the deadline header; at least 1 ms, since 0 would mean that nothing may be done. */
+export function appendDeadline(headers: string[], remainingMs: number): void {
+    headers.push(MeshHeader.Deadline, String(Math.max(1, Math.floor(remainingMs))));
+}
--- /dev/null
+++ b/src/protocol/request/LeaseMessage.ts
@@ -0,0 +1,78 @@
+import { parseLoadReport } from "./LoadReport.js";
+import type { LoadReport } from "./LoadReport.js";
+
+/** Path of the relay port that takes lease renewals; relayed requests are told apart by their target header. */
+export const LEASE_RENEWAL_PATH = "/.papayaturn/leases";
+
+/** Largest renewal or answer accepted. */
+export const LEASE_MESSAGE_MAXIMUM_BYTES = 4_096;
+
+/** What a daemon asks of the owner of a server, once a second while it uses that server. */
+export interface LeaseRenewal {
+    /** Daemon that asks. */
+    readonly holder: string;
+    /** Daemon that is asked; a renewal for another one is refused. */
+    readonly owner: string;
+    readonly service: string;
+    /** Slots that the holder would use; 0 returns the lease. */
+    readonly wanted: number;
+    /** Slots in which the holder's requests still work. */
+    readonly inUse: number;
+    /** Requests sent to the server since the last renewal. */
+    readonly sent: number;
+}
+
+export interface LeaseAnswer {
+    /** Slots leased from the sending of the renewal on, for `LEASE_MS`; 0 ends the lease. */
+    readonly granted: number;
+    readonly load: LoadReport;
+}
+
+const LONGEST_NAME = 256;
+const HIGHEST_COUNT = 1_000_000;
+
+function isName(value: unknown): value is string {
+    return typeof value === "string" && value.length > 0 && value.length <= LONGEST_NAME;
+}
+
+function isCount(value: unknown): value is number {
+    return typeof value === "number" && Number.isInteger(value) && value >= 0 && value <= HIGHEST_COUNT;
+}
+
+function parseObject(text: string): Record<string, unknown> | undefined {
+    try {
+        const value: unknown = JSON.parse(text);
+        return typeof value === "object" && value !== null ? value as Record<string, unknown> : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Parses and checks a renewal; undefined when it is malformed. */
+export function parseLeaseRenewal(text: string): LeaseRenewal | undefined {
+    const value = parseObject(text);
+    if (
+        value === undefined || !isName(value.holder) || !isName(value.owner) || !isName(value.service)
+        || !isCount(value.wanted) || !isCount(value.inUse) || !isCount(value.sent)
+    ) {
+        return undefined;
+    }
+    return {
+        holder: value.holder,
+        owner: value.owner,
+        service: value.service,
+        wanted: value.wanted,
+        inUse: value.inUse,
+        sent: value.sent,
+    };
+}
+
+/** Parses and checks an owner's answer; undefined when it is malformed. */
+export function parseLeaseAnswer(text: string, load: string | undefined): LeaseAnswer | undefined {
+    const value = parseObject(text);
+    const report = parseLoadReport(load);
+    return value !== undefined && report !== undefined && isCount(value.granted)
+        ? { granted: value.granted, load: report }
+        : undefined;
+}
--- /dev/null
+++ b/src/protocol/request/LoadReport.ts
@@ -0,0 +1,23 @@
+/** Load of a backend server as its owner reports it with each relayed answer and lease renewal. */
+export interface LoadReport {
+    /** Slots that work now, those that are leased and idle not included. */
+    readonly used: number;
+    readonly slots: number;
+    readonly queued: number;
+    /** What the server's own health endpoint last said; it never removes a server by itself. */
+    readonly healthy: boolean;
+}
+
+/** Formats as `used/slots/queued/healthy`, for example `3/12/0/1`. */
+export function formatLoadReport(load: LoadReport): string {
+    return `${load.used}/${load.slots}/${load.queued}/${load.healthy ? 1 : 0}`;
+}
+
+const LOAD_PATTERN = /^(\d{1,6})\/(\d{1,6})\/(\d{1,6})\/([01])$/;
+
+export function parseLoadReport(text: string | undefined): LoadReport | undefined {
+    const match = text === undefined ? null : LOAD_PATTERN.exec(text);
+    return match === null
+        ? undefined
+        : { used: Number(match[1]), slots: Number(match[2]), queued: Number(match[3]), healthy: match[4] === "1" };
+}
--- /dev/null
+++ b/src/protocol/request/index.ts
@@ -0,0 +1,25 @@
+export {
+    appendDeadline,
+    copyAnswerHeaders,
+    copyRequestHeaders,
+    copyTrailers,
+    parseDeadlineMs,
+} from "./HeaderForwarding.js";
+export {
+    LEASE_MESSAGE_MAXIMUM_BYTES,
+    LEASE_RENEWAL_PATH,
+    parseLeaseAnswer,
+    parseLeaseRenewal,
+} from "./LeaseMessage.js";
+export type { LeaseAnswer, LeaseRenewal } from "./LeaseMessage.js";
+export { formatLoadReport, parseLoadReport } from "./LoadReport.js";
+export type { LoadReport } from "./LoadReport.js";
+export {
+    EXECUTION_ONCE,
+    IDEMPOTENCY_KEY_HEADER,
+    IDEMPOTENCY_KEY_MAXIMUM_LENGTH,
+    MeshHeader,
+    REQUEST_ID_HEADER,
+} from "./MeshHeaders.js";
+export { getRefusalStatus, Outcome, parseOutcome, parseRefusalReason, RefusalReason } from "./Outcome.js";
+export { deriveRelayToken, isRelayToken } from "./RelayToken.js";
--- /dev/null
+++ b/src/transport/proxy/AttemptHandler.ts
@@ -0,0 +1,187 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dispatcher } from "undici";
+import { copyAnswerHeaders, copyTrailers } from "../../protocol/request/index.js";
+import type { Outcome, RefusalReason } from "../../protocol/request/index.js";
+import type { AnswerCapture } from "./AnswerCapture.js";
+import { NO_ANSWER_STATUS, refuse } from "./AttemptResult.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import { describeInterruption } from "./Exchange.js";
+import type { Exchange, Interruption } from "./Exchange.js";
+
+/** What to do with an answer once its status and headers are known. */
+export type AnswerVerdict =
+    | { readonly kind: "deliver"; readonly outcome: Outcome; }
+    /** Read and drop the answer; the attempt ends with `result`. */
+    | { readonly kind: "withhold"; readonly result: AttemptResult; };
+
+/** One attempt to have a request executed at a server or daemon. */
+export interface AttemptInput {
+    readonly exchange: Exchange;
+    readonly classifyAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerVerdict;
+    /** Reason of the refusal when the connection could not be made. */
+    readonly unreachableReason: RefusalReason;
+    /** Present for a request that may run once: its answer is kept and it runs on when the caller goes away. */
+    readonly capture?: AnswerCapture;
+}
+
+const FIRST_FINAL_STATUS = 200;
+const BODILESS_STATUSES = new Set([204, 304]);
+
+/** Passes one answer from undici to the caller with backpressure, and finds out how the attempt ended. */
+export class AttemptHandler implements Dispatcher.DispatchHandler {
+    readonly #input: AttemptInput;
+    readonly #resolve: (result: AttemptResult) => void;
+    #controller: Dispatcher.DispatchController | undefined;
+    /** True from the moment before the first byte is written: from here on the request may run. */
+    #isWritten = false;
+    #isSettled = false;
+    #status = 0;
+    #verdict: AnswerVerdict | undefined;
+
+    constructor(input: AttemptInput, resolve: (result: AttemptResult) => void) {
+        this.#input = input;
+        this.#resolve = resolve;
+        input.exchange.onInterrupt = cause => {
+            this.#interrupt(cause);
+        };
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        if (this.#isSettled) {
+            controller.abort(new Error("request was given up before it was sent"));
+            return;
+        }
+        this.#controller = controller;
+        this.#isWritten = true;
+    }
+
+    onResponseStart(
+        controller: Dispatcher.DispatchController,
+        status: number,
+        headers: IncomingHttpHeaders,
+        statusMessage?: string,
+    ): void {
+        if (status < FIRST_FINAL_STATUS || this.#isSettled) {
+            return;
+        }
+        const { exchange, capture } = this.#input;
+        if (!this.#isFramed(status, headers)) {
+            this.#abort(new Error("the answer states no length, so its end can't be recognized"));
+            return;
+        }
+        this.#status = status;
+        this.#verdict = this.#input.classifyAnswer(status, headers);
+        if (this.#verdict.kind === "withhold") {
+            return;
+        }
+        const copied = copyAnswerHeaders(decodeRaw(controller.rawHeaders), headers.connection);
+        capture?.begin(status, copied);
+        if (exchange.response.destroyed) {
+            return;
+        }
+        exchange.appendAnswerHeaders(copied, this.#verdict.outcome);
+        exchange.response.writeHead(status, statusMessage ?? "", copied);
+    }
+
+    onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        if (this.#verdict?.kind !== "deliver" || this.#isSettled) {
+            return;
+        }
+        const { response } = this.#input.exchange;
+        this.#input.capture?.append(chunk);
+        if (!response.destroyed && !response.write(chunk)) {
+            controller.pause();
+            response.once("drain", () => {
+                controller.resume();
+            });
+        }
+    }
+
+    onResponseEnd(controller: Dispatcher.DispatchController): void {
+        const verdict = this.#verdict;
+        if (verdict === undefined || this.#isSettled) {
+            return;
+        }
+        if (verdict.kind === "withhold") {
+            this.#settle(verdict.result);
+            return;
+        }
+        const { response } = this.#input.exchange;
+        this.#input.capture?.end();
+        if (!response.destroyed) {
+            const trailers = copyTrailers(decodeRaw(controller.rawTrailers));
+            if (trailers.length > 0) {
+                response.addTrailers(trailers);
+            }
+            response.end();
+        }
+        this.#settle({ kind: "answered", status: this.#status, outcome: verdict.outcome });
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController | null, error: Error): void {
+        if (!this.#isSettled) {
+            this.#fail(error.message);
+        }
+    }
+
+    /** An answer must state its length or be chunked; one that ends with its connection can't be told from a cut one. */
+    #isFramed(status: number, headers: IncomingHttpHeaders): boolean {
+        return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
+            || BODILESS_STATUSES.has(status) || this.#input.exchange.request.method === "HEAD";
+    }
+
+    #interrupt(cause: Interruption): void {
+        if (cause === "cancelled" && this.#input.capture !== undefined && this.#isWritten) {
+            // The answer of a request that runs once is kept for a repetition, even without its caller.
+            this.#controller?.resume();
+            return;
+        }
+        const result = this.#verdict === undefined || this.#verdict.kind === "withhold"
+            ? describeInterruption(cause, this.#isWritten)
+            : this.#cut(`the request was given up: ${cause}`);
+        this.#settle(result);
+        this.#controller?.abort(new Error(`request given up: ${cause}`));
+    }
+
+    #abort(error: Error): void {
+        this.#fail(error.message);
+        this.#controller?.abort(error);
+    }
+
+    #fail(detail: string): void {
+        if (!this.#isWritten) {
+            this.#settle(refuse(this.#input.unreachableReason, detail));
+        }
+        else if (this.#verdict?.kind === "deliver") {
+            this.#settle(this.#cut(detail));
+        }
+        else if (this.#verdict?.kind === "withhold") {
+            this.#settle(this.#verdict.result);
+        }
+        else {
+            this.#settle({ kind: "unknown", status: NO_ANSWER_STATUS, detail });
+        }
+    }
+
+    /** Closes the caller's connection, so that a broken answer can't be taken for a whole one. */
+    #cut(detail: string): AttemptResult {
+        this.#input.exchange.response.destroy();
+        return { kind: "cut", status: this.#status, detail };
+    }
+
+    #settle(result: AttemptResult): void {
+        if (!this.#isSettled) {
+            this.#isSettled = true;
+            this.#input.exchange.onInterrupt = undefined;
+            this.#resolve(result);
+        }
+    }
+}
+
+/** Raw headers as text; undici gives them as buffers of Latin-1 bytes. */
+function decodeRaw(raw: Dispatcher.DispatchController["rawHeaders"]): string[] {
+    if (!Array.isArray(raw)) {
+        return [];
+    }
+    return raw.map(part => typeof part === "string" ? part : part.toString("latin1"));
+}
--- /dev/null
+++ b/src/transport/proxy/CallerEntry.ts
@@ -0,0 +1,97 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { MeshHeader, RefusalReason, REQUEST_ID_HEADER } from "../../protocol/request/index.js";
+import { refuse } from "./AttemptResult.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import { Exchange } from "./Exchange.js";
+import { getOutcome, sendResult } from "./PlainAnswer.js";
+import type { ProxyContext } from "./ProxyContext.js";
+import { receiveBody } from "./RequestBody.js";
+import { isPlan, planRequest } from "./RequestPlan.js";
+import type { RequestPlan } from "./RequestPlan.js";
+import { createAttemptLog, runKeyed, runRepeatable } from "./RequestRouting.js";
+import type { AttemptLog } from "./RequestRouting.js";
+
+/** Handles one request of a caller from its headers to its record. */
+export async function handleCallerRequest(
+    context: ProxyContext,
+    request: IncomingMessage,
+    response: ServerResponse,
+    expectsContinue: boolean,
+): Promise<void> {
+    const { options } = context;
+    const requestId = readRequestId(request) ?? context.createId();
+    const exchange = new Exchange(request, response, options.now(), context.deadlines, (headers, outcome) => {
+        headers.push(MeshHeader.Outcome, outcome, REQUEST_ID_HEADER, requestId);
+    });
+    const planned = planRequest(request, requestId, options.readView());
+    const log = createAttemptLog();
+    const result = context.isStopping()
+        ? refuse(RefusalReason.Stopping, "this daemon is stopping")
+        : isPlan(planned)
+        ? await runPlan(context, exchange, planned, log, expectsContinue)
+        : planned;
+    const status = sendResult(exchange, result, context.isStopping());
+    exchange.finish();
+    record(context, exchange, requestId, isPlan(planned) ? planned : undefined, log, result, status);
+}
+
+async function runPlan(
+    context: ProxyContext,
+    exchange: Exchange,
+    plan: RequestPlan,
+    log: AttemptLog,
+    expectsContinue: boolean,
+): Promise<AttemptResult> {
+    exchange.setDeadline(exchange.receivedAt + plan.timeoutMs);
+    context.recordRequest(plan.service.name, exchange.receivedAt);
+    const announced = Number(exchange.request.headers["content-length"] ?? 0);
+    if (expectsContinue && announced <= plan.route.maximumRequestBytes) {
+        exchange.response.writeContinue();
+    }
+    const refusal = await receiveBody(exchange, plan.route.maximumRequestBytes);
+    if (refusal !== undefined) {
+        return refusal;
+    }
+    return plan.key === undefined
+        ? runRepeatable(context, exchange, plan, log)
+        : runKeyed(context, exchange, plan, plan.key, log);
+}
+
+function record(
+    context: ProxyContext,
+    exchange: Exchange,
+    requestId: string,
+    plan: RequestPlan | undefined,
+    log: AttemptLog,
+    result: AttemptResult,
+    status: number,
+): void {
+    const { recorder, now } = context.options;
+    const service = plan?.service.name;
+    const className = plan?.route.class;
+    if (result.kind === "not-run") {
+        recorder.count({ kind: "refused", reason: result.reason, service, class: className });
+    }
+    recorder.record({
+        requestId,
+        method: exchange.request.method ?? "",
+        path: exchange.request.url ?? "",
+        route: plan?.route.name,
+        service,
+        class: className,
+        status,
+        outcome: getOutcome(result),
+        attempts: log.attempts,
+        hop: log.hop,
+        server: log.server,
+        latencyMs: now() - exchange.receivedAt,
+        queuedMs: exchange.queuedMs,
+    });
+}
+
+const REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
+
+function readRequestId(request: IncomingMessage): string | undefined {
+    const id = request.headers[REQUEST_ID_HEADER];
+    return typeof id === "string" && REQUEST_ID_PATTERN.test(id) ? id : undefined;
+}
--- /dev/null
+++ b/src/transport/proxy/DeadlineQueue.ts
@@ -0,0 +1,77 @@
+import { DEADLINE_RESOLUTION_MS } from "./ProxyConstants.js";
+
+/** Called once when its time has come. */
+export type ExpiryListener = () => void;
+
+/**
+ * Calls listeners at their times with one timer for all, since a timer for each request costs more
+ * than the request's other bookkeeping. Times are rounded up to `DEADLINE_RESOLUTION_MS`.
+ */
+export class DeadlineQueue {
+    readonly #now: () => number;
+    readonly #buckets = new Map<number, Set<ExpiryListener>>();
+    #timer: NodeJS.Timeout | undefined;
+    #timerBucket = Number.POSITIVE_INFINITY;
+
+    constructor(now: () => number) {
+        this.#now = now;
+    }
+
+    /** Registers a listener; the returned function removes it. */
+    register(at: number, listener: ExpiryListener): () => void {
+        const key = Math.ceil(at / DEADLINE_RESOLUTION_MS);
+        let bucket = this.#buckets.get(key);
+        if (bucket === undefined) {
+            bucket = new Set();
+            this.#buckets.set(key, bucket);
+        }
+        bucket.add(listener);
+        if (key < this.#timerBucket) {
+            this.#startTimer(key);
+        }
+        return () => {
+            const registered = this.#buckets.get(key);
+            if (registered?.delete(listener) === true && registered.size === 0) {
+                this.#buckets.delete(key);
+            }
+        };
+    }
+
+    stop(): void {
+        clearTimeout(this.#timer);
+        this.#buckets.clear();
+    }
+
+    #startTimer(key: number): void {
+        clearTimeout(this.#timer);
+        this.#timerBucket = key;
+        this.#timer = setTimeout(() => {
+            this.#expireDue();
+        }, Math.max(0, key * DEADLINE_RESOLUTION_MS - this.#now()));
+        this.#timer.unref();
+    }
+
+    #expireDue(): void {
+        this.#timerBucket = Number.POSITIVE_INFINITY;
+        const present = this.#now() / DEADLINE_RESOLUTION_MS;
+        let next = Number.POSITIVE_INFINITY;
+        const due: Set<ExpiryListener>[] = [];
+        for (const [key, bucket] of this.#buckets) {
+            if (key <= present) {
+                this.#buckets.delete(key);
+                due.push(bucket);
+            }
+            else {
+                next = Math.min(next, key);
+            }
+        }
+        if (next < Number.POSITIVE_INFINITY) {
+            this.#startTimer(next);
+        }
+        for (const bucket of due) {
+            for (const listener of bucket) {
+                listener();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/proxy/Exchange.ts
@@ -0,0 +1,89 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Outcome } from "../../protocol/request/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
+import { DEADLINE_STATUS, NO_ANSWER_STATUS, refuse } from "./AttemptResult.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import type { DeadlineQueue } from "./DeadlineQueue.js";
+import type { RequestBody } from "./RequestBody.js";
+
+/** Why a request is given up before it has an answer. */
+export type Interruption = "cancelled" | "deadline" | "body-too-large";
+
+/**
+ * One request on one of the daemon's ports and its answer. Whatever waits on behalf of the request
+ * sets `onInterrupt` and is told when the caller closes its connection or the deadline passes.
+ */
+export class Exchange {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly receivedAt: number;
+    /** Adds the headers that every answer on this port carries. */
+    readonly appendAnswerHeaders: (headers: string[], outcome: Outcome) => void;
+    body: RequestBody = { kind: "none" };
+    /** Time by which the answer must have been given. */
+    deadline = Number.POSITIVE_INFINITY;
+    queuedMs = 0;
+    interruption: Interruption | undefined;
+    onInterrupt: ((cause: Interruption) => void) | undefined;
+    #removeDeadline: (() => void) | undefined;
+    readonly #deadlines: DeadlineQueue;
+
+    constructor(
+        request: IncomingMessage,
+        response: ServerResponse,
+        receivedAt: number,
+        deadlines: DeadlineQueue,
+        appendAnswerHeaders: (headers: string[], outcome: Outcome) => void,
+    ) {
+        this.request = request;
+        this.response = response;
+        this.receivedAt = receivedAt;
+        this.#deadlines = deadlines;
+        this.appendAnswerHeaders = appendAnswerHeaders;
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                this.interrupt("cancelled");
+            }
+        });
+    }
+
+    setDeadline(deadline: number): void {
+        this.#removeDeadline?.();
+        this.deadline = deadline;
+        this.#removeDeadline = this.#deadlines.register(deadline, () => {
+            this.interrupt("deadline");
+        });
+    }
+
+    /** The first cause counts; a deadline is still told after a cancellation, which not all requests heed. */
+    interrupt(cause: Interruption): void {
+        if (this.interruption === undefined || this.interruption === "cancelled" && cause === "deadline") {
+            this.interruption = cause;
+            this.onInterrupt?.(cause);
+        }
+    }
+
+    /** Ends the exchange's bookkeeping; the answer was sent or the connection closed. */
+    finish(): void {
+        this.#removeDeadline?.();
+        this.onInterrupt = undefined;
+    }
+}
+
+/** The result of an interrupted request, by whether any of it may have reached a server. */
+export function describeInterruption(cause: Interruption, mayHaveRun: boolean): AttemptResult {
+    switch (cause) {
+        case "cancelled":
+            return mayHaveRun
+                ? { kind: "unknown", status: NO_ANSWER_STATUS, detail: "the caller closed its connection" }
+                : refuse(RefusalReason.Cancelled, "the caller closed its connection");
+        case "deadline":
+            return mayHaveRun
+                ? { kind: "unknown", status: DEADLINE_STATUS, detail: "no answer came before the deadline" }
+                : refuse(RefusalReason.Deadline, "the deadline passed before a server had a free slot");
+        case "body-too-large":
+            return mayHaveRun
+                ? { kind: "unknown", status: 413, detail: "the request body exceeds the route's limit" }
+                : refuse(RefusalReason.RequestTooLarge, "the request body exceeds the route's limit");
+    }
+}
--- /dev/null
+++ b/src/transport/proxy/OwnServer.ts
@@ -0,0 +1,106 @@
+import { ServerAdmission } from "../../coordination/admission/index.js";
+
+import { LEASE_MS, LeaseGrants } from "../../coordination/leases/index.js";
+import type { LoadReport } from "../../protocol/request/index.js";
+import type { ServiceSettings } from "../../state/document/index.js";
+import { MemberState } from "../../state/members/index.js";
+import type { ServerRecord } from "../../state/members/index.js";
+import type { ReadMeshView } from "../../state/view/index.js";
+
+const NO_SERVICE_QUEUE_LENGTH = 0;
+
+/** Slots, queue and leases of the backend server beside this daemon. */
+export class OwnServer {
+    readonly #selfId: string;
+    readonly #readView: ReadMeshView;
+    readonly #admission: ServerAdmission;
+    readonly #grants: LeaseGrants;
+    #stateOverride: MemberState | undefined;
+    #isHealthy = true;
+    #lastResultAt = Number.NEGATIVE_INFINITY;
+
+    constructor(selfId: string, readView: ReadMeshView, startedAt: number) {
+        this.#selfId = selfId;
+        this.#readView = readView;
+        this.#grants = new LeaseGrants(startedAt);
+        this.#admission = new ServerAdmission(now => ({
+            slots: this.#grants.countOwnSlots(this.readRecord()?.slots ?? 0, now),
+            serverSlots: this.readRecord()?.slots ?? 0,
+            queueLength: this.readSettings()?.queue.length ?? NO_SERVICE_QUEUE_LENGTH,
+        }));
+    }
+
+    get admission(): ServerAdmission {
+        return this.#admission;
+    }
+
+    /** Time of the last request that showed the server's state. */
+    get lastResultAt(): number {
+        return this.#lastResultAt;
+    }
+
+    readRecord(): ServerRecord | undefined {
+        return this.#readView().members.get(this.#selfId)?.server;
+    }
+
+    readSettings(): ServiceSettings | undefined {
+        const service = this.readRecord()?.service;
+        return service === undefined ? undefined : this.#readView().configuration?.document.services[service];
+    }
+
+    /** State by which work is accepted; takes effect before the member record has changed. */
+    setState(state: MemberState): void {
+        this.#stateOverride = state;
+    }
+
+    isAccepting(): boolean {
+        const state = this.#stateOverride ?? this.#readView().members.get(this.#selfId)?.state;
+        return state === MemberState.Live;
+    }
+
+    noteResult(now: number): void {
+        this.#lastResultAt = now;
+    }
+
+    setHealthy(isHealthy: boolean): void {
+        this.#isHealthy = isHealthy;
+    }
+
+    /** Decides on a holder's renewal; returns the slots granted. */
+    renewLease(
+        request: { readonly holder: string; readonly wanted: number; readonly inUse: number; readonly sent: number; },
+        now: number,
+    ): number {
+        const granted = this.#grants.renew(request, {
+            serverSlots: this.readRecord()?.slots ?? 0,
+            ownWorking: this.#admission.working,
+            ownQueued: this.#admission.queued,
+            isLeasable: this.isAccepting(),
+            longestRequestMs: this.#readLongestRequestMs(),
+        }, now);
+        this.#admission.advance(now);
+        return granted;
+    }
+
+    readLoad(now: number): LoadReport {
+        const slots = this.readRecord()?.slots ?? 0;
+        return {
+            used: Math.min(slots, this.#admission.working + this.#grants.countHeld(now)),
+            slots,
+            queued: this.#admission.queued,
+            healthy: this.#isHealthy,
+        };
+    }
+
+    #readLongestRequestMs(): number {
+        const view = this.#readView();
+        const service = this.readRecord()?.service;
+        let longest = LEASE_MS;
+        for (const route of Object.values(view.configuration?.document.routes ?? {})) {
+            if (route.service === service) {
+                longest = Math.max(longest, route.timeoutMs);
+            }
+        }
+        return longest;
+    }
+}
--- /dev/null
+++ b/src/transport/proxy/PlainAnswer.ts
@@ -0,0 +1,95 @@
+import { getRefusalStatus, MeshHeader, Outcome, RefusalReason } from "../../protocol/request/index.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import type { Exchange } from "./Exchange.js";
+import { DEFAULT_RETRY_AFTER_MS } from "./ProxyConstants.js";
+import { hasUnreadBody } from "./RequestBody.js";
+
+const MS_PER_SECOND = 1_000;
+const SERVICE_UNAVAILABLE_STATUS = 503;
+const TOO_MANY_REQUESTS_STATUS = 429;
+
+/** Sends a short text answer of the daemon itself. */
+export function sendPlainAnswer(
+    exchange: Exchange,
+    status: number,
+    outcome: Outcome,
+    text: string,
+    extraHeaders: readonly string[] = [],
+): void {
+    const { request, response } = exchange;
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const headers = [
+        "content-type",
+        "text/plain; charset=utf-8",
+        "content-length",
+        String(Buffer.byteLength(text)),
+        ...extraHeaders,
+    ];
+    if (hasUnreadBody(request)) {
+        headers.push("connection", "close");
+    }
+    exchange.appendAnswerHeaders(headers, outcome);
+    response.writeHead(status, headers);
+    response.end(text);
+}
+
+/** Tells the caller how its request ended when no answer of a server was passed on. */
+export function sendResult(exchange: Exchange, result: AttemptResult, isStopping: boolean): number {
+    switch (result.kind) {
+        case "answered":
+        case "cut":
+            return result.status;
+        case "not-run": {
+            const status = getRefusalStatus(result.reason);
+            const headers: string[] = [MeshHeader.Reason, result.reason];
+            if (status === SERVICE_UNAVAILABLE_STATUS || status === TOO_MANY_REQUESTS_STATUS) {
+                const retryAfterMs = result.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
+                headers.push("retry-after", String(Math.ceil(retryAfterMs / MS_PER_SECOND)));
+            }
+            if (isStopping && !hasUnreadBody(exchange.request)) {
+                headers.push("connection", "close");
+            }
+            sendPlainAnswer(exchange, status, Outcome.NotRun, `Not run: ${result.detail}.\n`, headers);
+            return status;
+        }
+        case "unknown":
+            sendPlainAnswer(exchange, result.status, Outcome.Unknown, `Outcome unknown: ${result.detail}.\n`);
+            return result.status;
+        case "withheld":
+            sendPlainAnswer(exchange, result.status, Outcome.Unknown, "Outcome unknown: the server declined.\n");
+            return result.status;
+    }
+}
+
+/** Outcome of a result as the access log and histograms show it. */
+export function getOutcome(result: AttemptResult): Outcome {
+    switch (result.kind) {
+        case "answered":
+            return result.outcome;
+        case "not-run":
+            return Outcome.NotRun;
+        default:
+            return Outcome.Unknown;
+    }
+}
+
+/** Reason of a refusal that concerns the caller's own message. */
+export type MessageRefusal = typeof RefusalReason.BadRequest | typeof RefusalReason.HeadersTooLarge;
+
+/** Complete answer for a connection whose message could not be parsed. */
+export function formatParseRefusal(reason: MessageRefusal): string {
+    const status = getRefusalStatus(reason);
+    const text = `Not run: ${reason}.\n`;
+    return [
+        `HTTP/1.1 ${status} ${reason === RefusalReason.BadRequest ? "Bad Request" : "Request Header Fields Too Large"}`,
+        `${MeshHeader.Outcome}: ${Outcome.NotRun}`,
+        `${MeshHeader.Reason}: ${reason}`,
+        "content-type: text/plain; charset=utf-8",
+        `content-length: ${Buffer.byteLength(text)}`,
+        "connection: close",
+        "",
+        text,
+    ].join("\r\n");
+}
--- /dev/null
+++ b/src/transport/proxy/RelayEntry.ts
@@ -0,0 +1,97 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+    copyRequestHeaders,
+    EXECUTION_ONCE,
+    formatLoadReport,
+    IDEMPOTENCY_KEY_HEADER,
+    isRelayToken,
+    LEASE_RENEWAL_PATH,
+    MeshHeader,
+    parseDeadlineMs,
+    RefusalReason,
+} from "../../protocol/request/index.js";
+import { refuse } from "./AttemptResult.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import { Exchange } from "./Exchange.js";
+import { executeOnce } from "./KeyedExecution.js";
+import { answerLeaseRenewal } from "./LeaseAnswering.js";
+import { executeLocally } from "./LocalExecution.js";
+import type { ServerRequest } from "./LocalExecution.js";
+import { sendResult } from "./PlainAnswer.js";
+import { UNROUTED_DEADLINE_MS } from "./ProxyConstants.js";
+import type { ProxyContext } from "./ProxyContext.js";
+import { receiveBody } from "./RequestBody.js";
+
+/** Handles one request on the relay port: a request for the own server, or a lease renewal. */
+export async function handleRelayRequest(
+    context: ProxyContext,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const { options, ownServer } = context;
+    const attempt = readHeader(request, MeshHeader.Attempt);
+    const exchange = new Exchange(request, response, options.now(), context.deadlines, (headers, outcome) => {
+        headers.push(MeshHeader.Outcome, outcome, MeshHeader.Load, formatLoadReport(ownServer.readLoad(options.now())));
+        if (attempt !== undefined) {
+            headers.push(MeshHeader.Attempt, attempt);
+        }
+    });
+    const result = await executeRelayed(context, exchange);
+    if (result !== undefined) {
+        sendResult(exchange, result, context.isStopping());
+    }
+    exchange.finish();
+}
+
+async function executeRelayed(context: ProxyContext, exchange: Exchange): Promise<AttemptResult | undefined> {
+    const { options } = context;
+    const { request } = exchange;
+    if (!isRelayToken(request.headers[MeshHeader.Token], context.relayToken)) {
+        options.log("warn", "proxy: refused a request on the relay port without a valid token.", {
+            remote: request.socket.remoteAddress,
+        });
+        return refuse(RefusalReason.Forbidden, "the request does not come from a member of the mesh");
+    }
+    const target = readHeader(request, MeshHeader.Target);
+    if (target === undefined && request.url === LEASE_RENEWAL_PATH) {
+        await answerLeaseRenewal(context, exchange);
+        return undefined;
+    }
+    if (target !== options.selfId) {
+        return refuse(RefusalReason.Misdirected, `this daemon is ${options.selfId}`);
+    }
+    if (context.isStopping()) {
+        return refuse(RefusalReason.Stopping, "this daemon is stopping");
+    }
+    const remainingMs = parseDeadlineMs(request.headers[MeshHeader.Deadline]) ?? UNROUTED_DEADLINE_MS;
+    exchange.setDeadline(exchange.receivedAt + remainingMs);
+    // The entry daemon has checked the size against its route.
+    const refusal = await receiveBody(exchange, Number.POSITIVE_INFINITY);
+    return refusal ?? executeForDaemon(context, exchange);
+}
+
+function executeForDaemon(context: ProxyContext, exchange: Exchange): Promise<AttemptResult> {
+    const { request } = exchange;
+    const serverRequest: ServerRequest = {
+        exchange,
+        method: request.method ?? "",
+        target: request.url ?? "/",
+        headers: copyRequestHeaders(request.rawHeaders, request.headers.connection),
+        service: readHeader(request, MeshHeader.Service) ?? "",
+        class: readHeader(request, MeshHeader.Class) ?? "",
+        // Declining answers go back to the entry daemon, which decides on a retry.
+        shouldWithhold: () => false,
+    };
+    if (request.headers[MeshHeader.Execution] !== EXECUTION_ONCE) {
+        return executeLocally(context, serverRequest);
+    }
+    const key = readHeader(request, IDEMPOTENCY_KEY_HEADER);
+    return key === undefined
+        ? Promise.resolve(refuse(RefusalReason.MissingKey, "the relayed request has no key"))
+        : executeOnce(context, serverRequest, key);
+}
+
+function readHeader(request: IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return typeof value === "string" ? value : undefined;
+}
--- /dev/null
+++ b/src/transport/proxy/RequestBody.ts
@@ -0,0 +1,124 @@
+import type { IncomingMessage } from "node:http";
+import { Transform } from "node:stream";
+import type { TransformCallback } from "node:stream";
+import { RefusalReason } from "../../protocol/request/index.js";
+import { refuse } from "./AttemptResult.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import { describeInterruption } from "./Exchange.js";
+import type { Exchange } from "./Exchange.js";
+import { BUFFERED_BODY_MAXIMUM_BYTES } from "./ProxyConstants.js";
+
+/** Body of a request as attempts send it. */
+export type RequestBody =
+    | { readonly kind: "none"; }
+    /** Read whole; can be sent any number of times. */
+    | { readonly kind: "buffered"; readonly bytes: Buffer; }
+    /** Still arriving; can be sent once. */
+    | { readonly kind: "streamed"; isTaken: boolean; readonly maximumBytes: number; };
+
+/**
+ * Reads a small body whole and leaves a larger one to be streamed. Returns a refusal when the body
+ * exceeds the limit or does not arrive, so that no slot is taken for it.
+ */
+export async function receiveBody(exchange: Exchange, maximumBytes: number): Promise<AttemptResult | undefined> {
+    const { request } = exchange;
+    const length = request.headers["content-length"];
+    if (length === undefined) {
+        if (request.headers["transfer-encoding"] !== undefined) {
+            exchange.body = { kind: "streamed", isTaken: false, maximumBytes };
+        }
+        return undefined;
+    }
+    const bytes = Number(length);
+    if (bytes > maximumBytes) {
+        return refuse(
+            RefusalReason.RequestTooLarge,
+            `the request body has ${bytes} bytes, the route allows ${maximumBytes}`,
+        );
+    }
+    if (bytes > BUFFERED_BODY_MAXIMUM_BYTES) {
+        exchange.body = { kind: "streamed", isTaken: false, maximumBytes };
+        return undefined;
+    }
+    return bytes === 0 ? undefined : collectBody(exchange);
+}
+
+function collectBody(exchange: Exchange): Promise<AttemptResult | undefined> {
+    const { request } = exchange;
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        const finish = (result: AttemptResult | undefined): void => {
+            exchange.onInterrupt = undefined;
+            resolve(result);
+        };
+        exchange.onInterrupt = cause => {
+            finish(describeInterruption(cause, false));
+        };
+        if (exchange.interruption !== undefined) {
+            finish(describeInterruption(exchange.interruption, false));
+            return;
+        }
+        request.on("data", (chunk: Buffer) => {
+            chunks.push(chunk);
+        });
+        request.on("end", () => {
+            const [first] = chunks;
+            const bytes = chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
+            exchange.body = { kind: "buffered", bytes };
+            finish(undefined);
+        });
+        request.on("error", () => {
+            exchange.interrupt("cancelled");
+        });
+    });
+}
+
+/** Whether another attempt can send the body. */
+export function isBodyReplayable(body: RequestBody): boolean {
+    return body.kind !== "streamed" || !body.isTaken;
+}
+
+/** Takes the body for one attempt. A failing attempt destroys the returned stream, not the caller's connection. */
+export function openBody(exchange: Exchange): Buffer | Transform | null {
+    const { body } = exchange;
+    switch (body.kind) {
+        case "none":
+            return null;
+        case "buffered":
+            return body.bytes;
+        case "streamed":
+            body.isTaken = true;
+            return streamBody(exchange, body.maximumBytes);
+    }
+}
+
+function streamBody(exchange: Exchange, maximumBytes: number): Transform {
+    const { request } = exchange;
+    let received = 0;
+    const limited = new Transform({
+        transform(chunk: Buffer, _encoding: BufferEncoding, done: TransformCallback): void {
+            received += chunk.length;
+            if (received > maximumBytes) {
+                exchange.interrupt("body-too-large");
+                done(new Error("request body exceeds the route's limit"));
+                return;
+            }
+            done(null, chunk);
+        },
+    });
+    // Errors reach the attempt through undici, which watches the stream that it sends.
+    limited.on("error", () => {
+        request.unpipe(limited);
+    });
+    request.on("error", error => {
+        limited.destroy(error);
+    });
+    request.pipe(limited);
+    return limited;
+}
+
+/** Whether parts of the request are still to be read, so that the connection can't serve another request. */
+export function hasUnreadBody(request: IncomingMessage): boolean {
+    return !request.complete && (request.headers["transfer-encoding"] !== undefined
+        || Number(request.headers["content-length"] ?? 0) > 0);
+}
--- /dev/null
+++ b/src/transport/proxy/RequestProxy.ts
@@ -0,0 +1,174 @@
+import { createServer } from "node:http";
+import type { Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { LoadBalancer } from "../../coordination/balancing/index.js";
+import { HeldLeases } from "../../coordination/leases/index.js";
+import { deriveRelayToken, RefusalReason } from "../../protocol/request/index.js";
+import type { LoadReport } from "../../protocol/request/index.js";
+import type { MemberState } from "../../state/members/index.js";
+import { handleCallerRequest } from "./CallerEntry.js";
+import { DeadlineQueue } from "./DeadlineQueue.js";
+import { explainRequest } from "./Explanation.js";
+import type { ExplainQuery, Explanation } from "./Explanation.js";
+import { registerLeaseRenewal } from "./LeaseRenewing.js";
+import { OwnServer } from "./OwnServer.js";
+import { formatParseRefusal } from "./PlainAnswer.js";
+import { CALLER_KEEP_ALIVE_MS, HEADER_MAXIMUM_BYTES, HEADER_TIMEOUT_MS } from "./ProxyConstants.js";
+import type { ProxyContext, RequestProxyOptions } from "./ProxyContext.js";
+import { handleRelayRequest } from "./RelayEntry.js";
+import { RetryBudgets } from "./RetryBudgets.js";
+import { ServerPools } from "./ServerPools.js";
+
+/** The running request path of one daemon. */
+export interface RequestProxy {
+    readonly requestPort: number;
+    readonly relayPort: number;
+    /** Tells where a request would go and why. */
+    explain(query: ExplainQuery): Explanation;
+    /** Sets the state of the own server at once, before its member record has changed. */
+    setServerState(state: MemberState): void;
+    /** Load of the own server as other daemons see it. */
+    readLoad(): LoadReport;
+    /** Refuses new work, lets work in flight end, then closes all connections. */
+    stop(): Promise<void>;
+}
+
+type RequestHandler = (
+    request: Parameters<typeof handleCallerRequest>[1],
+    response: ServerResponse,
+    expectsContinue: boolean,
+) => Promise<void>;
+
+/** Starts the two ports of the request path. Rejects when a port can't be bound. */
+export async function startRequestProxy(options: RequestProxyOptions): Promise<RequestProxy> {
+    const state = { isStopping: false };
+    const context = createContext(options, () => state.isStopping);
+    const inFlight = new Set<Promise<void>>();
+    const callers = createRequestServer(
+        inFlight,
+        options,
+        (request, response, expectsContinue) => handleCallerRequest(context, request, response, expectsContinue),
+    );
+    const relays = createRequestServer(
+        inFlight,
+        options,
+        (request, response) => handleRelayRequest(context, request, response),
+    );
+    const requestPort = await openPort(callers, options.requestPort, options.address);
+    const relayPort = await openPort(relays, options.relayPort, options.address);
+    const stopRenewal = registerLeaseRenewal(context);
+    options.log("info", "proxy: accepts requests.", { requestPort, relayPort });
+    return {
+        requestPort,
+        relayPort,
+        explain: query => explainRequest(context, query),
+        setServerState: serverState => {
+            context.ownServer.setState(serverState);
+        },
+        readLoad: () => context.ownServer.readLoad(options.now()),
+        stop: async () => {
+            state.isStopping = true;
+            while (inFlight.size > 0) {
+                await Promise.all(inFlight);
+            }
+            stopRenewal();
+            await Promise.all([close(callers), close(relays)]);
+            context.deadlines.stop();
+            await context.pools.stop();
+            options.log("info", "proxy: stopped.");
+        },
+    };
+}
+
+function createContext(options: RequestProxyOptions, isStopping: () => boolean): ProxyContext {
+    const leases = new HeldLeases();
+    const startedAt = options.now();
+    const retryBudgets = new RetryBudgets(options.readView);
+    const balancer = new LoadBalancer({
+        place: { id: options.selfId, failureDomain: options.failureDomain, region: options.region },
+        readView: options.readView,
+        random: options.random,
+        isOneHop: (memberId, now) => memberId === options.selfId || leases.hasFreeSlot(memberId, now),
+    });
+    // Ids of an earlier run of this daemon must not return.
+    const idPrefix = `${options.selfId}-${Math.floor(startedAt).toString(36)}-`;
+    let lastId = 0;
+    return {
+        options,
+        relayToken: deriveRelayToken(options.meshKey),
+        deadlines: new DeadlineQueue(options.now),
+        pools: new ServerPools(),
+        balancer,
+        leases,
+        ownServer: new OwnServer(options.selfId, options.readView, startedAt),
+        chooseServer: options.chooseServer ?? (query => balancer.choose(query)),
+        takeRetry: options.takeRetry ?? ((service, now) => retryBudgets.takeRetry(service, now)),
+        recordRequest: (service, now) => {
+            retryBudgets.recordRequest(service, now);
+        },
+        isStopping,
+        createId: () => `${idPrefix}${(++lastId).toString(36)}`,
+    };
+}
+
+function createRequestServer(
+    inFlight: Set<Promise<void>>,
+    options: RequestProxyOptions,
+    handle: RequestHandler,
+): Server {
+    const server = createServer({
+        maxHeaderSize: HEADER_MAXIMUM_BYTES,
+        headersTimeout: HEADER_TIMEOUT_MS,
+        // Slow bodies end by the route's deadline.
+        requestTimeout: 0,
+        keepAliveTimeout: CALLER_KEEP_ALIVE_MS,
+        noDelay: true,
+    });
+    // Node drops headers beyond this number without an error; the size limit bounds them instead.
+    server.maxHeadersCount = 0;
+    const run = (expectsContinue: boolean) => (request: Parameters<RequestHandler>[0], response: ServerResponse) => {
+        const closed = new Promise<void>(resolve => response.once("close", resolve));
+        const done = handle(request, response, expectsContinue).catch((error: unknown) => {
+            options.log("warn", "proxy: request failed by an internal error.", { error: String(error) });
+            response.destroy();
+        }).then(() => closed);
+        inFlight.add(done);
+        void done.finally(() => inFlight.delete(done));
+    };
+    server.on("request", run(false));
+    server.on("checkContinue", run(true));
+    server.on("connect", (_request, socket: Socket) => {
+        socket.end(formatParseRefusal(RefusalReason.BadRequest));
+    });
+    server.on("clientError", refuseUnparsed);
+    return server;
+}
+
+/** Answers a message that could not be parsed and closes its connection. */
+function refuseUnparsed(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || socket.bytesWritten > 0 && error.code === "ECONNRESET") {
+        socket.destroy();
+        return;
+    }
+    const reason = error.code === "HPE_HEADER_OVERFLOW" ? RefusalReason.HeadersTooLarge : RefusalReason.BadRequest;
+    socket.end(formatParseRefusal(reason));
+}
+
+function openPort(server: Server, port: number, address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, address, () => {
+            server.off("error", reject);
+            resolve((server.address() as AddressInfo).port);
+        });
+    });
+}
+
+function close(server: Server): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => {
+            resolve();
+        });
+        server.closeAllConnections();
+    });
+}
--- /dev/null
+++ b/src/transport/proxy/RequestRouting.ts
@@ -0,0 +1,274 @@
+import { AttemptEffect } from "../../coordination/balancing/index.js";
+import { generateBackoffDelays } from "../../coordination/retries/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
+import type { Member } from "../../state/members/index.js";
+import { refuse } from "./AttemptResult.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import type { Exchange } from "./Exchange.js";
+import { describeInterruption } from "./Exchange.js";
+import { executeOnce } from "./KeyedExecution.js";
+import { executeLocally, sendToServer } from "./LocalExecution.js";
+import type { ServerRequest } from "./LocalExecution.js";
+import type { ProxyContext } from "./ProxyContext.js";
+import { executeByOwner } from "./RelayedExecution.js";
+import { isBodyReplayable } from "./RequestBody.js";
+import type { RequestPlan } from "./RequestPlan.js";
+
+/** How an attempt reached its server. */
+export const Hop = {
+    /** The server beside this daemon. */
+    Local: "local",
+    /** Another server, under a slot lease. */
+    Direct: "direct",
+    /** Another server, through its owner. */
+    Relayed: "relayed",
+} as const;
+export type Hop = (typeof Hop)[keyof typeof Hop];
+
+/** What the record of a request says about its attempts. */
+export interface AttemptLog {
+    attempts: number;
+    hop: Hop | undefined;
+    server: string | undefined;
+}
+
+export function createAttemptLog(): AttemptLog {
+    return { attempts: 0, hop: undefined, server: undefined };
+}
+
+/** Servers that answer with these statuses say that they cannot serve now. */
+const DECLINING_STATUSES = new Set([502, 503, 504]);
+
+/** Refusals that another server may not repeat. */
+const RETRYABLE_REASONS = new Set<RefusalReason>([
+    RefusalReason.Overloaded,
+    RefusalReason.ClassLimit,
+    RefusalReason.ServerUnreachable,
+    RefusalReason.ServerLeaving,
+    RefusalReason.DaemonUnreachable,
+    RefusalReason.Stopping,
+    RefusalReason.Misdirected,
+    RefusalReason.Unsettled,
+    RefusalReason.Forbidden,
+    RefusalReason.NoServer,
+]);
+
+/** Runs a request that may be repeated, with retries at other servers. */
+export async function runRepeatable(
+    context: ProxyContext,
+    exchange: Exchange,
+    plan: RequestPlan,
+    log: AttemptLog,
+): Promise<AttemptResult> {
+    const excluded = new Set<string>();
+    const chooseNext = (): Member | undefined => {
+        const query = {
+            service: plan.service.name,
+            slowStartMs: plan.service.slowStartMs,
+            excluded,
+            now: context.options.now(),
+        };
+        return context.chooseServer(query) ?? context.chooseServer({ ...query, excluded: new Set() });
+    };
+    return runAttempts(context, exchange, plan, log, chooseNext, member => {
+        excluded.add(member.id);
+        return tryRepeatable(context, exchange, plan, log, member);
+    });
+}
+
+/** Runs a request that may run once: at the owner that its key leads to, and at the next only when it was not run. */
+export async function runKeyed(
+    context: ProxyContext,
+    exchange: Exchange,
+    plan: RequestPlan,
+    key: string,
+    log: AttemptLog,
+): Promise<AttemptResult> {
+    const ranked = context.balancer.rankForKey(plan.service.name, key, context.options.now());
+    let next = 0;
+    return runAttempts(context, exchange, plan, log, () => ranked[next++ % Math.max(1, ranked.length)], member => {
+        const request = buildServerRequest(exchange, plan, () => false);
+        return tryServer(context, plan, log, member, () =>
+            member.id === context.options.selfId
+                ? { hop: Hop.Local, result: executeOnce(context, request, key) }
+                : { hop: Hop.Relayed, result: executeByOwner(context, member, request, true) });
+    });
+}
+
+async function runAttempts(
+    context: ProxyContext,
+    exchange: Exchange,
+    plan: RequestPlan,
+    log: AttemptLog,
+    chooseNext: () => Member | undefined,
+    run: (member: Member) => Promise<AttemptResult>,
+): Promise<AttemptResult> {
+    const { retry } = plan.service;
+    const delays = generateBackoffDelays(retry.baseDelayMs, retry.maximumDelayMs, context.options.random);
+    for (;;) {
+        const member = chooseNext();
+        if (member === undefined) {
+            return refuse(RefusalReason.NoServer, `service ${plan.service.name} has no live backend server`);
+        }
+        const result = await run(member);
+        if (result.kind !== "withheld" && !shouldRetry(context, exchange, plan, log, result)) {
+            return result;
+        }
+        context.options.recorder.count({
+            kind: "retried",
+            reason: result.kind === "not-run" ? result.reason : result.kind,
+            service: plan.service.name,
+            class: plan.route.class,
+        });
+        if (!await sleep(context, exchange, delays.next().value)) {
+            return exchange.interruption === undefined || result.kind === "unknown" || result.kind === "withheld"
+                ? result
+                : describeInterruption(exchange.interruption, false);
+        }
+    }
+}
+
+/** Only what certainly was not run, or may run again, is retried, within the attempts and the budget. */
+function shouldRetry(
+    context: ProxyContext,
+    exchange: Exchange,
+    plan: RequestPlan,
+    log: AttemptLog,
+    result: AttemptResult,
+): boolean {
+    const isSafe = result.kind === "not-run" && RETRYABLE_REASONS.has(result.reason)
+        || result.kind === "unknown" && plan.route.repeatable;
+    return isSafe && hasRetryLeft(context, exchange, plan, log);
+}
+
+function hasRetryLeft(context: ProxyContext, exchange: Exchange, plan: RequestPlan, log: AttemptLog): boolean {
+    const now = context.options.now();
+    return exchange.interruption === undefined && log.attempts < plan.service.retry.attempts
+        && now < exchange.deadline && isBodyReplayable(exchange.body) && context.takeRetry(plan.service.name, now);
+}
+
+function tryRepeatable(
+    context: ProxyContext,
+    exchange: Exchange,
+    plan: RequestPlan,
+    log: AttemptLog,
+    member: Member,
+): Promise<AttemptResult> {
+    const request = buildServerRequest(
+        exchange,
+        plan,
+        status => DECLINING_STATUSES.has(status) && hasRetryLeft(context, exchange, plan, log),
+    );
+    return tryServer(context, plan, log, member, () => {
+        if (member.id === context.options.selfId) {
+            return { hop: Hop.Local, result: executeLocally(context, request) };
+        }
+        return member.server !== undefined && context.leases.takeSlot(member.id, context.options.now())
+            ? { hop: Hop.Direct, result: sendUnderLease(context, member, member.server, request) }
+            : { hop: Hop.Relayed, result: executeByOwner(context, member, request, false) };
+    });
+}
+
+async function sendUnderLease(
+    context: ProxyContext,
+    member: Member,
+    record: NonNullable<Member["server"]>,
+    request: ServerRequest,
+): Promise<AttemptResult> {
+    const result = await sendToServer(context, record, request);
+    context.leases.returnSlot(member.id);
+    return result;
+}
+
+function buildServerRequest(
+    exchange: Exchange,
+    plan: RequestPlan,
+    shouldWithhold: (status: number) => boolean,
+): ServerRequest {
+    return {
+        exchange,
+        method: exchange.request.method ?? "",
+        target: plan.target,
+        headers: plan.headers,
+        service: plan.service.name,
+        class: plan.route.class,
+        shouldWithhold,
+    };
+}
+
+/** Makes one attempt and records what it shows about the server. */
+async function tryServer(
+    context: ProxyContext,
+    plan: RequestPlan,
+    log: AttemptLog,
+    member: Member,
+    start: () => { readonly hop: Hop; readonly result: Promise<AttemptResult>; },
+): Promise<AttemptResult> {
+    const { balancer, leases, options } = context;
+    const startedAt = options.now();
+    const isOther = member.id !== options.selfId;
+    log.attempts++;
+    log.server = member.id;
+    balancer.noteBegin(member.id, startedAt);
+    if (isOther) {
+        leases.noteBegin(member.id, startedAt);
+    }
+    const { hop, result: started } = start();
+    log.hop = hop;
+    const result = await started;
+    if (isOther) {
+        leases.noteEnd(member.id);
+    }
+    const endedAt = options.now();
+    const effect = classifyResult(result, plan.isShortened);
+    if (balancer.noteEnd(plan.service.name, member.id, effect, endedAt - startedAt, endedAt)) {
+        options.log("warn", "proxy: ejected a server by its results.", { server: member.id });
+        options.recorder.count({
+            kind: "ejected",
+            reason: result.kind,
+            service: plan.service.name,
+            class: plan.route.class,
+        });
+    }
+    if (result.kind === "not-run" && result.reason === RefusalReason.ServerLeaving) {
+        leases.end(member.id);
+        balancer.noteLeaving(member.id, endedAt);
+    }
+    return result;
+}
+
+const FIRST_SERVER_ERROR_STATUS = 500;
+const UNREACHABLE_REASONS = new Set<RefusalReason>([RefusalReason.ServerUnreachable, RefusalReason.DaemonUnreachable]);
+const DEADLINE_STATUS = 504;
+
+/** What a result shows about its server. A deadline that the caller shortened shows nothing. */
+function classifyResult(result: AttemptResult, isShortened: boolean): AttemptEffect {
+    switch (result.kind) {
+        case "answered":
+            return result.status < FIRST_SERVER_ERROR_STATUS ? AttemptEffect.Success : AttemptEffect.Failure;
+        case "not-run":
+            return UNREACHABLE_REASONS.has(result.reason) ? AttemptEffect.Failure : AttemptEffect.None;
+        case "unknown":
+            return isShortened && result.status === DEADLINE_STATUS ? AttemptEffect.None : AttemptEffect.Failure;
+        default:
+            return AttemptEffect.Failure;
+    }
+}
+
+/** Waits; false when the request was given up meanwhile. */
+function sleep(context: ProxyContext, exchange: Exchange, delayMs: number): Promise<boolean> {
+    if (exchange.interruption !== undefined || context.options.now() + delayMs >= exchange.deadline) {
+        return Promise.resolve(false);
+    }
+    return new Promise(resolve => {
+        const timer = setTimeout(() => {
+            exchange.onInterrupt = undefined;
+            resolve(true);
+        }, delayMs);
+        exchange.onInterrupt = () => {
+            clearTimeout(timer);
+            exchange.onInterrupt = undefined;
+            resolve(false);
+        };
+    });
+}
--- /dev/null
+++ b/src/transport/proxy/ServerPools.ts
@@ -0,0 +1,67 @@
+import { Pool } from "undici";
+import { HEADER_MAXIMUM_BYTES, POOL_IDLE_MS, SERVER_KEEP_ALIVE_MS } from "./ProxyConstants.js";
+
+/** Where and how to connect. */
+export interface PoolTarget {
+    readonly address: string;
+    readonly port: number;
+    readonly connections: number;
+    readonly connectTimeoutMs: number;
+}
+
+interface PooledTarget {
+    readonly pool: Pool;
+    readonly connections: number;
+    lastUsedAt: number;
+}
+
+/** Connection pools by address and port; each request holds a connection alone. */
+export class ServerPools {
+    readonly #pools = new Map<string, PooledTarget>();
+
+    get(target: PoolTarget, now: number): Pool {
+        const key = `${target.address}:${target.port}`;
+        let pooled = this.#pools.get(key);
+        if (pooled !== undefined && pooled.connections !== target.connections) {
+            this.#pools.delete(key);
+            void pooled.pool.close();
+            pooled = undefined;
+        }
+        if (pooled === undefined) {
+            pooled = { pool: createPool(target), connections: target.connections, lastUsedAt: now };
+            this.#pools.set(key, pooled);
+        }
+        pooled.lastUsedAt = now;
+        return pooled.pool;
+    }
+
+    /** Closes the pools that had no request for `POOL_IDLE_MS`. */
+    sweep(now: number): void {
+        for (const [key, pooled] of this.#pools) {
+            if (now - pooled.lastUsedAt > POOL_IDLE_MS && pooled.pool.stats.running === 0) {
+                this.#pools.delete(key);
+                void pooled.pool.close();
+            }
+        }
+    }
+
+    async stop(): Promise<void> {
+        const pools = [...this.#pools.values()];
+        this.#pools.clear();
+        await Promise.all(pools.map(({ pool }) => pool.destroy()));
+    }
+}
+
+function createPool(target: PoolTarget): Pool {
+    const host = target.address.includes(":") ? `[${target.address}]` : target.address;
+    return new Pool(`http://${host}:${target.port}`, {
+        connections: target.connections,
+        connect: { timeout: target.connectTimeoutMs },
+        pipelining: 1,
+        keepAliveTimeout: SERVER_KEEP_ALIVE_MS,
+        // Deadlines are kept for whole requests, see DeadlineQueue.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        maxHeaderSize: HEADER_MAXIMUM_BYTES,
+    });
+}
