--- /dev/null
+++ b/src/coordination/acceptance/StoreRetries.ts
@@ -0,0 +1,91 @@
+/** Store operations that are repeated until their result is known. */
+import type { Either } from "purify-ts/Either";
+import { Right } from "purify-ts/Either";
+import type { PutCondition, StoredObject, StoreError, StoreResult } from "../../state/store/index.js";
+import { generateBackoffDelays } from "../retries/index.js";
+import type { StoreAccess } from "./AcceptanceTypes.js";
+import type { ReadObject } from "./SnapshotLoading.js";
+
+/** Attempts of one operation; with the delays below they last about 3 s on average, without the store's own time. */
+const MAXIMUM_ATTEMPTS = 6;
+
+const BASE_DELAY_MS = 200;
+const MAXIMUM_DELAY_MS = 3_000;
+
+/** Runs an operation until it gives a result; undefined when no attempt did. Delays between attempts have jitter. */
+export async function runAttempts<Result>(
+    { random, sleep }: StoreAccess,
+    operation: () => Promise<Result | undefined>,
+): Promise<Result | undefined> {
+    const delays = generateBackoffDelays(BASE_DELAY_MS, MAXIMUM_DELAY_MS, random);
+    for (let attempt = 1;; attempt += 1) {
+        const result = await operation();
+        if (result !== undefined || attempt === MAXIMUM_ATTEMPTS) {
+            return result;
+        }
+        await sleep(delays.next().value);
+    }
+}
+
+/** True when the same operation may succeed a moment later. */
+export function isTemporary(error: StoreError): boolean {
+    return error.kind !== "refused" || error.reason === "rate";
+}
+
+/** Reads an object, repeatedly while the store doesn't answer. */
+async function readRepeatedly(access: StoreAccess, key: string): StoreResult<StoredObject | undefined> {
+    let last: Either<StoreError, StoredObject | undefined> = Right(undefined);
+    await runAttempts(access, async () => {
+        last = await access.store.get(key);
+        return last.isRight() || !isTemporary(last.extract() as StoreError) ? last : undefined;
+    });
+    return last;
+}
+
+/** Creates a read that is repeated while the store doesn't answer. */
+export function createRepeatedRead(access: StoreAccess): ReadObject {
+    return key => readRepeatedly(access, key);
+}
+
+/** What the store holds under the key of an immutable object. */
+type Present = { readonly kind: "same"; } | { readonly kind: "absent"; } | {
+    readonly kind: "other";
+    readonly version: number;
+};
+
+async function comparePresent(access: StoreAccess, key: string, text: string): Promise<Either<StoreError, Present>> {
+    const found = await access.store.get(key);
+    return found.map((object): Present => {
+        if (object === undefined) {
+            return { kind: "absent" };
+        }
+        return object.value === text ? { kind: "same" } : { kind: "other", version: object.version };
+    });
+}
+
+/**
+ * Writes an object whose key is the hash of its text. Writing it twice does no harm, so a lost answer
+ * is resolved by writing again; an object with other content is damaged and replaced.
+ */
+export async function writeImmutable(access: StoreAccess, key: string, text: string): StoreResult<void> {
+    let replaced: number | undefined;
+    let last: Either<StoreError, void> = Right(undefined);
+    await runAttempts(access, async () => {
+        const condition: PutCondition = replaced === undefined
+            ? { kind: "absent" }
+            : { kind: "version", version: replaced };
+        last = (await access.store.put(key, text, condition)).map(() => undefined);
+        if (last.isRight()) {
+            return last;
+        }
+        const error = last.extract() as StoreError;
+        if (error.kind !== "refused" || error.reason !== "condition") {
+            return isTemporary(error) ? undefined : last;
+        }
+        const present = (await comparePresent(access, key, text)).orDefault({ kind: "absent" });
+        replaced = present.kind === "other" ? present.version : undefined;
+        last = present.kind === "same" ? Right(undefined) : last;
+        return present.kind === "same" ? last : undefined;
+    });
+    return last;
+}
--- a/src/state/document/ReferenceRules.ts
+++ b/src/state/document/ReferenceRules.ts
@@ -93,10 +93,11 @@
     return path.replace(/\/+$/, "");
 }
 
+/** A route with methods wins over one for every method, so these two may have the same path. */
 function hasCommonMethod(first: SourceRoute, second: SourceRoute): boolean {
     const methods = first.match.methods ?? [];
     const others = second.match.methods ?? [];
-    return methods.length === 0 || others.length === 0 || methods.some(method => others.includes(method));
+    return methods.length === 0 && others.length === 0 || methods.some(method => others.includes(method));
 }
 
 /** Reports routes with the same host and path of which one request matches both. */
--- a/src/state/document/RouteSchema.ts
+++ b/src/state/document/RouteSchema.ts
@@ -11,7 +11,8 @@
             examples: ["GET"],
         }),
         {
-            description: "HTTP methods; empty or left out for every method.",
+            description:
+                "HTTP methods; left out for every method. At the same path, a route with methods wins over one without.",
             default: [],
             uniqueItems: true,
             examples: [["GET", "HEAD"]],
@@ -23,7 +24,8 @@
         examples: ["/repairs/status"],
     }),
     host: Type.Optional(Type.String({
-        description: "Host name without port; left out for every host. A route with a host wins over one without.",
+        description:
+            "Host name without port; left out for every host. At the same path, a route with a host wins over one without.",
         pattern: "^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$",
         examples: ["api.lakeshore.example"],
     })),
