--- a/src/coordination/claims/ClaimConstants.ts
+++ b/src/coordination/claims/ClaimConstants.ts
@@ -26,3 +26,18 @@
 
 /** Sealed objects that one lookup reads at the same time. */
 export const SEALED_READS_AT_ONCE = 8;
+
+/** Holders of a shard that are tried, in order, before a daemon commits directly. */
+export const HOLDERS_TRIED = 2;
+
+/** A commit takes at most the commit interval and two calls to the store when the holder works. */
+export const HOLDER_TIMEOUT_MS = 1_000;
+
+/** Time for which a holder that failed is not tried again. */
+export const HOLDER_SUSPENSION_MS = 5_000;
+
+/** Operations that a holder lets wait; more are refused, and their owners go elsewhere. */
+export const HOLDER_OPERATIONS = 4_000;
+
+/** Longest wait of a caller of `complete`, `release` or `abandon`; the record is still written later. */
+export const SETTLE_WAIT_MS = 1_000;
--- /dev/null
+++ b/src/coordination/claims/ClaimHolders.ts
@@ -0,0 +1,42 @@
+import type { Member } from "../../state/members/index.js";
+import type { MeshView, ReadMeshView } from "../../state/view/index.js";
+
+import { MemberState } from "../../state/members/index.js";
+import { rankByRendezvous } from "../../state/shared/index.js";
+import { HOLDERS_TRIED } from "./ClaimConstants.js";
+
+/**
+ * Creates a function that returns the holders of a shard: live daemons of the store's region, ranked
+ * by rendezvous hashing. Daemons with different views may choose different holders, which costs
+ * writes only. Rankings are computed on demand and kept until the view changes.
+ */
+export function createHolderChoice(readView: ReadMeshView): (shard: number) => readonly Member[] {
+    let rankedView: MeshView | undefined;
+    let candidates: readonly Member[] = [];
+    let holdersByShard = new Map<number, readonly Member[]>();
+
+    return shard => {
+        const view = readView();
+        if (view !== rankedView) {
+            rankedView = view;
+            candidates = listCandidates(view);
+            holdersByShard = new Map();
+        }
+        const known = holdersByShard.get(shard);
+        if (known) {
+            return known;
+        }
+        const holders = rankByRendezvous(`claims/${shard}`, candidates).slice(0, HOLDERS_TRIED);
+        holdersByShard.set(shard, holders);
+        return holders;
+    };
+}
+
+function listCandidates(view: MeshView): readonly Member[] {
+    const storeRegion = view.configuration?.document.mesh.storeRegion;
+    return [...view.members.values()].filter(member =>
+        member.region === storeRegion
+        && member.state === MemberState.Live
+        && !view.cutOffDomains.has(member.failureDomain)
+    );
+}
--- a/src/coordination/claims/ClaimLedger.ts
+++ b/src/coordination/claims/ClaimLedger.ts
@@ -9,7 +9,7 @@
 import { Left } from "purify-ts/Either";
 import { ClaimState, hashKey, selectShard } from "../../state/claims/index.js";
 import { decodeAnswer, encodeAnswer } from "./AnswerEncoding.js";
-import { POLL_BASE_MS, POLL_MAXIMUM_MS } from "./ClaimConstants.js";
+import { POLL_BASE_MS, POLL_MAXIMUM_MS, SETTLE_WAIT_MS } from "./ClaimConstants.js";
 import { createDirectCommitter } from "./DirectCommitter.js";
 import { LocalRuns } from "./LocalRuns.js";
 import { createShardLayout } from "./ShardLayout.js";
@@ -64,6 +64,8 @@
         readRetentionMs: () => readSettings().retentionMs,
     });
     const committer = options.wrapCommitter?.(direct) ?? direct;
+    /** Whether another daemon may commit an operation after this one has its result. */
+    const canCommitLate = committer !== direct;
     const runs = new LocalRuns();
 
     async function claim(
@@ -91,6 +93,7 @@
         for (let rival: Claim | undefined;;) {
             const localEnd = await awaitLocalRun(operation.keyHash, signal);
             if (localEnd) {
+                cancelLingering(operation, canCommitLate && localEnd.kind === "unknown" && rival !== undefined);
                 return localEnd;
             }
             const result = await submit(operation, signal, rival !== undefined);
@@ -153,19 +156,24 @@
         return { kind: "granted", attempt: operation.attempt };
     }
 
-    /**
-     * A claim that may be in the store is told as refused all the same: only this call could have
-     * executed it. It is released so that a repetition of the key is not blocked by it.
-     */
+    /** Only this call could have executed the attempt, so that "refused" is true even if it was committed. */
     function tellFailure(operation: ShardOperation, failure: CommitFailure, rival: Claim | undefined): ClaimOutcome {
-        if (failure.possiblyCommitted) {
-            cancelClaim(operation);
-        }
+        cancelLingering(operation, failure.possiblyCommitted || (canCommitLate && rival !== undefined));
         return rival
             ? { kind: "unknown", detail: `${rival.executor} holds the key and its run has not ended` }
             : { kind: "refused", detail: failure.detail };
     }
 
+    /**
+     * Releases an attempt that is in the store or may still reach it, so that it blocks no repetition.
+     * After a rival was seen a slow holder may still commit it once the rival has released the key.
+     */
+    function cancelLingering(operation: ShardOperation, isLingering: boolean): void {
+        if (isLingering) {
+            cancelClaim(operation);
+        }
+    }
+
     function cancelClaim(operation: ShardOperation): void {
         void submit({ ...operation, kind: "settle", state: ClaimState.Released }, undefined, false);
     }
@@ -183,7 +191,10 @@
         return undefined;
     }
 
-    /** Records the end of an attempt, first for waiters in this process and then in the store. */
+    /**
+     * Records the end of an attempt, first for waiters in this process and then in the store. The
+     * returned promise does not wait for a store that gives no answer.
+     */
     async function settle(service: string, key: string, attempt: string, end: RunEnd): Promise<void> {
         const keyHash = hashKey(service, key);
         runs.end(keyHash, attempt, end);
@@ -191,8 +202,11 @@
             ? encodeAnswer(end.answer, readSettings().answerBytes)
             : undefined;
         const operation = { kind: "settle", keyHash, executor, attempt, state: end.kind } as const;
-        await submit({ ...operation, ...(answer && { answer }) }, undefined, false);
-        runs.remove(keyHash, attempt);
+        const recorded = submit({ ...operation, ...(answer && { answer }) }, undefined, false)
+            .then(() => runs.remove(keyHash, attempt));
+        const ending = startDeadline(SETTLE_WAIT_MS, wait, undefined);
+        await awaitUnlessAborted(recorded, ending.signal);
+        ending.clear();
     }
 
     function complete(service: string, key: string, attempt: string, answer: KeptAnswer | undefined): Promise<void> {
--- a/src/coordination/claims/ClaimPort.ts
+++ b/src/coordination/claims/ClaimPort.ts
@@ -24,8 +24,8 @@
     claim(service: string, key: string, deadline: number, signal?: AbortSignal): Promise<ClaimOutcome>;
     /**
      * Records that the attempt ran; `answer` is undefined when it is too large to keep or was cut.
-     * Like `release` and `abandon` it resolves when the store holds the record, which can take long
-     * during an outage: an answer to the caller should not wait for it.
+     * Like `release` and `abandon` it resolves when the store holds the record, or after a second
+     * at most; the record is then written as soon as the store answers.
      */
     complete(service: string, key: string, attempt: string, answer: KeptAnswer | undefined): Promise<void>;
     /** Gives the key back; only when the request provably was not run. */
--- a/src/coordination/claims/PendingOperations.ts
+++ b/src/coordination/claims/PendingOperations.ts
@@ -1,5 +1,5 @@
 import type { Claim, ShardOperation } from "../../state/claims/index.js";
-import type { CommitResult } from "./ShardCommitter.js";
+import type { CommitResult, SubmitOptions } from "./ShardCommitter.js";
 
 import { Left, Right } from "purify-ts/Either";
 import { BATCH_BYTES, PENDING_SETTLEMENTS } from "./ClaimConstants.js";
@@ -9,8 +9,9 @@
 
 interface PendingOperation {
     readonly operation: ShardOperation;
-    /** The operation must be applied to a head read at or after this time. */
-    readonly freshSince: number;
+    readonly submittedAt: number;
+    /** The head must have been read after the submission. */
+    readonly isFresh: boolean;
     /** Part of a write whose answer has not come. */
     isInFlight: boolean;
     /** Part of an earlier write whose answer was lost. */
@@ -29,6 +30,11 @@
     markInFlight(): void;
     /** Called after the write; `isLost` when its answer was lost. */
     markWritten(isLost: boolean): void;
+    /**
+     * Whether a settlement found another attempt in a head that is older than the settlement: the
+     * settled attempt may be in a newer head, for example when a holder committed its claim.
+     */
+    isUnsettled(entries: readonly Claim[], confirmedAt: number): boolean;
     /** Resolves the operations with their keys' entries, in the same order. */
     deliver(entries: readonly Claim[]): void;
 }
@@ -43,16 +49,21 @@
 
     /** Latest time since which a pending operation requires the head to have been read. */
     get freshSince(): number {
-        return Math.max(-Infinity, ...[...this.#pending].map(pending => pending.freshSince));
+        return Math.max(
+            -Infinity,
+            ...[...this.#pending].map(pending => pending.isFresh ? pending.submittedAt : -Infinity),
+        );
     }
 
     /** Resolves when the operation was delivered, failed, or the signal aborted. */
-    add(operation: ShardOperation, freshSince: number, signal: AbortSignal | undefined): Promise<CommitResult> {
+    add(operation: ShardOperation, submittedAt: number, options: SubmitOptions): Promise<CommitResult> {
+        const { isFresh = false, signal } = options;
         this.#dropOldestSettlement();
         return new Promise(resolve => {
             const pending: PendingOperation = {
                 operation,
-                freshSince,
+                submittedAt,
+                isFresh,
                 isInFlight: false,
                 isDoubtful: false,
                 resolve: result => {
@@ -103,6 +114,12 @@
                     pending.isInFlight = false;
                     pending.isDoubtful ||= isLost;
                 }),
+            isUnsettled: (entries, confirmedAt) =>
+                selected.some(({ operation, submittedAt }, index) =>
+                    operation.kind === "settle"
+                    && submittedAt > confirmedAt
+                    && entries[index]?.attempt !== operation.attempt
+                ),
             deliver: entries => selected.forEach((pending, index) => pending.resolve(Right(entries[index] as Claim))),
         };
     }
--- a/src/coordination/claims/ShardWriter.ts
+++ b/src/coordination/claims/ShardWriter.ts
@@ -35,7 +35,7 @@
 /** Why a round had no effect: another writer came first, the store is busy, or it gave no answer. */
 type RoundFailure = { readonly kind: "contended" | "failed"; readonly detail: string; };
 
-const EMPTY_SHARD: ClaimShard = { clock: 0, tail: [], sealed: [], removed: [] };
+const EMPTY_SHARD: ClaimShard = { clock: 0, tail: [], cancelled: [], sealed: [], removed: [] };
 
 /**
  * Writes one shard by conditional updates. Operations that arrive during a write are carried by the
@@ -74,7 +74,7 @@
         if (operation.kind === "claim" && this.#failures >= FAILURES_BEFORE_REFUSAL && now < this.#nextRoundAt) {
             return Promise.resolve(Left({ possiblyCommitted: false, detail: "the store gives no answer" }));
         }
-        const result = this.#pending.add(operation, options.isFresh ? now : -Infinity, options.signal);
+        const result = this.#pending.add(operation, now, options);
         this.#start();
         return result;
     }
@@ -135,6 +135,10 @@
             }
             batch.markWritten(false);
         }
+        else if (batch.isUnsettled(applied.entries, head.confirmedAt)) {
+            this.#head = undefined;
+            return Right(undefined);
+        }
         this.#failures = 0;
         this.#contentions = 0;
         batch.deliver(applied.entries);
--- a/src/state/claims/Claim.ts
+++ b/src/state/claims/Claim.ts
@@ -43,6 +43,13 @@
     readonly newestAt: number;
 }
 
+/** An attempt that was released; a claim of it that arrives later must not take the key again. */
+export interface CancelledAttempt {
+    readonly attempt: string;
+    /** Shard clock in milliseconds of the release. */
+    readonly at: number;
+}
+
 /**
  * The content of one shard's mutable object. An entry of the tail overrides entries of the same
  * key in sealed objects, and a later sealed object overrides an earlier one.
@@ -55,6 +62,8 @@
     readonly clock: number;
     readonly tail: readonly Claim[];
     /** Oldest first. */
+    readonly cancelled: readonly CancelledAttempt[];
+    /** Oldest first. */
     readonly sealed: readonly SealedReference[];
     /** Expired sealed objects that may not have been deleted yet. */
     readonly removed: readonly SealedReference[];
--- a/src/state/claims/ClaimEncoding.ts
+++ b/src/state/claims/ClaimEncoding.ts
@@ -14,15 +14,25 @@
     body: Type.String(),
 });
 
+const AttemptFields = { keyHash: Type.String(), executor: Type.String(), attempt: Type.String() };
+
 export const ClaimSchema = Type.Object({
-    keyHash: Type.String(),
-    executor: Type.String(),
-    attempt: Type.String(),
+    ...AttemptFields,
     state: Type.Enum(ClaimState),
     at: Type.Number(),
     answer: Type.Optional(StoredAnswerSchema),
 });
 
+export const ShardOperationSchema = Type.Union([
+    Type.Object({ kind: Type.Literal("claim"), ...AttemptFields }),
+    Type.Object({
+        kind: Type.Literal("settle"),
+        ...AttemptFields,
+        state: Type.Union([Type.Literal("released"), Type.Literal("done"), Type.Literal("abandoned")]),
+        answer: Type.Optional(StoredAnswerSchema),
+    }),
+]);
+
 const SealedReferenceSchema = Type.Object({
     name: Type.String(),
     version: Type.Integer(),
@@ -32,6 +42,7 @@
 const ClaimShardSchema = Type.Object({
     clock: Type.Number(),
     tail: Type.Array(ClaimSchema),
+    cancelled: Type.Array(Type.Object({ attempt: Type.String(), at: Type.Number() })),
     sealed: Type.Array(SealedReferenceSchema),
     removed: Type.Array(SealedReferenceSchema),
 });
--- a/src/state/claims/ClaimOperations.ts
+++ b/src/state/claims/ClaimOperations.ts
@@ -1,4 +1,4 @@
-import type { Claim, ClaimShard, StoredAnswer } from "./Claim.js";
+import type { Claim, ClaimShard, SealedReference, StoredAnswer } from "./Claim.js";
 
 import { ClaimState } from "./Claim.js";
 
@@ -38,6 +38,15 @@
     readonly sealedEntries: ReadonlyMap<string, Claim>;
 }
 
+/**
+ * Time for which a released attempt is remembered. It covers claims that a paused holder or a slow
+ * connection delivers after their owner gave up; a later one blocks its key, and nothing runs.
+ */
+const CANCELLED_RETENTION_MS = 600_000;
+
+/** Released attempts that are remembered at most, about 30 KB of the shard. */
+const CANCELLED_ATTEMPTS = 500;
+
 /**
  * Applies operations in order. Applying an operation again to a shard that already contains it
  * changes nothing, so a writer whose write has an unknown outcome reads the shard and applies again.
@@ -47,48 +56,91 @@
     operations: readonly ShardOperation[],
     context: ApplyContext,
 ): AppliedOperations {
-    const isCurrent = (at: number): boolean => at + context.retentionMs > context.clock;
-    const tail = new Map(shard.tail.filter(entry => isCurrent(entry.at)).map(entry => [entry.keyHash, entry]));
-    let isChanged = false;
-    const entries = operations.map(operation => {
-        const sealed = context.sealedEntries.get(operation.keyHash);
-        const present = tail.get(operation.keyHash) ?? (sealed && isCurrent(sealed.at) ? sealed : undefined);
-        const next = advanceClaim(present, operation, context.clock);
-        if (next !== present) {
-            isChanged = true;
-            tail.delete(next.keyHash);
-            tail.set(next.keyHash, next);
-        }
-        return next;
-    });
-    const expired = shard.sealed.filter(reference => !isCurrent(reference.newestAt));
+    const draft = createDraft(shard, context);
+    const entries = operations.map(operation => applyOperation(draft, operation, context));
+    const isCurrent = (reference: SealedReference): boolean => !isExpired(reference.newestAt, context);
     return {
         shard: {
             clock: context.clock,
-            tail: [...tail.values()],
-            sealed: shard.sealed.filter(reference => isCurrent(reference.newestAt)),
-            removed: [...shard.removed, ...expired],
+            tail: [...draft.tail.values()],
+            cancelled: [...draft.cancelled].map(([attempt, at]) => ({ attempt, at })).slice(-CANCELLED_ATTEMPTS),
+            sealed: shard.sealed.filter(isCurrent),
+            removed: [...shard.removed, ...shard.sealed.filter(reference => !isCurrent(reference))],
         },
         entries,
-        isChanged,
+        isChanged: draft.isChanged,
     };
 }
 
-function advanceClaim(present: Claim | undefined, operation: ShardOperation, clock: number): Claim {
+/** Pending copy of a shard. */
+interface ShardDraft {
+    readonly tail: Map<string, Claim>;
+    /** Time of the release by attempt. */
+    readonly cancelled: Map<string, number>;
+    isChanged: boolean;
+}
+
+function createDraft(shard: ClaimShard, context: ApplyContext): ShardDraft {
+    const tail = shard.tail.filter(entry => !isExpired(entry.at, context));
+    const cancelled = shard.cancelled.filter(({ at }) => at + CANCELLED_RETENTION_MS > context.clock);
+    return {
+        tail: new Map(tail.map(entry => [entry.keyHash, entry])),
+        cancelled: new Map(cancelled.map(({ attempt, at }) => [attempt, at])),
+        isChanged: false,
+    };
+}
+
+function isExpired(at: number, { clock, retentionMs }: ApplyContext): boolean {
+    return at + retentionMs <= clock;
+}
+
+/** Applies one operation to the pending copy and returns the entry that answers it. */
+function applyOperation(draft: ShardDraft, operation: ShardOperation, context: ApplyContext): Claim {
+    const sealed = context.sealedEntries.get(operation.keyHash);
+    const present = draft.tail.get(operation.keyHash)
+        ?? (sealed && !isExpired(sealed.at, context) ? sealed : undefined);
+    if (operation.kind === "claim" && draft.cancelled.has(operation.attempt)) {
+        return createEntry(operation, ClaimState.Released, context.clock);
+    }
+    if (operation.kind === "settle" && operation.state === ClaimState.Released) {
+        cancelAttempt(draft, operation.attempt, context.clock);
+    }
+    const next = advanceClaim(present, operation, context.clock);
+    if (next === undefined) {
+        return createEntry(operation, ClaimState.Released, context.clock);
+    }
+    if (next !== present) {
+        draft.isChanged = true;
+        draft.tail.delete(next.keyHash);
+        draft.tail.set(next.keyHash, next);
+    }
+    return next;
+}
+
+function cancelAttempt(draft: ShardDraft, attempt: string, clock: number): void {
+    if (!draft.cancelled.has(attempt)) {
+        draft.isChanged = true;
+        draft.cancelled.set(attempt, clock);
+    }
+}
+
+/** Returns the key's entry after the operation; undefined when the key has none. */
+function advanceClaim(present: Claim | undefined, operation: ShardOperation, clock: number): Claim | undefined {
     if (operation.kind === "claim") {
         const isFree = present === undefined
             || (present.state === ClaimState.Released && present.attempt !== operation.attempt);
         return isFree ? createEntry(operation, ClaimState.Claimed, clock) : present;
     }
-    if (present === undefined || isSettledBy(present, operation)) {
+    const isUnknownRun = present === undefined && operation.state !== ClaimState.Released;
+    if (isUnknownRun || isSettledBy(present, operation)) {
         return createEntry(operation, operation.state, clock, operation.answer);
     }
     return present;
 }
 
 /** An abandoned attempt may still turn out to be done; nothing else follows a final state. */
-function isSettledBy(present: Claim, operation: SettleOperation): boolean {
-    if (present.attempt !== operation.attempt) {
+function isSettledBy(present: Claim | undefined, operation: SettleOperation): boolean {
+    if (present?.attempt !== operation.attempt) {
         return false;
     }
     return present.state === ClaimState.Claimed
@@ -96,10 +148,11 @@
 }
 
 function createEntry(
-    { keyHash, executor, attempt }: ShardOperation,
+    operation: ShardOperation,
     state: ClaimState,
     at: number,
     answer?: StoredAnswer,
 ): Claim {
+    const { keyHash, executor, attempt } = operation;
     return { keyHash, executor, attempt, state, at, ...(answer && { answer }) };
 }
--- a/src/state/claims/index.ts
+++ b/src/state/claims/index.ts
@@ -1,7 +1,14 @@
 /** Claims of idempotency keys: entries, shards and the operations that change them. */
 export { ClaimState } from "./Claim.js";
-export type { Claim, ClaimShard, SealedReference, StoredAnswer } from "./Claim.js";
-export { ClaimSchema, decodeLayout, decodeSealedClaims, decodeShard, encodeClaims } from "./ClaimEncoding.js";
+export type { CancelledAttempt, Claim, ClaimShard, SealedReference, StoredAnswer } from "./Claim.js";
+export {
+    ClaimSchema,
+    decodeLayout,
+    decodeSealedClaims,
+    decodeShard,
+    encodeClaims,
+    ShardOperationSchema,
+} from "./ClaimEncoding.js";
 export { formatSealedObject, formatShardObject, hashKey, LAYOUT_OBJECT, selectShard } from "./ClaimKeys.js";
 export { applyOperations } from "./ClaimOperations.js";
 export type {
