Test broken answers, retries, deadlines and hostile input

One test showed that a daemon kept to the one server it held a lease of; two random choices now draw the second server from all of the group, with relayed servers counted 1.5 times as dear.

--- a/src/coordination/balancing/BalancingConstants.ts
+++ b/src/coordination/balancing/BalancingConstants.ts
@@ -25,3 +25,5 @@
 export const UNHEALTHY_WEIGHT = 0.5;
 /** Time for which a server that said it is leaving is avoided; its member record spreads within this time. */
 export const LEAVING_AVOIDANCE_MS = 3_000;
+/** How much dearer a server through its owner counts than one in one hop. */
+export const RELAY_COST_FACTOR = 1.5;
--- a/src/coordination/balancing/LoadBalancer.ts
+++ b/src/coordination/balancing/LoadBalancer.ts
@@ -2,7 +2,7 @@
 import type { Random } from "../../state/shared/index.js";
 import { rankByRendezvous } from "../../state/shared/index.js";
 import type { MeshView } from "../../state/view/index.js";
-import { EJECTION_MAXIMUM_SHARE, LEAVING_AVOIDANCE_MS } from "./BalancingConstants.js";
+import { EJECTION_MAXIMUM_SHARE, LEAVING_AVOIDANCE_MS, RELAY_COST_FACTOR } from "./BalancingConstants.js";
 import { buildLocalityGroups, computeGroupShare } from "./LocalityGroups.js";
 import type { LocalityGroups, Place } from "./LocalityGroups.js";
 import { ServerStatistics } from "./ServerStatistics.js";
@@ -180,13 +180,10 @@
     }
 
     #chooseOfTwo(group: readonly Member[], query: ChoiceQuery): Member | undefined {
+        // One of the two is a server in one hop when there is one; the other may be any, so that load can move.
         const oneHop = group.filter(member => this.#options.isOneHop(member.id, query.now));
-        const candidates = oneHop.length > 0 ? oneHop : group;
-        const first = this.#drawMember(candidates);
-        if (candidates.length < 2) {
-            return first;
-        }
-        const second = this.#drawMember(candidates.filter(member => member !== first));
+        const first = this.#drawMember(oneHop.length > 0 ? oneHop : group);
+        const second = this.#drawMember(group.filter(member => member !== first));
         if (first === undefined || second === undefined) {
             return first ?? second;
         }
@@ -202,7 +199,8 @@
         const statistics = this.getStatistics(member.id, query.now);
         const utilization = statistics.estimateUtilization(member.server?.slots ?? 1, query.now);
         const latency = Math.max(1, statistics.latencyMs ?? 1);
-        return (statistics.inFlight + 1) * (1 + utilization) * Math.sqrt(latency)
+        const hops = this.#options.isOneHop(member.id, query.now) ? 1 : RELAY_COST_FACTOR;
+        return hops * (statistics.inFlight + 1) * (1 + utilization) * Math.sqrt(latency)
             / statistics.computeWeight(query.slowStartMs, query.now);
     }
 
--- a/src/coordination/leases/HeldLeases.ts
+++ b/src/coordination/leases/HeldLeases.ts
@@ -91,6 +91,14 @@
         return plan;
     }
 
+    /** Plans the return of all leases; nothing may be sent under them afterwards. */
+    planReturns(): RenewalPlan[] {
+        return [...this.#leases].map(([owner, lease]) => {
+            lease.granted = 0;
+            return { owner, wanted: 0, inUse: lease.inUse, sent: lease.sent };
+        });
+    }
+
     /** Applies an owner's answer; `sentAt` is when the renewal was sent. */
     applyGrant(owner: string, granted: number, sentAt: number): void {
         const lease = this.#leases.get(owner);
--- a/src/transport/proxy/LeaseRenewing.ts
+++ b/src/transport/proxy/LeaseRenewing.ts
@@ -1,49 +1,80 @@
-import type { RenewalPlan } from "../../coordination/leases/index.js";
 import { LEASE_RENEWAL_INTERVAL_MS } from "../../coordination/leases/index.js";
+import type { RenewalPlan } from "../../coordination/leases/index.js";
 import { LEASE_RENEWAL_PATH, MeshHeader, parseLeaseAnswer } from "../../protocol/request/index.js";
-import type { LeaseRenewal } from "../../protocol/request/index.js";
+import type { LeaseAnswer, LeaseRenewal } from "../../protocol/request/index.js";
+import type { Member } from "../../state/members/index.js";
 import { LEASE_RENEWAL_TIMEOUT_MS, RELAY_CONNECT_TIMEOUT_MS, RELAY_CONNECTIONS } from "./ProxyConstants.js";
 import type { ProxyContext } from "./ProxyContext.js";
 
 const OK_STATUS = 200;
 
-/** Renews the slot leases of the servers in use, each once a second; returns the teardown function. */
-export function registerLeaseRenewal(context: ProxyContext): () => void {
+/** Holder's side of slot leases: sends the renewals and applies the answers. */
+export interface LeaseRenewing {
+    /** Applies for a lease of a server used for the first time, without waiting for the next interval. */
+    apply(owner: string): void;
+    /** Stops renewing and returns all leases, so that the owners need not wait for them to lapse. */
+    stop(): Promise<void>;
+}
+
+/** Renews the slot leases of the servers in use, each once a second. */
+export function startLeaseRenewing(context: ProxyContext): LeaseRenewing {
+    const { leases, options } = context;
     const pending = new Set<string>();
+    // A renewal is left out while the last one has no answer; the lease then lapses by itself.
+    const renew = (plan: RenewalPlan): void => {
+        if (!pending.has(plan.owner)) {
+            pending.add(plan.owner);
+            void renewLease(context, plan).finally(() => pending.delete(plan.owner));
+        }
+    };
     const timer = setInterval(() => {
-        const now = context.options.now();
-        for (const plan of context.leases.planRenewals(now)) {
-            // A renewal is left out while the last one has no answer; the lease then lapses by itself.
-            if (!pending.has(plan.owner)) {
-                pending.add(plan.owner);
-                void renewLease(context, plan).finally(() => pending.delete(plan.owner));
-            }
+        const now = options.now();
+        for (const plan of leases.planRenewals(now)) {
+            renew(plan);
         }
         context.pools.sweep(now);
     }, LEASE_RENEWAL_INTERVAL_MS);
     timer.unref();
-    return () => {
-        clearInterval(timer);
+    return {
+        apply: owner => {
+            renew(leases.planRenewal(owner, options.now()));
+        },
+        stop: async () => {
+            clearInterval(timer);
+            await Promise.all(leases.planReturns().map(plan => renewLease(context, plan)));
+        },
     };
 }
 
-/** Sends one renewal to the owner and applies its answer. A failed renewal lets the lease lapse. */
-export async function renewLease(context: ProxyContext, plan: RenewalPlan): Promise<void> {
+async function renewLease(context: ProxyContext, plan: RenewalPlan): Promise<void> {
     const { options, leases, balancer } = context;
     const owner = options.readView().members.get(plan.owner);
     if (owner?.server === undefined) {
         leases.end(plan.owner);
         return;
     }
-    const message: LeaseRenewal = {
+    const sentAt = options.now();
+    const answer = await sendRenewal(context, owner, {
         holder: options.selfId,
         owner: owner.id,
         service: owner.server.service,
         wanted: plan.wanted,
         inUse: plan.inUse,
         sent: plan.sent,
-    };
-    const sentAt = options.now();
+    }, sentAt);
+    if (answer !== undefined) {
+        leases.applyGrant(owner.id, answer.granted, sentAt);
+        balancer.recordLoad(owner.id, answer.load, options.now());
+    }
+}
+
+/** Sends one renewal; undefined when no usable answer came, so that the lease lapses. */
+async function sendRenewal(
+    context: ProxyContext,
+    owner: Member,
+    renewal: LeaseRenewal,
+    sentAt: number,
+): Promise<LeaseAnswer | undefined> {
     const pool = context.pools.get({
         address: owner.address,
         port: owner.relayPort,
@@ -55,20 +86,15 @@
             method: "POST",
             path: LEASE_RENEWAL_PATH,
             headers: { [MeshHeader.Token]: context.relayToken },
-            body: JSON.stringify(message),
+            body: JSON.stringify(renewal),
             signal: AbortSignal.timeout(LEASE_RENEWAL_TIMEOUT_MS),
         });
         const text = await answer.body.text();
         const load = answer.headers[MeshHeader.Load];
-        const parsed = answer.statusCode === OK_STATUS && typeof load === "string"
-            ? parseLeaseAnswer(text, load)
-            : undefined;
-        leases.applyGrant(owner.id, parsed?.granted ?? 0, sentAt);
-        if (parsed !== undefined) {
-            balancer.recordLoad(owner.id, parsed.load, options.now());
-        }
+        return answer.statusCode === OK_STATUS && typeof load === "string" ? parseLeaseAnswer(text, load) : undefined;
     }
     catch (error) {
-        options.log("info", "proxy: lease renewal failed.", { owner: owner.id, error: String(error) });
+        context.options.log("info", "proxy: lease renewal failed.", { owner: owner.id, error: String(error) });
+        return undefined;
     }
 }
--- a/src/transport/proxy/LocalExecution.ts
+++ b/src/transport/proxy/LocalExecution.ts
@@ -27,6 +27,7 @@
     readonly capture?: AnswerCapture;
 }
 
+const FIRST_SERVER_ERROR_STATUS = 500;
 const DEFAULT_CLASS: Omit<ClassSettings, "name"> = { weight: 1, maximumShare: 1 };
 
 /** Executes a request at the own backend server: waits for a slot, sends it, and gives the slot back. */
@@ -51,7 +52,7 @@
         options.reportServerFailure?.(result.detail);
     }
     else {
-        ownServer.noteResult(endedAt);
+        ownServer.noteResult(endedAt, result.kind === "answered" && result.status < FIRST_SERVER_ERROR_STATUS);
     }
     return result;
 }
--- a/src/transport/proxy/OwnServer.ts
+++ b/src/transport/proxy/OwnServer.ts
@@ -1,5 +1,6 @@
 import { ServerAdmission } from "../../coordination/admission/index.js";
 
+import type { LeaseRequest } from "../../coordination/leases/index.js";
 import { LEASE_MS, LeaseGrants } from "../../coordination/leases/index.js";
 import type { LoadReport } from "../../protocol/request/index.js";
 import type { ServiceSettings } from "../../state/document/index.js";
@@ -58,8 +59,10 @@
         return state === MemberState.Live;
     }
 
-    noteResult(now: number): void {
+    /** Notes a request's end, which shows more than a probe does. */
+    noteResult(now: number, isSuccess: boolean): void {
         this.#lastResultAt = now;
+        this.#isHealthy ||= isSuccess;
     }
 
     setHealthy(isHealthy: boolean): void {
@@ -68,7 +71,7 @@
 
     /** Decides on a holder's renewal; returns the slots granted. */
     renewLease(
-        request: { readonly holder: string; readonly wanted: number; readonly inUse: number; readonly sent: number; },
+        request: LeaseRequest,
         now: number,
     ): number {
         const granted = this.#grants.renew(request, {
--- a/src/transport/proxy/ProxyContext.ts
+++ b/src/transport/proxy/ProxyContext.ts
@@ -62,6 +62,8 @@
     readonly takeRetry: TakeRetry;
     /** Counts a caller's request for its service's retry budget. */
     readonly recordRequest: (service: string, now: number) => void;
+    /** Applies for slots of a server that this daemon begins to use. */
+    readonly applyForLease: (owner: string) => void;
     readonly isStopping: () => boolean;
     /** Identity of a new attempt or request, unique in the mesh. */
     readonly createId: () => string;
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -10,7 +10,8 @@
 import { DeadlineQueue } from "./DeadlineQueue.js";
 import { explainRequest } from "./Explanation.js";
 import type { ExplainQuery, Explanation } from "./Explanation.js";
-import { registerLeaseRenewal } from "./LeaseRenewing.js";
+import { startLeaseRenewing } from "./LeaseRenewing.js";
+import type { LeaseRenewing } from "./LeaseRenewing.js";
 import { OwnServer } from "./OwnServer.js";
 import { formatParseRefusal } from "./PlainAnswer.js";
 import { CALLER_KEEP_ALIVE_MS, HEADER_MAXIMUM_BYTES, HEADER_TIMEOUT_MS } from "./ProxyConstants.js";
@@ -18,6 +19,7 @@
 import { handleRelayRequest } from "./RelayEntry.js";
 import { RetryBudgets } from "./RetryBudgets.js";
 import { ServerPools } from "./ServerPools.js";
+import { registerServerProbing } from "./ServerProbing.js";
 
 /** The running request path of one daemon. */
 export interface RequestProxy {
@@ -41,8 +43,8 @@
 
 /** Starts the two ports of the request path. Rejects when a port can't be bound. */
 export async function startRequestProxy(options: RequestProxyOptions): Promise<RequestProxy> {
-    const state = { isStopping: false };
-    const context = createContext(options, () => state.isStopping);
+    const state: ProxyState = { isStopping: false, leaseRenewing: undefined };
+    const context = createContext(options, state);
     const inFlight = new Set<Promise<void>>();
     const callers = createRequestServer(
         inFlight,
@@ -56,7 +58,9 @@
     );
     const requestPort = await openPort(callers, options.requestPort, options.address);
     const relayPort = await openPort(relays, options.relayPort, options.address);
-    const stopRenewal = registerLeaseRenewal(context);
+    const leaseRenewing = startLeaseRenewing(context);
+    state.leaseRenewing = leaseRenewing;
+    const stopProbing = registerServerProbing(context);
     options.log("info", "proxy: accepts requests.", { requestPort, relayPort });
     return {
         requestPort,
@@ -71,7 +75,8 @@
             while (inFlight.size > 0) {
                 await Promise.all(inFlight);
             }
-            stopRenewal();
+            stopProbing();
+            await leaseRenewing.stop();
             await Promise.all([close(callers), close(relays)]);
             context.deadlines.stop();
             await context.pools.stop();
@@ -80,7 +85,13 @@
     };
 }
 
-function createContext(options: RequestProxyOptions, isStopping: () => boolean): ProxyContext {
+/** What changes over the life of a proxy. */
+interface ProxyState {
+    isStopping: boolean;
+    leaseRenewing: LeaseRenewing | undefined;
+}
+
+function createContext(options: RequestProxyOptions, state: ProxyState): ProxyContext {
     const leases = new HeldLeases();
     const startedAt = options.now();
     const retryBudgets = new RetryBudgets(options.readView);
@@ -106,7 +117,10 @@
         recordRequest: (service, now) => {
             retryBudgets.recordRequest(service, now);
         },
-        isStopping,
+        applyForLease: owner => {
+            state.leaseRenewing?.apply(owner);
+        },
+        isStopping: () => state.isStopping,
         createId: () => `${idPrefix}${(++lastId).toString(36)}`,
     };
 }
--- a/src/transport/proxy/RequestRouting.ts
+++ b/src/transport/proxy/RequestRouting.ts
@@ -210,8 +210,8 @@
     log.attempts++;
     log.server = member.id;
     balancer.noteBegin(member.id, startedAt);
-    if (isOther) {
-        leases.noteBegin(member.id, startedAt);
+    if (isOther && leases.noteBegin(member.id, startedAt)) {
+        context.applyForLease(member.id);
     }
     const { hop, result: started } = start();
     log.hop = hop;
--- /dev/null
+++ b/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
@@ -0,0 +1,100 @@
+import { afterEach, describe, expect, it } from "vitest";
+import { startBackend, startRawServer } from "../fixtures/BackendServer.js";
+import { createTeardowns, sendRequest } from "../fixtures/Caller.js";
+import { buildDocument, startMesh } from "../fixtures/Mesh.js";
+
+const teardowns = createTeardowns();
+afterEach(() => teardowns.run());
+
+const ANSWERS = {
+    "with a stated length": "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-a: b\r\n\r\nhello",
+    "in chunks": "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+    "in chunks with a trailer":
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntrailer: x-t\r\n\r\n5\r\nhello\r\n0\r\nx-t: 1\r\n\r\n",
+};
+
+describe("answers that break off", () => {
+    for (const [name, answer] of Object.entries(ANSWERS)) {
+        for (const entry of ["owner", "entry"]) {
+            it(`never passes off a cut answer ${name} as whole (through ${entry})`, async () => {
+                let cutAt = 0;
+                const server = await startRawServer(socket => {
+                    socket.end(answer.slice(0, cutAt), "latin1");
+                });
+                const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }), [
+                    { id: "owner", serverPort: server.port },
+                    { id: "entry" },
+                ]);
+                teardowns.add(() => server.stop());
+                teardowns.add(() => mesh.stop());
+                for (cutAt = 0; cutAt < answer.length; cutAt++) {
+                    const got = await sendRequest(`${mesh.getUrl(entry)}/status`);
+                    const isTruthful = !got.isWhole || got.status === 502 && got.outcome === "unknown";
+                    expect(isTruthful, `cut at byte ${cutAt}: ${JSON.stringify(got)}`).toBe(true);
+                }
+                expect(await sendRequest(`${mesh.getUrl(entry)}/status`)).toMatchObject({
+                    text: "hello",
+                    isWhole: true,
+                });
+            });
+        }
+    }
+
+    it("refuses an answer whose end only the connection's end shows", async () => {
+        const server = await startRawServer(socket => {
+            socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello");
+        });
+        const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }), [{ id: "owner", serverPort: server.port }]);
+        teardowns.add(() => server.stop());
+        teardowns.add(() => mesh.stop());
+        expect(await sendRequest(`${mesh.getUrl("owner")}/status`)).toMatchObject({ status: 502, outcome: "unknown" });
+    });
+
+    it("does not give a late second answer to the next request on the connection", async () => {
+        const server = await startRawServer((socket, data) => {
+            const id = /papayaturn-attempt: (\S+)/.exec(data)?.[1] ?? "";
+            const answer = `HTTP/1.1 200 OK\r\ncontent-length: 3\r\npapayaturn-attempt: ${id}\r\n\r\n`;
+            const path = data.split(" ")[1] ?? "";
+            socket.write(`${answer}${path.slice(-3)}`);
+            // The duplicate arrives together with the next request.
+            setTimeout(() => socket.write(`${answer}${path.slice(-3)}`), 5);
+        });
+        const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }, {}), [
+            { id: "owner", serverPort: server.port, slots: 1 },
+            { id: "entry" },
+        ]);
+        teardowns.add(() => server.stop());
+        teardowns.add(() => mesh.stop());
+        for (let number = 100; number < 140; number++) {
+            const got = await sendRequest(`${mesh.getUrl(number % 2 === 0 ? "owner" : "entry")}/status/${number}`);
+            expect(got.status === 502 || got.text === String(number), JSON.stringify(got)).toBe(true);
+        }
+    });
+
+    it("does not take the answer of another daemon's request for its own", async () => {
+        const forged = await startBackend((_seen, _request, response) => {
+            response.setHeader("papayaturn-outcome", "answered");
+            response.setHeader("papayaturn-attempt", "another");
+            response.end("crossed");
+        });
+        const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }), [
+            { id: "owner", serverPort: forged.port },
+            { id: "entry" },
+        ]);
+        teardowns.add(() => forged.stop());
+        teardowns.add(() => mesh.stop());
+        const owner = mesh.view.members.get("owner");
+        expect(owner).toBeDefined();
+        if (owner !== undefined) {
+            const members = new Map(mesh.view.members).set("owner", { ...owner, relayPort: forged.port });
+            mesh.view = {
+                ...mesh.view,
+                members,
+                membersByService: new Map([["ledger", [members.get("owner") ?? owner]]]),
+            };
+        }
+        expect(await sendRequest(`${mesh.getUrl("entry")}/status`)).toMatchObject({ status: 502, outcome: "unknown" });
+    });
+});
+
+const NO_RETRIES = { attempts: 1, budget: 0, minimumPerSecond: 0, baseDelayMs: 1, maximumDelayMs: 1 };
--- /dev/null
+++ b/src/transport/proxy/__tests__/unit/Deadlines.test.ts
@@ -0,0 +1,122 @@
+import { afterEach, describe, expect, it } from "vitest";
+import { startBackend } from "../fixtures/BackendServer.js";
+import { createTeardowns, sendRaw, sendRequest, waitUntil } from "../fixtures/Caller.js";
+import { buildDocument, startMesh } from "../fixtures/Mesh.js";
+
+const teardowns = createTeardowns();
+afterEach(() => teardowns.run());
+
+/** A mesh whose server holds every request until its connection closes. */
+async function startSilentServer(routeTimeoutMs: number) {
+    const backend = await startBackend(() => undefined);
+    const mesh = await startMesh(buildDocument({}, { timeoutMs: routeTimeoutMs }), [
+        { id: "owner", serverPort: backend.port },
+        { id: "entry" },
+    ]);
+    teardowns.add(() => backend.stop());
+    teardowns.add(() => mesh.stop());
+    return { backend, mesh };
+}
+
+describe("deadlines and cancellation", () => {
+    for (const id of ["owner", "entry"]) {
+        it(`passes the remaining time to the server and ends its request in time (through ${id})`, async () => {
+            const { backend, mesh } = await startSilentServer(10_000);
+            const answer = await sendRequest(`${mesh.getUrl(id)}/status`, {
+                headers: { "papayaturn-deadline-ms": "120" },
+            });
+            expect(answer).toMatchObject({ status: 504, outcome: "unknown" });
+            const passed = Number(backend.seen[0]?.headers["papayaturn-deadline-ms"]);
+            expect(passed).toBeGreaterThan(0);
+            expect(passed).toBeLessThanOrEqual(120);
+            await waitUntil(() => backend.seen.every(seen => seen.isAborted));
+        });
+
+        it(`passes a caller's cancellation to the server (through ${id})`, async () => {
+            const { backend, mesh } = await startSilentServer(10_000);
+            const answer = sendRequest(`${mesh.getUrl(id)}/status`, { cancelAfterMs: 50 });
+            await waitUntil(() => backend.seen.length === 1);
+            await answer;
+            await waitUntil(() => backend.seen[0]?.isAborted === true);
+            await waitUntil(() =>
+                mesh.getProxy("owner").readLoad().used === 0
+                || mesh.getProxy("entry").explain({ method: "GET", path: "/status" }).servers[0]?.leasedSlots !== 0
+            );
+        });
+    }
+
+    it("lets a non-repeatable request run on without its caller and keeps the answer", async () => {
+        let answerNow: (() => void) | undefined;
+        const backend = await startBackend((_seen, _request, response) => {
+            answerNow = () => response.end("paid");
+        });
+        const mesh = await startMesh(buildDocument(), [{ id: "owner", serverPort: backend.port }, { id: "entry" }]);
+        teardowns.add(() => backend.stop());
+        teardowns.add(() => mesh.stop());
+        const deposit = { method: "POST", headers: { "idempotency-key": "k" }, body: "40" };
+        const cancelled = sendRequest(`${mesh.getUrl("entry")}/deposits`, { ...deposit, cancelAfterMs: 50 });
+        await waitUntil(() => answerNow !== undefined);
+        await cancelled;
+        const repeated = sendRequest(`${mesh.getUrl("entry")}/deposits`, deposit);
+        await waitUntil(() => mesh.claims.calls.length === 2);
+        answerNow?.();
+        expect(await repeated).toMatchObject({ outcome: "replayed", text: "paid" });
+        expect(backend.seen).toHaveLength(1);
+    });
+
+    it("ends a request whose body arrives too slowly, before it takes a slot", async () => {
+        const { backend, mesh } = await startSilentServer(100);
+        const answer = await sendRaw(
+            mesh.getProxy("owner").requestPort,
+            "POST /status HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc",
+        );
+        expect(answer).toMatch(/^HTTP\/1.1 503 .*papayaturn-outcome: not-run/s);
+        expect(backend.seen).toHaveLength(0);
+    });
+
+    it("cuts an endless answer at the deadline", async () => {
+        const backend = await startBackend((_seen, _request, response) => {
+            const timer = setInterval(() => response.write("more"), 5);
+            response.on("close", () => {
+                clearInterval(timer);
+            });
+        });
+        const mesh = await startMesh(buildDocument({}, { timeoutMs: 150 }), [{
+            id: "owner",
+            serverPort: backend.port,
+        }]);
+        teardowns.add(() => backend.stop());
+        teardowns.add(() => mesh.stop());
+        expect((await sendRequest(`${mesh.getUrl("owner")}/status`)).isWhole).toBe(false);
+        await waitUntil(() => backend.seen[0]?.isAborted === true);
+    });
+
+    it("stops reading from the server while the caller does not read", async () => {
+        let written = 0;
+        const block = Buffer.alloc(65_536);
+        const backend = await startBackend((_seen, _request, response) => {
+            const fill = (): void => {
+                while (response.write(block)) {
+                    written += block.length;
+                }
+            };
+            response.on("drain", fill);
+            fill();
+        });
+        const mesh = await startMesh(buildDocument({}, { timeoutMs: 400 }), [{
+            id: "owner",
+            serverPort: backend.port,
+        }]);
+        teardowns.add(() => backend.stop());
+        teardowns.add(() => mesh.stop());
+        const { connect } = await import("node:net");
+        const socket = connect(mesh.getProxy("owner").requestPort, "127.0.0.1", () => {
+            socket.write("GET /status HTTP/1.1\r\nhost: a\r\n\r\n");
+            socket.pause();
+        });
+        await waitUntil(() => backend.seen[0]?.isAborted === true);
+        socket.destroy();
+        // Kernel buffers of two loopback connections take a few megabytes; 400 ms without limit would be far more.
+        expect(written).toBeLessThan(32 * 1_048_576);
+    });
+});
--- a/src/transport/proxy/__tests__/unit/RequestProxy.test.ts
+++ b/src/transport/proxy/__tests__/unit/RequestProxy.test.ts
@@ -1,56 +1,86 @@
-import { request } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
 import { startBackend } from "../fixtures/BackendServer.js";
+import { createTeardowns, sendRaw, sendRequest, waitUntil } from "../fixtures/Caller.js";
 import { buildDocument, startMesh } from "../fixtures/Mesh.js";
 
-const teardowns: (() => Promise<void>)[] = [];
-
-afterEach(async () => {
-    for (const teardown of teardowns.splice(0).reverse()) {
-        await teardown();
-    }
-});
+const teardowns = createTeardowns();
+afterEach(() => teardowns.run());
 
+/** A mesh of a daemon with an echoing server and a daemon without one. */
 async function startPair() {
     const backend = await startBackend((seen, _request, response) => {
-        response.setHeader("x-seen", seen.url);
-        response.end(`${seen.method} ${seen.body}`);
+        response.writeHead(seen.url.includes("empty") ? 204 : 200, {
+            "x-seen": seen.url,
+            "connection": "x-hop",
+            "x-hop": "1",
+            ...(seen.url.includes("trailer") ? { trailer: "x-sum" } : {}),
+        });
+        if (seen.url.includes("trailer")) {
+            response.write("with ");
+            response.addTrailers({ "x-sum": "42" });
+        }
+        response.end(seen.url.includes("empty") ? undefined : `${seen.method} ${seen.body}`);
     });
     const mesh = await startMesh(buildDocument(), [{ id: "owner", serverPort: backend.port }, { id: "entry" }]);
-    teardowns.push(() => backend.stop(), () => mesh.stop());
+    teardowns.add(() => backend.stop());
+    teardowns.add(() => mesh.stop());
     return { backend, mesh };
 }
 
+/** Sends requests until the entry daemon holds a slot lease. */
+async function awaitLease(mesh: Awaited<ReturnType<typeof startMesh>>): Promise<void> {
+    await sendRequest(`${mesh.getUrl("entry")}/status`);
+    await waitUntil(() =>
+        (mesh.getProxy("entry").explain({ method: "GET", path: "/status" }).servers[0]?.leasedSlots ?? 0) > 0
+    );
+}
+
 describe("request path", () => {
-    it("sends a request for the own server to it and returns its whole answer", async () => {
+    it("reaches a server locally, through its owner, and directly once slots are leased", async () => {
         const { mesh } = await startPair();
-        const answer = await request(`${mesh.getUrl("owner")}/status/7?x=1`, { method: "PUT", body: "canvas" });
-        expect(answer.statusCode).toBe(200);
+        await sendRequest(`${mesh.getUrl("owner")}/status/7`);
+        await awaitLease(mesh);
+        const answer = await sendRequest(`${mesh.getUrl("entry")}/status/7?x=1`, { method: "PUT", body: "canvas" });
+        expect(answer).toMatchObject({ status: 200, outcome: "answered", text: "PUT canvas", isWhole: true });
         expect(answer.headers["x-seen"]).toBe("/status/7?x=1");
-        expect(answer.headers["papayaturn-outcome"]).toBe("answered");
-        expect(await answer.body.text()).toBe("PUT canvas");
-        expect(mesh.records.at(-1)).toMatchObject({ hop: "local", server: "owner", attempts: 1, status: 200 });
+        expect(mesh.records.map(record => record.hop)).toEqual(["local", "relayed", "direct"]);
     });
 
-    it("relays a request through the owner when no slot is leased", async () => {
+    it("passes on trailers, empty answers and HEAD, and drops hop-by-hop headers on every hop", async () => {
         const { mesh } = await startPair();
-        const answer = await request(`${mesh.getUrl("entry")}/status/7`);
-        expect(await answer.body.text()).toBe("GET ");
-        expect(mesh.records.at(-1)).toMatchObject({ hop: "relayed", server: "owner", status: 200 });
+        for (const id of ["owner", "entry"]) {
+            const withTrailer = await sendRequest(`${mesh.getUrl(id)}/status/trailer`);
+            expect(withTrailer).toMatchObject({ text: "with GET ", trailers: { "x-sum": "42" }, isWhole: true });
+            expect(withTrailer.headers["x-hop"]).toBeUndefined();
+            expect(await sendRequest(`${mesh.getUrl(id)}/status/empty`)).toMatchObject({
+                status: 204,
+                text: "",
+                isWhole: true,
+            });
+            expect(await sendRequest(`${mesh.getUrl(id)}/status`, { method: "HEAD" }))
+                .toMatchObject({ status: 200, text: "", isWhole: true });
+        }
     });
 
-    it("runs a repeated key once and returns the first answer again", async () => {
+    it("answers an expectation of 100 Continue itself and only for a body that it will take", async () => {
         const { backend, mesh } = await startPair();
-        const post = () =>
-            request(`${mesh.getUrl("entry")}/deposits`, {
-                method: "POST",
-                headers: { "idempotency-key": "k1" },
-                body: "40",
-            });
-        const first = await post();
-        expect([first.headers["papayaturn-outcome"], await first.body.text()]).toEqual(["answered", "POST 40"]);
-        const second = await post();
-        expect([second.headers["papayaturn-outcome"], await second.body.text()]).toEqual(["replayed", "POST 40"]);
+        const head = (length: number) =>
+            `PUT /status HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: ${length}\r\n`
+            + "connection: close\r\n\r\n";
+        const accepted = await sendRaw(mesh.getProxy("entry").requestPort, `${head(3)}abc`);
+        expect(accepted).toMatch(/^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200/);
+        const refused = await sendRaw(mesh.getProxy("entry").requestPort, head(5_000_000));
+        expect(refused).toMatch(/^HTTP\/1.1 413 .*papayaturn-reason: request-too-large/s);
         expect(backend.seen).toHaveLength(1);
     });
+
+    it("streams a large body and a large answer unchanged", async () => {
+        const { mesh } = await startPair();
+        const body = "0123456789".repeat(90_000);
+        for (const id of ["owner", "entry"]) {
+            const answer = await sendRequest(`${mesh.getUrl(id)}/status`, { method: "POST", body });
+            expect(answer.isWhole).toBe(true);
+            expect(answer.text === `POST ${body}`).toBe(true);
+        }
+    });
 });
