--- a/src/coordination/admission/ServerAdmission.ts
+++ b/src/coordination/admission/ServerAdmission.ts
@@ -43,7 +43,8 @@
             return { kind: "refused", refusal: this.#buildRefusal("deadline", limits) };
         }
         if (!this.#makeRoom(request, limits)) {
-            const reason = this.#isClassFull(request, limits) ? "class-limit" : "overloaded";
+            const isOwnLimit = this.#working < limits.slots && this.#isClassFull(request, limits);
+            const reason = isOwnLimit ? "class-limit" : "overloaded";
             return { kind: "refused", refusal: this.#buildRefusal(reason, limits) };
         }
         this.#queues.enqueue(request);
--- a/src/coordination/leases/LeaseConstants.ts
+++ b/src/coordination/leases/LeaseConstants.ts
@@ -8,3 +8,8 @@
 export const LEASE_IDLE_MS = 5_000;
 /** An applicant displaces a holder only when it sends this many times the requests, which prevents alternation. */
 export const DISPLACEMENT_FACTOR = 2;
+/**
+ * Highest share of a server's slots that an owner leaves free for leases it owes. Without it an owner
+ * whose own requests use every slot would never lease any.
+ */
+export const HIGHEST_OWED_SHARE = 1 / 6;
--- a/src/coordination/leases/LeaseGrants.ts
+++ b/src/coordination/leases/LeaseGrants.ts
@@ -1,4 +1,4 @@
-import { DISPLACEMENT_FACTOR, LEASE_MS, RESERVED_SLOTS } from "./LeaseConstants.js";
+import { DISPLACEMENT_FACTOR, HIGHEST_OWED_SHARE, LEASE_MS, RESERVED_SLOTS } from "./LeaseConstants.js";
 
 /** A holder's request for slots. */
 export interface LeaseRequest {
@@ -35,6 +35,9 @@
     /** Slots counted as used: the most that an answer not yet lapsed gave, or more while older requests work. */
     readonly held: number;
     readonly given: readonly GivenSlots[];
+    /** Slots that the holder is entitled to and that the owner's own requests still use. */
+    readonly owed: number;
+    readonly owedUntil: number;
     /** Until when slots of a holder that fell silent count as used. */
     readonly heldUntil: number;
 }
@@ -55,9 +58,21 @@
 
     /** Slots that the owner itself may use now. */
     countOwnSlots(serverSlots: number, now: number): number {
-        return now < this.#mayGrantFrom
-            ? Math.min(RESERVED_SLOTS, serverSlots)
-            : Math.max(0, serverSlots - this.countHeld(now));
+        const reserved = Math.min(RESERVED_SLOTS, serverSlots);
+        if (now < this.#mayGrantFrom) {
+            return reserved;
+        }
+        const unheld = Math.max(0, serverSlots - this.countHeld(now));
+        return Math.min(unheld, Math.max(reserved, unheld - this.#countOwed(serverSlots, now)));
+    }
+
+    /** Slots kept free for the next renewals; few at a time, since they are idle until then. */
+    #countOwed(serverSlots: number, now: number): number {
+        let owed = 0;
+        for (const grant of this.#grants.values()) {
+            owed += grant.owedUntil > now ? grant.owed : 0;
+        }
+        return Math.min(owed, Math.max(1, Math.floor(serverSlots * HIGHEST_OWED_SHARE)));
     }
 
     /** Slots that count as used by holders. */
@@ -79,14 +94,15 @@
     renew(request: LeaseRequest, limits: GrantLimits, now: number): number {
         const heldByOthers = this.countHeld(now) - (this.#grants.get(request.holder)?.held ?? 0);
         const free = limits.serverSlots - Math.max(RESERVED_SLOTS, limits.ownWorking) - heldByOthers;
-        const granted = this.#mayGrant(request, limits, now)
-            ? Math.max(0, Math.min(request.wanted, free, this.#computeShare(request, limits)))
+        const entitled = this.#mayGrant(request, limits, now)
+            ? Math.min(request.wanted, this.#computeShare(request, limits))
             : 0;
+        const granted = Math.max(0, Math.min(entitled, free));
         if (granted === 0 && request.wanted > 0 && limits.isLeasable) {
             this.#displaceLeastUsed(request);
         }
         this.#displaced.delete(request.holder);
-        this.#store(request, granted, limits, now);
+        this.#store(request, granted, entitled - granted, limits, now);
         return granted;
     }
 
@@ -119,7 +135,7 @@
         }
     }
 
-    #store(request: LeaseRequest, granted: number, limits: GrantLimits, now: number): void {
+    #store(request: LeaseRequest, granted: number, owed: number, limits: GrantLimits, now: number): void {
         if (request.wanted === 0 && request.inUse === 0) {
             this.#grants.delete(request.holder);
             return;
@@ -132,6 +148,8 @@
             sent: request.sent,
             held: Math.max(request.inUse, ...given.map(each => each.slots)),
             given,
+            owed,
+            owedUntil: now + LEASE_MS,
             heldUntil: now + LEASE_MS + limits.longestRequestMs,
         });
     }
