--- /dev/null
+++ b/src/coordination/membership/Suspicions.ts
@@ -0,0 +1,46 @@
+import type { Member } from "../../state/members/index.js";
+import { isPresent, MemberState } from "../../state/members/index.js";
+
+/** Time in which a suspect can refute by a higher incarnation. */
+export const SUSPICION_MS = 3_000;
+
+interface Suspicion {
+    readonly incarnation: number;
+    readonly since: number;
+}
+
+/** Members that a direct connection attempt did not reach, until they refute or are declared dead. */
+export class Suspicions {
+    private readonly suspects = new Map<string, Suspicion>();
+
+    /** Returns whether the suspicion is new. */
+    add(member: Member, now: number): boolean {
+        const held = this.suspects.get(member.id);
+        if (held !== undefined && held.incarnation >= member.incarnation) {
+            return false;
+        }
+        this.suspects.set(member.id, { incarnation: member.incarnation, since: now });
+        return true;
+    }
+
+    clear(id: string): void {
+        this.suspects.delete(id);
+    }
+
+    /** Takes out the suspicions whose time is over and returns the deaths to declare. */
+    expire(lookup: (id: string) => Member | undefined, failureDomain: string, now: number): readonly Member[] {
+        const dead: Member[] = [];
+        for (const [id, suspicion] of this.suspects) {
+            const member = lookup(id);
+            const isRefuted = member === undefined || member.incarnation > suspicion.incarnation || !isPresent(member);
+            if (isRefuted || now - suspicion.since >= SUSPICION_MS) {
+                this.suspects.delete(id);
+                // Only a member of the same failure domain can tell a death from a cut-off domain.
+                if (!isRefuted && member.failureDomain === failureDomain) {
+                    dead.push({ ...member, state: MemberState.Dead });
+                }
+            }
+        }
+        return dead;
+    }
+}
--- /dev/null
+++ b/src/protocol/peer/PeerSession.ts
@@ -0,0 +1,81 @@
+import { decodeMessage, encodeMessage } from "./Codec.js";
+import type { FrameConnection } from "./Connection.js";
+import { acceptPeer, connectPeer } from "./Handshake.js";
+import type { AuthenticatedPeer, PeerIdentity } from "./Handshake.js";
+import type { LinkRole, PeerMessage } from "./Messages.js";
+import { MessageError } from "./Shape.js";
+
+/** A slower receiver is disconnected; it catches up by digest when it connects again. */
+const BUFFER_LIMIT_BYTES = 16 * 1_048_576;
+
+export interface SessionOptions {
+    readonly self: PeerIdentity;
+    readonly meshKey: string;
+    /** Passes a frame to `send`, one function for each connection, at once or later; `to` is known after the first message. */
+    deliver(frame: Uint8Array, to: PeerIdentity | undefined, send: (frame: Uint8Array) => void): void;
+    countSent(bytes: number, to: PeerIdentity | undefined): void;
+    countReceived(bytes: number, from: PeerIdentity | undefined): void;
+}
+
+/** One connection: the handshake, then a stream of checked messages read by a single task. */
+export class PeerSession {
+    private peer: PeerIdentity | undefined;
+
+    constructor(private readonly connection: FrameConnection, private readonly options: SessionOptions) {}
+
+    /** Handshake of the connecting side; rejects when it fails. */
+    async connect(role: LinkRole): Promise<AuthenticatedPeer> {
+        return connectPeer(this, this.options.self, role, this.options.meshKey);
+    }
+
+    /** Handshake of the accepting side; rejects when it fails. */
+    async accept(): Promise<AuthenticatedPeer> {
+        return acceptPeer(this, this.options.self, this.options.meshKey);
+    }
+
+    /** Messages until the connection ends; throws `MessageError` for a frame that is not a message. */
+    async *readMessages(): AsyncGenerator<PeerMessage> {
+        for await (const frame of this.connection.frames) {
+            yield this.decode(frame);
+        }
+    }
+
+    async receive(): Promise<PeerMessage> {
+        const result = await this.connection.frames.next();
+        if (result.done === true) {
+            throw new MessageError("the connection ended in the handshake");
+        }
+        const message = this.decode(result.value);
+        if (message.kind === "hello" || message.kind === "challenge") {
+            this.peer = message;
+        }
+        return message;
+    }
+
+    send(message: PeerMessage): void {
+        this.sendFrame(encodeMessage(message));
+    }
+
+    /** Sends an encoded message; lets one encoding serve several receivers. */
+    sendFrame(frame: Uint8Array): void {
+        this.options.countSent(frame.length, this.peer);
+        this.options.deliver(frame, this.peer, this.sendNow);
+    }
+
+    close(): void {
+        this.connection.close();
+    }
+
+    private readonly sendNow = (frame: Uint8Array): void => {
+        if (this.connection.countBuffered() > BUFFER_LIMIT_BYTES) {
+            this.connection.close();
+            return;
+        }
+        this.connection.send(frame);
+    };
+
+    private decode(frame: Uint8Array): PeerMessage {
+        this.options.countReceived(frame.length, this.peer);
+        return decodeMessage(frame);
+    }
+}
--- /dev/null
+++ b/src/protocol/peer/Shape.ts
@@ -0,0 +1,113 @@
+/** Error of a frame that is malformed, too large or not a known message. */
+export class MessageError extends Error {
+    override readonly name = "MessageError";
+}
+
+/** Converts a typed value to its compact wire form and back, and checks every field on the way in. */
+export interface Shape<T> {
+    encode(value: T): unknown;
+    /** Throws `MessageError`; `path` names the field in the error. */
+    decode(raw: unknown, path: string): T;
+}
+
+/** The type that a shape describes. */
+export type ShapeType<S> = S extends Shape<infer T> ? T : never;
+
+type Fields = Readonly<Record<string, Shape<never>>>;
+export type RecordOf<F> = { readonly [K in keyof F]: F[K] extends Shape<infer T> ? T : never; };
+
+/** Text of at most `limit` UTF-16 code units. */
+export function createTextShape(limit: number): Shape<string> {
+    return {
+        decode(raw, path) {
+            if (typeof raw !== "string" || raw.length > limit) {
+                throw new MessageError(`${path} is not a text of at most ${limit} characters`);
+            }
+            return raw;
+        },
+        encode: value => value,
+    };
+}
+
+/** Integer from 0 to `limit`. */
+export function createIntegerShape(limit: number = Number.MAX_SAFE_INTEGER): Shape<number> {
+    return {
+        decode(raw, path) {
+            if (typeof raw !== "number" || !Number.isSafeInteger(raw) || raw < 0 || raw > limit) {
+                throw new MessageError(`${path} is not an integer from 0 to ${limit}`);
+            }
+            return raw;
+        },
+        encode: value => value,
+    };
+}
+
+export const booleanShape: Shape<boolean> = {
+    decode(raw, path) {
+        if (typeof raw !== "boolean") {
+            throw new MessageError(`${path} is not a boolean`);
+        }
+        return raw;
+    },
+    encode: value => value,
+};
+
+/** One of a closed list of texts, sent as its index. */
+export function createChoiceShape<T extends string>(choices: readonly T[]): Shape<T> {
+    return {
+        decode(raw, path) {
+            const choice = typeof raw === "number" ? choices[raw] : undefined;
+            if (choice === undefined) {
+                throw new MessageError(`${path} is not a known choice`);
+            }
+            return choice;
+        },
+        encode: value => choices.indexOf(value),
+    };
+}
+
+/** List of at most `limit` elements. */
+export function createListShape<T>(element: Shape<T>, limit: number): Shape<readonly T[]> {
+    return {
+        decode(raw, path) {
+            if (!Array.isArray(raw) || raw.length > limit) {
+                throw new MessageError(`${path} is not a list of at most ${limit} elements`);
+            }
+            return raw.map((item: unknown, index) => element.decode(item, `${path}[${index}]`));
+        },
+        encode: value => value.map(item => element.encode(item)),
+    };
+}
+
+/** A value or undefined. */
+export function createOptionalShape<T>(inner: Shape<T>): Shape<T | undefined> {
+    return {
+        decode: (raw, path) => raw === null || raw === undefined ? undefined : inner.decode(raw, path),
+        encode: value => value === undefined ? null : inner.encode(value),
+    };
+}
+
+/** An object, sent as the list of its fields in the order given. */
+export function createRecordShape<F>(
+    fields: F & { readonly [K in keyof F]: Shape<unknown> | Shape<never>; },
+): Shape<RecordOf<F>> {
+    const entries = Object.entries(fields as unknown as Fields);
+    return {
+        decode(raw, path) {
+            if (!Array.isArray(raw) || raw.length !== entries.length) {
+                throw new MessageError(`${path} does not have ${entries.length} fields`);
+            }
+            const decoded: Record<string, unknown> = {};
+            entries.forEach(([name, shape], index) => {
+                const value: unknown = shape.decode(raw[index], `${path}.${name}`);
+                if (value !== undefined) {
+                    decoded[name] = value;
+                }
+            });
+            return decoded as RecordOf<F>;
+        },
+        encode(value) {
+            return entries.map(([name, shape]) => shape.encode((value as Record<string, never>)[name] as never));
+        },
+    };
+}
--- /dev/null
+++ b/src/state/members/MemberMerge.ts
@@ -0,0 +1,22 @@
+import { MemberState } from "./Member.js";
+import type { Member } from "./Member.js";
+
+const STATE_ORDER: readonly MemberState[] = [
+    MemberState.Starting,
+    MemberState.Live,
+    MemberState.Leaving,
+    MemberState.Left,
+    MemberState.Dead,
+];
+
+/** Orders two records of one daemon; above zero when `a` replaces `b`. */
+export function compareRecords(a: Member, b: Member): number {
+    return a.incarnation - b.incarnation
+        || a.revision - b.revision
+        || STATE_ORDER.indexOf(a.state) - STATE_ORDER.indexOf(b.state);
+}
+
+/** Whether the daemon of the record takes part in the mesh. */
+export function isPresent(member: Member): boolean {
+    return member.state !== MemberState.Left && member.state !== MemberState.Dead;
+}
--- /dev/null
+++ b/src/transport/mesh/Bootstrap.ts
@@ -0,0 +1,101 @@
+import type { Candidate } from "../../protocol/peer/index.js";
+import type { MeshContext, MeshPart } from "./MeshContext.js";
+import type { StoreAccess } from "./StoreAccess.js";
+
+const KEY_PREFIX = "bootstrap/";
+/** Shortest time between two writes of the own failure domain's object. */
+const WRITE_INTERVAL_MS = 60_000;
+const ADDRESSES = 6;
+/** Time for which addresses read from the store are used before they are read again. */
+const READ_VALID_MS = 5_000;
+
+/** Addresses by which new daemons join: given seeds, and objects that domain relays write. */
+export class Bootstrap implements MeshPart {
+    readonly handlers = {};
+    private readonly seeds: readonly Candidate[];
+    private stored: readonly Candidate[] = [];
+    private readAt = -Infinity;
+    private nextWriteAt = 0;
+
+    constructor(private readonly context: MeshContext, private readonly store: StoreAccess | undefined) {
+        this.seeds = context.options.seeds.flatMap(parseSeed);
+    }
+
+    tick(): void {
+        const now = this.context.now();
+        if (this.store !== undefined && now >= this.nextWriteAt && this.context.getPosition().isDomainRelay) {
+            this.nextWriteAt = now + WRITE_INTERVAL_MS;
+            void this.write(this.store);
+        }
+    }
+
+    /** Seeds, and addresses of the own failure domain, or of any when it has none. */
+    async listEntries(): Promise<readonly Candidate[]> {
+        const now = this.context.now();
+        if (this.store !== undefined && now - this.readAt > READ_VALID_MS) {
+            this.readAt = now;
+            this.stored = await this.readStored(this.store);
+        }
+        const own = this.context.getOwnRecord();
+        return [...this.seeds, ...this.stored]
+            .filter(entry => entry.address !== own.address || entry.peerPort !== own.peerPort);
+    }
+
+    private async readStored(store: StoreAccess): Promise<readonly Candidate[]> {
+        const own = await this.readDomain(store, this.context.options.failureDomain);
+        if (own.length > 0) {
+            return own;
+        }
+        const listed = (await store.port.list(KEY_PREFIX)).orDefault([]);
+        const other = listed[Math.floor(this.context.options.random() * listed.length)];
+        return other === undefined ? [] : this.readDomain(store, other.key.slice(KEY_PREFIX.length));
+    }
+
+    private async readDomain(store: StoreAccess, domain: string): Promise<readonly Candidate[]> {
+        const stored = (await store.port.get(`${KEY_PREFIX}${domain}`)).orDefault(undefined);
+        const own = this.context.getOwnRecord();
+        return parseAddresses(stored?.value ?? "")
+            .filter(entry => entry.address !== own.address || entry.peerPort !== own.peerPort);
+    }
+
+    private async write(store: StoreAccess): Promise<void> {
+        const { failureDomain } = this.context.options;
+        const key = `${KEY_PREFIX}${failureDomain}`;
+        const value = JSON.stringify({ addresses: this.listAddresses(failureDomain) });
+        const held = (await store.port.get(key)).orDefault(undefined);
+        if (held?.value !== value) {
+            const condition = held === undefined
+                ? { kind: "absent" } as const
+                : { kind: "version", version: held.version } as const;
+            await store.port.put(key, value, condition);
+        }
+    }
+
+    private listAddresses(domain: string): readonly Candidate[] {
+        const { table } = this.context;
+        return table.listRanked(domain)
+            .slice(0, ADDRESSES)
+            .flatMap(id => table.get(id) ?? [])
+            .map(({ address, peerPort }) => ({ address, peerPort }));
+    }
+}
+
+function parseSeed(seed: string): readonly Candidate[] {
+    const at = seed.lastIndexOf(":");
+    const peerPort = Number(seed.slice(at + 1));
+    const isValid = at > 0 && Number.isInteger(peerPort) && peerPort > 0;
+    return isValid ? [{ address: seed.slice(0, at).replace(/^\[|\]$/g, ""), peerPort }] : [];
+}
+
+function parseAddresses(value: string): readonly Candidate[] {
+    try {
+        const raw = JSON.parse(value) as { readonly addresses?: unknown; };
+        const addresses = Array.isArray(raw.addresses) ? raw.addresses as readonly Partial<Candidate>[] : [];
+        return addresses.flatMap(({ address, peerPort }) =>
+            typeof address === "string" && typeof peerPort === "number" ? [{ address, peerPort }] : []
+        );
+    }
+    catch {
+        return [];
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/CutOffKeeper.ts
@@ -0,0 +1,96 @@
+import { listCutOff, updateUnreached } from "../../coordination/membership/index.js";
+import type { UnreachedSince } from "../../coordination/membership/index.js";
+import { LinkRole } from "../../protocol/peer/index.js";
+import type { CutOffDomain } from "../../protocol/peer/index.js";
+import { HEARTBEAT_MS } from "./MeshConstants.js";
+import type { MeshContext, MeshPart } from "./MeshContext.js";
+
+const PROBE_INTERVAL_MS = 2_000;
+/** Time for which an answered probe counts as contact. */
+const PROBE_VALID_MS = 5_000;
+/** Members of a failure domain that are probed in turn. */
+const RANKS_TO_PROBE = 3;
+
+/**
+ * Knows which failure domains cannot be reached. The root of a tree observes it; the daemons below
+ * take over what their parent's heartbeats say.
+ */
+export class CutOffKeeper implements MeshPart {
+    readonly handlers = {};
+    private unreached: UnreachedSince = new Map();
+    private cutOff: readonly CutOffDomain[] = [];
+    private readonly probedAt = new Map<string, number>();
+    private readonly answeredAt = new Map<string, number>();
+    private nextObservationAt = 0;
+
+    constructor(private readonly context: MeshContext, private readonly onChanged: () => void) {}
+
+    list(): readonly CutOffDomain[] {
+        return this.cutOff;
+    }
+
+    tick(): void {
+        const now = this.context.now();
+        if (now < this.nextObservationAt) {
+            return;
+        }
+        this.nextObservationAt = now + HEARTBEAT_MS;
+        const parent = this.context.links.getParent();
+        const own = this.context.options.failureDomain;
+        this.commit(parent === undefined ? this.observe(now) : parent.cutOff.filter(entry => entry.domain !== own));
+    }
+
+    private commit(cutOff: readonly CutOffDomain[]): void {
+        const formatNames = (entries: readonly CutOffDomain[]): string =>
+            entries.map(entry => entry.domain).sort().join();
+        const isChanged = formatNames(cutOff) !== formatNames(this.cutOff);
+        this.cutOff = cutOff;
+        if (isChanged) {
+            this.context.options.log.warn({ domains: formatNames(cutOff) }, "mesh: failure domains cut off changed.");
+            this.onChanged();
+        }
+    }
+
+    private observe(now: number): readonly CutOffDomain[] {
+        const { options, table } = this.context;
+        const domains = table.listDomains()
+            .filter(domain => domain !== options.failureDomain && table.listRanked(domain).length > 0);
+        this.unreached = updateUnreached(this.unreached, domains, domain => this.isReached(domain, now), now);
+        [...this.unreached.keys()].forEach(domain => void this.probe(domain, now));
+        const clock = Math.floor(options.now());
+        return listCutOff(this.unreached, now).map(({ domain, since }) => ({
+            domain,
+            since: Math.max(0, clock - Math.floor(now - since)),
+        }));
+    }
+
+    private isReached(domain: string, now: number): boolean {
+        const answeredAt = this.answeredAt.get(domain);
+        if (answeredAt !== undefined && now - answeredAt < PROBE_VALID_MS) {
+            return true;
+        }
+        const region = this.context.table.getRegion(domain);
+        return this.context.links.listTree().some(link => {
+            const isReported = link.relation === "relay" && link.peer.region === region
+                && !link.cutOff.some(entry => entry.domain === domain);
+            return isReported || link.peer.failureDomain === domain;
+        });
+    }
+
+    /** A direct attempt, so that a domain is not called cut off only because the tree is being rebuilt. */
+    private async probe(domain: string, now: number): Promise<void> {
+        if (now - (this.probedAt.get(domain) ?? -PROBE_INTERVAL_MS) < PROBE_INTERVAL_MS) {
+            return;
+        }
+        this.probedAt.set(domain, now);
+        const { options, table } = this.context;
+        const ranked = table.listRanked(domain).slice(0, RANKS_TO_PROBE);
+        const id = ranked[Math.floor(options.random() * ranked.length)];
+        const member = id === undefined ? undefined : table.get(id);
+        const link = member === undefined ? undefined : await this.context.dial(member, LinkRole.Query);
+        if (link !== undefined) {
+            this.answeredAt.set(domain, this.context.now());
+            link.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/FloorKeeper.ts
@@ -0,0 +1,186 @@
+import { getReceivedVersion } from "../../coordination/distribution/index.js";
+import { LinkRole } from "../../protocol/peer/index.js";
+import type { MessageOf } from "../../protocol/peer/index.js";
+import { parseHead } from "../../state/versions/index.js";
+import type { Link } from "./Link.js";
+import { REQUEST_TIMEOUT_MS } from "./MeshConstants.js";
+import type { MeshContext, MeshPart, MessageHandlers } from "./MeshContext.js";
+import { Requests } from "./Requests.js";
+import type { StoreAccess } from "./StoreAccess.js";
+import { limitTime } from "./Timers.js";
+import type { VersionExchange } from "./VersionExchange.js";
+
+/** Members of another failure domain that are asked in turn for a settled relay. */
+const RANKS_TO_ASK = 3;
+/** Time for a question to travel to the region relay, the store and other domains, and back. */
+const FLOOR_TIMEOUT_MS = 3 * REQUEST_TIMEOUT_MS;
+
+type DomainFloor = MessageOf<"domainFloorAnswer">;
+
+/** One inquiry at a time; a request that comes during one waits for the next, begun after it. */
+interface Inquiry {
+    readonly current: Promise<number | undefined>;
+    next: Promise<number | undefined> | undefined;
+}
+
+/**
+ * Finds the floor of a daemon that started without state, for itself and for the daemons below it
+ * in the tree. See docs/design.md, 2.3.
+ */
+export class FloorKeeper implements MeshPart {
+    readonly handlers: MessageHandlers = {
+        domainFloorAnswer: message => this.domainRequests.resolve(message.request, message),
+        domainFloorRequest: (message, link) => this.handleDomainRequest(message, link),
+        floorAnswer: message => this.requests.resolve(message.request, message.floor),
+        floorRequest: (message, link) => void this.handleRequest(message, link),
+    };
+    private readonly requests: Requests<number | undefined>;
+    private readonly domainRequests: Requests<DomainFloor>;
+    private inquiry: Inquiry | undefined;
+    private isAsking = false;
+
+    constructor(
+        private readonly context: MeshContext,
+        private readonly store: StoreAccess | undefined,
+        private readonly versions: VersionExchange,
+    ) {
+        this.requests = new Requests(context.timers, FLOOR_TIMEOUT_MS);
+        this.domainRequests = new Requests(context.timers, REQUEST_TIMEOUT_MS);
+    }
+
+    tick(): void {
+        if (this.versions.getLedger().floor === undefined && !this.isAsking) {
+            this.isAsking = true;
+            void this.settle().finally(() => {
+                this.isAsking = false;
+            });
+        }
+    }
+
+    private async settle(): Promise<void> {
+        const floor = await this.inquire();
+        if (floor !== undefined && this.versions.getLedger().floor === undefined) {
+            this.versions.settle(floor);
+        }
+    }
+
+    private async handleRequest(message: MessageOf<"floorRequest">, link: Link): Promise<void> {
+        const floor = message.forwarded ? await this.readStoreFloor() : await this.inquire();
+        link.send({ floor, kind: "floorAnswer", request: message.request });
+    }
+
+    /** Joins the inquiry that begins after this call; one answer serves all who wait for it. */
+    private inquire(): Promise<number | undefined> {
+        const running = this.inquiry;
+        if (running === undefined) {
+            return this.beginInquiry();
+        }
+        running.next ??= running.current.then(() => this.beginInquiry());
+        return running.next;
+    }
+
+    private beginInquiry(): Promise<number | undefined> {
+        const current = this.findFloor();
+        const inquiry: Inquiry = { current, next: undefined };
+        this.inquiry = inquiry;
+        void current.then(() => {
+            if (this.inquiry === inquiry && inquiry.next === undefined) {
+                this.inquiry = undefined;
+            }
+        });
+        return current;
+    }
+
+    private async findFloor(): Promise<number | undefined> {
+        const position = this.context.getPosition();
+        const parent = this.context.links.getParent();
+        const fromAbove = parent === undefined
+            ? await this.findFloorAsRoot(position.isRegionRelay)
+            : await this.requestFrom(parent, false);
+        return fromAbove ?? (position.isDomainRelay ? this.collectDomainFloors() : undefined);
+    }
+
+    private async findFloorAsRoot(isRegionRelay: boolean): Promise<number | undefined> {
+        if (!isRegionRelay) {
+            return undefined;
+        }
+        const own = await this.readStoreFloor();
+        if (own !== undefined) {
+            return own;
+        }
+        const relays = this.context.links.listBy("relay");
+        const answers = await Promise.all(relays.map(link => this.requestFrom(link, true)));
+        return pickMaximum(answers.filter(answer => answer !== undefined));
+    }
+
+    private requestFrom(link: Link, forwarded: boolean): Promise<number | undefined> {
+        return this.requests.request(request => link.send({ forwarded, kind: "floorRequest", request }));
+    }
+
+    /** Version of the store's head; 0 when there is none yet, undefined when the store gave no answer. */
+    private async readStoreFloor(): Promise<number | undefined> {
+        if (this.store === undefined) {
+            return undefined;
+        }
+        const result = await limitTime(this.context.timers, REQUEST_TIMEOUT_MS, this.store.readHead());
+        return result?.caseOf({
+            Left: () => undefined,
+            Right: stored => stored === undefined ? 0 : parseHead(stored.value)?.version,
+        });
+    }
+
+    /** The highest answer of every other failure domain; undefined when one of them gave none. */
+    private async collectDomainFloors(): Promise<number | undefined> {
+        const own = this.context.options.failureDomain;
+        const answers = new Map<string, DomainFloor>();
+        for (let missing = this.listPresentDomains(); missing.length > 0;) {
+            const found = await Promise.all(missing.map(domain => this.askDomain(domain)));
+            if (found.some(answer => answer === undefined)) {
+                return undefined;
+            }
+            missing.forEach((domain, index) => answers.set(domain, found[index] as DomainFloor));
+            const known = [...answers.values()].flatMap(answer => answer.domains);
+            missing = [...new Set(known)].filter(domain => domain !== own && !answers.has(domain));
+        }
+        return pickMaximum([...answers.values()].map(answer => answer.version));
+    }
+
+    private listPresentDomains(): readonly string[] {
+        const { options, table } = this.context;
+        return table.listDomains().filter(domain =>
+            domain !== options.failureDomain && table.listRanked(domain).length > 0
+        );
+    }
+
+    private async askDomain(domain: string): Promise<DomainFloor | undefined> {
+        const { table } = this.context;
+        for (const id of table.listRanked(domain).slice(0, RANKS_TO_ASK)) {
+            const member = table.get(id);
+            const link = member === undefined ? undefined : await this.context.dial(member, LinkRole.Query);
+            const answer = link === undefined
+                ? undefined
+                : await this.domainRequests.request(request => link.send({ kind: "domainFloorRequest", request }));
+            link?.close();
+            if (answer?.isSettledRelay === true) {
+                return answer;
+            }
+        }
+        return undefined;
+    }
+
+    private handleDomainRequest(message: MessageOf<"domainFloorRequest">, link: Link): void {
+        const ledger = this.versions.getLedger();
+        const { isDomainRelay } = this.context.getPosition();
+        link.send({
+            domains: [...this.listPresentDomains(), this.context.options.failureDomain],
+            isSettledRelay: isDomainRelay && ledger.floor !== undefined,
+            kind: "domainFloorAnswer",
+            request: message.request,
+            version: Math.max(getReceivedVersion(ledger), ledger.floor ?? 0, ledger.released),
+        });
+    }
+}
+
+function pickMaximum(values: readonly number[]): number | undefined {
+    return values.length === 0 ? undefined : Math.max(...values);
+}
--- /dev/null
+++ b/src/transport/mesh/FrameDelivery.ts
@@ -0,0 +1,27 @@
+import type { SessionOptions } from "../../protocol/peer/index.js";
+import type { DelayLink, LinkEnd } from "./MeshOptions.js";
+import type { Timers } from "./Timers.js";
+
+/** Applies the latencies of `delayLink`; frames of one connection keep their order. */
+export function createFrameDelivery(
+    delayLink: DelayLink | undefined,
+    self: LinkEnd,
+    timers: Timers,
+    now: () => number,
+): SessionOptions["deliver"] {
+    const arrivals = new WeakMap<(frame: Uint8Array) => void, number>();
+    return (frame, to, send) => {
+        const delayMs = delayLink === undefined || to === undefined ? 0 : delayLink(self, to, frame.length);
+        if (delayMs === Infinity) {
+            return;
+        }
+        const arrival = Math.max(now() + delayMs, arrivals.get(send) ?? 0);
+        const waitMs = arrival - now();
+        if (waitMs <= 0) {
+            send(frame);
+            return;
+        }
+        arrivals.set(send, arrival);
+        timers.after(waitMs, () => send(frame));
+    };
+}
--- /dev/null
+++ b/src/transport/mesh/HeadWatcher.ts
@@ -0,0 +1,136 @@
+import { drawBackoff, getNewest, getReceivedVersion } from "../../coordination/distribution/index.js";
+import type { StoredObject } from "../../state/store/index.js";
+import { HEAD_KEY, parseHead } from "../../state/versions/index.js";
+import { TICK_MS } from "./MeshConstants.js";
+import type { MeshContext, MeshPart } from "./MeshContext.js";
+import { loadSnapshot } from "./SnapshotLoader.js";
+import type { StoreAccess } from "./StoreAccess.js";
+import { sleepFor } from "./Timers.js";
+import type { VersionExchange } from "./VersionExchange.js";
+
+/** Longest wait of one watch call. */
+const WATCH_WAIT_MS = 20_000;
+/** A daemon that hears nothing from other daemons for this long reads the store itself. */
+const SILENCE_MS = 10_000;
+/** Window for such reads for each member of the failure domain: at most 50 reads a second. */
+const WINDOW_PER_MEMBER_MS = 20;
+
+/** Reads new versions from the store while this daemon is a region relay, or hears from nobody. */
+export class HeadWatcher implements MeshPart {
+    readonly handlers = {};
+    private watch: AbortController | undefined;
+    private objectVersion: number | undefined;
+    private failures = 0;
+
+    constructor(
+        private readonly context: MeshContext,
+        private readonly store: StoreAccess,
+        private readonly versions: VersionExchange,
+    ) {}
+
+    tick(): void {
+        if (!this.context.getPosition().isRegionRelay) {
+            this.watch?.abort();
+        }
+    }
+
+    stop(): void {
+        this.watch?.abort();
+    }
+
+    /** The one task of the watch; ends when the node stops. */
+    async run(): Promise<void> {
+        while (!this.context.isStopped()) {
+            if (this.context.getPosition().isRegionRelay) {
+                await this.watchOnce();
+            }
+            else if (this.isSilent()) {
+                await this.readAfterSilence();
+            }
+            else {
+                this.objectVersion = undefined;
+                await sleepFor(this.context.timers, TICK_MS);
+            }
+        }
+    }
+
+    private async watchOnce(): Promise<void> {
+        this.watch = new AbortController();
+        const { signal } = this.watch;
+        const result = this.objectVersion === undefined
+            ? await this.store.port.get(HEAD_KEY, signal)
+            : await this.store.port.watch(HEAD_KEY, this.objectVersion, WATCH_WAIT_MS, signal);
+        if (signal.aborted) {
+            return;
+        }
+        const isTaken = await result.caseOf({
+            Left: () => Promise.resolve(false),
+            Right: stored => this.takeHead(stored),
+        });
+        await this.pauseAfter(isTaken);
+    }
+
+    private async pauseAfter(isSuccess: boolean): Promise<void> {
+        this.failures = isSuccess ? 0 : this.failures + 1;
+        if (!isSuccess) {
+            this.objectVersion = undefined;
+            await sleepFor(this.context.timers, TICK_MS + drawBackoff(this.failures, this.context.options.random));
+        }
+    }
+
+    private async takeHead(stored: StoredObject | undefined): Promise<boolean> {
+        if (stored === undefined) {
+            this.objectVersion ??= 0;
+            return true;
+        }
+        const isRepeated = this.objectVersion !== undefined;
+        this.objectVersion = stored.version;
+        const { batchMs } = this.context.getIntervals();
+        if (isRepeated && batchMs > 0) {
+            await sleepFor(this.context.timers, batchMs);
+            return (await this.store.readHead()).caseOf({
+                Left: () => Promise.resolve(false),
+                Right: newest => this.load(newest),
+            });
+        }
+        return this.load(stored);
+    }
+
+    private async load(stored: StoredObject | undefined): Promise<boolean> {
+        const head = stored === undefined ? undefined : parseHead(stored.value);
+        if (stored === undefined || head === undefined) {
+            this.context.options.log.warn({}, "mesh: head is not readable.");
+            return false;
+        }
+        this.objectVersion = stored.version;
+        const ledger = this.versions.getLedger();
+        if (head.version <= getReceivedVersion(ledger)) {
+            this.versions.confirmFromStore(head);
+            return true;
+        }
+        const loaded = await loadSnapshot(this.store.port, head, getNewest(ledger), this.context.options.meshKey);
+        loaded
+            .ifRight(snapshot => this.versions.acceptFromStore(snapshot))
+            .ifLeft(error =>
+                this.context.options.log.warn({ error, version: head.version }, "mesh: version not loaded.")
+            );
+        return loaded.isRight();
+    }
+
+    private isSilent(): boolean {
+        const now = this.context.now();
+        return this.context.links.list().every(link => now - link.lastHeardAt > SILENCE_MS)
+            && now > SILENCE_MS;
+    }
+
+    private async readAfterSilence(): Promise<void> {
+        const members = this.context.table.listRanked(this.context.options.failureDomain).length;
+        const windowMs = Math.max(TICK_MS, members * WINDOW_PER_MEMBER_MS);
+        await sleepFor(this.context.timers, this.context.options.random() * windowMs);
+        if (this.isSilent()) {
+            const result = await this.store.readHead();
+            await result.caseOf({ Left: () => Promise.resolve(false), Right: stored => this.load(stored) });
+            await sleepFor(this.context.timers, Math.max(SILENCE_MS, windowMs));
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/LinkOpener.ts
@@ -0,0 +1,97 @@
+import type { Candidate, FrameConnection, LinkRole, PeerMessage, SessionOptions } from "../../protocol/peer/index.js";
+import { MessageError, PeerSession } from "../../protocol/peer/index.js";
+import type { AuthenticatedPeer } from "../../protocol/peer/index.js";
+import type { PeerNetwork } from "../peer/index.js";
+import { Link } from "./Link.js";
+import { HANDSHAKE_LIMIT, HANDSHAKE_TIMEOUT_MS } from "./MeshConstants.js";
+import type { MeshLog } from "./MeshOptions.js";
+import type { Timers } from "./Timers.js";
+import { limitTime } from "./Timers.js";
+
+export interface LinkEffects {
+    /** Candidates for a daemon that is not taken as a child now, or undefined to take it. */
+    refuse(peer: AuthenticatedPeer): readonly Candidate[] | undefined;
+    onAdded(link: Link): void;
+    onRemoved(link: Link): void;
+    onMessage(message: PeerMessage, link: Link): void;
+}
+
+/** Opens and accepts links, and runs the one task of each. */
+export class LinkOpener {
+    private handshakes = 0;
+
+    constructor(
+        private readonly network: PeerNetwork,
+        private readonly session: SessionOptions,
+        private readonly timers: Timers,
+        private readonly now: () => number,
+        private readonly log: MeshLog,
+        private readonly effects: LinkEffects,
+    ) {}
+
+    async dial(candidate: Candidate, role: LinkRole): Promise<Link | undefined> {
+        const connecting = this.network.connect(candidate.address, candidate.peerPort);
+        const connection = await limitTime(this.timers, HANDSHAKE_TIMEOUT_MS, connecting);
+        if (connection === undefined) {
+            void connecting.then(late => late.close(), () => undefined);
+            return undefined;
+        }
+        const session = new PeerSession(connection, this.session);
+        return this.begin(session, session.connect(role), true);
+    }
+
+    /** Task of an accepted connection. */
+    async accept(connection: FrameConnection): Promise<void> {
+        if (this.handshakes >= HANDSHAKE_LIMIT) {
+            connection.close();
+            return;
+        }
+        this.handshakes++;
+        const session = new PeerSession(connection, this.session);
+        await this.begin(session, session.accept(), false).finally(() => {
+            this.handshakes--;
+        });
+    }
+
+    private async begin(
+        session: PeerSession,
+        handshake: Promise<AuthenticatedPeer>,
+        isOutgoing: boolean,
+    ): Promise<Link | undefined> {
+        handshake.catch((error: unknown) => this.log.debug({ error: String(error) }, "peer: handshake failed."));
+        const peer = await limitTime(this.timers, HANDSHAKE_TIMEOUT_MS, handshake);
+        if (peer === undefined) {
+            session.close();
+            return undefined;
+        }
+        const candidates = isOutgoing ? undefined : this.effects.refuse(peer);
+        if (candidates !== undefined) {
+            session.send({ candidates, kind: "redirect", stopping: false });
+            session.close();
+            return undefined;
+        }
+        const link = new Link(peer, isOutgoing, session, this.now(), this.now);
+        this.effects.onAdded(link);
+        void this.runSession(link);
+        return link;
+    }
+
+    private async runSession(link: Link): Promise<void> {
+        try {
+            for await (const message of link.readMessages()) {
+                link.lastHeardAt = this.now();
+                this.effects.onMessage(message, link);
+            }
+        }
+        catch (error) {
+            if (!(error instanceof MessageError)) {
+                throw error;
+            }
+            this.log.warn({ error: error.message, peer: link.id }, "peer: connection closed for a malformed message.");
+        }
+        finally {
+            link.close();
+            this.effects.onRemoved(link);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/LinkSet.ts
@@ -0,0 +1,35 @@
+import type { Link, LinkRelation } from "./Link.js";
+
+/** The open links of one daemon. */
+export class LinkSet {
+    private readonly links = new Set<Link>();
+
+    add(link: Link): void {
+        this.links.add(link);
+    }
+
+    delete(link: Link): boolean {
+        return this.links.delete(link);
+    }
+
+    list(): readonly Link[] {
+        return [...this.links];
+    }
+
+    listBy(relation: LinkRelation): readonly Link[] {
+        return this.list().filter(link => link.relation === relation);
+    }
+
+    listTree(): readonly Link[] {
+        return this.list().filter(link => link.isTreeLink);
+    }
+
+    /** The newest parent; there are two for a moment while the daemon moves. */
+    getParent(): Link | undefined {
+        return this.listBy("parent").filter(link => !link.isEnding).at(-1);
+    }
+
+    find(id: string, relation?: LinkRelation): Link | undefined {
+        return this.list().find(link => link.id === id && (relation === undefined || link.relation === relation));
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/MeshNode.ts
@@ -0,0 +1,320 @@
+/** Composition of the parts of a daemon's control side; see docs/design.md, 2.2 to 2.5. */
+import {
+    computePosition,
+    getReceivedVersion,
+    selectIntervals,
+    UNJOINED_POSITION,
+} from "../../coordination/distribution/index.js";
+import type { TreePosition } from "../../coordination/distribution/index.js";
+import type { MeshSummary } from "../../coordination/summary/index.js";
+import type { FrameConnection, PeerMessage } from "../../protocol/peer/index.js";
+import { MemberState, MemberTable } from "../../state/members/index.js";
+import type { Member, ServerRecord } from "../../state/members/index.js";
+import type { MeshView } from "../../state/view/index.js";
+import { createWebSocketNetwork } from "../peer/index.js";
+import type { PeerListener } from "../peer/index.js";
+import { Bootstrap } from "./Bootstrap.js";
+import { CutOffKeeper } from "./CutOffKeeper.js";
+import { Detector } from "./Detector.js";
+import { Exclusions } from "./Exclusions.js";
+import { FloorKeeper } from "./FloorKeeper.js";
+import { createFrameDelivery } from "./FrameDelivery.js";
+import { HeadWatcher } from "./HeadWatcher.js";
+import { JoinState } from "./JoinState.js";
+import type { Link } from "./Link.js";
+import { LinkOpener } from "./LinkOpener.js";
+import { LinkSet } from "./LinkSet.js";
+import { MemberExchange } from "./MemberExchange.js";
+import { TICK_MS } from "./MeshConstants.js";
+import type { MeshContext, MeshPart } from "./MeshContext.js";
+import type { ControlCounters, MeshNode, MeshOptions, MeshStatus } from "./MeshOptions.js";
+import { PeerRounds } from "./PeerRounds.js";
+import { ReleaseKeeper } from "./ReleaseKeeper.js";
+import { StatusKeeper } from "./StatusKeeper.js";
+import { createSteadyClock } from "./SteadyClock.js";
+import { StoreAccess } from "./StoreAccess.js";
+import { realTimers, scheduleEvery, sleepFor } from "./Timers.js";
+import { TrafficCounter } from "./TrafficCounter.js";
+import { TreeKeeper } from "./TreeKeeper.js";
+import { VersionExchange } from "./VersionExchange.js";
+import { ViewPublisher } from "./ViewPublisher.js";
+
+/** Longest wait for children to find another parent during a graceful stop. */
+const HAND_OVER_LIMIT_MS = 3_000;
+const HAND_OVER_CHECK_MS = 50;
+
+/** Starts the control part of a daemon; resolves when it listens. Rejects when the port is taken. */
+export async function startMeshNode(options: MeshOptions): Promise<MeshNode> {
+    const network = options.network ?? createWebSocketNetwork();
+    const accept = { onConnection: (connection: FrameConnection): void => connection.close() };
+    const listener = await network.listen(options.address, options.peerPort, link => accept.onConnection(link));
+    const node = new RunningNode({ ...options, network }, listener);
+    accept.onConnection = connection => void node.opener.accept(connection);
+    node.start();
+    return node;
+}
+
+class RunningNode implements MeshNode {
+    readonly opener: LinkOpener;
+    private readonly context: MeshContext;
+    private readonly counter: TrafficCounter;
+    private readonly store: StoreAccess | undefined;
+    private readonly exclusions: Exclusions;
+    private readonly members: MemberExchange;
+    private readonly versions: VersionExchange;
+    private readonly tree: TreeKeeper;
+    private readonly status: StatusKeeper;
+    private readonly cutOff: CutOffKeeper;
+    private readonly head: HeadWatcher | undefined;
+    private readonly release: ReleaseKeeper;
+    private readonly view: ViewPublisher;
+    private readonly join: JoinState;
+    private readonly parts: readonly MeshPart[];
+    private readonly handlers: ReadonlyMap<string, (message: never, link: Link) => void>;
+    private isStopped = false;
+    private stopTicking: () => void = () => undefined;
+    private position: { readonly key: string; readonly value: TreePosition; } | undefined;
+
+    constructor(private readonly options: MeshOptions, private readonly listener: PeerListener) {
+        const timers = options.timers ?? realTimers;
+        const now = createSteadyClock(options.now);
+        const table = new MemberTable();
+        this.counter = new TrafficCounter(options.region);
+        this.store = options.store === undefined ? undefined : new StoreAccess(options.store);
+        this.exclusions = new Exclusions(now);
+        this.opener = this.createOpener(timers, now);
+        this.context = {
+            dial: (candidate, role) => this.opener.dial(candidate, role),
+            getIntervals: () => selectIntervals(this.versions.getLedger().inForce?.document.mesh.weighing),
+            getOwnRecord: () => this.members.getOwn(),
+            getPosition: () => this.getPosition(),
+            isJoined: () => this.join.isJoined(),
+            isStopped: () => this.isStopped,
+            links: new LinkSet(),
+            now,
+            options,
+            table,
+            timers,
+        };
+        this.view = new ViewPublisher(table, timers, () => ({
+            configuration: this.versions.getLedger().inForce,
+            cutOff: this.cutOff.list().map(entry => entry.domain),
+        }));
+        this.join = new JoinState(this.context, () => this.store?.isReachable());
+        this.versions = new VersionExchange(this.context, { onChanged: () => this.handleVersionChange() });
+        this.members = new MemberExchange(this.context, this.createOwnRecord(), () => this.handleMemberChange());
+        this.release = new ReleaseKeeper(this.context, this.versions);
+        const bootstrap = new Bootstrap(this.context, this.store);
+        this.tree = new TreeKeeper(this.context, this.exclusions, () => bootstrap.listEntries());
+        this.cutOff = new CutOffKeeper(this.context, () => this.view.markChanged());
+        this.status = new StatusKeeper(this.context, this.store, () => this.describeOwn());
+        this.head = this.store === undefined ? undefined : new HeadWatcher(this.context, this.store, this.versions);
+        const detector = new Detector(this.context, this.members, this.exclusions, () => this.cutOff.list());
+        const rounds = new PeerRounds(this.context, this.members, this.versions, this.exclusions, {
+            listEntries: () => bootstrap.listEntries(),
+            onUnreachable: id => void detector.check(id),
+        });
+        const floors = new FloorKeeper(this.context, this.store, this.versions);
+        this.parts = [
+            this.join,
+            this.members,
+            this.versions,
+            this.release,
+            this.tree,
+            rounds,
+            detector,
+            this.cutOff,
+            floors,
+            this.status,
+            bootstrap,
+            ...(this.head === undefined ? [] : [this.head]),
+        ];
+        this.handlers = new Map(this.parts.flatMap(part => Object.entries(part.handlers))) as typeof this.handlers;
+    }
+
+    get peerPort(): number {
+        return this.listener.port;
+    }
+
+    get relayPort(): number {
+        return this.options.relayPort;
+    }
+
+    start(): void {
+        const { random } = this.options;
+        this.stopTicking = scheduleEvery(this.context.timers, () => TICK_MS, random() * TICK_MS, () => this.tick());
+        void this.head?.run();
+    }
+
+    readView(): MeshView {
+        return this.view.read();
+    }
+
+    subscribeView(listener: (view: MeshView) => void): () => void {
+        return this.view.subscribe(listener);
+    }
+
+    announceServer(record: ServerRecord, state: MemberState): void {
+        const isWithdrawn = state === MemberState.Left || state === MemberState.Dead;
+        this.members.updateOwn(isWithdrawn ? MemberState.Starting : state, isWithdrawn ? undefined : record);
+    }
+
+    readCounters(): ControlCounters {
+        return this.counter.read(this.store?.countCalls() ?? 0);
+    }
+
+    async readStatus(): Promise<MeshStatus> {
+        const mesh = await this.status.readTotal();
+        const ledger = this.versions.getLedger();
+        const position = this.getPosition();
+        return {
+            children: this.context.links.listBy("child").length,
+            counters: this.readCounters(),
+            cutOff: this.cutOff.list(),
+            failureDomain: this.options.failureDomain,
+            id: this.options.id,
+            inForceVersion: ledger.inForce?.version ?? 0,
+            isDomainRelay: position.isDomainRelay,
+            isRegionRelay: position.isRegionRelay,
+            isSettled: ledger.floor !== undefined,
+            isStoreReachable: this.store?.isReachable(),
+            isWitnessed: ledger.isWitnessed,
+            members: this.context.table.size,
+            mesh,
+            parent: this.context.links.getParent()?.id,
+            rank: position.rank,
+            receivedVersion: getReceivedVersion(ledger),
+            region: this.options.region,
+            releasedVersion: ledger.released,
+            waiting: ledger.waiting,
+        };
+    }
+
+    async stop(): Promise<void> {
+        if (this.isStopped) {
+            return;
+        }
+        this.members.updateOwn(MemberState.Left, undefined);
+        this.members.flush();
+        this.tree.redirectAll();
+        const deadline = this.context.now() + HAND_OVER_LIMIT_MS;
+        while (this.context.links.listBy("child").length > 0 && this.context.now() < deadline) {
+            await sleepFor(this.context.timers, HAND_OVER_CHECK_MS);
+        }
+        await this.closeAbruptly();
+    }
+
+    async closeAbruptly(): Promise<void> {
+        this.isStopped = true;
+        this.stopTicking();
+        this.head?.stop();
+        this.view.stop();
+        this.context.links.list().forEach(link => link.close());
+        await this.listener.close();
+    }
+
+    private createOpener(timers: MeshContext["timers"], now: () => number): LinkOpener {
+        const { failureDomain, id, meshKey, region } = this.options;
+        const self = { failureDomain, id, region };
+        const session = {
+            countReceived: this.counter.countReceived.bind(this.counter),
+            countSent: this.counter.countSent.bind(this.counter),
+            deliver: createFrameDelivery(this.options.delayLink, self, timers, now),
+            meshKey,
+            self,
+        };
+        const network = this.options.network ?? createWebSocketNetwork();
+        return new LinkOpener(network, session, timers, now, this.options.log, {
+            onAdded: link => this.handleLinkAdded(link),
+            onMessage: (message, link) => this.dispatch(message, link),
+            onRemoved: link => this.handleLinkRemoved(link),
+            refuse: peer => this.tree.refuse(peer),
+        });
+    }
+
+    private createOwnRecord(): Member {
+        const { address, failureDomain, id, now, region, relayPort } = this.options;
+        return {
+            address,
+            failureDomain,
+            id,
+            incarnation: Math.max(0, Math.floor(now())),
+            peerPort: this.listener.port,
+            region,
+            relayPort,
+            revision: 0,
+            state: MemberState.Starting,
+        };
+    }
+
+    private tick(): void {
+        this.parts.forEach(part => part.tick?.());
+    }
+
+    private dispatch(message: PeerMessage, link: Link): void {
+        if (!this.isStopped) {
+            this.handlers.get(message.kind)?.(message as never, link);
+        }
+    }
+
+    private handleLinkAdded(link: Link): void {
+        const { links } = this.context;
+        links.list().filter(other =>
+            other.id === link.id && other.relation === link.relation && link.relation !== "query"
+        )
+            .forEach(older => {
+                older.isEnding = true;
+                older.close();
+            });
+        links.add(link);
+        this.exclusions.delete(link.id);
+        this.options.log.debug({ peer: link.id, relation: link.relation }, "peer: connected.");
+        this.parts.forEach(part => part.onLinkAdded?.(link));
+    }
+
+    private handleLinkRemoved(link: Link): void {
+        this.context.links.delete(link);
+        if (!this.isStopped) {
+            this.options.log.debug({ peer: link.id, relation: link.relation }, "peer: disconnected.");
+            this.parts.forEach(part => part.onLinkRemoved?.(link));
+        }
+    }
+
+    private handleVersionChange(): void {
+        this.view.markChanged();
+        this.release.reconsider();
+    }
+
+    private handleMemberChange(): void {
+        this.view.markChanged();
+        if (this.versions.getLedger().waiting.length > 0) {
+            this.versions.advance();
+        }
+    }
+
+    /** Cached, because many parts ask for it with each message. */
+    private getPosition(): TreePosition {
+        if (!this.join.isJoined()) {
+            return UNJOINED_POSITION;
+        }
+        const key = `${this.context.table.generation}/${this.exclusions.generation}`;
+        if (this.position?.key !== key) {
+            const value = computePosition(this.context.table, this.options, this.exclusions.list());
+            this.position = { key, value };
+        }
+        return this.position.value;
+    }
+
+    private describeOwn(): MeshSummary {
+        const ledger = this.versions.getLedger();
+        const counters = this.readCounters();
+        return {
+            controlBytes: counters.sentBytes,
+            controlBytesAcrossRegions: counters.sentBytesAcrossRegions,
+            daemons: 1,
+            unsettled: ledger.floor === undefined ? 1 : 0,
+            versions: [{ daemons: 1, version: ledger.inForce?.version ?? 0 }],
+            waiting: ledger.waiting.map(reason => ({ daemons: 1, reason })),
+        };
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/PeerRounds.ts
@@ -0,0 +1,163 @@
+import { getReceivedVersion } from "../../coordination/distribution/index.js";
+import { LinkRole } from "../../protocol/peer/index.js";
+import type { Candidate, MessageOf } from "../../protocol/peer/index.js";
+import type { Exclusions } from "./Exclusions.js";
+import type { Link } from "./Link.js";
+import type { MemberExchange } from "./MemberExchange.js";
+import type { MeshContext, MeshPart, MessageHandlers } from "./MeshContext.js";
+import type { VersionExchange } from "./VersionExchange.js";
+
+/** Time after which another neighbour is chosen; it also bounds how long a death can go unnoticed. */
+const NEIGHBOUR_CHANGE_MS = 10_000;
+/** Time in which a link between region relays is not tried again. */
+const RELAY_RETRY_MS = 1_000;
+/** Interval at which a region relay looks for members that it does not know. */
+const EXPLORATION_MS = 10_000;
+
+/** Keeps links between region relays and to one neighbour at a time, and compares digests over them. */
+export class PeerRounds implements MeshPart {
+    readonly handlers: MessageHandlers = {
+        digest: (message, link) => this.handleDigest(message, link),
+    };
+    private lastDigestAt = 0;
+    private nextRelayAttemptAt = 0;
+    private nextExplorationAt = 0;
+    private isBusy = false;
+
+    constructor(
+        private readonly context: MeshContext,
+        private readonly members: MemberExchange,
+        private readonly versions: VersionExchange,
+        private readonly exclusions: Exclusions,
+        private readonly effects: {
+            /** Addresses by which members of an unknown part of the mesh may be found. */
+            listEntries(): Promise<readonly Candidate[]>;
+            onUnreachable(id: string): void;
+        },
+    ) {}
+
+    onLinkAdded(link: Link): void {
+        if (link.isOutgoing && link.relation !== "query") {
+            this.sendDigest(link);
+        }
+    }
+
+    tick(): void {
+        if (this.isBusy) {
+            return;
+        }
+        this.isBusy = true;
+        void this.runRound().finally(() => {
+            this.isBusy = false;
+        });
+    }
+
+    private async runRound(): Promise<void> {
+        await this.maintainRelays();
+        await this.exploreEntries();
+        const now = this.context.now();
+        if (now - this.lastDigestAt >= this.context.getIntervals().digestMs) {
+            this.lastDigestAt = now;
+            this.listUpward().forEach(link => this.sendDigest(link));
+            const neighbour = await this.takeNeighbour();
+            if (neighbour !== undefined) {
+                this.sendDigest(neighbour);
+            }
+        }
+    }
+
+    /** Links over which differences between failure domains are repaired. */
+    private listUpward(): readonly Link[] {
+        const relays = this.context.links.listBy("relay").filter(link => link.isOutgoing);
+        const parent = this.context.getPosition().isDomainRelay ? this.context.links.getParent() : undefined;
+        return parent === undefined ? relays : [...relays, parent];
+    }
+
+    private async maintainRelays(): Promise<void> {
+        const wanted = this.context.getPosition().otherRegionRelays;
+        const { links } = this.context;
+        links.listBy("relay")
+            .filter(link => link.isOutgoing && !wanted.includes(link.id) && !link.isEnding)
+            .forEach(link => this.endLink(link));
+        if (this.context.now() < this.nextRelayAttemptAt) {
+            return;
+        }
+        for (const id of wanted.filter(other => links.find(other, "relay") === undefined)) {
+            const member = this.context.table.get(id);
+            const link = member === undefined ? undefined : await this.context.dial(member, LinkRole.Relay);
+            if (link === undefined) {
+                this.exclusions.add(id);
+                this.nextRelayAttemptAt = this.context.now() + RELAY_RETRY_MS;
+            }
+        }
+    }
+
+    /** Finds members that started apart from this part of the mesh, by entries that no member has. */
+    private async exploreEntries(): Promise<void> {
+        const now = this.context.now();
+        if (!this.context.getPosition().isRegionRelay || now < this.nextExplorationAt) {
+            return;
+        }
+        this.nextExplorationAt = now + EXPLORATION_MS;
+        const known = new Set([...this.context.table.listAll()].map(formatAddress));
+        const unknown = (await this.effects.listEntries()).filter(entry => !known.has(formatAddress(entry)));
+        const entry = unknown[Math.floor(this.context.options.random() * unknown.length)];
+        if (entry !== undefined) {
+            await this.context.dial(entry, LinkRole.Neighbour);
+        }
+    }
+
+    private async takeNeighbour(): Promise<Link | undefined> {
+        const { failureDomain, id, random } = this.context.options;
+        const held = this.context.links.listBy("neighbour").find(link => link.isOutgoing);
+        if (held !== undefined && this.context.now() - held.openedAt < NEIGHBOUR_CHANGE_MS) {
+            return held;
+        }
+        if (held !== undefined) {
+            this.endLink(held);
+        }
+        const others = this.context.table.listRanked(failureDomain).filter(other => other !== id);
+        const chosen = others[Math.floor(random() * others.length)];
+        const member = chosen === undefined ? undefined : this.context.table.get(chosen);
+        if (member === undefined) {
+            return undefined;
+        }
+        const linked = this.context.links.find(member.id);
+        if (linked !== undefined && linked.relation !== "query") {
+            return linked;
+        }
+        const link = await this.context.dial(member, LinkRole.Neighbour);
+        if (link === undefined) {
+            this.effects.onUnreachable(member.id);
+        }
+        return link;
+    }
+
+    private endLink(link: Link): void {
+        link.isEnding = true;
+        link.send({ candidates: [], kind: "redirect", stopping: false });
+        link.close();
+    }
+
+    private sendDigest(link: Link): void {
+        const ledger = this.versions.getLedger();
+        link.send({
+            kind: "digest",
+            released: ledger.released,
+            version: getReceivedVersion(ledger),
+            ...this.members.listDigestFields(),
+        });
+    }
+
+    private handleDigest(message: MessageOf<"digest">, link: Link): void {
+        this.members.compareDigest(message, link);
+        this.versions.compareVersion(message.version, message.released, link);
+        if (message.version < getReceivedVersion(this.versions.getLedger())) {
+            this.versions.sendHave(link, false);
+        }
+    }
+}
+
+function formatAddress(entry: Candidate): string {
+    return `${entry.address}:${entry.peerPort}`;
+}
--- /dev/null
+++ b/src/transport/mesh/ReleaseKeeper.ts
@@ -0,0 +1,100 @@
+import {
+    computeReleasable,
+    getReceivedVersion,
+    isHeldByDomain,
+    UNWITNESSED_RELEASE_AFTER_MS,
+} from "../../coordination/distribution/index.js";
+import type { MessageOf } from "../../protocol/peer/index.js";
+import type { Link } from "./Link.js";
+import type { MeshContext, MeshPart, MessageHandlers } from "./MeshContext.js";
+import type { VersionExchange } from "./VersionExchange.js";
+
+/** Reports what the own failure domain holds and releases versions that enough domains hold. */
+export class ReleaseKeeper implements MeshPart {
+    readonly handlers: MessageHandlers = {
+        domainHolds: (message, link) => this.handleDomainHolds(message, link),
+    };
+    /** Highest version that each failure domain reported to hold. */
+    private readonly heldByDomain = new Map<string, number>();
+    private reported = 0;
+    /** Since when the own domain holds a version that no second domain can witness. */
+    private aloneSince: number | undefined;
+
+    constructor(private readonly context: MeshContext, private readonly versions: VersionExchange) {}
+
+    onLinkAdded(link: Link): void {
+        if (link.relation === "parent" || link.relation === "relay") {
+            this.heldByDomain.forEach((version, domain) => link.send({ domain, kind: "domainHolds", version }));
+        }
+    }
+
+    tick(): void {
+        this.reconsider();
+        this.considerUnwitnessed();
+    }
+
+    /** Called when a version was received or acknowledged. */
+    reconsider(): void {
+        const ledger = this.versions.getLedger();
+        const received = getReceivedVersion(ledger);
+        const position = this.context.getPosition();
+        if (
+            received > this.reported && position.isDomainRelay && isHeldByDomain(received, this.listHeldByWitnesses())
+        ) {
+            this.reported = received;
+            this.record(this.context.options.failureDomain, received, undefined);
+        }
+        if (position.isRegionRelay) {
+            const releasable = computeReleasable([...this.heldByDomain.values()], this.countDomains());
+            this.versions.release(releasable, true, undefined);
+        }
+    }
+
+    /** Versions held by the children that must acknowledge; a missing one counts as holding nothing. */
+    private listHeldByWitnesses(): readonly number[] {
+        const { failureDomain, id } = this.context.options;
+        const ranked = this.context.table.listRanked(failureDomain).filter(member => member !== id);
+        const children = this.context.links.listBy("child").filter(link => link.peer.failureDomain === failureDomain);
+        const held = children
+            .toSorted((a, b) => ranked.indexOf(a.id) - ranked.indexOf(b.id))
+            .map(link => link.heldVersion);
+        return [...held, ...ranked.slice(held.length).map(() => 0)];
+    }
+
+    private countDomains(): number {
+        const { table } = this.context;
+        return table.listDomains().filter(domain => table.listRanked(domain).length > 0).length;
+    }
+
+    private handleDomainHolds(message: MessageOf<"domainHolds">, link: Link): void {
+        this.record(message.domain, message.version, link);
+        this.reconsider();
+    }
+
+    private record(domain: string, version: number, source: Link | undefined): void {
+        if (version <= (this.heldByDomain.get(domain) ?? 0)) {
+            return;
+        }
+        this.heldByDomain.set(domain, version);
+        this.context.links.listTree()
+            .filter(link => link !== source && (link.relation === "parent" || link.relation === "relay"))
+            .forEach(link => link.send({ domain, kind: "domainHolds", version }));
+    }
+
+    /** Releases a version that only the own domain holds when no other domain can be reached. */
+    private considerUnwitnessed(): void {
+        const { failureDomain } = this.context.options;
+        const ledger = this.versions.getLedger();
+        const held = this.heldByDomain.get(failureDomain) ?? 0;
+        const hasOther = this.context.links.listTree().some(link => link.peer.failureDomain !== failureDomain);
+        if (!this.context.getPosition().isRegionRelay || hasOther || held <= ledger.released) {
+            this.aloneSince = undefined;
+            return;
+        }
+        this.aloneSince ??= this.context.now();
+        if (this.context.now() - this.aloneSince >= UNWITNESSED_RELEASE_AFTER_MS && this.versions.isFromStore(held)) {
+            this.context.options.log.warn({ version: held }, "mesh: version released without a second failure domain.");
+            this.versions.release(held, false, undefined);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/StatusKeeper.ts
@@ -0,0 +1,106 @@
+import { EMPTY_SUMMARY, mergeSummaries } from "../../coordination/summary/index.js";
+import type { MeshSummary } from "../../coordination/summary/index.js";
+import type { MessageOf } from "../../protocol/peer/index.js";
+import type { Link } from "./Link.js";
+import { REQUEST_TIMEOUT_MS } from "./MeshConstants.js";
+import type { MeshContext, MeshPart, MessageHandlers } from "./MeshContext.js";
+import { Requests } from "./Requests.js";
+import type { StoreAccess } from "./StoreAccess.js";
+
+/** Shortest time between two writes of `status/<region>`. */
+const WRITE_INTERVAL_MS = 2_000;
+
+/** Sums the state of the subtree below this daemon, and answers for the mesh by asking upward. */
+export class StatusKeeper implements MeshPart {
+    readonly handlers: MessageHandlers = {
+        statusAnswer: message => this.requests.resolve(message.request, message.summary),
+        statusRequest: (message, link) => void this.handleRequest(message, link),
+        summary: (message, link) => this.handleSummary(message, link),
+    };
+    private readonly requests: Requests<MeshSummary | undefined>;
+    private lastSentAt = 0;
+    private lastWrittenAt = 0;
+    private written = "";
+    private objectVersion: number | undefined;
+    private isWriting = false;
+
+    constructor(
+        private readonly context: MeshContext,
+        private readonly store: StoreAccess | undefined,
+        private readonly describeOwn: () => MeshSummary,
+    ) {
+        this.requests = new Requests(context.timers, REQUEST_TIMEOUT_MS);
+    }
+
+    tick(): void {
+        const now = this.context.now();
+        if (now - this.lastSentAt >= this.context.getIntervals().summaryMs) {
+            this.lastSentAt = now;
+            this.sendSummary();
+        }
+        if (this.isRoot() && now - this.lastWrittenAt >= WRITE_INTERVAL_MS && !this.isWriting) {
+            this.lastWrittenAt = now;
+            this.isWriting = true;
+            void this.write().finally(() => {
+                this.isWriting = false;
+            });
+        }
+    }
+
+    /** Total of the mesh; undefined when no region relay answers. */
+    async readTotal(): Promise<MeshSummary | undefined> {
+        const parent = this.context.links.getParent();
+        if (parent === undefined) {
+            return this.sumMesh();
+        }
+        return this.requests.request(request => parent.send({ kind: "statusRequest", request }));
+    }
+
+    private isRoot(): boolean {
+        return this.context.getPosition().isRegionRelay;
+    }
+
+    private sendSummary(): void {
+        const subtree = this.sumSubtree();
+        const parent = this.context.links.getParent();
+        const receivers = parent === undefined ? this.context.links.listBy("relay") : [parent];
+        receivers.forEach(link => link.send({ kind: "summary", summary: subtree }));
+    }
+
+    /** The own state and that of the children; a child's summary counts only while it is linked. */
+    private sumSubtree(): MeshSummary {
+        const children = this.context.links.listBy("child").map(link => link.summary ?? EMPTY_SUMMARY);
+        return mergeSummaries([this.describeOwn(), ...children]);
+    }
+
+    private sumMesh(): MeshSummary {
+        const others = this.context.links.listBy("relay").map(link => link.summary ?? EMPTY_SUMMARY);
+        return mergeSummaries([this.sumSubtree(), ...others]);
+    }
+
+    private handleSummary(message: MessageOf<"summary">, link: Link): void {
+        link.summary = message.summary;
+    }
+
+    private async handleRequest(message: MessageOf<"statusRequest">, link: Link): Promise<void> {
+        link.send({ kind: "statusAnswer", request: message.request, summary: await this.readTotal() });
+    }
+
+    private async write(): Promise<void> {
+        const value = JSON.stringify(this.sumMesh());
+        if (this.store === undefined || value === this.written) {
+            return;
+        }
+        const key = `status/${this.context.options.region}`;
+        if (this.objectVersion === undefined) {
+            const held = await this.store.port.get(key);
+            this.objectVersion = held.map(stored => stored?.version).orDefault(undefined);
+        }
+        const condition = this.objectVersion === undefined
+            ? { kind: "absent" } as const
+            : { kind: "version", version: this.objectVersion } as const;
+        const result = await this.store.port.put(key, value, condition);
+        this.objectVersion = result.caseOf<number | undefined>({ Left: () => undefined, Right: version => version });
+        this.written = result.isRight() ? value : "";
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/StoreAccess.ts
@@ -0,0 +1,40 @@
+import type { Either } from "purify-ts/Either";
+import type { StoredObject, StoreError, StorePort, StoreResult } from "../../state/store/index.js";
+import { HEAD_KEY } from "../../state/versions/index.js";
+
+/** The store as the mesh uses it: counts calls and remembers whether the last one was answered. */
+export class StoreAccess {
+    readonly port: StorePort;
+    private calls = 0;
+    private reachable: boolean | undefined;
+
+    constructor(store: StorePort) {
+        this.port = {
+            delete: (key, version, signal) => this.track(store.delete(key, version, signal)),
+            get: (key, signal) => this.track(store.get(key, signal)),
+            list: (prefix, signal) => this.track(store.list(prefix, signal)),
+            put: (key, value, condition, signal) => this.track(store.put(key, value, condition, signal)),
+            watch: (key, after, waitMs, signal) => this.track(store.watch(key, after, waitMs, signal)),
+        };
+    }
+
+    countCalls(): number {
+        return this.calls;
+    }
+
+    /** Undefined before the first call. */
+    isReachable(): boolean | undefined {
+        return this.reachable;
+    }
+
+    readHead(): StoreResult<StoredObject | undefined> {
+        return this.port.get(HEAD_KEY);
+    }
+
+    private async track<T>(result: StoreResult<T>): Promise<Either<StoreError, T>> {
+        this.calls++;
+        const either = await result;
+        this.reachable = either.caseOf({ Left: error => error.kind === "refused", Right: () => true });
+        return either;
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/Timers.ts
@@ -0,0 +1,39 @@
+/** Timers of the mesh; replaced by virtual time in tests. */
+export interface Timers {
+    /** Runs `action` once after `delayMs`; returns what cancels it. */
+    after(delayMs: number, action: () => void): () => void;
+}
+
+export const realTimers: Timers = {
+    after(delayMs, action) {
+        const timer = setTimeout(action, delayMs);
+        return () => clearTimeout(timer);
+    },
+};
+
+/** Resolves after `delayMs`. */
+export function sleepFor(timers: Timers, delayMs: number): Promise<void> {
+    return new Promise(resolve => void timers.after(delayMs, resolve));
+}
+
+/** Resolves with the promise's value, or with undefined when it rejects or `limitMs` passes. */
+export function limitTime<T>(timers: Timers, limitMs: number, promise: Promise<T>): Promise<T | undefined> {
+    return new Promise(resolve => {
+        const cancel = timers.after(limitMs, () => resolve(undefined));
+        const settle = (value: T | undefined): void => {
+            cancel();
+            resolve(value);
+        };
+        promise.then(settle, () => settle(undefined));
+    });
+}
+
+/** Runs `action` every `intervalMs` until the teardown is called; `first` delays the first run. */
+export function scheduleEvery(timers: Timers, intervalMs: () => number, first: number, action: () => void): () => void {
+    let cancel = timers.after(first, run);
+    function run(): void {
+        cancel = timers.after(intervalMs(), run);
+        action();
+    }
+    return () => cancel();
+}
--- /dev/null
+++ b/src/transport/mesh/TreeKeeper.ts
@@ -0,0 +1,236 @@
+import { drawBackoff, TREE_FANOUT } from "../../coordination/distribution/index.js";
+import type { TreePosition } from "../../coordination/distribution/index.js";
+import { LinkRole } from "../../protocol/peer/index.js";
+import type { AuthenticatedPeer, Candidate, MessageOf } from "../../protocol/peer/index.js";
+import type { Exclusions } from "./Exclusions.js";
+import type { Link } from "./Link.js";
+import { CHILD_LIMIT, FOREIGN_CHILD_LIMIT } from "./MeshConstants.js";
+import type { MeshContext, MeshPart, MessageHandlers } from "./MeshContext.js";
+
+/** A better parent must stay the better one for this long, so that churn does not move daemons about. */
+const MOVE_DELAY_MS = 300;
+const MOVE_JITTER_MS = 700;
+/** A new region relay keeps its parent until the others have found it. */
+const ROOT_DELAY_MS = 3_000;
+const CANDIDATES_IN_REDIRECT = 8;
+
+interface KnownCandidate extends Candidate {
+    /** Absent for a seed. */
+    readonly id?: string;
+}
+
+/** Keeps this daemon's place in the tree: its parent, and which children it takes. */
+export class TreeKeeper implements MeshPart {
+    readonly handlers: MessageHandlers = {
+        redirect: (message, link) => this.handleRedirect(message, link),
+    };
+    private hints: KnownCandidate[] = [];
+    private attempts = 0;
+    private nextAttemptAt = 0;
+    private unsuitable: { readonly since: number; readonly delayMs: number; } | undefined;
+    private isMaintaining = false;
+
+    constructor(
+        private readonly context: MeshContext,
+        private readonly exclusions: Exclusions,
+        private readonly listEntries: () => Promise<readonly Candidate[]>,
+    ) {}
+
+    tick(): void {
+        this.exclusions.expire();
+        this.wake();
+    }
+
+    onLinkRemoved(link: Link): void {
+        if (link.relation === "parent") {
+            this.wake();
+        }
+    }
+
+    /** Whether a daemon is redirected instead of taken as a child. */
+    refuse(peer: AuthenticatedPeer): readonly Candidate[] | undefined {
+        if (peer.role !== LinkRole.Child) {
+            return undefined;
+        }
+        const { failureDomain } = this.context.options;
+        const isOwnDomain = peer.failureDomain === failureDomain;
+        const children = this.context.links.listBy("child");
+        const sameKind = children.filter(link => (link.peer.failureDomain === failureDomain) === isOwnDomain);
+        if (sameKind.length < (isOwnDomain ? CHILD_LIMIT : FOREIGN_CHILD_LIMIT)) {
+            return undefined;
+        }
+        if (isOwnDomain && this.isFirstGeneration(peer.id)) {
+            this.redirectLast(sameKind);
+            return undefined;
+        }
+        return this.listAlternatives(peer, sameKind);
+    }
+
+    /** Sends children and relays elsewhere before this daemon stops. */
+    redirectAll(): void {
+        for (const link of this.context.links.list()) {
+            const candidates = this.listAlternatives(link.peer, []);
+            link.send({ candidates, kind: "redirect", stopping: true });
+        }
+    }
+
+    private wake(): void {
+        if (!this.isMaintaining && !this.context.isStopped()) {
+            this.isMaintaining = true;
+            void this.maintainParent().finally(() => {
+                this.isMaintaining = false;
+            });
+        }
+    }
+
+    private async maintainParent(): Promise<void> {
+        const position = this.context.getPosition();
+        const parent = this.context.links.getParent();
+        if (parent === undefined) {
+            await this.findParent(position);
+        }
+        else if (!this.context.isJoined() || this.isSuitable(parent, position)) {
+            this.unsuitable = undefined;
+            this.attempts = 0;
+        }
+        else if (this.isMoveDue(position)) {
+            await this.moveFrom(parent, position);
+        }
+    }
+
+    private async findParent(position: TreePosition): Promise<void> {
+        const isRoot = position.isRegionRelay && this.context.links.listTree().some(link => !link.isEnding);
+        if (isRoot || this.context.now() < this.nextAttemptAt) {
+            return;
+        }
+        const candidate = this.hints.shift() ?? this.listParents(position)[0] ?? await this.chooseEntry(position);
+        const isFound = candidate !== undefined && await this.tryParent(candidate);
+        if (!isFound) {
+            this.attempts++;
+            this.nextAttemptAt = this.context.now() + drawBackoff(this.attempts, this.context.options.random);
+        }
+    }
+
+    private async moveFrom(parent: Link, position: TreePosition): Promise<void> {
+        this.unsuitable = undefined;
+        if (position.isRegionRelay) {
+            if (this.context.links.listTree().some(link => link !== parent)) {
+                this.leaveLink(parent);
+            }
+            return;
+        }
+        const candidate = this.listParents(position)[0];
+        if (candidate !== undefined && candidate.id !== parent.id) {
+            await this.tryParent(candidate);
+        }
+    }
+
+    private async tryParent(candidate: KnownCandidate): Promise<boolean> {
+        const link = await this.context.dial(candidate, LinkRole.Child);
+        if (link === undefined) {
+            if (candidate.id !== undefined) {
+                this.exclusions.add(candidate.id);
+            }
+            return false;
+        }
+        this.context.links.listBy("parent").filter(other => other !== link).forEach(other => this.leaveLink(other));
+        return true;
+    }
+
+    /** Ends a link so that the other side does not take it for a failure. */
+    private leaveLink(link: Link): void {
+        link.isEnding = true;
+        link.send({ candidates: [], kind: "redirect", stopping: false });
+        link.close();
+    }
+
+    /** A present parent is kept while it has a lower rank and is not far from the root. */
+    private isSuitable(parent: Link, position: TreePosition): boolean {
+        if (position.isRegionRelay) {
+            return false;
+        }
+        if (parent.id === position.parents[0]) {
+            return true;
+        }
+        const { failureDomain } = this.context.options;
+        if (position.isDomainRelay || position.rank <= TREE_FANOUT || parent.peer.failureDomain !== failureDomain) {
+            return false;
+        }
+        const rank = this.context.table.listRanked(failureDomain).indexOf(parent.id);
+        return rank >= 0 && rank <= 2 * Math.floor((position.rank - 1) / TREE_FANOUT);
+    }
+
+    private isMoveDue(position: TreePosition): boolean {
+        const jitterMs = this.context.options.random() * MOVE_JITTER_MS;
+        this.unsuitable ??= {
+            delayMs: position.isRegionRelay ? ROOT_DELAY_MS : MOVE_DELAY_MS + jitterMs,
+            since: this.context.now(),
+        };
+        return this.context.now() - this.unsuitable.since >= this.unsuitable.delayMs;
+    }
+
+    private listParents(position: TreePosition): readonly KnownCandidate[] {
+        return position.parents.flatMap(id => {
+            const member = this.context.table.get(id);
+            return member === undefined ? [] : [toCandidate(member)];
+        });
+    }
+
+    /** A daemon by which one without links can join: a seed, a bootstrap address or any member. */
+    private async chooseEntry(position: TreePosition): Promise<KnownCandidate | undefined> {
+        const { id, random } = this.context.options;
+        const relays = position.otherRegionRelays.flatMap(other => this.context.table.get(other) ?? []);
+        const members = [...this.context.table.listAll()].filter(member => member.id !== id);
+        const entries = await this.listEntries();
+        const pool: readonly KnownCandidate[] = entries.length > 0 && this.attempts % 2 === 0
+            ? entries
+            : [...relays, ...members].map(toCandidate);
+        return pool[Math.floor(random() * pool.length)];
+    }
+
+    private isFirstGeneration(id: string): boolean {
+        const { failureDomain } = this.context.options;
+        const rank = this.context.table.listRanked(failureDomain).indexOf(id);
+        return this.context.getPosition().isDomainRelay && rank >= 0 && rank <= TREE_FANOUT;
+    }
+
+    private redirectLast(children: readonly Link[]): void {
+        const { failureDomain } = this.context.options;
+        const ranked = this.context.table.listRanked(failureDomain);
+        const last = children.toSorted((a, b) => ranked.indexOf(b.id) - ranked.indexOf(a.id))[0];
+        if (last !== undefined) {
+            last.isEnding = true;
+            last.send({ candidates: this.listAlternatives(last.peer, children), kind: "redirect", stopping: false });
+        }
+    }
+
+    /** Members of the daemon's own failure domain, then the present children. */
+    private listAlternatives(peer: AuthenticatedPeer, children: readonly Link[]): readonly Candidate[] {
+        const { table } = this.context;
+        const ownDomain = table.listRanked(peer.failureDomain).slice(0, CANDIDATES_IN_REDIRECT);
+        const ids = [...new Set([...children.map(link => link.id), ...ownDomain])];
+        const offset = Math.floor(this.context.options.random() * ids.length);
+        return [...ids.slice(offset), ...ids.slice(0, offset)]
+            .filter(id => id !== peer.id && id !== this.context.options.id)
+            .slice(0, CANDIDATES_IN_REDIRECT)
+            .flatMap(id => table.get(id) ?? [])
+            .map(({ address, peerPort }) => ({ address, peerPort }));
+    }
+
+    private handleRedirect(message: MessageOf<"redirect">, link: Link): void {
+        link.isEnding = true;
+        if (link.relation !== "parent") {
+            return;
+        }
+        if (message.stopping) {
+            this.exclusions.add(link.id);
+        }
+        this.hints = [...message.candidates];
+        this.nextAttemptAt = this.context.now();
+        this.wake();
+    }
+}
+
+function toCandidate(member: KnownCandidate): KnownCandidate {
+    return member.id === undefined ? member : { address: member.address, id: member.id, peerPort: member.peerPort };
+}
--- /dev/null
+++ b/src/transport/mesh/VersionExchange.ts
@@ -0,0 +1,304 @@
+import { Either, Left } from "purify-ts/Either";
+import {
+    addSnapshot,
+    advanceInForce,
+    EMPTY_LEDGER,
+    findMissing,
+    getNewest,
+    getReceivedVersion,
+    raiseFloor,
+    raiseReleased,
+} from "../../coordination/distribution/index.js";
+import type { Preparation, VersionLedger } from "../../coordination/distribution/index.js";
+import { encodeMessage } from "../../protocol/peer/index.js";
+import type { MessageOf } from "../../protocol/peer/index.js";
+import { resolveResources } from "../../state/document/index.js";
+import { applyDelta, computeRingDelta, verifyManifest } from "../../state/versions/index.js";
+import type { Head, Manifest, Resource, Snapshot, SnapshotRing, VersionDelta } from "../../state/versions/index.js";
+import type { Link } from "./Link.js";
+import type { MeshContext, MeshPart, MessageHandlers } from "./MeshContext.js";
+
+/** Content sent in one message of an update, before it is deflated. */
+const CONTENT_PER_MESSAGE = 512 * 1_024;
+/** An update that was not acknowledged for this long is sent again. */
+const RESEND_AFTER_MS = 2_000;
+/** Updates of one link that fail their checks before the link is closed. */
+const FAILED_UPDATES_LIMIT = 3;
+
+type Update = MessageOf<"update">;
+type Changes = Pick<VersionDelta, "changed" | "removed">;
+
+/** Distributes versions over the tree, and puts them in force when the ledger allows it. */
+export class VersionExchange implements MeshPart {
+    readonly handlers: MessageHandlers = {
+        have: (message, link) => this.handleHave(message, link),
+        release: (message, link) => this.release(message.version, message.witnessed, link),
+        update: (message, link) => this.handleUpdate(message, link),
+    };
+    private ledger: VersionLedger = EMPTY_LEDGER;
+    private readFromStore = 0;
+    private readonly partial = new WeakMap<Link, Update[]>();
+    private frames: { readonly manifestKey: string; readonly byRoot: Map<string, readonly Uint8Array[]>; } | undefined;
+
+    constructor(
+        private readonly context: MeshContext,
+        private readonly effects: {
+            /** A version was received, acknowledged by a child, released or put in force. */
+            onChanged(): void;
+        },
+    ) {}
+
+    getLedger(): VersionLedger {
+        return this.ledger;
+    }
+
+    onLinkAdded(link: Link): void {
+        if (link.isTreeLink) {
+            this.sendHave(link, link.relation === "parent");
+            this.sendRelease(link);
+        }
+    }
+
+    tick(): void {
+        const received = getReceivedVersion(this.ledger);
+        const now = this.context.now();
+        for (const link of this.context.links.listBy("child")) {
+            const isOverdue = link.sentVersion > link.heldVersion && now - link.sentVersionAt > RESEND_AFTER_MS;
+            if (isOverdue && link.heldVersion < received) {
+                this.sendUpdate(link);
+            }
+        }
+    }
+
+    /** Whether this daemon read the version from the store itself. */
+    isFromStore(version: number): boolean {
+        return version <= this.readFromStore;
+    }
+
+    /** Notes that the store's head names a version that this daemon already holds. */
+    confirmFromStore(head: Head): void {
+        if (getNewest(this.ledger)?.manifestKey === head.manifest) {
+            this.readFromStore = Math.max(this.readFromStore, head.version);
+        }
+    }
+
+    /** Takes in a version that was read from the store. */
+    acceptFromStore(snapshot: Snapshot): void {
+        this.readFromStore = Math.max(this.readFromStore, snapshot.manifest.version);
+        this.accept(snapshot, undefined);
+    }
+
+    /** Takes in a complete, checked version. */
+    accept(snapshot: Snapshot, source: Link | undefined): void {
+        if (snapshot.manifest.version <= getReceivedVersion(this.ledger)) {
+            return;
+        }
+        this.ledger = addSnapshot(this.ledger, snapshot);
+        for (const link of this.context.links.listTree()) {
+            if (link.relation === "child" && link !== source && link.heldVersion < snapshot.manifest.version) {
+                this.sendUpdate(link);
+            }
+            else {
+                this.sendHave(link, false);
+            }
+        }
+        if (source !== undefined && !source.isTreeLink) {
+            this.sendHave(source, false);
+        }
+        this.advance();
+    }
+
+    /** Raises the released version and passes it on. */
+    release(version: number, isWitnessed: boolean, source: Link | undefined): void {
+        if (version <= this.ledger.released) {
+            return;
+        }
+        this.ledger = raiseReleased(this.ledger, version, isWitnessed);
+        this.context.links.listTree().filter(link => link !== source).forEach(link => this.sendRelease(link));
+        this.advance();
+    }
+
+    settle(floor: number): void {
+        this.ledger = raiseFloor(this.ledger, floor);
+        this.context.options.log.info({ floor }, "mesh: settled.");
+        this.advance();
+    }
+
+    /** Tries again to put a version in force, for example after a service was announced. */
+    advance(): void {
+        const before = this.ledger;
+        this.ledger = advanceInForce(before, snapshot => this.prepare(snapshot));
+        const { inForce, waiting } = this.ledger;
+        if (inForce !== undefined && inForce !== before.inForce) {
+            this.context.options.log.info({ root: inForce.root, version: inForce.version }, "mesh: version in force.");
+        }
+        if (waiting.length > 0 && waiting.join() !== before.waiting.join()) {
+            this.context.options.log.warn({ waiting }, "mesh: version held back.");
+        }
+        this.effects.onChanged();
+    }
+
+    /** Asks for a newer version when the other side's digest shows one. */
+    compareVersion(version: number, released: number, link: Link): void {
+        if (version > getReceivedVersion(this.ledger)) {
+            this.sendHave(link, true);
+        }
+        this.release(released, true, link);
+    }
+
+    sendHave(link: Link, wants: boolean): void {
+        const newest = getNewest(this.ledger);
+        link.send({ kind: "have", root: newest?.manifest.root ?? "", version: newest?.manifest.version ?? 0, wants });
+    }
+
+    private sendRelease(link: Link): void {
+        if (this.ledger.released > 0) {
+            link.send({ kind: "release", version: this.ledger.released, witnessed: this.ledger.isWitnessed });
+        }
+    }
+
+    private handleHave(message: MessageOf<"have">, link: Link): void {
+        link.heldVersion = message.version;
+        link.heldRoot = message.root;
+        const received = getReceivedVersion(this.ledger);
+        if (message.wants && message.version < received) {
+            this.sendUpdate(link);
+        }
+        else if (message.version > received && this.shouldRequest(link)) {
+            this.sendHave(link, true);
+        }
+        this.effects.onChanged();
+    }
+
+    /** A parent sends updates unasked; from others a daemon requests what it lacks. */
+    private shouldRequest(link: Link): boolean {
+        return link.relation !== "parent";
+    }
+
+    private prepare(snapshot: Snapshot): Preparation {
+        const { failureDomain } = this.context.options;
+        const resolved = Either.encase(() => resolveResources(snapshot.resources.values()));
+        return resolved.caseOf<Preparation>({
+            Left: error => ({
+                kind: "waiting",
+                reasons: [`${failureDomain}: version cannot be used: ${error.message}`],
+            }),
+            Right: document => {
+                const missing = findMissing(document, failureDomain, service => this.context.table.hasService(service));
+                return missing.length === 0 ? { document, kind: "ready" } : { kind: "waiting", reasons: missing };
+            },
+        });
+    }
+
+    private sendUpdate(link: Link): void {
+        const { ring } = this.ledger;
+        if (ring === undefined) {
+            return;
+        }
+        link.sentVersion = ring.newest.manifest.version;
+        link.sentVersionAt = this.context.now();
+        this.encodeUpdate(ring, link.heldRoot).forEach(frame => link.sendFrame(frame));
+    }
+
+    /** Frames from one base are encoded once for all receivers. */
+    private encodeUpdate(ring: SnapshotRing, heldRoot: string): readonly Uint8Array[] {
+        const { manifestKey } = ring.newest;
+        if (this.frames?.manifestKey !== manifestKey) {
+            this.frames = { byRoot: new Map(), manifestKey };
+        }
+        const cached = this.frames.byRoot.get(heldRoot);
+        if (cached !== undefined) {
+            return cached;
+        }
+        const delta = computeRingDelta(ring, heldRoot) ?? createFullDelta(ring.newest);
+        const frames = splitUpdate(ring.newest, delta).map(encodeMessage);
+        this.frames.byRoot.set(heldRoot, frames);
+        return frames;
+    }
+
+    private handleUpdate(message: Update, link: Link): void {
+        const complete = this.collectParts(message, link);
+        if (complete === undefined || message.manifest.version <= getReceivedVersion(this.ledger)) {
+            return;
+        }
+        if (message.fromRoot !== "" && message.fromRoot !== getNewest(this.ledger)?.manifest.root) {
+            this.sendHave(link, true);
+            return;
+        }
+        this.buildSnapshot(message, complete)
+            .ifRight(snapshot => this.accept(snapshot, link))
+            .ifLeft(error => this.rejectUpdate(message, error, link));
+    }
+
+    /** Applies the update to a copy and checks content hashes, root and mac. */
+    private buildSnapshot(message: Update, changes: Changes): Either<string, Snapshot> {
+        const manifest: Manifest = { ...message.manifest, previous: message.manifest.previous ?? null };
+        if (!verifyManifest(manifest, this.context.options.meshKey)) {
+            return Left("the manifest is not signed with the mesh key");
+        }
+        const base = message.fromRoot === "" ? new Map<string, Resource>() : getNewest(this.ledger)?.resources;
+        const delta = { ...changes, fromRoot: message.fromRoot, toRoot: manifest.root };
+        return applyDelta(base ?? new Map<string, Resource>(), message.fromRoot, delta)
+            .map(resources => ({ manifest, manifestKey: message.manifestKey, resources }))
+            .mapLeft(mismatch => mismatch.detail);
+    }
+
+    private rejectUpdate(message: Update, error: string, link: Link): void {
+        link.failedUpdates++;
+        const fields = { error, peer: link.id, version: message.manifest.version };
+        this.context.options.log.warn(fields, "mesh: update dropped.");
+        if (link.failedUpdates >= FAILED_UPDATES_LIMIT) {
+            link.close();
+            return;
+        }
+        this.sendHave(link, true);
+    }
+
+    /** Gathers the messages of one update; undefined until it is whole. */
+    private collectParts(message: Update, link: Link): Changes | undefined {
+        const held = message.part === 0 ? [] : this.partial.get(link) ?? [];
+        const isNext = held.length === message.part
+            && held.every(part => part.manifest.root === message.manifest.root && part.fromRoot === message.fromRoot);
+        const parts = isNext ? [...held, message] : [];
+        this.partial.set(link, parts);
+        if (parts.length === 0 || parts.length < message.parts) {
+            return undefined;
+        }
+        this.partial.delete(link);
+        return { changed: parts.flatMap(part => part.changed), removed: parts.flatMap(part => part.removed) };
+    }
+}
+
+function splitBySize(resources: readonly Resource[]): readonly (readonly Resource[])[] {
+    const groups: Resource[][] = [[]];
+    let size = 0;
+    for (const resource of resources) {
+        size += resource.content.length + resource.name.length;
+        if (size > CONTENT_PER_MESSAGE && groups.at(-1)?.length !== 0) {
+            groups.push([]);
+            size = resource.content.length;
+        }
+        groups.at(-1)?.push(resource);
+    }
+    return groups;
+}
+
+/** Everything a version holds, for a receiver whose version is not known here. */
+function createFullDelta(snapshot: Snapshot): VersionDelta {
+    return { changed: [...snapshot.resources.values()], fromRoot: "", removed: [], toRoot: snapshot.manifest.root };
+}
+
+function splitUpdate(newest: Snapshot, delta: VersionDelta): readonly Update[] {
+    const groups = splitBySize(delta.changed);
+    const { author, mac, message, parts, previous, root, time, version } = newest.manifest;
+    return groups.map((group, part): Update => ({
+        changed: group,
+        fromRoot: delta.fromRoot,
+        kind: "update",
+        manifest: { author, mac, message, parts, previous: previous ?? undefined, root, time, version },
+        manifestKey: newest.manifestKey,
+        part,
+        parts: groups.length,
+        removed: part === 0 ? delta.removed : [],
+    }));
+}
--- /dev/null
+++ b/src/transport/mesh/__tests__/support/MemoryNetwork.ts
@@ -0,0 +1,86 @@
+import { FrameQueue } from "../../../../protocol/peer/index.js";
+import type { FrameConnection } from "../../../../protocol/peer/index.js";
+import type { PeerListener, PeerNetwork } from "../../../peer/index.js";
+import type { VirtualTime } from "./VirtualTime.js";
+
+/** What becomes of a frame: each element arrives, after its delay; none means it is lost. */
+export type AlterFrame = (frame: Uint8Array) => readonly { readonly frame: Uint8Array; readonly delayMs: number; }[];
+
+interface Accepting {
+    readonly onConnection: (connection: FrameConnection) => void;
+    readonly open: Set<() => void>;
+}
+
+const FRAME_DELAY_MS = 1;
+
+/** Connections in memory, by port. Ports that are hung neither receive nor send. */
+export class MemoryNetwork {
+    connections = 0;
+    alter: AlterFrame | undefined;
+    readonly hung = new Set<number>();
+    private readonly listeners = new Map<number, Accepting>();
+    private lastPort = 1_000;
+
+    constructor(private readonly time: VirtualTime) {}
+
+    /** The network as one daemon sees it; remembers which port its connections come from. */
+    createEndpoint(): PeerNetwork {
+        let ownPort = 0;
+        return {
+            connect: async (_address, port) => this.connect(ownPort, port),
+            listen: async (_address, port, onConnection) => {
+                ownPort = port === 0 ? ++this.lastPort : port;
+                return this.listen(ownPort, onConnection);
+            },
+        };
+    }
+
+    /** Opens a connection that a test drives itself. */
+    connect(from: number, to: number): FrameConnection {
+        const accepting = this.listeners.get(to);
+        if (accepting === undefined) {
+            throw new Error("connection refused");
+        }
+        this.connections++;
+        const [outer, inner] = this.createPair(from, to);
+        accepting.open.add(inner.close);
+        this.listeners.get(from)?.open.add(outer.close);
+        accepting.onConnection(inner);
+        return outer;
+    }
+
+    private listen(port: number, onConnection: (connection: FrameConnection) => void): PeerListener {
+        const accepting: Accepting = { onConnection, open: new Set() };
+        this.listeners.set(port, accepting);
+        return {
+            close: async () => {
+                this.listeners.delete(port);
+                accepting.open.forEach(close => close());
+            },
+            port,
+        };
+    }
+
+    private createPair(from: number, to: number): readonly [FrameConnection, FrameConnection] {
+        const queues = [new FrameQueue(), new FrameQueue()] as const;
+        const close = (): void => void this.time.after(FRAME_DELAY_MS, () => queues.forEach(queue => queue.end()));
+        const createSide = (own: FrameQueue, other: FrameQueue): FrameConnection => ({
+            close,
+            countBuffered: () => 0,
+            frames: own,
+            send: frame => this.transmit(frame, other, [from, to]),
+        });
+        return [createSide(queues[0], queues[1]), createSide(queues[1], queues[0])];
+    }
+
+    private transmit(frame: Uint8Array, receiver: FrameQueue, ports: readonly number[]): void {
+        const copies = this.alter?.(frame) ?? [{ delayMs: 0, frame }];
+        for (const copy of copies) {
+            this.time.after(FRAME_DELAY_MS + copy.delayMs, () => {
+                if (!ports.some(port => this.hung.has(port))) {
+                    receiver.push(copy.frame);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/mesh/__tests__/support/VirtualMesh.ts
@@ -0,0 +1,175 @@
+import { splitDocument } from "../../../../state/document/index.js";
+import type { SourceDocument } from "../../../../state/document/index.js";
+import { MemberState } from "../../../../state/members/index.js";
+import { createSeededRandom } from "../../../../state/shared/index.js";
+import {
+    buildParts,
+    computeDelta,
+    computeRootHash,
+    createManifest,
+    formatManifestKey,
+    formatPartKey,
+    HEAD_KEY,
+    mapResources,
+} from "../../../../state/versions/index.js";
+import type { Manifest, Resource } from "../../../../state/versions/index.js";
+import { startMeshNode } from "../../index.js";
+import type { DelayLink, MeshNode } from "../../index.js";
+import { FakeStore } from "./FakeStore.js";
+import { MemoryNetwork } from "./MemoryNetwork.js";
+import { VirtualTime } from "./VirtualTime.js";
+
+export const MESH_KEY = "mesh key of the tests";
+const START_TIME_MS = 1_700_000_000_000;
+
+/** Failure domain and region of a daemon, by the domain's name. */
+export const REGIONS: Readonly<Record<string, string>> = {
+    "erie-a": "erie",
+    "erie-b": "erie",
+    "superior-a": "superior",
+    "superior-b": "superior",
+};
+
+interface Running {
+    readonly node: MeshNode;
+    readonly domain: string;
+}
+
+/** Daemons over a network, a store and a clock that are all in memory; the same in every run. */
+export class VirtualMesh {
+    readonly time = new VirtualTime();
+    readonly network = new MemoryNetwork(this.time);
+    readonly store = new FakeStore(this.time);
+    readonly nodes = new Map<string, Running>();
+    /** Log lines of all daemons with their virtual time in milliseconds. */
+    readonly lines: string[] = [];
+    delayLink: DelayLink = () => 0;
+    /** Difference of each daemon's clock from virtual time. */
+    readonly clockOffsets = new Map<string, number>();
+    private accepted: { manifest: Manifest; key: string; resources: ReadonlyMap<string, Resource>; } | undefined;
+    private started = 0;
+
+    /** Starts a daemon named `<domain>-<number>`; it joins by any daemon that runs. */
+    async start(domain: string, number: number, service = "status-desk"): Promise<MeshNode> {
+        const id = `${domain}-${number}`;
+        const [seed] = [...this.nodes.values()];
+        const log = (_: object, message: string): void => {
+            this.lines.push(`${String(this.time.present).padStart(6)} ${id} ${message}${formatFields(_)}`);
+        };
+        const node = await startMeshNode({
+            address: "127.0.0.1",
+            delayLink: (from, to, bytes) => this.delayLink(from, to, bytes),
+            failureDomain: domain,
+            id,
+            log: { debug: () => undefined, info: log, warn: log },
+            meshKey: MESH_KEY,
+            network: this.network.createEndpoint(),
+            now: () => START_TIME_MS + this.time.present + (this.clockOffsets.get(id) ?? 0),
+            peerPort: 0,
+            random: createSeededRandom(++this.started),
+            region: REGIONS[domain] ?? "erie",
+            relayPort: 1,
+            seeds: seed === undefined ? [] : [`127.0.0.1:${seed.node.peerPort}`],
+            store: this.store,
+            timers: this.time,
+        });
+        node.announceServer(
+            { address: "127.0.0.1", connections: 120, port: 8_080, service, slots: 12 },
+            MemberState.Live,
+        );
+        this.nodes.set(id, { domain, node });
+        return node;
+    }
+
+    /** Starts `count` daemons in each failure domain. */
+    async startAll(count: number, domains: readonly string[] = Object.keys(REGIONS)): Promise<void> {
+        for (let number = 1; number <= count; number++) {
+            for (const domain of domains) {
+                await this.start(domain, number);
+            }
+        }
+    }
+
+    get(id: string): MeshNode {
+        const running = this.nodes.get(id);
+        if (running === undefined) {
+            throw new Error(`no daemon ${id}`);
+        }
+        return running.node;
+    }
+
+    list(domain?: string): readonly MeshNode[] {
+        return [...this.nodes.values()].filter(entry => domain === undefined || entry.domain === domain).map(entry =>
+            entry.node
+        );
+    }
+
+    async crash(id: string): Promise<void> {
+        const node = this.get(id);
+        this.nodes.delete(id);
+        await node.closeAbruptly();
+    }
+
+    /** Accepts a version, as an operator's client does. */
+    accept(document: SourceDocument): number {
+        const resources = mapResources(splitDocument(document));
+        const parts = buildParts(resources.values());
+        const previous = this.accepted;
+        const manifest = createManifest({
+            author: "ada",
+            message: "test",
+            parts: parts.map(part => part.hash),
+            previous: previous?.key ?? null,
+            root: computeRootHash(resources),
+            time: START_TIME_MS,
+            version: (previous?.manifest.version ?? 0) + 1,
+            ...(previous === undefined ? {} : { delta: computeDelta(previous.resources, resources) }),
+        }, MESH_KEY);
+        const text = JSON.stringify(manifest);
+        const key = formatManifestKey(text);
+        parts.forEach(part => this.store.write(formatPartKey(part.hash), part.text));
+        this.store.write(key, text);
+        this.store.write(HEAD_KEY, JSON.stringify({ manifest: key, root: manifest.root, version: manifest.version }));
+        this.accepted = { key, manifest, resources };
+        return manifest.version;
+    }
+
+    /** Versions in force of the daemons that run, without repetition, sorted. */
+    listVersions(domain?: string): readonly number[] {
+        return [...new Set(this.list(domain).map(node => node.readView().configuration?.version ?? 0))].sort((a, b) =>
+            a - b
+        );
+    }
+
+    isEverywhere(version: number): boolean {
+        return this.listVersions().every(held => held === version);
+    }
+}
+
+function formatFields(fields: object): string {
+    const text = JSON.stringify(fields);
+    return text === "{}" ? "" : ` ${text.replace(/"root":"[0-9a-f]+",?/, "")}`;
+}
+
+/** A document with one service and one route for each name. */
+export function createDocument(note: string, services: readonly string[] = ["status-desk"]): SourceDocument {
+    return {
+        classes: { family: { weight: 1 } },
+        mesh: {
+            name: "lakeshore",
+            regions: {
+                erie: { failureDomains: ["erie-a", "erie-b"] },
+                superior: { failureDomains: ["superior-a", "superior-b"] },
+            },
+            storeRegion: "erie",
+            weighing: "convergence",
+        },
+        resources: { note: { contentType: "text/plain", text: note } },
+        routes: Object.fromEntries(
+            services.map(
+                service => [service, { class: "family", match: { path: `/${service}` }, repeatable: true, service }],
+            ),
+        ),
+        services: Object.fromEntries(services.map(service => [service, { servers: { "erie-a": 1 }, slots: 12 }])),
+    } as unknown as SourceDocument;
+}
--- /dev/null
+++ b/src/transport/mesh/__tests__/support/VirtualTime.ts
@@ -0,0 +1,71 @@
+import type { Timers } from "../../Timers.js";
+
+interface Event {
+    readonly at: number;
+    readonly order: number;
+    readonly action: () => void;
+    isCancelled: boolean;
+}
+
+/** Time that advances only when a test says so; events of one moment run in the order of scheduling. */
+export class VirtualTime implements Timers {
+    present = 0;
+    private order = 0;
+    private events: Event[] = [];
+
+    after(delayMs: number, action: () => void): () => void {
+        const event: Event = {
+            action,
+            at: this.present + Math.max(0, delayMs),
+            isCancelled: false,
+            order: this.order++,
+        };
+        let low = 0;
+        for (let high = this.events.length; low < high;) {
+            const middle = (low + high) >> 1;
+            const other = this.events[middle] as Event;
+            if (other.at > event.at) {
+                high = middle;
+            }
+            else {
+                low = middle + 1;
+            }
+        }
+        this.events.splice(low, 0, event);
+        return () => {
+            event.isCancelled = true;
+        };
+    }
+
+    /** Runs what is due in the next `durationMs`. */
+    async advance(durationMs: number): Promise<void> {
+        const end = this.present + durationMs;
+        await settlePromises();
+        for (let next = this.events[0]; next !== undefined && next.at <= end; next = this.events[0]) {
+            this.events.shift();
+            if (!next.isCancelled) {
+                this.present = next.at;
+                next.action();
+                await settlePromises();
+            }
+        }
+        this.present = end;
+    }
+
+    /** Advances until the condition holds; fails after `limitMs`. Returns the time it took. */
+    async advanceUntil(condition: () => boolean, limitMs: number): Promise<number> {
+        const begin = this.present;
+        while (!condition()) {
+            if (this.present - begin >= limitMs) {
+                throw new Error(`the condition did not hold within ${limitMs} ms of virtual time`);
+            }
+            await this.advance(10);
+        }
+        return this.present - begin;
+    }
+}
+
+/** Lets all pending promise reactions run; `setImmediate` comes after the microtasks. */
+function settlePromises(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
--- /dev/null
+++ b/src/transport/mesh/index.ts
@@ -0,0 +1,4 @@
+export { startMeshNode } from "./MeshNode.js";
+export type { ControlCounters, DelayLink, LinkEnd, MeshLog, MeshNode, MeshOptions, MeshStatus } from "./MeshOptions.js";
+export { realTimers } from "./Timers.js";
+export type { Timers } from "./Timers.js";
--- /dev/null
+++ b/src/transport/peer/WebSocketNetwork.ts
@@ -0,0 +1,81 @@
+import type { AddressInfo } from "node:net";
+import { WebSocket, WebSocketServer } from "ws";
+import { FRAME_LIMIT_BYTES, FrameQueue } from "../../protocol/peer/index.js";
+import type { FrameConnection } from "../../protocol/peer/index.js";
+import type { PeerListener, PeerNetwork } from "./PeerNetwork.js";
+
+const CONNECT_TIMEOUT_MS = 2_000;
+/** Time for the last messages and the closing handshake; then the socket is destroyed. */
+const CLOSE_TIMEOUT_MS = 1_000;
+/** Compression is done on whole messages by the codec, once for all receivers. */
+const SOCKET_OPTIONS = { maxPayload: FRAME_LIMIT_BYTES, perMessageDeflate: false } as const;
+
+/** Peer connections over `ws`. */
+export function createWebSocketNetwork(): PeerNetwork {
+    return { connect, listen: openListener };
+}
+
+async function openListener(
+    address: string,
+    port: number,
+    onConnection: (connection: FrameConnection) => void,
+): Promise<PeerListener> {
+    const server = new WebSocketServer({ ...SOCKET_OPTIONS, clientTracking: true, host: address, port });
+    server.on("connection", socket => onConnection(wrapSocket(socket)));
+    await new Promise<void>((resolve, reject) => {
+        server.once("listening", resolve);
+        server.once("error", reject);
+    });
+    return {
+        close: () => closeServer(server),
+        port: (server.address() as AddressInfo).port,
+    };
+}
+
+async function closeServer(server: WebSocketServer): Promise<void> {
+    for (const socket of server.clients) {
+        socket.terminate();
+    }
+    await new Promise<void>(resolve => server.close(() => resolve()));
+}
+
+async function connect(address: string, port: number): Promise<FrameConnection> {
+    const host = address.includes(":") ? `[${address}]` : address;
+    const socket = new WebSocket(`ws://${host}:${port}`, { ...SOCKET_OPTIONS, handshakeTimeout: CONNECT_TIMEOUT_MS });
+    const connection = wrapSocket(socket);
+    await new Promise<void>((resolve, reject) => {
+        socket.once("open", resolve);
+        socket.once("error", reject);
+        socket.once("close", () => reject(new Error("the connection was closed before it was open")));
+    });
+    return connection;
+}
+
+function wrapSocket(socket: WebSocket): FrameConnection {
+    const frames = new FrameQueue();
+    socket.binaryType = "nodebuffer";
+    socket.on("message", data => frames.push(data as Buffer));
+    socket.on("close", () => frames.end());
+    // An error is followed by `close`; without a listener it would end the process.
+    socket.on("error", () => frames.end());
+    return {
+        close: () => closeSocket(socket),
+        countBuffered: () => socket.bufferedAmount,
+        frames,
+        send(frame) {
+            if (socket.readyState === WebSocket.OPEN) {
+                socket.send(frame);
+            }
+        },
+    };
+}
+
+/** Closes after what was sent before, for example a redirect, has left. */
+function closeSocket(socket: WebSocket): void {
+    if (socket.readyState === WebSocket.CONNECTING) {
+        socket.terminate();
+        return;
+    }
+    socket.close();
+    setTimeout(() => socket.terminate(), CLOSE_TIMEOUT_MS).unref();
+}
--- /dev/null
+++ b/src/transport/peer/index.ts
@@ -0,0 +1,2 @@
+export type { PeerListener, PeerNetwork } from "./PeerNetwork.js";
+export { createWebSocketNetwork } from "./WebSocketNetwork.js";
