Prove the mesh's failure behaviour with virtual time

Change: network, store and clock in memory for whole meshes; tests for lossy networks, restarts without state, missing services, paused and double relays, store outages, partitions, herds, deaths, clock jumps and planned stops. A new daemon asks the store for addresses only after 4 attempts by seeds, and inquiries for the floor are 50 ms apart.

--- a/src/transport/mesh/Bootstrap.ts
+++ b/src/transport/mesh/Bootstrap.ts
@@ -29,6 +29,12 @@
         }
     }
 
+    /** Given seeds; they cost no store call. */
+    listSeeds(): readonly Candidate[] {
+        const own = this.context.getOwnRecord();
+        return this.seeds.filter(entry => entry.address !== own.address || entry.peerPort !== own.peerPort);
+    }
+
     /** Seeds, and addresses of the own failure domain, or of any when it has none. */
     async listEntries(): Promise<readonly Candidate[]> {
         const now = this.context.now();
--- a/src/transport/mesh/FloorKeeper.ts
+++ b/src/transport/mesh/FloorKeeper.ts
@@ -7,7 +7,7 @@
 import type { MeshContext, MeshPart, MessageHandlers } from "./MeshContext.js";
 import { Requests } from "./Requests.js";
 import type { StoreAccess } from "./StoreAccess.js";
-import { limitTime } from "./Timers.js";
+import { limitTime, sleepFor } from "./Timers.js";
 import type { VersionExchange } from "./VersionExchange.js";
 
 /** Members of another failure domain that are asked in turn for a settled relay. */
@@ -15,11 +15,15 @@
 /** Time for a question to travel to the region relay, the store and other domains, and back. */
 const FLOOR_TIMEOUT_MS = 3 * REQUEST_TIMEOUT_MS;
 
+/** Pause between two inquiries: a herd of restarting daemons is answered by at most 20 store reads a second. */
+const INQUIRY_SPACING_MS = 50;
+
 type DomainFloor = MessageOf<"domainFloorAnswer">;
 
 /** One inquiry at a time; a request that comes during one waits for the next, begun after it. */
 interface Inquiry {
-    readonly current: Promise<number | undefined>;
+    /** Resolves when the next inquiry may begin. */
+    readonly ended: Promise<void>;
     next: Promise<number | undefined> | undefined;
 }
 
@@ -75,15 +79,16 @@
         if (running === undefined) {
             return this.beginInquiry();
         }
-        running.next ??= running.current.then(() => this.beginInquiry());
+        running.next ??= running.ended.then(() => this.beginInquiry());
         return running.next;
     }
 
     private beginInquiry(): Promise<number | undefined> {
         const current = this.findFloor();
-        const inquiry: Inquiry = { current, next: undefined };
+        const ended = current.then(() => sleepFor(this.context.timers, INQUIRY_SPACING_MS));
+        const inquiry: Inquiry = { ended, next: undefined };
         this.inquiry = inquiry;
-        void current.then(() => {
+        void ended.then(() => {
             if (this.inquiry === inquiry && inquiry.next === undefined) {
                 this.inquiry = undefined;
             }
--- a/src/transport/mesh/MeshNode.ts
+++ b/src/transport/mesh/MeshNode.ts
@@ -105,7 +105,7 @@
         this.members = new MemberExchange(this.context, this.createOwnRecord(), () => this.handleMemberChange());
         this.release = new ReleaseKeeper(this.context, this.versions);
         const bootstrap = new Bootstrap(this.context, this.store);
-        this.tree = new TreeKeeper(this.context, this.exclusions, () => bootstrap.listEntries());
+        this.tree = new TreeKeeper(this.context, this.exclusions, bootstrap);
         this.cutOff = new CutOffKeeper(this.context, () => this.view.markChanged());
         this.status = new StatusKeeper(this.context, this.store, () => this.describeOwn());
         this.head = this.store === undefined ? undefined : new HeadWatcher(this.context, this.store, this.versions);
--- a/src/transport/mesh/TreeKeeper.ts
+++ b/src/transport/mesh/TreeKeeper.ts
@@ -2,6 +2,7 @@
 import type { TreePosition } from "../../coordination/distribution/index.js";
 import { LinkRole } from "../../protocol/peer/index.js";
 import type { AuthenticatedPeer, Candidate, MessageOf } from "../../protocol/peer/index.js";
+import type { Bootstrap } from "./Bootstrap.js";
 import type { Exclusions } from "./Exclusions.js";
 import type { Link } from "./Link.js";
 import { CHILD_LIMIT, FOREIGN_CHILD_LIMIT } from "./MeshConstants.js";
@@ -13,6 +14,8 @@
 /** A new region relay keeps its parent until the others have found it. */
 const ROOT_DELAY_MS = 3_000;
 const CANDIDATES_IN_REDIRECT = 8;
+/** Attempts by seeds alone before the store is asked for addresses. */
+const SEED_ATTEMPTS = 4;
 
 interface KnownCandidate extends Candidate {
     /** Absent for a seed. */
@@ -33,7 +36,7 @@
     constructor(
         private readonly context: MeshContext,
         private readonly exclusions: Exclusions,
-        private readonly listEntries: () => Promise<readonly Candidate[]>,
+        private readonly bootstrap: Pick<Bootstrap, "listEntries" | "listSeeds">,
     ) {}
 
     tick(): void {
@@ -181,7 +184,9 @@
         const { id, random } = this.context.options;
         const relays = position.otherRegionRelays.flatMap(other => this.context.table.get(other) ?? []);
         const members = [...this.context.table.listAll()].filter(member => member.id !== id);
-        const entries = await this.listEntries();
+        const seeds = this.bootstrap.listSeeds();
+        const areSeedsTried = seeds.length > 0 && this.attempts < SEED_ATTEMPTS;
+        const entries = areSeedsTried ? seeds : await this.bootstrap.listEntries();
         const pool: readonly KnownCandidate[] = entries.length > 0 && this.attempts % 2 === 0
             ? entries
             : [...relays, ...members].map(toCandidate);
--- a/src/transport/mesh/__tests__/support/FakeStore.ts
+++ b/src/transport/mesh/__tests__/support/FakeStore.ts
@@ -5,11 +5,12 @@
 
 const ANSWER_DELAY_MS = 2;
 
-/** The store in memory, with outages. */
-export class FakeStore implements StorePort {
+/** The store in memory, with outages for all or for the daemons of one region. */
+export class FakeStore {
     isDown = false;
-    /** Time of each call. */
-    readonly calls: number[] = [];
+    readonly cutRegions = new Set<string>();
+    /** Each call as `operation key`. */
+    readonly calls: string[] = [];
     readonly objects = new Map<string, StoredObject>();
     private readonly watchers = new Set<() => void>();
 
@@ -21,30 +22,51 @@
         [...this.watchers].forEach(notify => notify());
     }
 
+    /** The store as the daemons of a region reach it. */
+    createClient(region: string): StorePort {
+        return new FakeStoreClient(this, this.time, () => this.isDown || this.cutRegions.has(region));
+    }
+
+    addWatcher(notify: () => void): () => void {
+        this.watchers.add(notify);
+        return () => void this.watchers.delete(notify);
+    }
+}
+
+class FakeStoreClient implements StorePort {
+    constructor(
+        private readonly store: FakeStore,
+        private readonly time: VirtualTime,
+        private readonly isDown: () => boolean,
+    ) {}
+
     get(key: string): StoreResult<StoredObject | undefined> {
-        return this.answer(() => Right(this.objects.get(key)));
+        return this.answer(`get ${key}`, () => Right(this.store.objects.get(key)));
     }
 
     put(key: string, value: string, condition: Parameters<StorePort["put"]>[2]): StoreResult<number> {
-        return this.answer(() => {
-            const held = this.objects.get(key)?.version;
+        return this.answer(`put ${key}`, () => {
+            const held = this.store.objects.get(key)?.version;
             if (held !== (condition.kind === "absent" ? undefined : condition.version)) {
                 return Left({ detail: "another write came first", kind: "refused", reason: "condition" } as const);
             }
-            this.write(key, value);
+            this.store.write(key, value);
             return Right((held ?? 0) + 1);
         });
     }
 
     delete(key: string): StoreResult<void> {
-        return this.answer(() => {
-            this.objects.delete(key);
+        return this.answer(`delete ${key}`, () => {
+            this.store.objects.delete(key);
             return Right(undefined);
         });
     }
 
     list(prefix: string): StoreResult<readonly { readonly key: string; readonly version: number; }[]> {
-        return this.answer(() => Right([...this.objects.values()].filter(({ key }) => key.startsWith(prefix))));
+        return this.answer(
+            `list ${prefix}`,
+            () => Right([...this.store.objects.values()].filter(({ key }) => key.startsWith(prefix))),
+        );
     }
 
     async watch(
@@ -54,33 +76,36 @@
         signal?: AbortSignal,
     ): StoreResult<StoredObject | undefined> {
         const deadline = this.time.present + waitMs;
-        const first = await this.answer(() => Right(undefined));
+        const first = await this.answer(`watch ${key}`, () => Right(undefined));
         if (first.isLeft()) {
             return first;
         }
         return new Promise(resolve => {
             const finish = (result: Either<StoreError, StoredObject | undefined>): void => {
-                this.watchers.delete(notify);
+                unwatch();
                 resolve(result);
             };
             const notify = (): void => {
-                const held = this.objects.get(key);
+                if (this.isDown()) {
+                    return;
+                }
+                const held = this.store.objects.get(key);
                 if (held !== undefined && held.version > after) {
                     finish(Right(held));
                 }
             };
-            this.watchers.add(notify);
+            const unwatch = this.store.addWatcher(notify);
             this.time.after(deadline - this.time.present, () => finish(Right(undefined)));
             signal?.addEventListener("abort", () => finish(Left({ detail: "cancelled", kind: "unreachable" })));
             notify();
         });
     }
 
-    private answer<T>(perform: () => Either<StoreError, T>): StoreResult<T> {
-        this.calls.push(this.time.present);
+    private answer<T>(call: string, perform: () => Either<StoreError, T>): StoreResult<T> {
+        this.store.calls.push(call);
         return new Promise(resolve => {
             this.time.after(ANSWER_DELAY_MS, () => {
-                resolve(this.isDown ? Left({ detail: "the store is down", kind: "unreachable" }) : perform());
+                resolve(this.isDown() ? Left({ detail: "the store is down", kind: "unreachable" }) : perform());
             });
         });
     }
--- a/src/transport/mesh/__tests__/support/VirtualMesh.ts
+++ b/src/transport/mesh/__tests__/support/VirtualMesh.ts
@@ -47,6 +47,9 @@
     /** Difference of each daemon's clock from virtual time. */
     readonly clockOffsets = new Map<string, number>();
     private accepted: { manifest: Manifest; key: string; resources: ReadonlyMap<string, Resource>; } | undefined;
+    /** Highest version that each daemon name had in force, through restarts. */
+    private readonly highest = new Map<string, number>();
+    readonly regressions: string[] = [];
     private started = 0;
 
     /** Starts a daemon named `<domain>-<number>`; it joins by any daemon that runs. */
@@ -70,7 +73,7 @@
             region: REGIONS[domain] ?? "erie",
             relayPort: 1,
             seeds: seed === undefined ? [] : [`127.0.0.1:${seed.node.peerPort}`],
-            store: this.store,
+            store: this.store.createClient(REGIONS[domain] ?? "erie"),
             timers: this.time,
         });
         node.announceServer(
@@ -78,6 +81,7 @@
             MemberState.Live,
         );
         this.nodes.set(id, { domain, node });
+        this.observe(id, node);
         return node;
     }
 
@@ -90,6 +94,18 @@
         }
     }
 
+    /** Notes each daemon's versions in force; a lower one after a higher one is a broken guarantee. */
+    private observe(id: string, node: MeshNode): void {
+        node.subscribeView(view => {
+            const version = view.configuration?.version ?? 0;
+            const highest = this.highest.get(id) ?? 0;
+            if (version < highest && version !== 0) {
+                this.regressions.push(`${id} went from version ${highest} to ${version}`);
+            }
+            this.highest.set(id, Math.max(version, highest));
+        });
+    }
+
     get(id: string): MeshNode {
         const running = this.nodes.get(id);
         if (running === undefined) {
@@ -104,6 +120,13 @@
         );
     }
 
+    /** Stops a daemon gracefully. */
+    async stop(id: string): Promise<void> {
+        const node = this.get(id);
+        this.nodes.delete(id);
+        await node.stop();
+    }
+
     async crash(id: string): Promise<void> {
         const node = this.get(id);
         this.nodes.delete(id);
--- /dev/null
+++ b/src/transport/mesh/__tests__/unit/Failures.test.ts
@@ -0,0 +1,235 @@
+import { expect, test } from "vitest";
+import { MemberState } from "../../../../state/members/index.js";
+import { createSeededRandom } from "../../../../state/shared/index.js";
+import { createDocument, REGIONS, VirtualMesh } from "../support/VirtualMesh.js";
+
+async function startConverged(count: number, domains?: readonly string[]): Promise<VirtualMesh> {
+    const mesh = new VirtualMesh();
+    mesh.accept(createDocument("1"));
+    await mesh.startAll(count, domains);
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(1), 20_000);
+    await mesh.time.advance(10_000);
+    return mesh;
+}
+
+function isKnownEverywhere(mesh: VirtualMesh, id: string, state: MemberState): boolean {
+    return mesh.list().every(node => node.readView().members.get(id)?.state === state);
+}
+
+// Guards against a version that goes back, is applied in part or is missed when frames are lost, doubled,
+// delayed past later ones or cut off.
+test("versions converge over a network that loses, doubles, reorders and truncates frames", async () => {
+    const mesh = await startConverged(3);
+    const random = createSeededRandom(3);
+    mesh.network.alter = frame => {
+        const draw = random();
+        const delayMs = random() * 30;
+        if (draw < 0.05) {
+            return [];
+        }
+        if (draw < 0.06) {
+            return [{ delayMs, frame: frame.subarray(0, frame.length >> 1) }];
+        }
+        return draw < 0.15 ? [{ delayMs, frame }, { delayMs: delayMs * 2, frame }] : [{ delayMs, frame }];
+    };
+    for (let version = 2; version <= 8; version++) {
+        mesh.accept(createDocument(String(version)));
+        await mesh.time.advance(500);
+    }
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(8), 60_000);
+    expect(mesh.regressions).toEqual([]);
+});
+
+// Guards against a daemon that goes back because the first neighbours it finds are behind (P1).
+test("a failure domain that restarts without state never goes below what it had in force", async () => {
+    const mesh = await startConverged(3);
+    mesh.delayLink = (from, to) => [from, to].some(end => end.failureDomain === "erie-b") ? Infinity : 0;
+    mesh.accept(createDocument("2"));
+    await mesh.time.advanceUntil(() => mesh.listVersions("erie-a").join() === "2", 20_000);
+    expect(mesh.listVersions("superior-a")).toEqual([2]);
+    expect(mesh.listVersions("erie-b")).toEqual([1]);
+    mesh.store.isDown = true;
+    for (const number of [1, 2, 3]) {
+        await mesh.crash(`erie-a-${number}`);
+    }
+    const isSuperior = (domain: string): boolean => REGIONS[domain] === "superior";
+    mesh.delayLink = (from, to) => isSuperior(from.failureDomain) === isSuperior(to.failureDomain) ? 0 : Infinity;
+    // The first daemon in the list is the seed: one of erie-b, which is behind.
+    for (const number of [1, 2, 3]) {
+        await mesh.start("erie-a", number);
+    }
+    await mesh.time.advance(60_000);
+    expect(mesh.listVersions("erie-a")).toEqual([0]);
+    mesh.delayLink = () => 0;
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(2), 60_000);
+    expect(mesh.regressions).toEqual([]);
+});
+
+// Guards against routes to services that a daemon lacks (P2).
+test("a version that needs an unknown service is held back and names it", async () => {
+    const mesh = await startConverged(2);
+    mesh.accept(createDocument("2", ["status-desk", "ledger"]));
+    await mesh.time.advance(3_000);
+    expect(mesh.listVersions()).toEqual([1]);
+    const reading = mesh.get("erie-a-1").readStatus();
+    await mesh.time.advance(100);
+    const status = await reading;
+    expect(status.waiting).toEqual(["erie-a: service ledger has announced no backend server"]);
+    expect(status.mesh?.waiting.map(entry => entry.reason).sort()).toEqual(
+        Object.keys(REGIONS).map(domain => `${domain}: service ledger has announced no backend server`),
+    );
+    expect(status.mesh?.waiting.reduce((sum, entry) => sum + entry.daemons, 0)).toBe(8);
+    await mesh.start("superior-a", 9, "ledger");
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(2), 5_000);
+});
+
+// Guards against a relay that hangs with the role: the others go on, and its return does no harm.
+test("a paused relay delays nothing for long and catches up when it returns", async () => {
+    const mesh = await startConverged(3);
+    const relay = await findRegionRelay(mesh);
+    const { peerPort } = mesh.get(relay);
+    mesh.network.hung.add(peerPort);
+    mesh.accept(createDocument("2"));
+    const others = (): readonly number[] =>
+        [...mesh.nodes].filter(([id]) => id !== relay).map(([, entry]) =>
+            entry.node.readView().configuration?.version ?? 0
+        );
+    await mesh.time.advanceUntil(() => others().every(version => version === 2), 10_000);
+    await mesh.time.advanceUntil(
+        () => mesh.list().some(node => node.readView().members.get(relay)?.state === "dead"),
+        20_000,
+    );
+    mesh.network.hung.delete(peerPort);
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(2), 20_000);
+    await mesh.time.advanceUntil(() => isKnownEverywhere(mesh, relay, MemberState.Live), 20_000);
+    expect(mesh.regressions).toEqual([]);
+});
+
+async function findRegionRelay(mesh: VirtualMesh): Promise<string> {
+    const reading = Promise.all(mesh.list().map(node => node.readStatus()));
+    await mesh.time.advance(100);
+    return (await reading).find(status => status.isRegionRelay && status.region === "erie")?.id ?? "";
+}
+
+// Guards against two daemons that both act as relay, because one part of a domain does not see the other.
+test("two relays in one failure domain do no harm", async () => {
+    const mesh = await startConverged(4);
+    const relay = await findRegionRelay(mesh);
+    const { domain } = mesh.nodes.get(relay) ?? { domain: "" };
+    const ports = mesh.list(domain).map(node => node.peerPort);
+    // Links inside the domain carry nothing, so each of its members takes itself for the relay.
+    mesh.delayLink = (from, to) => from.failureDomain === domain && to.failureDomain === domain ? Infinity : 0;
+    for (let version = 2; version <= 4; version++) {
+        mesh.accept(createDocument(String(version)));
+        await mesh.time.advance(10_000);
+    }
+    expect(ports).toHaveLength(4);
+    mesh.delayLink = () => 0;
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(4), 30_000);
+    expect(mesh.regressions).toEqual([]);
+});
+
+// Guards against a mesh that depends on the store for what it already accepted.
+test("during a long store outage versions stay, new daemons get them and membership changes", async () => {
+    const mesh = await startConverged(3);
+    mesh.store.isDown = true;
+    await mesh.time.advance(600_000);
+    expect(mesh.listVersions()).toEqual([1]);
+    await mesh.start("superior-b", 9);
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(1), 20_000);
+    await mesh.time.advanceUntil(() => isKnownEverywhere(mesh, "superior-b-9", MemberState.Live), 5_000);
+    mesh.store.isDown = false;
+    mesh.accept(createDocument("2"));
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(2), 20_000);
+});
+
+// Guards against a partition that stops the side with the store, or deaths declared from outside a domain.
+test("a region that is cut off keeps its version, is not declared dead and catches up", async () => {
+    const mesh = await startConverged(3);
+    mesh.delayLink = (from, to) => from.region === to.region ? 0 : Infinity;
+    mesh.store.cutRegions.add("superior");
+    mesh.accept(createDocument("2"));
+    await mesh.time.advance(180_000);
+    expect(mesh.listVersions("erie-a")).toEqual([2]);
+    expect(mesh.listVersions("erie-b")).toEqual([2]);
+    expect(mesh.listVersions("superior-a")).toEqual([1]);
+    const view = mesh.get("erie-a-1").readView();
+    expect([...view.cutOffDomains].sort()).toEqual(["superior-a", "superior-b"]);
+    expect([...view.members.values()].every(member => member.state === MemberState.Live)).toBe(true);
+    expect([...mesh.get("superior-b-2").readView().cutOffDomains].sort()).toEqual(["erie-a", "erie-b"]);
+    mesh.delayLink = () => 0;
+    mesh.store.cutRegions.clear();
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(2), 20_000);
+    await mesh.time.advanceUntil(() => mesh.list().every(node => node.readView().cutOffDomains.size === 0), 20_000);
+});
+
+// Guards against reconnections and store reads that grow together with the number of daemons that restart.
+test("a herd of restarting daemons reads the store a bounded number of times", async () => {
+    const mesh = await startConverged(10);
+    const callsBefore = mesh.store.calls.length;
+    const connectionsBefore = mesh.network.connections;
+    for (const domain of ["erie-a", "erie-b"]) {
+        for (let number = 1; number <= 10; number++) {
+            await mesh.crash(`${domain}-${number}`);
+        }
+    }
+    for (const domain of ["erie-a", "erie-b"]) {
+        for (let number = 1; number <= 10; number++) {
+            await mesh.start(domain, number);
+        }
+    }
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(1), 30_000);
+    expect(mesh.store.calls.length - callsBefore).toBeLessThan(30);
+    expect(mesh.network.connections - connectionsBefore).toBeLessThan(20 * 10);
+});
+
+// Guards against new work for a server that is leaving (P7).
+test("a leaving server is known everywhere within 3 s", async () => {
+    const mesh = await startConverged(4);
+    const server = { address: "127.0.0.1", connections: 120, port: 8_080, service: "status-desk", slots: 12 };
+    mesh.get("superior-a-2").announceServer(server, MemberState.Leaving);
+    await mesh.time.advanceUntil(() => isKnownEverywhere(mesh, "superior-a-2", MemberState.Leaving), 3_000);
+});
+
+// Guards against dead servers that stay listed, whoever their parent was.
+test.each(["erie-a-1", "erie-a-2", "superior-b-3"])("the death of %s is found by its absence", async id => {
+    const mesh = await startConverged(4);
+    await mesh.crash(id);
+    await mesh.time.advanceUntil(() => isKnownEverywhere(mesh, id, MemberState.Dead), 15_000);
+});
+
+// Guards against intervals that a changed clock makes endless or ends at once.
+test.each([3_600_000, -3_600_000])("a clock jump of %d ms kills nobody and stops nothing", async jumpMs => {
+    const mesh = await startConverged(3);
+    for (const id of mesh.nodes.keys()) {
+        if (!id.endsWith("1")) {
+            mesh.clockOffsets.set(id, jumpMs);
+        }
+    }
+    await mesh.time.advance(20_000);
+    mesh.accept(createDocument("2"));
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(2), 5_000);
+    expect([...mesh.get("erie-a-1").readView().members.values()].every(member => member.state === MemberState.Live))
+        .toBe(true);
+    // A restart with an earlier clock must still replace the old record.
+    await mesh.crash("erie-b-2");
+    await mesh.time.advanceUntil(() => isKnownEverywhere(mesh, "erie-b-2", MemberState.Dead), 15_000);
+    mesh.clockOffsets.set("erie-b-2", -7_200_000);
+    await mesh.start("erie-b", 2);
+    await mesh.time.advanceUntil(() => isKnownEverywhere(mesh, "erie-b-2", MemberState.Live), 15_000);
+});
+
+// Guards against children that miss a version while their parent or relay stops (P8).
+test("a planned stop of every relay in turn loses no version", async () => {
+    const mesh = await startConverged(4);
+    for (let version = 2; version <= 5; version++) {
+        const relay = await findRegionRelay(mesh);
+        const stopping = mesh.stop(relay);
+        mesh.accept(createDocument(String(version)));
+        await mesh.time.advanceUntil(() => mesh.isEverywhere(version), 2_000);
+        await mesh.time.advance(4_000);
+        await stopping;
+        expect(isKnownEverywhere(mesh, relay, MemberState.Left)).toBe(true);
+    }
+    expect(mesh.lines.filter(line => line.includes("suspected"))).toEqual([]);
+});
