Add the backend server stand-in, control interface and settings

Cause: the daemon needs a server to announce itself, a place to announce to, and settings that an operator can correct in one go.

--- /dev/null
+++ b/src/transport/control/ControlMessages.ts
@@ -0,0 +1,42 @@
+/** Bodies of the calls that a backend server makes to the daemon beside it. */
+import type { Static } from "@sinclair/typebox";
+import { Type } from "@sinclair/typebox";
+
+const MAXIMUM_SLOTS = 10_000;
+const MAXIMUM_CONNECTIONS = 100_000;
+const MAXIMUM_NAME_LENGTH = 63;
+
+/** `POST /v1/announce`: the server exists and serves `service`. */
+export const AnnounceBody = Type.Object({
+    address: Type.Union([Type.String({ format: "ipv4" }), Type.String({ format: "ipv6" })]),
+    connections: Type.Integer({ maximum: MAXIMUM_CONNECTIONS, minimum: 1 }),
+    port: Type.Integer({ maximum: 65_535, minimum: 1 }),
+    service: Type.String({ maxLength: MAXIMUM_NAME_LENGTH, pattern: "^[a-z0-9][a-z0-9-]*$" }),
+    slots: Type.Integer({ maximum: MAXIMUM_SLOTS, minimum: 1 }),
+    state: Type.Union([Type.Literal("starting"), Type.Literal("live")]),
+}, { additionalProperties: false });
+export type AnnounceBody = Static<typeof AnnounceBody>;
+
+/** `POST /v1/renew`: the server still runs. `load` is a hint that may lag or mislead. */
+export const RenewBody = Type.Object({
+    load: Type.Optional(Type.Object({
+        healthy: Type.Boolean(),
+        inFlight: Type.Integer({ minimum: 0 }),
+        slots: Type.Integer({ minimum: 0 }),
+    }, { additionalProperties: false })),
+}, { additionalProperties: false });
+export type RenewBody = Static<typeof RenewBody>;
+
+/** `POST /v1/leaving`: the server takes no new work; with `finished` its last request has ended. */
+export const LeavingBody = Type.Object({
+    finished: Type.Boolean(),
+}, { additionalProperties: false });
+export type LeavingBody = Static<typeof LeavingBody>;
+
+/** Query of `GET /v1/explain`: the request whose route and server are to be explained. */
+export const ExplainQuery = Type.Object({
+    host: Type.Optional(Type.String()),
+    method: Type.String({ default: "GET" }),
+    path: Type.String({ default: "/" }),
+}, { additionalProperties: false });
+export type ExplainQuery = Static<typeof ExplainQuery>;
--- /dev/null
+++ b/src/transport/control/RateLimit.ts
@@ -0,0 +1,22 @@
+/** Token bucket: at most `perSecond` calls a second on average, with a burst of one second's calls. */
+export class RateLimit {
+    #tokens: number;
+    #refilledAt: number;
+
+    constructor(private readonly perSecond: number, now: number) {
+        this.#tokens = perSecond;
+        this.#refilledAt = now;
+    }
+
+    /** Takes one token; false when none is left. */
+    tryTake(now: number): boolean {
+        const earned = (now - this.#refilledAt) / 1000 * this.perSecond;
+        this.#tokens = Math.min(this.perSecond, this.#tokens + Math.max(0, earned));
+        this.#refilledAt = now;
+        if (this.#tokens < 1) {
+            return false;
+        }
+        this.#tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/transport/control/index.ts
@@ -0,0 +1,3 @@
+export { startControlInterface } from "./ControlInterface.js";
+export type { ControlHealth, ControlInterface, ControlOptions } from "./ControlInterface.js";
+export type { ExplainQuery } from "./ControlMessages.js";
--- /dev/null
+++ b/standins/backend/BackendAnswer.ts
@@ -0,0 +1,42 @@
+import { createHash } from "node:crypto";
+
+/** Header with the SHA-256 of the answer's body, by which a caller recognizes a cut answer. */
+export const CONTENT_HASH_HEADER = "x-content-sha256";
+/** Header by which a caller names its request; the answer's first line repeats it. */
+export const REQUEST_TAG_HEADER = "x-request-tag";
+
+export interface AnswerDescription {
+    readonly service: string;
+    readonly server: string;
+    readonly path: string;
+    readonly tag: string | undefined;
+    /** SHA-256 of the request's body, hexadecimal. */
+    readonly received: string;
+}
+
+export interface BackendAnswer {
+    readonly body: Buffer;
+    readonly hash: string;
+}
+
+/** Builds an answer whose first line describes the request and whose rest fills it up to `bytes`. */
+export function buildAnswer(description: AnswerDescription, bytes: number): BackendAnswer {
+    const first = `${JSON.stringify(description)}\n`;
+    const filler = `${description.tag ?? description.path} `;
+    const missing = Math.max(0, bytes - Buffer.byteLength(first));
+    const body = Buffer.concat([Buffer.from(first), Buffer.alloc(missing, filler)]);
+    return { body, hash: hashContent(body) };
+}
+
+export function hashContent(content: Uint8Array): string {
+    return createHash("sha256").update(content).digest("hex");
+}
+
+/** Tells what is wrong with an answer to the request `tag`; undefined when it is whole and its own. */
+export function checkAnswer(body: Buffer, hash: string | undefined, tag: string): string | undefined {
+    if (hash !== hashContent(body)) {
+        return "the body does not have the hash that its header names";
+    }
+    const first = JSON.parse(body.subarray(0, body.indexOf("\n")).toString()) as Partial<AnswerDescription>;
+    return first.tag === tag ? undefined : `the answer belongs to request ${first.tag ?? "without a tag"}`;
+}
--- /dev/null
+++ b/standins/backend/DaemonAnnouncer.ts
@@ -0,0 +1,90 @@
+import { request } from "undici";
+import type { LoadReport } from "./LaggingReport.js";
+
+export const RENEWAL_INTERVAL_MS = 1000;
+const CALL_TIMEOUT_MS = 2000;
+const NOT_FOUND = 404;
+
+/** What the server announces of itself, as `POST /v1/announce` expects it. */
+export interface Announcement {
+    readonly service: string;
+    readonly address: string;
+    readonly port: number;
+    readonly slots: number;
+    readonly connections: number;
+    readonly state: "starting" | "live";
+}
+
+export interface DaemonAnnouncerOptions {
+    readonly daemonUrl: string;
+    readonly describe: () => Announcement;
+    readonly readLoad: () => LoadReport;
+}
+
+/** Announces a server to its daemon, renews the announcement, and announces leaving. */
+export class DaemonAnnouncer {
+    #timer: NodeJS.Timeout | undefined;
+    #announced: "starting" | "live" | undefined;
+    #running: Promise<void> = Promise.resolve();
+    #leaving = false;
+
+    constructor(private readonly options: DaemonAnnouncerOptions) {}
+
+    /** Announces at once and then renews each second; a daemon that restarted gets a new announcement. */
+    start(): void {
+        this.#running = this.#renew();
+        this.#timer = setInterval(() => {
+            this.#running = this.#renew();
+        }, RENEWAL_INTERVAL_MS);
+    }
+
+    /** Tells the daemon that the server takes no new work; renewals end. */
+    async announceLeaving(): Promise<void> {
+        this.#leaving = true;
+        this.stop();
+        await this.#running;
+        await this.#post("leaving", { finished: false });
+    }
+
+    async announceLeft(): Promise<void> {
+        await this.#post("leaving", { finished: true });
+    }
+
+    stop(): void {
+        clearInterval(this.#timer);
+    }
+
+    async #renew(): Promise<void> {
+        const announcement = this.options.describe();
+        if (this.#announced !== announcement.state) {
+            await this.#announce(announcement);
+            return;
+        }
+        const status = await this.#post("renew", { load: this.options.readLoad() });
+        if (status === NOT_FOUND && !this.#leaving) {
+            await this.#announce(announcement);
+        }
+    }
+
+    async #announce(announcement: Announcement): Promise<void> {
+        const status = await this.#post("announce", announcement);
+        this.#announced = status === 200 ? announcement.state : undefined;
+    }
+
+    /** Returns the status, or undefined when the daemon did not answer; the next renewal tries again. */
+    async #post(operation: string, body: unknown): Promise<number | undefined> {
+        try {
+            const response = await request(`${this.options.daemonUrl}/v1/${operation}`, {
+                body: JSON.stringify(body),
+                headers: { "content-type": "application/json" },
+                method: "POST",
+                signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+            });
+            await response.body.dump();
+            return response.statusCode;
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
--- /dev/null
+++ b/standins/backend/backend-server.ts
@@ -0,0 +1,69 @@
+/**
+ * Executable of the backend server stand-in. Prints one JSON object a line on standard output:
+ * `{"event":"listening"}` with the port, then `{"event":"run"}` for each request that begins to run.
+ * SIGTERM drains and ends it.
+ */
+import type { ArgsDef } from "citty";
+import { parseArgs } from "citty";
+import { startBackendServer } from "./BackendServer.js";
+import type { BackendServerOptions } from "./BackendServerOptions.js";
+import { BACKEND_SERVER_DEFAULTS } from "./BackendServerOptions.js";
+
+const CRASH_EXIT_CODE = 70;
+const USAGE_EXIT_CODE = 2;
+
+const FLAGS = {
+    "answer-bytes": { type: "string" },
+    "cold-start-ms": { type: "string" },
+    "connections": { type: "string" },
+    "daemon": { type: "string" },
+    "drain-ms": { type: "string" },
+    "host": { type: "string" },
+    "port": { type: "string" },
+    "reporting-lag-ms": { type: "string" },
+    "seed": { type: "string" },
+    "service": { type: "string" },
+    "service-time-ms": { type: "string" },
+    "slots": { type: "string" },
+} as const satisfies ArgsDef;
+
+function printEvent(event: Record<string, unknown>): void {
+    process.stdout.write(`${JSON.stringify(event)}\n`);
+}
+
+function parseOptions(argv: string[]): BackendServerOptions | undefined {
+    const flags = parseArgs<typeof FLAGS>(argv, FLAGS);
+    if (flags.service === undefined) {
+        return undefined;
+    }
+    const numberOf = (value: string | undefined, fallback: number): number =>
+        value === undefined ? fallback : Number(value);
+    const defaults = BACKEND_SERVER_DEFAULTS;
+    return {
+        answerBytes: numberOf(flags["answer-bytes"], defaults.answerBytes),
+        coldStartMs: numberOf(flags["cold-start-ms"], defaults.coldStartMs),
+        connections: numberOf(flags.connections, defaults.connections),
+        daemonUrl: flags.daemon,
+        drainMs: numberOf(flags["drain-ms"], defaults.drainMs),
+        host: flags.host ?? defaults.host,
+        onCrash: () => process.exit(CRASH_EXIT_CODE),
+        onRun: run => {
+            printEvent({ event: "run", ...run });
+        },
+        port: numberOf(flags.port, defaults.port),
+        reportingLagMs: numberOf(flags["reporting-lag-ms"], defaults.reportingLagMs),
+        seed: numberOf(flags.seed, defaults.seed),
+        service: flags.service,
+        serviceTimeMs: numberOf(flags["service-time-ms"], defaults.serviceTimeMs),
+        slots: numberOf(flags.slots, defaults.slots),
+    };
+}
+
+const options = parseOptions(process.argv.slice(2));
+if (options === undefined) {
+    process.stderr.write("backend-server: --service is required.\n");
+    process.exit(USAGE_EXIT_CODE);
+}
+const server = await startBackendServer(options);
+printEvent({ event: "listening", port: server.port });
+process.once("SIGTERM", () => void server.leave().then(() => process.exit(0)));
