Add the demo's load generator and checks of the guarantees

Cause: the demo must say for each guarantee whether it was kept, and must leave no process behind. Change: ChildProcesses starts and ends processes by handle, RequestPlan draws seeded requests of every route, RequestLoad records what callers saw, and PromiseChecks compares that with the executions that the servers reported.

--- /dev/null
+++ b/demo/ChildProcesses.ts
@@ -0,0 +1,107 @@
+/** Starts and ends the processes of the demo. Only processes started here are ever signalled. */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+
+const STOP_TIMEOUT_MS = 10_000;
+const KEPT_LINES = 20;
+
+/** Receives each line that a process writes to its standard output. */
+export type OnLine = (line: string) => void;
+
+export interface StartOptions {
+    readonly name: string;
+    readonly script: string;
+    readonly args: readonly string[];
+    readonly environment?: Readonly<Record<string, string>>;
+    readonly onLine?: OnLine;
+}
+
+/** How a process ended: its exit code, or the signal that ended it. */
+export interface ProcessExit {
+    readonly code: number | null;
+    readonly signal: NodeJS.Signals | null;
+}
+
+/** One running process. */
+export class RunningProcess {
+    readonly exited: Promise<ProcessExit>;
+    readonly #lastLines: string[] = [];
+
+    constructor(readonly name: string, private readonly child: ChildProcess, onLine: OnLine | undefined) {
+        this.exited = new Promise(resolve => {
+            child.once("exit", (code, signal) => {
+                resolve({ code, signal });
+            });
+        });
+        this.#readLines(child.stdout, onLine);
+        this.#readLines(child.stderr, undefined);
+    }
+
+    get isRunning(): boolean {
+        return this.child.exitCode === null && this.child.signalCode === null;
+    }
+
+    /** The last lines that the process wrote, for the report of an unexpected end. */
+    get lastLines(): readonly string[] {
+        return this.#lastLines;
+    }
+
+    signal(signal: NodeJS.Signals): void {
+        this.child.kill(signal);
+    }
+
+    /** Asks the process to end, and ends it by force after a time limit. */
+    async stop(): Promise<ProcessExit> {
+        this.signal("SIGTERM");
+        const timer = setTimeout(() => {
+            this.signal("SIGKILL");
+        }, STOP_TIMEOUT_MS);
+        const exit = await this.exited;
+        clearTimeout(timer);
+        return exit;
+    }
+
+    #readLines(stream: NodeJS.ReadableStream | null, onLine: OnLine | undefined): void {
+        if (stream === null) {
+            return;
+        }
+        createInterface({ input: stream }).on("line", line => {
+            this.#lastLines.push(line);
+            this.#lastLines.splice(0, this.#lastLines.length - KEPT_LINES);
+            onLine?.(line);
+        });
+    }
+}
+
+/** All processes of one demo. */
+export class ChildProcesses {
+    readonly #processes = new Set<RunningProcess>();
+
+    constructor() {
+        process.once("exit", () => {
+            this.killAll();
+        });
+    }
+
+    start({ name, script, args, environment, onLine }: StartOptions): RunningProcess {
+        const child = spawn(process.execPath, ["--enable-source-maps", script, ...args], {
+            env: { PATH: process.env["PATH"], ...environment },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        const running = new RunningProcess(name, child, onLine);
+        this.#processes.add(running);
+        void running.exited.then(() => this.#processes.delete(running));
+        return running;
+    }
+
+    async stopAll(): Promise<void> {
+        await Promise.all([...this.#processes].map(running => running.stop()));
+    }
+
+    killAll(): void {
+        for (const running of this.#processes) {
+            running.signal("SIGKILL");
+        }
+    }
+}
--- /dev/null
+++ b/demo/PromiseChecks.ts
@@ -0,0 +1,189 @@
+/** Checks what the demo saw against the guarantees of the design page (P1 to P9). */
+import { checkAnswer } from "../standins/backend/index.js";
+import type { RequestResult } from "./RequestLoad.js";
+
+/** Bound of P7: a leaving server gets no new work after this time. */
+export const LEAVING_BOUND_MS = 3000;
+
+/** One execution of a request as a backend server reported it. */
+export interface SeenRun {
+    readonly server: string;
+    readonly time: number;
+    readonly tag: string | undefined;
+    readonly idempotencyKey: string | undefined;
+}
+
+/** The in-force version of a daemon at one moment; undefined before it has one. */
+export interface SeenVersion {
+    readonly daemon: string;
+    readonly version: number | undefined;
+    /** Root hash of the version. */
+    readonly root: string | undefined;
+}
+
+/** A drain of a backend server, from the announcement of leaving to the end of the process. */
+export interface SeenDrain {
+    readonly server: string;
+    readonly beganAt: number;
+    readonly endedAt: number;
+    /** Whether the process ended by itself with success. */
+    readonly ended: boolean;
+}
+
+export interface Observations {
+    readonly results: readonly RequestResult[];
+    readonly runs: readonly SeenRun[];
+    /** In the order in which they were seen. */
+    readonly versions: readonly SeenVersion[];
+    readonly drains: readonly SeenDrain[];
+    /** Number of the last accepted version. */
+    readonly lastAccepted: number;
+    readonly daemons: readonly string[];
+    /** Routes in force that point at something that a daemon does not have, one text each. */
+    readonly danglingRoutes: readonly string[];
+}
+
+export interface CheckResult {
+    readonly guarantee: string;
+    readonly description: string;
+    /** What was checked, so that a check without any case shows. */
+    readonly cases: number;
+    readonly violations: readonly string[];
+}
+
+export function isAnswered(result: RequestResult): boolean {
+    return result.failure === undefined && result.status === 200;
+}
+
+/** Keys that ran more than once, over all servers. */
+export function collectKeysRunTwice(runs: readonly SeenRun[]): readonly string[] {
+    const counts = new Map<string, number>();
+    for (const { idempotencyKey } of runs) {
+        if (idempotencyKey !== undefined) {
+            counts.set(idempotencyKey, (counts.get(idempotencyKey) ?? 0) + 1);
+        }
+    }
+    return [...counts].filter(([, count]) => count > 1).map(([key]) => key);
+}
+
+function checkVersionsRise({ versions }: Observations): CheckResult {
+    const highest = new Map<string, number>();
+    const violations: string[] = [];
+    for (const { daemon, version } of versions) {
+        const before = highest.get(daemon);
+        if (before !== undefined && (version === undefined || version < before)) {
+            violations.push(`${daemon} went from version ${before} to ${version ?? "none"}`);
+        }
+        highest.set(daemon, Math.max(before ?? 0, version ?? 0));
+    }
+    return { cases: versions.length, description: "versions never went back", guarantee: "P1", violations };
+}
+
+function checkRoutes({ danglingRoutes, daemons }: Observations): CheckResult {
+    return {
+        cases: daemons.length,
+        description: "no route points at a missing service",
+        guarantee: "P2",
+        violations: danglingRoutes,
+    };
+}
+
+/** A version that was applied in part would have another root than the same version elsewhere. */
+function checkWholeVersions({ versions }: Observations): CheckResult {
+    const roots = new Map<number, Set<string | undefined>>();
+    for (const { version, root } of versions) {
+        if (version !== undefined) {
+            roots.set(version, (roots.get(version) ?? new Set()).add(root));
+        }
+    }
+    const violations = [...roots].filter(([, seen]) => seen.size > 1 || seen.has(undefined))
+        .map(([version, seen]) => `version ${version} has the roots ${[...seen].join(", ")}`);
+    return { cases: roots.size, description: "a version is the same everywhere", guarantee: "P3", violations };
+}
+
+function checkInForce({ versions, daemons, lastAccepted }: Observations): CheckResult {
+    const last = new Map(versions.map(({ daemon, version }) => [daemon, version]));
+    const violations = daemons.filter(daemon => last.get(daemon) !== lastAccepted)
+        .map(daemon => `${daemon} has version ${last.get(daemon) ?? "none"}, accepted is ${lastAccepted}`);
+    return { cases: daemons.length, description: "the accepted version is in force", guarantee: "P9", violations };
+}
+
+/** A replayed answer belongs to the first request with the same key, so any tag of that key is right. */
+function checkWholeAnswers({ results }: Observations): CheckResult {
+    const tagsByKey = new Map<string, string[]>();
+    for (const { planned: { idempotencyKey, tag } } of results) {
+        if (idempotencyKey !== undefined) {
+            tagsByKey.set(idempotencyKey, [...tagsByKey.get(idempotencyKey) ?? [], tag]);
+        }
+    }
+    const answered = results.filter(isAnswered);
+    const violations = answered.flatMap(({ body, contentHash, outcome, planned }) => {
+        const tags = outcome === "replayed" ? tagsByKey.get(planned.idempotencyKey ?? "") ?? [] : [planned.tag];
+        const faults = tags.map(tag => checkAnswer(body, contentHash, tag));
+        return faults.includes(undefined) ? [] : [`${planned.tag}: ${faults[0] ?? "no request has this key"}`];
+    });
+    const cut = results.filter(result => result.failure !== undefined && result.status !== undefined)
+        .map(result => `${result.planned.tag}: ${result.failure ?? ""}`);
+    return {
+        cases: answered.length,
+        description: "answers are whole and the caller's own",
+        guarantee: "P4",
+        violations: [...violations, ...cut],
+    };
+}
+
+function checkNotRun({ results, runs }: Observations): CheckResult {
+    const ran = new Set(runs.map(run => run.tag));
+    const notRun = results.filter(result => result.outcome === "not-run");
+    return {
+        cases: notRun.length,
+        description: "what was reported as not run did not run",
+        guarantee: "P5",
+        violations: notRun.filter(({ planned }) => ran.has(planned.tag)).map(({ planned }) => planned.tag),
+    };
+}
+
+function checkRunOnce({ runs }: Observations): CheckResult {
+    return {
+        cases: runs.filter(run => run.idempotencyKey !== undefined).length,
+        description: "no key ran twice",
+        guarantee: "P6",
+        violations: collectKeysRunTwice(runs),
+    };
+}
+
+function checkLeaving({ drains, runs }: Observations): CheckResult {
+    const violations = drains.flatMap(({ beganAt, endedAt, server }) =>
+        runs.filter(run => run.server === server && run.time > beganAt + LEAVING_BOUND_MS && run.time <= endedAt)
+            .map(run => `${server} began ${run.tag ?? "a request"} ${run.time - beganAt} ms after leaving`)
+    );
+    return { cases: drains.length, description: "a leaving server got no new work", guarantee: "P7", violations };
+}
+
+function checkDrains({ drains, results }: Observations): CheckResult {
+    const violations = drains.flatMap(drain => {
+        const cut = results.filter(result =>
+            result.endedAt >= drain.beganAt && result.sentAt <= drain.endedAt && !isAnswered(result)
+        );
+        const reports = cut.map(({ planned, status, outcome, failure }) =>
+            `${planned.tag} during the drain of ${drain.server}: ${failure ?? `${status ?? ""} ${outcome ?? ""}`}`
+        );
+        return drain.ended ? reports : [...reports, `${drain.server} did not end by itself`];
+    });
+    return { cases: drains.length, description: "a drain cut no request", guarantee: "P8", violations };
+}
+
+/** Runs every check. */
+export function checkPromises(observations: Observations): readonly CheckResult[] {
+    return [
+        checkVersionsRise,
+        checkRoutes,
+        checkWholeVersions,
+        checkWholeAnswers,
+        checkNotRun,
+        checkRunOnce,
+        checkLeaving,
+        checkDrains,
+        checkInForce,
+    ].map(check => check(observations));
+}
--- /dev/null
+++ b/demo/RequestPlan.ts
@@ -0,0 +1,69 @@
+/** Draws the requests of the demo from the routes of a document. */
+import type { MeshDocument, RouteSettings } from "../src/state/document/index.js";
+import type { Random } from "../src/state/shared/index.js";
+
+/** Share of non-repeatable requests that repeat an earlier key, as a caller does after a lost answer. */
+const REPEATED_KEY_SHARE = 0.1;
+/** Methods that carry a body. */
+const BODY_METHODS: readonly string[] = ["POST", "PUT", "PATCH"];
+
+export interface PlannedRequest {
+    /** Unique in the demo; the backend server reports it when it begins to run the request. */
+    readonly tag: string;
+    readonly route: string;
+    readonly class: string;
+    readonly method: string;
+    readonly path: string;
+    readonly host: string | undefined;
+    readonly idempotencyKey: string | undefined;
+    readonly body: string | undefined;
+}
+
+/** Draws requests so that every route, and with it every class, gets its turn. */
+export class RequestPlan {
+    readonly #routes: readonly RouteSettings[];
+    readonly #keyedByRoute = new Map<string, PlannedRequest[]>();
+    #drawn = 0;
+
+    constructor(document: MeshDocument, private readonly random: Random) {
+        this.#routes = Object.values(document.routes);
+    }
+
+    drawRequest(): PlannedRequest {
+        const route = this.#routes[this.#drawn % this.#routes.length];
+        if (route === undefined) {
+            throw new RangeError("The document has no route.");
+        }
+        const tag = `request-${this.#drawn++}`;
+        return route.repeatable ? this.#planRequest(route, tag, undefined) : this.#planKeyedRequest(route, tag);
+    }
+
+    /** A repetition is the same request again, under a new tag. */
+    #planKeyedRequest(route: RouteSettings, tag: string): PlannedRequest {
+        const earlier = this.#keyedByRoute.get(route.name) ?? [];
+        this.#keyedByRoute.set(route.name, earlier);
+        const repeated = this.random() < REPEATED_KEY_SHARE
+            ? earlier[Math.floor(this.random() * earlier.length)]
+            : undefined;
+        if (repeated !== undefined) {
+            return { ...repeated, tag };
+        }
+        const planned = this.#planRequest(route, tag, `key-of-${tag}`);
+        earlier.push(planned);
+        return planned;
+    }
+
+    #planRequest(route: RouteSettings, tag: string, idempotencyKey: string | undefined): PlannedRequest {
+        const method = route.match.methods[0] ?? "GET";
+        return {
+            body: BODY_METHODS.includes(method) ? JSON.stringify({ tag }) : undefined,
+            class: route.class,
+            host: route.match.host,
+            idempotencyKey,
+            method,
+            path: `${route.match.pathPrefix.replace(/\/$/, "")}/${Math.floor(this.random() * 1000)}`,
+            route: route.name,
+            tag,
+        };
+    }
+}
--- a/standins/backend/backend-server.ts
+++ b/standins/backend/backend-server.ts
@@ -1,6 +1,7 @@
 /**
  * Executable of the backend server stand-in. Prints one JSON object a line on standard output:
- * `{"event":"listening"}` with the port, then `{"event":"run"}` for each request that begins to run.
+ * `{"event":"listening"}` with the port, then `{"event":"run"}` with the time for each request that begins
+ * to run. Writes to a pipe are synchronous, so a crash loses none of them.
  * SIGTERM drains and ends it.
  */
 import type { ArgsDef } from "citty";
@@ -48,7 +49,7 @@
         host: flags.host ?? defaults.host,
         onCrash: () => process.exit(CRASH_EXIT_CODE),
         onRun: run => {
-            printEvent({ event: "run", ...run });
+            printEvent({ event: "run", time: Date.now(), ...run });
         },
         port: numberOf(flags.port, defaults.port),
         reportingLagMs: numberOf(flags["reporting-lag-ms"], defaults.reportingLagMs),
