--- /dev/null
+++ b/src/binaries/ProcessEnd.ts
@@ -0,0 +1,41 @@
+/** Ways in which a process of the project ends: by signal, or by an error that no part handled. */
+
+/** A planned stop was cut short by a second signal. */
+const FORCED_EXIT_CODE = 1;
+const UNCAUGHT_EXIT_CODE = 70;
+
+/** Logs one line with its structured fields. */
+export type LogLine = (fields: Readonly<Record<string, unknown>>, message: string) => void;
+
+/** Names the part that threw, from the folder of the first frame of the project's own code. */
+export function derivePart(error: unknown): string {
+    const stack = error instanceof Error ? error.stack ?? "" : "";
+    return /\/src\/[a-z]+\/([a-z]+)\//.exec(stack)?.[1] ?? "daemon";
+}
+
+/** Ends the process with a non-zero code, and one log line, after an error that no part handled. */
+export function registerUncaughtErrors(logFatal: LogLine): void {
+    const onError = (error: unknown): void => {
+        const detail = error instanceof Error ? error.message : String(error);
+        logFatal({ err: error }, `${derivePart(error)}: uncaught error: ${detail}`);
+        process.exit(UNCAUGHT_EXIT_CODE);
+    };
+    process.on("uncaughtException", onError);
+    process.on("unhandledRejection", onError);
+}
+
+/** Stops gracefully at the first SIGTERM or SIGINT and at once at the second. */
+export function registerStopSignals(stop: () => Promise<void>, logInfo: LogLine): void {
+    let isStopping = false;
+    const onSignal = (signal: NodeJS.Signals): void => {
+        if (isStopping) {
+            logInfo({ signal }, "daemon: second signal, stopping at once.");
+            process.exit(FORCED_EXIT_CODE);
+        }
+        isStopping = true;
+        logInfo({ signal }, "daemon: planned stop begins.");
+        void stop().then(() => process.exit(0));
+    };
+    process.on("SIGTERM", onSignal);
+    process.on("SIGINT", onSignal);
+}
--- /dev/null
+++ b/src/transport/daemon/ServerProbe.ts
@@ -0,0 +1,47 @@
+import { request } from "undici";
+import type { ServerWatch } from "../../coordination/renewal/index.js";
+import type { ServerRecord } from "../../state/members/index.js";
+import type { ReadMeshView } from "../../state/view/index.js";
+
+const TICK_INTERVAL_MS = 500;
+/** Used until a document that describes the service is in force. */
+const DEFAULT_PROBE = { path: "/health", timeoutMs: 1000 } as const;
+const SERVER_ERROR = 500;
+
+/** Ends what was registered. */
+export type Teardown = () => void;
+
+/** Sends one probe. Any answer below 500 shows a live server. */
+async function probeServer(server: ServerRecord, readView: ReadMeshView): Promise<boolean> {
+    const probe = readView().configuration?.document.services[server.service]?.probe ?? DEFAULT_PROBE;
+    const host = server.address.includes(":") ? `[${server.address}]` : server.address;
+    try {
+        const response = await request(`http://${host}:${server.port}${probe.path}`, {
+            signal: AbortSignal.timeout(probe.timeoutMs),
+        });
+        await response.body.dump();
+        return response.statusCode < SERVER_ERROR;
+    }
+    catch {
+        return false;
+    }
+}
+
+/** Checks the renewals of the daemon's server at an interval and probes it when the watch asks for it. */
+export function registerServerProbe(watch: ServerWatch, readView: ReadMeshView): Teardown {
+    let isProbing = false;
+    const timer = setInterval(() => {
+        const server = watch.readServer();
+        if (!watch.tick(Date.now()) || server === undefined || isProbing) {
+            return;
+        }
+        isProbing = true;
+        void probeServer(server.record, readView).then(answered => {
+            isProbing = false;
+            watch.observeProbe(answered, Date.now());
+        });
+    }, TICK_INTERVAL_MS);
+    return () => {
+        clearInterval(timer);
+    };
+}
