Join the parts of a daemon

Cause: mesh node, request proxy, claims, logging and control interface exist as parts; nothing starts them together. Change: transport/daemon composes them, with a planned stop that marks the server as leaving, ends the requests in flight, and hands the mesh node over. coordination/versions gives distribution checked access to versions. The proxy takes an address of its own for other daemons and tells when a request last showed its server's state. The demo's scenario, report and links follow; they need the store stand-in and the command line to run.

--- /dev/null
+++ b/demo/Demo.ts
@@ -0,0 +1,140 @@
+/**
+ * `npm run demo [-- --mesh lakeshore|marshals] [--json] [--keep] [--seed N]`: runs a whole mesh on
+ * loopback through changes, a drain and a crash, and checks each guarantee. Exit code 1 when one
+ * was broken.
+ */
+import type { ArgsDef } from "citty";
+import { defineCommand, runMain } from "citty";
+import { readFile } from "node:fs/promises";
+import { fileURLToPath } from "node:url";
+import type { MeshDocument } from "../src/state/document/index.js";
+import { parseDocument, resolveDocument } from "../src/state/document/index.js";
+import { ChildProcesses } from "./ChildProcesses.js";
+import { DaemonClient } from "./DaemonClient.js";
+import { planLayout } from "./DemoLayout.js";
+import { DemoMesh, drawSecrets } from "./DemoMesh.js";
+import type { DemoFigures } from "./DemoReport.js";
+import { renderReport } from "./DemoReport.js";
+import type { ScenarioResult } from "./DemoScenario.js";
+import { DemoScenario } from "./DemoScenario.js";
+import { chooseFreePorts } from "./FreePorts.js";
+import { checkPromises, collectKeysRunTwice, isAnswered } from "./PromiseChecks.js";
+
+const MESHES = ["lakeshore", "marshals"];
+const INTERRUPTED_EXIT_CODE = 130;
+
+const FLAGS = {
+    json: { description: "print the figures as one JSON object", type: "boolean" },
+    keep: { description: "leave the mesh running until Ctrl-C", type: "boolean" },
+    mesh: { default: "lakeshore", description: MESHES.join(" or "), type: "string" },
+    seed: { default: "1", description: "seed of the requests", type: "string" },
+} as const satisfies ArgsDef;
+
+function readExample(mesh: string): Promise<string> {
+    if (!MESHES.includes(mesh)) {
+        throw new RangeError(`--mesh is one of ${MESHES.join(", ")}.`);
+    }
+    return readFile(fileURLToPath(new URL(`../../examples/${mesh}.yaml`, import.meta.url)), "utf8");
+}
+
+function parseExample(text: string): MeshDocument {
+    const source = parseDocument(text).mapLeft(findings =>
+        new Error(findings.map(({ message }) => message).join("\n"))
+    );
+    return resolveDocument(source.unsafeCoerce());
+}
+
+function computeFigures({ controlBytes, convergenceMs, observations }: ScenarioResult): DemoFigures {
+    const reached = convergenceMs.filter(time => time !== undefined);
+    const answered = observations.results.filter(isAnswered).length;
+    return {
+        control_bytes: controlBytes.total,
+        convergence_ms: reached.length === convergenceMs.length ? Math.max(...reached) : null,
+        cross_region_bytes: controlBytes.crossRegion,
+        ran_twice: collectKeysRunTwice(observations.runs).length,
+        requests_failed: observations.results.length - answered,
+        requests_ok: answered,
+    };
+}
+
+function countFailures({ observations }: ScenarioResult): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const result of observations.results.filter(failed => !isAnswered(failed))) {
+        const kind = result.failure ?? `${result.status ?? ""} ${result.outcome ?? ""}`;
+        counts[kind] = (counts[kind] ?? 0) + 1;
+    }
+    return counts;
+}
+
+/** Prints the result and returns whether every guarantee was kept. */
+function printResult(result: ScenarioResult, title: string, json: boolean): boolean {
+    const checks = checkPromises(result.observations);
+    const figures = computeFigures(result);
+    const report = renderReport(title, figures, countFailures(result), checks);
+    (json ? process.stderr : process.stdout).write(`\n${report}`);
+    if (json) {
+        process.stdout.write(`${JSON.stringify(figures)}\n`);
+    }
+    return checks.every(check => check.violations.length === 0);
+}
+
+function printAddresses(mesh: DemoMesh, token: string): void {
+    const lines = mesh.places.map(place =>
+        `  ${place.id} (${place.service}): requests http://127.0.0.1:${place.requestPort}, `
+        + `control http://127.0.0.1:${place.controlPort}`
+    );
+    process.stdout.write(`Store ${mesh.storeUrl}, token ${token}\n${lines.join("\n")}\nCtrl-C ends the demo.\n`);
+}
+
+interface DemoArguments {
+    readonly json: boolean;
+    readonly keep: boolean;
+    readonly mesh: string;
+    readonly seed: number;
+}
+
+async function runDemo({ json, keep, mesh: name, seed }: DemoArguments): Promise<number> {
+    const text = await readExample(name);
+    const layout = await planLayout(parseExample(text), chooseFreePorts);
+    const processes = new ChildProcesses();
+    const interrupted = new Promise<void>(resolve => {
+        process.on("SIGINT", resolve);
+        process.on("SIGTERM", resolve);
+    });
+    const secrets = drawSecrets();
+    const mesh = new DemoMesh(layout, secrets, processes, seed);
+    const scenario = new DemoScenario({
+        client: new DaemonClient(secrets.token),
+        layout,
+        mesh,
+        print: line => process.stderr.write(`${line}\n`),
+        seed,
+        text,
+    });
+    try {
+        const result = await Promise.race([scenario.run(), interrupted]);
+        if (result === undefined) {
+            return INTERRUPTED_EXIT_CODE;
+        }
+        const kept = printResult(result, `Mesh ${name}, ${layout.places.length} daemons`, json);
+        if (keep) {
+            printAddresses(mesh, secrets.token);
+            await interrupted;
+        }
+        return kept ? 0 : 1;
+    }
+    finally {
+        await processes.stopAll();
+    }
+}
+
+const command = defineCommand({
+    args: FLAGS,
+    meta: { description: "Runs a whole mesh on loopback and checks its guarantees.", name: "demo" },
+    run: async ({ args }) => {
+        const { json = false, keep = false, mesh, seed } = args;
+        process.exit(await runDemo({ json, keep, mesh, seed: Number(seed) }));
+    },
+});
+
+await runMain(command);
--- /dev/null
+++ b/demo/DemoMesh.ts
@@ -0,0 +1,166 @@
+/** Starts the store stand-in, the daemons and the backend servers of the demo as processes on loopback. */
+import { randomBytes } from "node:crypto";
+import { fileURLToPath } from "node:url";
+import type { ChildProcesses, RunningProcess } from "./ChildProcesses.js";
+import type { DemoLayout, DemoPlace } from "./DemoLayout.js";
+import { DEMO_LINKS_VARIABLE, encodeLinks } from "./DemoLinks.js";
+import type { SeenRun } from "./PromiseChecks.js";
+
+const HOST = "127.0.0.1";
+const SECRET_BYTES = 24;
+const SERVICE_TIME_MS = 8;
+const SEEDS = 3;
+
+/** Script of the build, relative to the folder of the demo. */
+function findScript(path: string): string {
+    return fileURLToPath(new URL(path, import.meta.url));
+}
+
+/** Secrets drawn for one demo. */
+export interface DemoSecrets {
+    readonly meshKey: string;
+    readonly token: string;
+}
+
+export function drawSecrets(): DemoSecrets {
+    const drawSecret = (): string => randomBytes(SECRET_BYTES).toString("base64url");
+    return { meshKey: drawSecret(), token: drawSecret() };
+}
+
+/** Line of the backend server stand-in's standard output. */
+interface BackendEvent {
+    readonly event: string;
+    readonly time: number;
+    readonly tag?: string;
+    readonly idempotencyKey?: string;
+}
+
+export class DemoMesh {
+    readonly runs: SeenRun[] = [];
+    readonly #servers = new Map<string, RunningProcess>();
+    readonly #daemons = new Map<string, RunningProcess>();
+
+    constructor(
+        private readonly layout: DemoLayout,
+        private readonly secrets: DemoSecrets,
+        private readonly processes: ChildProcesses,
+        private readonly seed: number,
+    ) {}
+
+    get storeUrl(): string {
+        return `http://${HOST}:${this.layout.storePort}`;
+    }
+
+    get places(): readonly DemoPlace[] {
+        return this.layout.places;
+    }
+
+    startAll(): void {
+        this.#startStore();
+        for (const place of this.places) {
+            this.#startDaemon(place);
+            this.startServer(place);
+        }
+    }
+
+    startServer(place: DemoPlace): void {
+        const flags = {
+            "connections": place.connections,
+            "daemon": `http://${HOST}:${place.controlPort}`,
+            "port": place.serverPort,
+            "seed": this.seed + place.serverPort,
+            "service": place.service,
+            "service-time-ms": SERVICE_TIME_MS,
+            "slots": place.slots,
+        };
+        const server = this.processes.start({
+            args: buildArguments(flags),
+            name: `server ${place.id}`,
+            onLine: line => {
+                this.#recordRun(place.id, JSON.parse(line) as BackendEvent);
+            },
+            script: findScript("../standins/backend/backend-server.js"),
+        });
+        this.#servers.set(place.id, server);
+    }
+
+    readServer(id: string): RunningProcess {
+        const server = this.#servers.get(id);
+        if (server === undefined) {
+            throw new RangeError(`There is no server ${id}.`);
+        }
+        return server;
+    }
+
+    /** Runs one command of the command line and returns its standard output. */
+    async runCommand(args: readonly string[]): Promise<string> {
+        const lines: string[] = [];
+        const command = this.processes.start({
+            args,
+            environment: {
+                PAPAYATURN_MESH_KEY: this.secrets.meshKey,
+                PAPAYATURN_STORE: this.storeUrl,
+                PAPAYATURN_TOKEN: this.secrets.token,
+            },
+            name: `papayaturn ${args.join(" ")}`,
+            onLine: line => lines.push(line),
+            script: findScript("../src/binaries/papayaturn.js"),
+        });
+        const { code } = await command.exited;
+        if (code !== 0) {
+            throw new Error(`${command.name} ended with code ${code ?? "none"}:\n${command.lastLines.join("\n")}`);
+        }
+        return lines.join("\n");
+    }
+
+    /** Daemons that ended although nobody asked them to, with their last lines. */
+    listEndedDaemons(): readonly string[] {
+        return [...this.#daemons.values()].filter(daemon => !daemon.isRunning)
+            .map(daemon => `${daemon.name} ended:\n${daemon.lastLines.join("\n")}`);
+    }
+
+    #startStore(): void {
+        this.processes.start({
+            args: buildArguments({ host: HOST, port: this.layout.storePort }),
+            name: "store",
+            script: findScript("../standins/store/store-server.js"),
+        });
+    }
+
+    #startDaemon(place: DemoPlace): void {
+        const flags = {
+            "address": HOST,
+            "control-port": place.controlPort,
+            "failure-domain": place.failureDomain,
+            "id": place.id,
+            "log-level": "warn",
+            "peer-port": place.peerPort,
+            "region": place.region,
+            "relay-port": place.relayPort,
+            "request-port": place.requestPort,
+            "seed": this.places.slice(0, SEEDS).map(({ peerPort }) => `${HOST}:${peerPort}`).join(","),
+            "store": this.storeUrl,
+        };
+        const daemon = this.processes.start({
+            args: buildArguments(flags),
+            environment: {
+                [DEMO_LINKS_VARIABLE]: encodeLinks(this.layout.document.mesh),
+                PAPAYATURN_MESH_KEY: this.secrets.meshKey,
+                PAPAYATURN_TOKEN: this.secrets.token,
+            },
+            name: `daemon ${place.id}`,
+            script: findScript("./demo-daemon.js"),
+        });
+        this.#daemons.set(place.id, daemon);
+    }
+
+    #recordRun(server: string, { event, idempotencyKey, tag, time }: BackendEvent): void {
+        if (event === "run") {
+            this.runs.push({ idempotencyKey, server, tag, time });
+        }
+    }
+}
+
+function buildArguments(flags: Readonly<Record<string, string | number>>): readonly string[] {
+    return Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]);
+}
--- /dev/null
+++ b/demo/DemoScenario.ts
@@ -0,0 +1,189 @@
+/** The steps of the demo: apply, load, two changes, a drain, a crash, and the observations of it all. */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as wait } from "node:timers/promises";
+import { createSeededRandom } from "../src/state/shared/index.js";
+import type { DaemonClient } from "./DaemonClient.js";
+import { DEMO_CHANGES } from "./DemoChanges.js";
+import type { DemoLayout, DemoPlace } from "./DemoLayout.js";
+import type { DemoMesh } from "./DemoMesh.js";
+import type { Observations, SeenDrain } from "./PromiseChecks.js";
+import type { RequestLoad } from "./RequestLoad.js";
+import { startRequestLoad } from "./RequestLoad.js";
+import { RequestPlan } from "./RequestPlan.js";
+import { VersionWatch } from "./VersionWatch.js";
+
+const READY_LIMIT_MS = 30_000;
+const CONVERGENCE_LIMIT_MS = 20_000;
+const POLL_INTERVAL_MS = 100;
+const REQUESTS_PER_SECOND = 150;
+/** Time under load before and after each step. */
+const STEP_PAUSE_MS = 1500;
+/** A crashed server stays away longer than the time after which it is announced as dead. */
+const CRASH_ABSENCE_MS = 4500;
+
+/** Writes one line of progress. */
+export type PrintProgress = (line: string) => void;
+
+export interface ScenarioOptions {
+    readonly mesh: DemoMesh;
+    readonly layout: DemoLayout;
+    readonly client: DaemonClient;
+    /** Text of the example document. */
+    readonly text: string;
+    readonly seed: number;
+    readonly print: PrintProgress;
+}
+
+export interface ScenarioResult {
+    readonly observations: Observations;
+    /** One convergence time for each accepted version; undefined where some daemon never had it in force. */
+    readonly convergenceMs: readonly (number | undefined)[];
+    readonly controlBytes: { readonly total: number; readonly crossRegion: number; };
+}
+
+/** Answer of `papayaturn apply --json`. */
+interface AppliedVersion {
+    readonly version: number;
+    /** Time of acceptance in milliseconds. */
+    readonly time: number;
+}
+
+export class DemoScenario {
+    readonly #watch: VersionWatch;
+    readonly #convergenceMs: (number | undefined)[] = [];
+    #text: string;
+    #lastAccepted = 0;
+
+    constructor(private readonly options: ScenarioOptions) {
+        this.#watch = new VersionWatch(options.client, options.mesh.places);
+        this.#text = options.text;
+    }
+
+    async run(): Promise<ScenarioResult> {
+        const { layout, mesh, print, seed } = this.options;
+        print(`Starting a store, ${mesh.places.length} daemons and ${mesh.places.length} backend servers.`);
+        mesh.startAll();
+        await this.#awaitAnnouncements();
+        this.#watch.start();
+        await this.#apply("example document", this.#text);
+        const load = startRequestLoad(
+            new RequestPlan(layout.document, createSeededRandom(seed)),
+            mesh.places.map(place => place.requestPort),
+            REQUESTS_PER_SECOND,
+        );
+        const drains = await this.#runSteps(load);
+        await this.#watch.stop();
+        return {
+            controlBytes: this.#sumControlBytes(),
+            convergenceMs: this.#convergenceMs,
+            observations: await this.#observe(await load.finish(), drains),
+        };
+    }
+
+    async #runSteps(load: RequestLoad): Promise<readonly SeenDrain[]> {
+        const { mesh, print } = this.options;
+        await wait(STEP_PAUSE_MS);
+        for (const change of DEMO_CHANGES) {
+            await this.#apply(change.description, change.apply(this.#text));
+            await wait(STEP_PAUSE_MS);
+        }
+        const [drained, , crashed] = mesh.places;
+        if (drained === undefined || crashed === undefined) {
+            throw new RangeError("The document plans fewer than three servers.");
+        }
+        const drain = await this.#drainServer(drained);
+        await wait(STEP_PAUSE_MS);
+        print(`Server of ${crashed.id} crashes.`);
+        mesh.readServer(crashed.id).signal("SIGKILL");
+        await wait(CRASH_ABSENCE_MS);
+        mesh.startServer(crashed);
+        await wait(STEP_PAUSE_MS);
+        print(`${load.results.length} requests were answered or failed.`);
+        return [drain];
+    }
+
+    async #apply(description: string, text: string): Promise<void> {
+        const { mesh, print } = this.options;
+        const { time, version } = await this.#runApply(text);
+        this.#text = text;
+        this.#lastAccepted = version;
+        const reached = await this.#watch.awaitVersion(version, Date.now() + CONVERGENCE_LIMIT_MS);
+        const tookMs = reached === undefined ? undefined : reached - time;
+        this.#convergenceMs.push(tookMs);
+        const detail = tookMs === undefined
+            ? "is not in force everywhere"
+            : `is in force everywhere after ${tookMs} ms`;
+        print(`Version ${version} (${description}) ${detail}.`);
+        for (const ended of mesh.listEndedDaemons()) {
+            print(ended);
+        }
+    }
+
+    async #runApply(text: string): Promise<AppliedVersion> {
+        const folder = await mkdtemp(join(tmpdir(), "papayaturn-demo-"));
+        try {
+            const file = join(folder, "document.yaml");
+            await writeFile(file, text);
+            return JSON.parse(await this.options.mesh.runCommand(["apply", file, "--json"])) as AppliedVersion;
+        }
+        finally {
+            await rm(folder, { force: true, recursive: true });
+        }
+    }
+
+    async #drainServer(place: DemoPlace): Promise<SeenDrain> {
+        const { mesh, print } = this.options;
+        print(`Server of ${place.id} is restarted with a drain.`);
+        const beganAt = Date.now();
+        const { code } = await mesh.readServer(place.id).stop();
+        const endedAt = Date.now();
+        mesh.startServer(place);
+        return { beganAt, ended: code === 0, endedAt, server: place.id };
+    }
+
+    /** Waits until every daemon knows that every server is live. */
+    async #awaitAnnouncements(): Promise<void> {
+        const { client, mesh } = this.options;
+        const deadline = Date.now() + READY_LIMIT_MS;
+        for (const place of mesh.places) {
+            while (!await hasLearntAll(client, place, mesh.places.length)) {
+                if (Date.now() > deadline || mesh.listEndedDaemons().length > 0) {
+                    const ended = mesh.listEndedDaemons().join("\n");
+                    throw new Error(`${place.id} did not learn of all servers in time.\n${ended}`);
+                }
+                await wait(POLL_INTERVAL_MS);
+            }
+        }
+    }
+
+    async #observe(results: Observations["results"], drains: readonly SeenDrain[]): Promise<Observations> {
+        const { client, layout, mesh } = this.options;
+        const dangling = await Promise.all(
+            mesh.places.map(place => client.listDanglingRoutes(place, layout.document)),
+        );
+        return {
+            daemons: mesh.places.map(({ id }) => id),
+            danglingRoutes: dangling.flat(),
+            drains,
+            lastAccepted: this.#lastAccepted,
+            results,
+            runs: mesh.runs,
+            versions: this.#watch.seen,
+        };
+    }
+
+    #sumControlBytes(): ScenarioResult["controlBytes"] {
+        const latest = this.options.mesh.places.map(({ id }) => this.#watch.readLatest(id)?.counters);
+        return {
+            crossRegion: latest.reduce((sum, bytes) => sum + (bytes?.sentBytesAcrossRegions ?? 0), 0),
+            total: latest.reduce((sum, bytes) => sum + (bytes?.sentBytes ?? 0), 0),
+        };
+    }
+}
+
+async function hasLearntAll(client: DaemonClient, place: DemoPlace, count: number): Promise<boolean> {
+    const members = await client.readMembers(place);
+    return members !== undefined && members.filter(({ state }) => state === "live").length === count;
+}
--- /dev/null
+++ b/demo/VersionWatch.ts
@@ -0,0 +1,57 @@
+import { setTimeout as wait } from "node:timers/promises";
+import type { DaemonStatus } from "../src/transport/daemon/index.js";
+import type { DaemonClient } from "./DaemonClient.js";
+import type { DemoPlace } from "./DemoLayout.js";
+import type { SeenVersion } from "./PromiseChecks.js";
+
+const POLL_INTERVAL_MS = 200;
+
+/** Polls the status of every daemon and keeps each in-force version that was seen. */
+export class VersionWatch {
+    readonly seen: SeenVersion[] = [];
+    readonly #latest = new Map<string, DaemonStatus>();
+    readonly #stopping = new AbortController();
+    #task: Promise<void> | undefined;
+
+    constructor(private readonly client: DaemonClient, private readonly places: readonly DemoPlace[]) {}
+
+    start(): void {
+        this.#task = this.#poll();
+    }
+
+    async stop(): Promise<void> {
+        this.#stopping.abort();
+        await this.#task;
+    }
+
+    readLatest(id: string): DaemonStatus | undefined {
+        return this.#latest.get(id);
+    }
+
+    /** Returns when the last daemon put `version` in force, or undefined when some have not by the deadline. */
+    async awaitVersion(version: number, deadline: number): Promise<number | undefined> {
+        while (Date.now() < deadline) {
+            const inForce = this.places.map(({ id }) => this.#latest.get(id)?.inForce);
+            if (inForce.every(status => status !== undefined && status.version >= version)) {
+                return Math.max(...inForce.map(status => status?.since ?? 0));
+            }
+            await wait(POLL_INTERVAL_MS / 2);
+        }
+        return undefined;
+    }
+
+    async #poll(): Promise<void> {
+        while (!this.#stopping.signal.aborted) {
+            await Promise.all(this.places.map(place => this.#observe(place)));
+            await wait(POLL_INTERVAL_MS);
+        }
+    }
+
+    async #observe(place: DemoPlace): Promise<void> {
+        const status = await this.client.readStatus(place);
+        if (status !== undefined) {
+            this.#latest.set(place.id, status);
+            this.seen.push({ daemon: place.id, root: status.inForce?.root, version: status.inForce?.version });
+        }
+    }
+}
--- a/src/coordination/renewal/ServerWatch.ts
+++ b/src/coordination/renewal/ServerWatch.ts
@@ -78,10 +78,10 @@
         }
     }
 
-    /** Notes that a request was answered by the server. */
-    observeAnswer(now: number): void {
-        if (this.#server !== undefined) {
-            this.#server = { ...this.#server, seenAt: now };
+    /** Notes that a request showed the server's state at a time, which may lie before others. */
+    observeAnswer(time: number): void {
+        if (this.#server !== undefined && time > this.#server.seenAt) {
+            this.#server = { ...this.#server, seenAt: time };
         }
     }
 
--- /dev/null
+++ b/src/coordination/versions/index.ts
@@ -0,0 +1,1 @@
+export { createVersionAccess } from "./VersionAccess.js";
--- a/src/transport/control/ControlInterface.ts
+++ b/src/transport/control/ControlInterface.ts
@@ -6,8 +6,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import { isIP } from "node:net";
 import type { ServerWatch } from "../../coordination/renewal/index.js";
-import type { ExplainQuery as ExplainQueryType } from "./ControlMessages.js";
-import { AnnounceBody, ExplainQuery, LeavingBody, RenewBody } from "./ControlMessages.js";
+import { AnnounceBody, ExplainQuery, LeavingBody, RenewBody, StatusQuery } from "./ControlMessages.js";
 import { RateLimit } from "./RateLimit.js";
 
 const BODY_LIMIT_BYTES = 16 * 1024;
@@ -27,11 +26,11 @@
     /** Bearer token of operators' calls. */
     readonly token: string;
     readonly serverWatch: ServerWatch;
-    readonly readStatus: () => unknown;
+    readonly readStatus: (scope: StatusQuery["scope"]) => unknown;
     readonly readHistograms: () => unknown;
     readonly readMembers: () => unknown;
     readonly readHealth: () => ControlHealth;
-    readonly explain: (query: ExplainQueryType) => unknown;
+    readonly explain: (query: ExplainQuery) => unknown;
 }
 
 export interface ControlInterface {
@@ -97,10 +96,14 @@
             await answerFailure(reply.header("www-authenticate", "Bearer"), 401, "A bearer token is required.");
         }
     };
-    app.get("/v1/status", { onRequest }, (_request, reply) => reply.send(options.readStatus()));
+    app.get<{ Querystring: StatusQuery; }>(
+        "/v1/status",
+        { onRequest, schema: { querystring: StatusQuery } },
+        async (request, reply) => reply.send(await options.readStatus(request.query.scope)),
+    );
     app.get("/v1/histograms", { onRequest }, (_request, reply) => reply.send(options.readHistograms()));
     app.get("/v1/members", { onRequest }, (_request, reply) => reply.send(options.readMembers()));
-    app.get<{ Querystring: ExplainQueryType; }>(
+    app.get<{ Querystring: ExplainQuery; }>(
         "/v1/explain",
         { onRequest, schema: { querystring: ExplainQuery } },
         (request, reply) => reply.send(options.explain(request.query)),
--- a/src/transport/control/ControlMessages.ts
+++ b/src/transport/control/ControlMessages.ts
@@ -33,9 +33,16 @@
 }, { additionalProperties: false });
 export type LeavingBody = Static<typeof LeavingBody>;
 
+/** Query of `GET /v1/status`: the whole mesh as its relays know it, or only what the daemon knows itself. */
+export const StatusQuery = Type.Object({
+    scope: Type.Union([Type.Literal("mesh"), Type.Literal("daemon")], { default: "mesh" }),
+}, { additionalProperties: false });
+export type StatusQuery = Static<typeof StatusQuery>;
+
 /** Query of `GET /v1/explain`: the request whose route and server are to be explained. */
 export const ExplainQuery = Type.Object({
     host: Type.Optional(Type.String()),
+    key: Type.Optional(Type.String()),
     method: Type.String({ default: "GET" }),
     path: Type.String({ default: "/" }),
 }, { additionalProperties: false });
--- /dev/null
+++ b/src/transport/daemon/DaemonOptions.ts
@@ -0,0 +1,23 @@
+import type { StorePort } from "../../state/store/index.js";
+import type { CreatePartLogger } from "../logging/index.js";
+import type { DelayLink } from "../mesh/index.js";
+
+/** What a daemon is given beside its settings. */
+export interface DaemonEffects {
+    readonly createPartLogger: CreatePartLogger;
+    readonly store: StorePort;
+    /** Latency and capacity of links, which the demo and measurements apply. */
+    readonly delayLink?: DelayLink;
+}
+
+/** One running daemon. */
+export interface Daemon {
+    readonly requestPort: number;
+    readonly relayPort: number;
+    readonly peerPort: number;
+    readonly controlPort: number;
+    /** Planned stop: hands everything over and interrupts no request. */
+    stop(): Promise<void>;
+    /** Ends at once as a crash does; for tests. */
+    closeAbruptly(): Promise<void>;
+}
--- /dev/null
+++ b/src/transport/daemon/RequestPath.ts
@@ -0,0 +1,95 @@
+/** Joins the request proxy with claims, metrics and the access log. */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { ClaimLedger, ClaimSettings } from "../../coordination/claims/index.js";
+import { createClaimLedger } from "../../coordination/claims/index.js";
+import { MemberState } from "../../state/members/index.js";
+import type { Random } from "../../state/shared/index.js";
+import type { ReadMeshView } from "../../state/view/index.js";
+import { createAccessLog } from "../logging/index.js";
+import type { MetricsSummary } from "../metrics/index.js";
+import { combineRecorders, createRequestMetrics, registerMetricsSender } from "../metrics/index.js";
+import type { RequestProxy } from "../proxy/index.js";
+import { startRequestProxy } from "../proxy/index.js";
+import type { DaemonSettings } from "../settings/index.js";
+import type { DaemonEffects } from "./DaemonOptions.js";
+
+/** Used only until a version is in force; no request is executed before. */
+const DEFAULT_CLAIMS: ClaimSettings = { answerBytes: 4096, retentionMs: 24 * 60 * 60 * 1000, shards: 32 };
+const GONE_STATES: ReadonlySet<MemberState> = new Set([MemberState.Left, MemberState.Dead]);
+
+export interface RequestPath {
+    readonly proxy: RequestProxy;
+    readHistograms(): MetricsSummary;
+    /** Ends the requests in flight and then the claims and metrics. */
+    stop(): Promise<void>;
+}
+
+export interface RequestPathOptions extends DaemonEffects {
+    readonly settings: DaemonSettings;
+    readonly readView: ReadMeshView;
+    /** Milliseconds; must not jump. */
+    readonly now: () => number;
+    readonly random: Random;
+}
+
+function createLedger({ now, random, readView, settings, store }: RequestPathOptions): ClaimLedger {
+    return createClaimLedger({
+        executor: settings.id,
+        isExecutorGone: executor => {
+            const state = readView().members.get(executor)?.state;
+            return state !== undefined && GONE_STATES.has(state);
+        },
+        now,
+        random,
+        readSettings: () => readView().configuration?.document.mesh.claims ?? DEFAULT_CLAIMS,
+        store,
+        uptime: () => performance.now(),
+        wait: (ms, signal) => sleep(ms, undefined, signal === undefined ? {} : { signal }).catch(() => undefined),
+    });
+}
+
+/** Starts the request path. It refuses every request, as not run, until a version is in force. */
+export async function startRequestPath(options: RequestPathOptions): Promise<RequestPath> {
+    const { createPartLogger, now, random, readView, settings } = options;
+    const proxyLog = createPartLogger("proxy");
+    const metricsLog = createPartLogger("metrics");
+    const metrics = createRequestMetrics();
+    const ledger = createLedger(options);
+    const stopMetrics = await registerMetricsSender({
+        metrics,
+        onError: error => {
+            metricsLog.warn("could not send.", { err: error });
+        },
+        tags: { daemon: settings.id, failureDomain: settings.failureDomain },
+        target: settings.statsd === undefined
+            ? undefined
+            : { address: settings.statsd.host, port: settings.statsd.port },
+    });
+    const proxy = await startRequestProxy({
+        address: settings.requestHost,
+        claims: ledger,
+        failureDomain: settings.failureDomain,
+        log: (level, message, fields) => {
+            proxyLog[level](message.replace(/^proxy: /, ""), fields);
+        },
+        meshKey: settings.meshKey,
+        now,
+        random,
+        readView,
+        recorder: combineRecorders([metrics, createAccessLog(createPartLogger("access"))]),
+        region: settings.region,
+        relayAddress: settings.address,
+        relayPort: settings.relayPort,
+        requestPort: settings.requestPort,
+        selfId: settings.id,
+    });
+    return {
+        proxy,
+        readHistograms: () => metrics.summarize(),
+        stop: async () => {
+            await Promise.race([proxy.stop(), sleep(settings.stopTimeoutMs, undefined, { ref: false })]);
+            ledger.stop();
+            await stopMetrics();
+        },
+    };
+}
--- a/src/transport/daemon/ServerProbe.ts
+++ b/src/transport/daemon/ServerProbe.ts
@@ -28,9 +28,14 @@
 }
 
 /** Checks the renewals of the daemon's server at an interval and probes it when the watch asks for it. */
-export function registerServerProbe(watch: ServerWatch, readView: ReadMeshView): Teardown {
+export function registerServerProbe(
+    watch: ServerWatch,
+    readView: ReadMeshView,
+    readLastResultAt: () => number,
+): Teardown {
     let isProbing = false;
     const timer = setInterval(() => {
+        watch.observeAnswer(readLastResultAt());
         const server = watch.readServer();
         if (!watch.tick(Date.now()) || server === undefined || isProbing) {
             return;
--- a/src/transport/proxy/ProxyContext.ts
+++ b/src/transport/proxy/ProxyContext.ts
@@ -26,8 +26,10 @@
 export type TakeRetry = (service: string, now: number) => boolean;
 
 export interface RequestProxyOptions {
-    /** Address of both ports; an IP address. */
+    /** Address of the callers' port; an IP address. */
     readonly address: string;
+    /** Address of the port for other daemons; `address` when omitted. */
+    readonly relayAddress?: string;
     /** Port for callers; 0 takes any. */
     readonly requestPort: number;
     /** Port for requests and lease renewals of other daemons; 0 takes any. */
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -29,6 +29,8 @@
     setServerState(state: MemberState): void;
     /** Load of the own server as other daemons see it. */
     readLoad(): LoadReport;
+    /** Last time, on the scale of `now`, that a request showed the own server's state. */
+    readLastResultAt(): number;
     /** Refuses new work, lets work in flight end, then closes all connections. */
     stop(): Promise<void>;
 }
@@ -55,7 +57,7 @@
         (request, response) => handleRelayRequest(context, request, response),
     );
     const requestPort = await openPort(callers, options.requestPort, options.address);
-    const relayPort = await openPort(relays, options.relayPort, options.address);
+    const relayPort = await openPort(relays, options.relayPort, options.relayAddress ?? options.address);
     const stopRenewal = registerLeaseRenewal(context);
     options.log("info", "proxy: accepts requests.", { requestPort, relayPort });
     return {
@@ -66,6 +68,7 @@
             context.ownServer.setState(serverState);
         },
         readLoad: () => context.ownServer.readLoad(options.now()),
+        readLastResultAt: () => context.ownServer.lastResultAt,
         stop: async () => {
             state.isStopping = true;
             while (inFlight.size > 0) {
