Run the daemon as a process

Change: papayaturn-daemon and the demo's variant parse settings, start a daemon, and end it by signal or with one log line after an uncaught error. The traffic with the store is part of the status.

--- a/demo/DemoMesh.ts
+++ b/demo/DemoMesh.ts
@@ -123,7 +123,7 @@
         this.processes.start({
             args: buildArguments({ host: HOST, port: this.layout.storePort }),
             name: "store",
-            script: findScript("../standins/store/store-server.js"),
+            script: findScript("../standins/store/main.js"),
         });
     }
 
--- a/demo/DemoScenario.ts
+++ b/demo/DemoScenario.ts
@@ -174,12 +174,18 @@
         };
     }
 
+    /** Traffic between daemons, and of daemons with the store, which is in one of the regions. */
     #sumControlBytes(): ScenarioResult["controlBytes"] {
-        const latest = this.options.mesh.places.map(({ id }) => this.#watch.readLatest(id)?.counters);
-        return {
-            crossRegion: latest.reduce((sum, bytes) => sum + (bytes?.sentBytesAcrossRegions ?? 0), 0),
-            total: latest.reduce((sum, bytes) => sum + (bytes?.sentBytes ?? 0), 0),
-        };
+        const { layout, mesh } = this.options;
+        const sum = { crossRegion: 0, total: 0 };
+        for (const { id, region } of mesh.places) {
+            const status = this.#watch.readLatest(id);
+            const storeBytes = (status?.storeBytes.receivedBytes ?? 0) + (status?.storeBytes.sentBytes ?? 0);
+            sum.total += (status?.counters.sentBytes ?? 0) + storeBytes;
+            sum.crossRegion += (status?.counters.sentBytesAcrossRegions ?? 0)
+                + (region === layout.document.mesh.storeRegion ? 0 : storeBytes);
+        }
+        return sum;
     }
 }
 
--- /dev/null
+++ b/demo/demo-daemon.ts
@@ -0,0 +1,6 @@
+/** The daemon of the demo: the usual daemon with the latencies and links of the example document. */
+import { runDaemonProcess } from "../src/binaries/DaemonProcess.js";
+import { createDemoDelay, decodeLinks, DEMO_LINKS_VARIABLE } from "./DemoLinks.js";
+
+const links = process.env[DEMO_LINKS_VARIABLE];
+await runDaemonProcess(process.argv.slice(2), links === undefined ? undefined : createDemoDelay(decodeLinks(links)));
--- /dev/null
+++ b/src/binaries/DaemonProcess.ts
@@ -0,0 +1,72 @@
+/** Runs a daemon as a process: settings, log, start, signals and exit codes. */
+import { renderUsage } from "citty";
+import { startDaemon } from "../transport/daemon/index.js";
+import { createLogger } from "../transport/logging/index.js";
+import type { DelayLink } from "../transport/mesh/index.js";
+import type { DaemonSettings, SettingFinding } from "../transport/settings/index.js";
+import { DAEMON_FLAGS, parseDaemonSettings } from "../transport/settings/index.js";
+import { createStoreClient } from "../transport/store/index.js";
+import { registerStopSignals, registerUncaughtErrors } from "./ProcessEnd.js";
+
+const USAGE_EXIT_CODE = 2;
+const START_EXIT_CODE = 1;
+/** The store answers in milliseconds; a lost answer is noticed after this time. */
+const STORE_TIMEOUT_MS = 2000;
+
+async function printUsage(): Promise<void> {
+    const meta = {
+        description: "Proxy and configuration daemon beside one backend server.",
+        name: "papayaturn-daemon",
+    };
+    process.stdout.write(`${await renderUsage({ args: DAEMON_FLAGS, meta })}\n`);
+}
+
+function printFindings(findings: readonly SettingFinding[]): void {
+    for (const { message, setting } of findings) {
+        process.stderr.write(`settings: ${setting} ${message}.\n`);
+    }
+}
+
+async function startProcess(settings: DaemonSettings, delayLink: DelayLink | undefined): Promise<void> {
+    const createPartLogger = createLogger({
+        fields: { daemon: settings.id },
+        level: settings.logLevel,
+        name: "papayaturn-daemon",
+    });
+    const log = createPartLogger("daemon");
+    registerUncaughtErrors((part, sentence, fields) => {
+        createPartLogger(part).error(sentence, fields);
+    });
+    const storeOptions = { timeoutMs: STORE_TIMEOUT_MS, url: settings.storeUrl };
+    try {
+        const daemon = await startDaemon(settings, {
+            claimStore: createStoreClient(storeOptions),
+            createPartLogger,
+            store: createStoreClient(storeOptions),
+            ...(delayLink === undefined ? {} : { delayLink }),
+        });
+        const { controlPort, peerPort, relayPort, requestPort } = daemon;
+        log.info("started.", { controlPort, peerPort, relayPort, requestPort });
+        registerStopSignals(() => daemon.stop(), log.info);
+    }
+    catch (error) {
+        log.error(`could not start: ${(error as Error).message}.`, { err: error });
+        process.exitCode = START_EXIT_CODE;
+        setImmediate(() => process.exit());
+    }
+}
+
+/** Runs the daemon that the arguments and the environment describe. */
+export async function runDaemonProcess(argv: readonly string[], delayLink?: DelayLink): Promise<void> {
+    if (argv.includes("--help") || argv.includes("-h")) {
+        await printUsage();
+        return;
+    }
+    await parseDaemonSettings(argv, process.env).caseOf<Promise<void> | void>({
+        Left: findings => {
+            printFindings(findings);
+            process.exitCode = USAGE_EXIT_CODE;
+        },
+        Right: settings => startProcess(settings, delayLink),
+    });
+}
--- a/src/coordination/versions/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export { createVersionAccess } from "./VersionAccess.js";
--- a/src/transport/daemon/Daemon.ts
+++ b/src/transport/daemon/Daemon.ts
@@ -2,7 +2,6 @@
 import { randomInt } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ServerWatch } from "../../coordination/renewal/index.js";
-import { createVersionAccess } from "../../coordination/versions/index.js";
 import { createSeededRandom } from "../../state/shared/index.js";
 import type { MeshView, ReadMeshView } from "../../state/view/index.js";
 import type { ControlHealth, ControlInterface } from "../control/index.js";
@@ -11,6 +10,7 @@
 import type { MeshLog, MeshNode } from "../mesh/index.js";
 import { startMeshNode } from "../mesh/index.js";
 import type { DaemonSettings } from "../settings/index.js";
+import type { StoreClient } from "../store/index.js";
 import { createDaemonClock } from "./DaemonClock.js";
 import type { Daemon, DaemonEffects } from "./DaemonOptions.js";
 import type { DaemonStatus } from "./DaemonStatus.js";
@@ -51,6 +51,7 @@
         private readonly log: PartLogger,
         private readonly mesh: MeshNode,
         private readonly path: RequestPath,
+        private readonly store: StoreClient,
     ) {
         this.#watch = new ServerWatch((record, state) => {
             log.info(`server of ${record.service} is ${state}.`, { server: record });
@@ -117,6 +118,7 @@
     async #finish(): Promise<void> {
         this.#stopProbe();
         await this.#control?.stop();
+        await this.store.close();
     }
 
     #observeView(view: MeshView): void {
@@ -145,6 +147,7 @@
             isStopping: this.#isStopping,
             residentBytes: process.memoryUsage.rss(),
             server: this.#watch.readServer(),
+            storeBytes: this.store.readTransferredBytes(),
             uptimeMs: Math.round(performance.now() - this.#startedAt),
         };
     }
@@ -175,11 +178,10 @@
         relayPort: path.proxy.relayPort,
         seeds: settings.seeds.map(({ host, port }) => host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`),
         store: effects.store,
-        versions: createVersionAccess(settings.meshKey),
         ...(effects.delayLink === undefined ? {} : { delayLink: effects.delayLink }),
     });
     readView = () => mesh.readView();
-    const daemon = new RunningDaemon(settings, effects.createPartLogger("daemon"), mesh, path);
+    const daemon = new RunningDaemon(settings, effects.createPartLogger("daemon"), mesh, path, effects.store);
     await daemon.startControl();
     return daemon;
 }
--- a/src/transport/daemon/DaemonOptions.ts
+++ b/src/transport/daemon/DaemonOptions.ts
@@ -1,11 +1,15 @@
 import type { StorePort } from "../../state/store/index.js";
 import type { CreatePartLogger } from "../logging/index.js";
 import type { DelayLink } from "../mesh/index.js";
+import type { StoreClient } from "../store/index.js";
 
 /** What a daemon is given beside its settings. */
 export interface DaemonEffects {
     readonly createPartLogger: CreatePartLogger;
-    readonly store: StorePort;
+    /** Store of the configuration; its traffic is counted as control bytes. */
+    readonly store: StoreClient;
+    /** Store of the claims. */
+    readonly claimStore: StorePort;
     /** Latency and capacity of links, which the demo and measurements apply. */
     readonly delayLink?: DelayLink;
 }
--- a/src/transport/daemon/DaemonStatus.ts
+++ b/src/transport/daemon/DaemonStatus.ts
@@ -1,6 +1,7 @@
 import type { WatchedServer } from "../../coordination/renewal/index.js";
 import type { MeshView } from "../../state/view/index.js";
 import type { ControlCounters } from "../mesh/index.js";
+import type { TransferredBytes } from "../store/index.js";
 
 /** The version in force and when this daemon put it in force. */
 export interface InForceStatus {
@@ -16,7 +17,10 @@
     readonly inForce: InForceStatus | undefined;
     /** The backend server beside the daemon, as it announced itself. */
     readonly server: WatchedServer | undefined;
+    /** Traffic with other daemons. */
     readonly counters: ControlCounters;
+    /** Traffic with the store for the configuration; that of claims is not counted. */
+    readonly storeBytes: TransferredBytes;
     readonly residentBytes: number;
     readonly uptimeMs: number;
     readonly isStopping: boolean;
--- a/src/transport/daemon/RequestPath.ts
+++ b/src/transport/daemon/RequestPath.ts
@@ -32,7 +32,7 @@
     readonly random: Random;
 }
 
-function createLedger({ now, random, readView, settings, store }: RequestPathOptions): ClaimLedger {
+function createLedger({ claimStore, now, random, readView, settings }: RequestPathOptions): ClaimLedger {
     return createClaimLedger({
         executor: settings.id,
         isExecutorGone: executor => {
@@ -42,7 +42,7 @@
         now,
         random,
         readSettings: () => readView().configuration?.document.mesh.claims ?? DEFAULT_CLAIMS,
-        store,
+        store: claimStore,
         uptime: () => performance.now(),
         wait: (ms, signal) => sleep(ms, undefined, signal === undefined ? {} : { signal }).catch(() => undefined),
     });
