Add the command line

Operators validate, compare, apply, watch, roll back, export and explain with stable exit codes, JSON output and help with examples. citty parses the arguments; unknown options, missing values and surplus arguments are refused here, because citty ignores them. Secrets come from files or the environment only, since other users can see arguments.

--- /dev/null
+++ b/src/console/cli/CliConnections.ts
@@ -0,0 +1,118 @@
+/** Connections of the commands to the store and to a daemon, from flags and environment. */
+import type { ArgsDef } from "citty";
+import type { StoreAccess } from "../../coordination/acceptance/index.js";
+import type { DaemonClient, DaemonError } from "../../transport/operators/index.js";
+import { createDaemonClient } from "../../transport/operators/index.js";
+import { createStoreClient } from "../../transport/store/index.js";
+import type { CliContext } from "./CliContext.js";
+import { CommandFailure, ExitCode } from "./ExitCode.js";
+
+/** Time after which an answer of the store or of a daemon counts as lost. */
+const TIMEOUT_MS = 5_000;
+
+export const JSON_FLAG = { json: { description: "Print one JSON value instead of text.", type: "boolean" } } as const;
+
+export const STORE_FLAGS = {
+    "store": { description: "Address of the store; or PAPAYATURN_STORE_URL.", type: "string", valueHint: "url" },
+    "mesh-key-file": {
+        description: "File with the mesh key; or PAPAYATURN_MESH_KEY with the key itself.",
+        type: "string",
+        valueHint: "file",
+    },
+} as const satisfies ArgsDef;
+
+export const DAEMON_FLAGS = {
+    "daemon": {
+        description: "Address of a daemon's control interface; or PAPAYATURN_DAEMON_URL.",
+        type: "string",
+        valueHint: "url",
+    },
+    "token-file": {
+        description: "File with the operators' token; or PAPAYATURN_TOKEN with the token itself.",
+        type: "string",
+        valueHint: "file",
+    },
+} as const satisfies ArgsDef;
+
+/** Values of the flags above. */
+interface ConnectionArgs {
+    readonly "store"?: string | undefined;
+    readonly "mesh-key-file"?: string | undefined;
+    readonly "daemon"?: string | undefined;
+    readonly "token-file"?: string | undefined;
+}
+
+/** The store as commands use it. */
+export interface StoreConnection {
+    readonly access: StoreAccess;
+    readonly meshKey: string;
+}
+
+/** Reads a secret from a file or the environment; never from an argument, which other users could see. */
+async function readSecret(
+    context: CliContext,
+    file: string | undefined,
+    variable: string,
+): Promise<string | undefined> {
+    const text = file === undefined ? context.environment[variable] : await readFile(context, file);
+    return text?.trim() === "" ? undefined : text?.trim();
+}
+
+/** Reads a file that the operator named. */
+export async function readFile(context: CliContext, path: string): Promise<string> {
+    try {
+        return await context.readText(path);
+    }
+    catch (error) {
+        throw new CommandFailure(ExitCode.Usage, `"${path}" can't be read: ${(error as Error).message}.`);
+    }
+}
+
+function checkAddress(address: string, name: string): string {
+    if (!URL.canParse(address) || !address.startsWith("http")) {
+        throw new CommandFailure(
+            ExitCode.Usage,
+            `"${address}" is no address of a ${name}, such as http://127.0.0.1:7400.`,
+        );
+    }
+    return address;
+}
+
+/** Runs an action with the store and closes the connections afterwards. */
+export async function withStore<Result>(
+    args: ConnectionArgs,
+    context: CliContext,
+    action: (connection: StoreConnection) => Promise<Result>,
+): Promise<Result> {
+    const url = args.store ?? context.environment["PAPAYATURN_STORE_URL"];
+    const meshKey = await readSecret(context, args["mesh-key-file"], "PAPAYATURN_MESH_KEY");
+    if (url === undefined || meshKey === undefined) {
+        throw new CommandFailure(
+            ExitCode.Usage,
+            url === undefined
+                ? "The store is not known: use --store or PAPAYATURN_STORE_URL."
+                : "The mesh key is not known: use --mesh-key-file or PAPAYATURN_MESH_KEY.",
+        );
+    }
+    const store = createStoreClient({ timeoutMs: TIMEOUT_MS, url: checkAddress(url, "store") });
+    try {
+        return await action({ access: { random: context.random, sleep: context.sleep, store }, meshKey });
+    }
+    finally {
+        await store.close();
+    }
+}
+
+/** Opens the daemon that the arguments or the environment name; undefined when none is named. */
+export async function openDaemon(args: ConnectionArgs, context: CliContext): Promise<DaemonClient | undefined> {
+    const url = args.daemon ?? context.environment["PAPAYATURN_DAEMON_URL"];
+    const token = await readSecret(context, args["token-file"], "PAPAYATURN_TOKEN");
+    return url === undefined
+        ? undefined
+        : createDaemonClient({ timeoutMs: TIMEOUT_MS, token, url: checkAddress(url, "daemon") });
+}
+
+/** Creates the failure of a command that a daemon did not answer. */
+export function createDaemonFailure(error: DaemonError): CommandFailure {
+    return new CommandFailure(error.kind === "unreachable" ? ExitCode.Unreachable : ExitCode.Failed, error.detail);
+}
--- /dev/null
+++ b/src/console/cli/CliDocuments.ts
@@ -0,0 +1,21 @@
+import type { SourceDocument } from "../../state/document/index.js";
+import { formatFinding, parseDocument } from "../../state/document/index.js";
+import { readFile } from "./CliConnections.js";
+import type { CliContext } from "./CliContext.js";
+import { writeResult } from "./CliContext.js";
+
+/** Reads the document of a file; undefined after its findings were reported. */
+export async function readDocumentFile(
+    context: CliContext,
+    file: string,
+    isJson: boolean | undefined,
+): Promise<SourceDocument | undefined> {
+    const parsed = parseDocument(await readFile(context, file), { file });
+    return parsed.ifLeft(findings => {
+        if (isJson === true) {
+            writeResult(context, true, { findings, kind: "refused" }, []);
+            return;
+        }
+        context.writeError(`${findings.map(formatFinding).join("\n")}\n`);
+    }).toMaybe().extract();
+}
--- /dev/null
+++ b/src/console/cli/commands/ExplainCommand.ts
@@ -0,0 +1,140 @@
+import type { SourceDocument } from "../../../state/document/index.js";
+import type { DaemonClient, ExplainedRequest } from "../../../transport/operators/index.js";
+import { createCommand } from "../CliCommand.js";
+import { createDaemonFailure, DAEMON_FLAGS, JSON_FLAG, openDaemon, STORE_FLAGS, withStore } from "../CliConnections.js";
+import type { CliContext } from "../CliContext.js";
+import { writeResult } from "../CliContext.js";
+import { requireDocument } from "../CliVersions.js";
+import { CommandFailure, ExitCode } from "../ExitCode.js";
+
+/** The part of a daemon's explanation that is shown; the rest is printed with `--json`. */
+interface Explanation {
+    readonly version?: number;
+    readonly route?: string;
+    readonly service?: string;
+    readonly class?: string;
+    readonly repeatable?: boolean;
+    readonly servers?: readonly ExplainedServer[];
+    readonly keyOrder?: readonly string[];
+}
+
+interface ExplainedServer {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly distance: number;
+    readonly hop: string;
+    readonly inFlight: number;
+    readonly utilization: number;
+    readonly isEjected: boolean;
+}
+
+/** Names of the distances that a daemon reports. */
+const DISTANCES = ["own failure domain", "own region", "another region"];
+
+const REQUEST_PATTERN = /^(?:([A-Za-z]+) +)?(\/\S*)$/;
+
+/** Parses `GET /path` or `/path`; undefined when the text is a name. */
+function parseRequest(text: string): ExplainedRequest | undefined {
+    const match = REQUEST_PATTERN.exec(text.trim());
+    return match?.[2] === undefined ? undefined : { method: (match[1] ?? "GET").toUpperCase(), path: match[2] };
+}
+
+/** Lists a request for each route of a name: the route itself, or the routes of a service. */
+function listRequests(source: SourceDocument, text: string): readonly ExplainedRequest[] {
+    const [kind, name] = text.includes("/") ? text.split("/", 2) : [undefined, text];
+    const routes = Object.entries(source.routes).filter(([route, { service }]) =>
+        kind !== "service" && route === name || kind !== "route" && service === name
+    );
+    return routes.map(([, { match }]) => ({
+        ...(match.host === undefined ? {} : { host: match.host }),
+        method: match.methods?.[0] ?? "GET",
+        path: match.path,
+    }));
+}
+
+function formatServer({ distance, failureDomain, hop, id, inFlight, isEjected, utilization }: ExplainedServer): string {
+    const place = `${failureDomain} (${DISTANCES[distance] ?? "elsewhere"})`;
+    const load = `${inFlight} in flight, ${Math.round(utilization * 100)}% used`;
+    return `  ${id} in ${place}: ${hop}, ${load}${isEjected ? ", ejected" : ""}`;
+}
+
+function formatExplanation(request: ExplainedRequest, explanation: Explanation): readonly string[] {
+    const { keyOrder = [], repeatable, route, servers = [], service, version } = explanation;
+    const title = `${request.method} ${request.path}`;
+    if (version === undefined) {
+        return [`${title}: no version is in force on this daemon.`];
+    }
+    if (route === undefined) {
+        return [`${title}: no route of version ${version} matches.`];
+    }
+    const repeat = repeatable === true ? "repeatable" : "runs at most once";
+    return [
+        `${title}: route ${route} to service ${service}, class ${explanation.class}, ${repeat}, version ${version}`,
+        ...(servers.length > 0 ? servers.map(formatServer) : ["  no backend server is known"]),
+        ...(keyOrder.length > 0 ? [`  order for this key: ${keyOrder.join(", ")}`] : []),
+    ];
+}
+
+async function explainRequest(daemon: DaemonClient, request: ExplainedRequest): Promise<Explanation> {
+    return (await daemon.explain(request)).caseOf<Explanation>({
+        Left: error => {
+            throw createDaemonFailure(error);
+        },
+        Right: explanation => explanation,
+    });
+}
+
+async function requireDaemon(args: Parameters<typeof openDaemon>[0], context: CliContext): Promise<DaemonClient> {
+    const daemon = await openDaemon(args, context);
+    if (daemon === undefined) {
+        throw new CommandFailure(ExitCode.Usage, "The daemon is not known: use --daemon or PAPAYATURN_DAEMON_URL.");
+    }
+    return daemon;
+}
+
+export const explainCommand = createCommand({
+    name: "explain",
+    description: "Show where a daemon would send a request, or the requests of a route or service, and why.",
+    args: {
+        target: {
+            description: "A request such as \"POST /deposits\", or the name of a route or service.",
+            required: true,
+            type: "positional",
+        },
+        host: { description: "Host name of the request.", type: "string" },
+        key: { description: "Idempotency key of the request.", type: "string" },
+        ...DAEMON_FLAGS,
+        ...STORE_FLAGS,
+        ...JSON_FLAG,
+    },
+    examples: [
+        "papayaturn explain \"POST /deposits\"",
+        "papayaturn explain pay-deposit",
+        "papayaturn explain service/ledger",
+    ],
+    async run(args, context) {
+        const daemon = await requireDaemon(args, context);
+        const request = parseRequest(args.target);
+        const requests = request === undefined
+            ? listRequests(
+                (await withStore(args, context, store => requireDocument(store, undefined))).source,
+                args.target,
+            )
+            : [request];
+        if (requests.length === 0) {
+            throw new CommandFailure(
+                ExitCode.NotFound,
+                `The current version has no route or service "${args.target}".`,
+            );
+        }
+        const explained = await Promise.all(requests.map(async item => {
+            const { host = item.host, key } = args;
+            const query = { ...item, ...(host === undefined ? {} : { host }), ...(key === undefined ? {} : { key }) };
+            return { explanation: await explainRequest(daemon, query), request: query };
+        }));
+        const lines = explained.flatMap(item => formatExplanation(item.request, item.explanation));
+        writeResult(context, args.json, { requests: explained }, lines);
+        const isRouted = explained.some(item => item.explanation.route !== undefined);
+        return isRouted ? ExitCode.Success : ExitCode.NotFound;
+    },
+});
--- /dev/null
+++ b/src/console/cli/index.ts
@@ -0,0 +1,3 @@
+export { COMMANDS, runCli } from "./Cli.js";
+export type { CliContext } from "./CliContext.js";
+export { ExitCode } from "./ExitCode.js";
--- a/src/state/document/index.ts
+++ b/src/state/document/index.ts
@@ -1,4 +1,6 @@
 export { MAXIMUM_DOCUMENT_BYTES, MAXIMUM_RESOURCE_BYTES } from "./DocumentConstants.js";
+export { diffDocuments } from "./DocumentDiff.js";
+export type { ResourceChange, SettingChange } from "./DocumentDiff.js";
 export { formatDocument } from "./DocumentFormat.js";
 export { resolveDocument, resolveResources } from "./DocumentResolution.js";
 export { joinResources, splitDocument } from "./DocumentResources.js";
@@ -27,3 +29,4 @@
     ServiceSettings,
 } from "./MeshDocument.js";
 export { parseQuantity, QuantityKind } from "./Quantity.js";
+export { findSuggestion } from "./Suggestion.js";
