--- a/src/console/cli/CliCommand.ts
+++ b/src/console/cli/CliCommand.ts
@@ -20,7 +20,10 @@
 }
 
 /** Renders the help of a command with its examples. */
-export async function renderHelp(command: CliCommand, context: CliContext): Promise<string> {
+export async function renderHelp(
+    command: CliCommand,
+    context: Pick<CliContext, "environment" | "isTerminal">,
+): Promise<string> {
     const usage = await renderUsage(
         defineCommand({ args: command.args, meta: { description: command.description, name: command.name } }),
         defineCommand({ meta: { name: "papayaturn" } }),
--- /dev/null
+++ b/src/console/cli/__tests__/unit/pages.test.ts
@@ -0,0 +1,14 @@
+import { readFile } from "node:fs/promises";
+import { expect, test } from "vitest";
+import { renderConfigurationPage } from "../../../../state/document/index.js";
+import { renderCliPage } from "../../index.js";
+
+// Guards against pages that describe settings or options which no longer exist, or leave out new ones.
+test.each(
+    [
+        ["configuration", () => Promise.resolve(renderConfigurationPage())],
+        ["cli", renderCliPage],
+    ] as const,
+)("docs/%s.md is what its npm script writes", async (name, renderPage) => {
+    expect(await readFile(`docs/${name}.md`, "utf8")).toBe(await renderPage());
+});
--- a/src/state/document/DocumentConstants.ts
+++ b/src/state/document/DocumentConstants.ts
@@ -12,3 +12,6 @@
 
 /** Findings reported for one document; more would hide the first ones. */
 export const MAXIMUM_FINDINGS = 200;
+
+/** Syntax findings reported for one document; most of them follow from the first. */
+export const MAXIMUM_SYNTAX_FINDINGS = 10;
--- a/src/state/document/DocumentText.ts
+++ b/src/state/document/DocumentText.ts
@@ -14,7 +14,7 @@
     parseAllDocuments,
     visit,
 } from "yaml";
-import { MAXIMUM_DEPTH, MAXIMUM_DOCUMENT_BYTES } from "./DocumentConstants.js";
+import { MAXIMUM_DEPTH, MAXIMUM_DOCUMENT_BYTES, MAXIMUM_SYNTAX_FINDINGS } from "./DocumentConstants.js";
 import type { SourceDocument } from "./DocumentSchema.js";
 import { limitFindings, listProblems } from "./DocumentValidation.js";
 import type { Finding, PathSegment, Problem } from "./Finding.js";
@@ -134,9 +134,10 @@
     const { errors } = parsed.document;
     // The parser reports each level beyond its own limit; one finding says it.
     const firstTooDeep = errors.find(error => error.code === "RESOURCE_EXHAUSTION");
-    return errors
+    const findings = errors
         .filter(error => firstTooDeep === undefined || error === firstTooDeep)
         .map(error => createFinding(describeSyntaxError(error, parsed.document), error.pos[0], parsed));
+    return isReadable(parsed.document) ? findings : limitFindings(findings, MAXIMUM_SYNTAX_FINDINGS);
 }
 
 function createWholeFinding(problem: Omit<Problem, "at" | "segments">, file: string | undefined): Finding {
@@ -161,37 +162,42 @@
     return document.errors.every(error => error.code === "DUPLICATE_KEY");
 }
 
-/**
- * Parses and validates document text. All findings are reported together, each with its line and
- * column; with a syntax error only the faults of the text are known.
- */
-export function parseDocument(
-    text: string,
-    { file }: ParseOptions = {},
-): Either<readonly Finding[], SourceDocument> {
+/** Parses text that is one document and not empty; the syntax may still have errors. */
+function parseText(text: string, file: string | undefined): Either<Finding, ParsedText> {
     const bytes = Buffer.byteLength(text);
     if (bytes > MAXIMUM_DOCUMENT_BYTES) {
-        return Left([createWholeFinding(createTooLargeProblem(bytes), file)]);
+        return Left(createWholeFinding(createTooLargeProblem(bytes), file));
     }
     const lines = new LineCounter();
     const documents = parseAllDocuments(text, { lineCounter: lines, prettyErrors: false });
     const document = "empty" in documents ? undefined : documents[0];
-    if (document === undefined || document.contents === null) {
-        return Left([
-            createWholeFinding({ expected: "a document with the key mesh", message: "The document is empty." }, file),
-        ]);
+    if (document === undefined || document.contents === null && documents.length === 1) {
+        const problem = { expected: "a document with the key mesh", message: "The document is empty." };
+        return Left(createWholeFinding(problem, file));
     }
-    const parsed = { document, file, lines };
-    const findings = [...listSyntaxFindings(parsed), ...listStructureFindings(parsed)];
     if (documents.length > 1) {
-        findings.push(
-            createWholeFinding({ expected: "one document", message: "The text has several documents." }, file),
-        );
-    }
-    if (!isReadable(document) || findings.length > document.errors.length) {
-        return Left(limitFindings(findings));
+        const problem = { expected: "one document", message: "The text has several documents." };
+        return Left(createWholeFinding(problem, file));
     }
-    const value: unknown = document.toJS();
-    findings.push(...listValueFindings(parsed, value));
-    return findings.length > 0 ? Left(limitFindings(findings)) : Right(value as SourceDocument);
+    return Right({ document, file, lines });
+}
+
+/**
+ * Parses and validates document text. All findings are reported together, each with its line and
+ * column; with a syntax error only the faults of the text are known.
+ */
+export function parseDocument(
+    text: string,
+    { file }: ParseOptions = {},
+): Either<readonly Finding[], SourceDocument> {
+    return parseText(text, file).mapLeft(finding => [finding] as readonly Finding[]).chain(parsed => {
+        const structure = listStructureFindings(parsed);
+        const findings = [...listSyntaxFindings(parsed), ...structure];
+        if (!isReadable(parsed.document) || structure.length > 0) {
+            return Left(limitFindings(findings));
+        }
+        const value: unknown = parsed.document.toJS();
+        findings.push(...listValueFindings(parsed, value));
+        return findings.length > 0 ? Left(limitFindings(findings)) : Right(value as SourceDocument);
+    });
 }
--- a/src/state/document/DocumentValidation.ts
+++ b/src/state/document/DocumentValidation.ts
@@ -19,17 +19,11 @@
     return [...listReferenceProblems(source), ...listSizeProblems(source)];
 }
 
-/** Keeps the first findings of a long list and says how many were left out. */
-export function limitFindings(findings: readonly Finding[]): readonly Finding[] {
-    if (findings.length <= MAXIMUM_FINDINGS) {
-        return findings;
-    }
-    return [...findings.slice(0, MAXIMUM_FINDINGS), {
-        expected: "fewer",
-        message: `${findings.length - MAXIMUM_FINDINGS} more findings are not shown.`,
-        path: "",
-        segments: [],
-    }];
+/** Keeps the first findings of a long list and says, at the place of the next one, how many were left out. */
+export function limitFindings(findings: readonly Finding[], limit = MAXIMUM_FINDINGS): readonly Finding[] {
+    const next = findings[limit];
+    const message = `${findings.length - limit} more findings are not shown.`;
+    return next === undefined ? findings : [...findings.slice(0, limit), { ...next, expected: "fewer", message }];
 }
 
 /** Validates a value that has no text, for example a document from a form. */
--- a/src/state/document/SchemaRules.ts
+++ b/src/state/document/SchemaRules.ts
@@ -8,8 +8,11 @@
 import { NAME_PATTERN } from "./SchemaBuilders.js";
 import { describeKnown } from "./Suggestion.js";
 
-/** The parts of a schema that the messages use. */
-interface DescribedSchema {
+/** The parts of a schema that messages and pages use. */
+export interface DescribedSchema {
+    readonly default?: unknown;
+    readonly items?: DescribedSchema;
+    readonly required?: readonly string[] | undefined;
     readonly type?: string;
     readonly description?: string;
     readonly enum?: readonly string[];
--- a/src/state/document/index.ts
+++ b/src/state/document/index.ts
@@ -1,3 +1,4 @@
+export { renderConfigurationPage } from "./ConfigurationPage.js";
 export { MAXIMUM_DOCUMENT_BYTES, MAXIMUM_RESOURCE_BYTES } from "./DocumentConstants.js";
 export { diffDocuments } from "./DocumentDiff.js";
 export type { ResourceChange, SettingChange } from "./DocumentDiff.js";
