--- a/src/coordination/claims/ForwardedOperation.ts
+++ b/src/coordination/claims/ForwardedOperation.ts
@@ -3,7 +3,7 @@
 import type { CommitFailure, CommitResult } from "./ShardCommitter.js";
 
 import { Type } from "@sinclair/typebox";
-import { Value } from "@sinclair/typebox/value";
+import { TypeCompiler } from "@sinclair/typebox/compiler";
 import { Either, Left, Right } from "purify-ts/Either";
 import { ClaimSchema, ShardOperationSchema } from "../../state/claims/index.js";
 
@@ -28,13 +28,16 @@
     Type.Object({ failure: Type.Object({ possiblyCommitted: Type.Boolean(), detail: Type.String() }) }),
 ]);
 
+const checkForwardedOperation = TypeCompiler.Compile(ForwardedOperationSchema);
+const checkCommitResult = TypeCompiler.Compile(CommitResultSchema);
+
 export function encodeForwardedOperation(request: ForwardedOperation): string {
     return JSON.stringify(request);
 }
 
 export function decodeForwardedOperation(text: string): Either<string, ForwardedOperation> {
     return parseJson(text).chain(value =>
-        Value.Check(ForwardedOperationSchema, value)
+        checkForwardedOperation.Check(value)
             ? Right(value as ForwardedOperation)
             : Left("the request is not a forwarded operation")
     );
@@ -50,7 +53,7 @@
 
 export function decodeCommitResult(text: string): Either<string, CommitResult> {
     return parseJson(text).chain((value): Either<string, CommitResult> => {
-        if (!Value.Check(CommitResultSchema, value)) {
+        if (!checkCommitResult.Check(value)) {
             return Left("the answer is not the result of a forwarded operation");
         }
         return Right("entry" in value ? Right(value.entry as Claim) : Left(value.failure as CommitFailure));
--- a/src/coordination/claims/ShardWriter.ts
+++ b/src/coordination/claims/ShardWriter.ts
@@ -168,13 +168,19 @@
     ): Promise<Either<StoreError, ShardHead>> {
         const startedAt = this.#context.uptime();
         this.#lastWriteAt = startedAt;
+        const value = encodeClaims(shard);
         onSend();
         const result = await this.#context.store.put(
             this.#objectName,
-            encodeClaims(shard),
+            value,
             head.version === undefined ? { kind: "absent" } : { kind: "version", version: head.version },
         );
-        const written = result.map((version): ShardHead => ({ shard, version, confirmedAt: startedAt }));
+        const written = result.map((version): ShardHead => ({
+            shard,
+            version,
+            bytes: value.length,
+            confirmedAt: startedAt,
+        }));
         this.#head = written.isRight() ? written.extract() as ShardHead : undefined;
         if (written.isRight() && shard.removed.length > 0) {
             void this.#sealing.clean(shard);
@@ -202,11 +208,11 @@
 
 function decodeHead(object: StoredObject | undefined, confirmedAt: number): Either<RoundFailure, ShardHead> {
     if (object === undefined) {
-        return Right({ shard: EMPTY_SHARD, version: undefined, confirmedAt });
+        return Right({ shard: EMPTY_SHARD, version: undefined, bytes: 0, confirmedAt });
     }
     return decodeShard(object.value)
         .mapLeft((detail): RoundFailure => ({ kind: "failed", detail: `${object.key} is damaged: ${detail}` }))
-        .map(shard => ({ shard, version: object.version, confirmedAt }));
+        .map(shard => ({ shard, version: object.version, bytes: object.value.length, confirmedAt }));
 }
 
 /** A rate limit is treated as contention: the store answers, and waiting helps. */
--- a/src/coordination/claims/TailSealing.ts
+++ b/src/coordination/claims/TailSealing.ts
@@ -8,6 +8,8 @@
 export interface ShardHead {
     readonly shard: ClaimShard;
     readonly version: ObjectVersion | undefined;
+    /** Length of the object's value. */
+    readonly bytes: number;
     /** Time in milliseconds at which the confirming call to the store began. */
     readonly confirmedAt: number;
 }
@@ -61,7 +63,7 @@
     async function prepare(head: ShardHead): Promise<ClaimShard> {
         await dropStaleDraft(head);
         const shard = { ...head.shard, removed: head.shard.removed.filter(({ name }) => !deleted.has(name)) };
-        const isLarge = Buffer.byteLength(encodeClaims(shard.tail)) > SEAL_ABOVE_BYTES;
+        const isLarge = head.bytes > SEAL_ABOVE_BYTES && encodeClaims(shard.tail).length > SEAL_ABOVE_BYTES;
         if (!isLarge || head.version === undefined) {
             return shard;
         }
--- a/src/coordination/claims/Waiting.ts
+++ b/src/coordination/claims/Waiting.ts
@@ -15,6 +15,9 @@
     }
 }
 
+/** Reason of all aborts here; without one, each abort would create an error with its stack. */
+const ENDED = "ended";
+
 /** Resolves with the promise's value, or with undefined as soon as the signal aborts. */
 export async function awaitUnlessAborted<T>(
     promise: Promise<T>,
@@ -26,11 +29,12 @@
     if (signal.aborted) {
         return undefined;
     }
-    const settled = new AbortController();
+    let cancel: () => void = () => undefined;
     const aborted = new Promise<undefined>(resolve => {
-        signal.addEventListener("abort", () => resolve(undefined), { once: true, signal: settled.signal });
+        cancel = () => resolve(undefined);
+        signal.addEventListener("abort", cancel, { once: true });
     });
-    return Promise.race([promise, aborted]).finally(() => settled.abort());
+    return Promise.race([promise, aborted]).finally(() => signal.removeEventListener("abort", cancel));
 }
 
 /** A signal that aborts when a deadline passes or another signal aborts. */
@@ -44,9 +48,9 @@
 export function startDeadline(remainingMs: number, wait: Wait, signal: AbortSignal | undefined): Deadline {
     const passed = new AbortController();
     const cleared = new AbortController();
-    const forward = (): void => passed.abort();
+    const forward = (): void => passed.abort(ENDED);
     if (remainingMs <= 0 || signal?.aborted) {
-        passed.abort();
+        forward();
     }
     else {
         signal?.addEventListener("abort", forward, { once: true });
@@ -56,7 +60,7 @@
         signal: passed.signal,
         clear: () => {
             signal?.removeEventListener("abort", forward);
-            cleared.abort();
+            cleared.abort(ENDED);
         },
     };
 }
--- a/src/state/claims/ClaimEncoding.ts
+++ b/src/state/claims/ClaimEncoding.ts
@@ -3,7 +3,7 @@
 import type { Claim, ClaimShard } from "./Claim.js";
 
 import { Type } from "@sinclair/typebox";
-import { Value } from "@sinclair/typebox/value";
+import { TypeCompiler } from "@sinclair/typebox/compiler";
 import { Left, Right } from "purify-ts/Either";
 
 import { ClaimState } from "./Claim.js";
@@ -50,22 +50,26 @@
 const SealedClaimsSchema = Type.Array(ClaimSchema);
 const LayoutSchema = Type.Object({ shards: Type.Integer({ minimum: 1 }) });
 
+const checkShard = TypeCompiler.Compile(ClaimShardSchema);
+const checkSealedClaims = TypeCompiler.Compile(SealedClaimsSchema);
+const checkLayout = TypeCompiler.Compile(LayoutSchema);
+
 /** Encodes a shard, the entries of a sealed object, or the layout as JSON text. */
 export function encodeClaims(value: ClaimShard | readonly Claim[] | Static<typeof LayoutSchema>): string {
     return JSON.stringify(value);
 }
 
 export function decodeShard(text: string): Either<string, ClaimShard> {
-    return decodeText(text, value => Value.Check(ClaimShardSchema, value) ? value as ClaimShard : undefined);
+    return decodeText(text, value => checkShard.Check(value) ? value as ClaimShard : undefined);
 }
 
 export function decodeSealedClaims(text: string): Either<string, readonly Claim[]> {
-    return decodeText(text, value => Value.Check(SealedClaimsSchema, value) ? value as readonly Claim[] : undefined);
+    return decodeText(text, value => checkSealedClaims.Check(value) ? value as readonly Claim[] : undefined);
 }
 
 /** Decodes the number of shards that the store's layout object fixes. */
 export function decodeLayout(text: string): Either<string, number> {
-    return decodeText(text, value => Value.Check(LayoutSchema, value) ? value.shards : undefined);
+    return decodeText(text, value => checkLayout.Check(value) ? value.shards : undefined);
 }
 
 function decodeText<T>(text: string, match: (value: unknown) => T | undefined): Either<string, T> {
