--- a/src/transport/proxy/LeaseRenewing.ts
+++ b/src/transport/proxy/LeaseRenewing.ts
@@ -22,7 +22,7 @@
     const pending = new Set<string>();
     // A renewal is left out while the last one has no answer; the lease then lapses by itself.
     const renew = (plan: RenewalPlan): void => {
-        if (!pending.has(plan.owner)) {
+        if (options.isLeasing !== false && !pending.has(plan.owner)) {
             pending.add(plan.owner);
             void renewLease(context, plan).finally(() => pending.delete(plan.owner));
         }
--- a/src/transport/proxy/ProxyContext.ts
+++ b/src/transport/proxy/ProxyContext.ts
@@ -47,6 +47,8 @@
     readonly reportServerFailure?: (detail: string) => void;
     readonly chooseServer?: ChooseServer;
     readonly takeRetry?: TakeRetry;
+    /** False makes every request to another server go through its owner; for measurements. */
+    readonly isLeasing?: boolean;
 }
 
 /** What the parts of the request path share. */
