--- a/src/transport/daemon/Daemon.ts
+++ b/src/transport/daemon/Daemon.ts
@@ -111,7 +111,7 @@
 
     async closeAbruptly(): Promise<void> {
         this.#isStopping = true;
-        await this.mesh.closeAbruptly();
+        await Promise.all([this.path.closeAbruptly(), this.mesh.closeAbruptly()]);
         await this.#finish();
     }
 
--- a/src/transport/daemon/RequestPath.ts
+++ b/src/transport/daemon/RequestPath.ts
@@ -22,6 +22,8 @@
     readHistograms(): MetricsSummary;
     /** Ends the requests in flight and then the claims and metrics. */
     stop(): Promise<void>;
+    /** Ends at once as a crash does: claims in progress are not settled. */
+    closeAbruptly(): Promise<void>;
 }
 
 export interface RequestPathOptions extends DaemonEffects {
@@ -91,5 +93,9 @@
             ledger.stop();
             await stopMetrics();
         },
+        closeAbruptly: async () => {
+            ledger.stop();
+            await Promise.all([proxy.closeAbruptly(), stopMetrics()]);
+        },
     };
 }
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -35,6 +35,8 @@
     readLastResultAt(): number;
     /** Refuses new work, lets work in flight end, then closes all connections. */
     stop(): Promise<void>;
+    /** Closes all connections at once, as a crash does; for tests. */
+    closeAbruptly(): Promise<void>;
 }
 
 type RequestHandler = (
@@ -63,6 +65,13 @@
     const leaseRenewing = startLeaseRenewing(context);
     state.leaseRenewing = leaseRenewing;
     const stopProbing = registerServerProbing(context);
+    const closeParts = async (): Promise<void> => {
+        stopProbing();
+        await leaseRenewing.stop();
+        await Promise.all([close(callers), close(relays)]);
+        context.deadlines.stop();
+        await context.pools.stop();
+    };
     options.log("info", "proxy: accepts requests.", { requestPort, relayPort });
     return {
         requestPort,
@@ -78,13 +87,13 @@
             while (inFlight.size > 0) {
                 await Promise.all(inFlight);
             }
-            stopProbing();
-            await leaseRenewing.stop();
-            await Promise.all([close(callers), close(relays)]);
-            context.deadlines.stop();
-            await context.pools.stop();
+            await closeParts();
             options.log("info", "proxy: stopped.");
         },
+        closeAbruptly: () => {
+            state.isStopping = true;
+            return closeParts();
+        },
     };
 }
 
