Add the console's pages, forms and publication

Cause: operators had no way to change a document but its text. Change: src/console/web serves forms derived from the document schema, a review of what changes, publication by the conditional update, conflict handling with a merge setting by setting, lost answers, import, export, history and the convergence view. Drafts travel in hidden fields, sessions in a signed cookie, so the console keeps nothing. createStoreConfiguration binds it to acceptance. describeExpected is exported from the document module; the verbs rebase and review are added.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,9 +8,9 @@
     + "execute expect expire explain export extract fail fetch fill filter find finish fit flush fold force format forward freeze generate get give grant handle "
     + "has hash hold import increment inflate inject insert install invariant is join keep kill lease limit link list load log lookup make map mark match "
     + "measure merge move normalize note notify observe on open order parse pass pause percentile pick plan prepare print probe proceed process propose prove proxy "
-    + "publish pull push put queue raise rank read rebuild receive reconcile record redirect refill refresh refuse refute register "
+    + "publish pull push put queue raise rank read rebuild rebase receive reconcile record redirect refill refresh refuse refute register "
     + "reject relay release remember remove renew render repair replace replay report request require reserve reset resolve respond restore "
-    + "resume retry return revoke round run sample save scan schedule seal select send serve set settle shift should show shuffle sign skip sleep "
+    + "resume retry return review revoke round run sample save scan schedule seal select send serve set settle shift should show shuffle sign skip sleep "
     + "sort spawn spend split spread start step stop store stream strip submit subscribe sum summarize suspect sweep take tell throttle tick to toggle track "
     + "transform trim truncate try unpack update use validate verify visit wait walk warm watch weigh with wrap write yield"
 ).split(" ");
--- /dev/null
+++ b/src/console/web/ConsoleServer.ts
@@ -0,0 +1,92 @@
+/** The operators' console: pages for forms, history and convergence over a configuration port. */
+import "reflect-metadata";
+import helmet from "@fastify/helmet";
+import { Module } from "@nestjs/common";
+import { NestFactory } from "@nestjs/core";
+import type { NestFastifyApplication } from "@nestjs/platform-fastify";
+import { FastifyAdapter } from "@nestjs/platform-fastify";
+import type { FastifyInstance } from "fastify";
+import type { WriteLog } from "../../transport/logging/index.js";
+import { createSessions, registerAccessHooks } from "./access/index.js";
+import type { ConsoleContext } from "./controllers/index.js";
+import {
+    AssetsController,
+    CONSOLE_CONTEXT,
+    ConvergenceController,
+    DocumentController,
+    DraftAnswers,
+    EditController,
+    FaultFilter,
+    HistoryController,
+    SessionController,
+} from "./controllers/index.js";
+import type { ConfigurationPort } from "./ports/index.js";
+
+export interface ConsoleOptions {
+    readonly port: ConfigurationPort;
+    /** Token that operators sign in with. */
+    readonly token: string;
+    readonly now: () => number;
+    readonly logInfo: WriteLog;
+    readonly logError: WriteLog;
+    /** Host names by which the console may be reached; empty for any. */
+    readonly hosts: ReadonlySet<string>;
+}
+
+/** Everything comes from the console itself; the pages contain no inline script or style. */
+const CONTENT_SECURITY_POLICY = {
+    baseUri: ["'none'"],
+    connectSrc: ["'self'"],
+    defaultSrc: ["'none'"],
+    formAction: ["'self'"],
+    frameAncestors: ["'none'"],
+    imgSrc: ["'self'"],
+    scriptSrc: ["'self'"],
+    styleSrc: ["'self'"],
+};
+
+function createConsoleModule(context: ConsoleContext): object {
+    class ConsoleModule {}
+    Module({
+        controllers: [
+            AssetsController,
+            ConvergenceController,
+            DocumentController,
+            EditController,
+            HistoryController,
+            SessionController,
+        ],
+        providers: [{ provide: CONSOLE_CONTEXT, useValue: context }, DraftAnswers],
+    })(ConsoleModule);
+    return ConsoleModule;
+}
+
+async function registerHeaders(server: FastifyInstance): Promise<void> {
+    await server.register(helmet, {
+        contentSecurityPolicy: { directives: CONTENT_SECURITY_POLICY, useDefaults: false },
+        // The console speaks http on loopback; a proxy that adds https sets this header itself.
+        strictTransportSecurity: false,
+        xFrameOptions: { action: "deny" },
+    });
+    server.addHook("onSend", async (_request, reply) => {
+        void reply.header("cache-control", "no-store");
+    });
+}
+
+/** Creates the console without listening. */
+export async function createConsole(options: ConsoleOptions): Promise<NestFastifyApplication> {
+    const { hosts, logError, logInfo, now, port, token } = options;
+    const adapter = new FastifyAdapter({ forceCloseConnections: true });
+    const server = adapter.getInstance();
+    const sessions = createSessions(token);
+    await registerHeaders(server as unknown as FastifyInstance);
+    registerAccessHooks(server as unknown as FastifyInstance, { hosts, now, sessions });
+    const app = await NestFactory.create<NestFastifyApplication>(
+        createConsoleModule({ logInfo, now, port, sessions }),
+        adapter,
+        { bodyParser: false, logger: ["error", "warn"] },
+    );
+    app.useGlobalFilters(new FaultFilter(logError));
+    await app.init();
+    return app;
+}
--- /dev/null
+++ b/src/console/web/__tests__/unit/Access.test.ts
@@ -0,0 +1,69 @@
+import { describe, expect, it } from "vitest";
+import { SESSION_LIFETIME_MS } from "../../access/index.js";
+import { createSessions } from "../../access/index.js";
+import { readFormFields, startClient, TOKEN } from "../fixtures/ConsoleClient.js";
+
+describe("access", () => {
+    it("sends visitors without a session to the sign-in page, whatever they ask for", async () => {
+        const client = await startClient("");
+        for (const path of ["/", "/document", "/document.yaml", "/history/1", "/edit/services/ledger", "/nothing"]) {
+            expect(await client.get(path)).toMatchObject({ location: "/sign-in", status: 303 });
+        }
+        expect(await client.post("/publish", {})).toMatchObject({ location: "/sign-in", status: 303 });
+    });
+
+    it("refuses a wrong token and a missing name", async () => {
+        const client = await startClient("");
+        expect((await client.post("/sign-in", { operator: "jonas", token: "guess" })).status).toBe(403);
+        expect((await client.post("/sign-in", { operator: " \u0007 ", token: TOKEN })).status).toBe(422);
+        expect((await client.get("/")).status).toBe(303);
+    });
+
+    it("sets a cookie that scripts and foreign pages can't use", async () => {
+        const client = await startClient("");
+        const answer = await client.post("/sign-in", { operator: "jonas", token: TOKEN });
+        expect(answer.headers["set-cookie"]).toMatch(/; HttpOnly; SameSite=Strict; Path=\/; /);
+        expect(client.logged).toContain("jonas signed in.");
+    });
+
+    it("refuses forms from foreign pages and forms without the token", async () => {
+        const client = await startClient();
+        const fields = readFormFields((await client.get("/edit/classes/money")).text, "/review/form");
+        expect((await client.post("/review/form", fields, { origin: "http://evil.example" })).status).toBe(403);
+        expect((await client.post("/review/form", fields, { "sec-fetch-site": "cross-site" })).status).toBe(403);
+        expect((await client.post("/review/form", fields, { origin: "http://localhost" })).status).toBe(200);
+        fields.delete("formToken");
+        expect((await client.post("/review/form", fields)).status).toBe(403);
+    });
+
+    it("refuses foreign host names, so that a rebound name can't read pages", async () => {
+        const client = await startClient();
+        expect((await client.get("/document", { host: "evil.example" })).status).toBe(403);
+    });
+
+    it("allows only its own script, style and frames", async () => {
+        const { headers, text } = await (await startClient()).get("/document");
+        expect(headers).toMatchObject({
+            "cache-control": "no-store",
+            "content-security-policy":
+                "base-uri 'none';connect-src 'self';default-src 'none';form-action 'self';frame-ancestors 'none';"
+                + "img-src 'self';script-src 'self';style-src 'self'",
+            "referrer-policy": "no-referrer",
+            "x-content-type-options": "nosniff",
+            "x-frame-options": "DENY",
+        });
+        expect(text).not.toMatch(/<script(?! src)|\sstyle=|\son[a-z]+=/);
+    });
+
+    it("rejects forged and expired cookies", () => {
+        const sessions = createSessions(TOKEN);
+        const cookie = sessions.createCookie("jonas", 0);
+        expect(sessions.readCookie(cookie, 1)).toMatchObject({ operator: "jonas" });
+        expect(sessions.readCookie(cookie, SESSION_LIFETIME_MS + 1)).toBeUndefined();
+        expect(sessions.readCookie(`${cookie}x`, 1)).toBeUndefined();
+        const [, mac] = cookie.split(".");
+        const payload = Buffer.from(JSON.stringify({ issuedAt: 0, operator: "marta" })).toString("base64url");
+        expect(sessions.readCookie(`${payload}.${mac}`, 1)).toBeUndefined();
+        expect(createSessions("another-token").readCookie(cookie, 1)).toBeUndefined();
+    });
+});
--- /dev/null
+++ b/src/console/web/assets/ConsoleScript.ts
@@ -0,0 +1,43 @@
+/** Script of the pages, served as it is. Every page works without it, by reload. */
+
+/** Milliseconds between two reads of the live part, and before a lost answer is looked for again. */
+const FOLLOW_INTERVAL_MS = 2_000;
+const REPEAT_DELAY_MS = 3_000;
+
+export const CONSOLE_SCRIPT = `"use strict";
+document.querySelector("[data-focus]")?.focus();
+
+const live = document.querySelector("[data-follow]");
+async function follow() {
+    try {
+        const response = await fetch(live.dataset.follow, { redirect: "error" });
+        if (response.ok) {
+            live.innerHTML = await response.text();
+        }
+        live.classList.toggle("stale", !response.ok);
+    } catch {
+        live.classList.add("stale");
+    }
+    setTimeout(follow, ${FOLLOW_INTERVAL_MS});
+}
+if (live) {
+    setTimeout(follow, ${FOLLOW_INTERVAL_MS});
+}
+
+const repeated = document.querySelector("[data-repeat] form");
+if (repeated) {
+    setTimeout(() => repeated.requestSubmit(), ${REPEAT_DELAY_MS});
+}
+
+for (const element of document.querySelectorAll("[data-needs-script]")) {
+    element.hidden = false;
+}
+for (const input of document.querySelectorAll("[data-reads-into]")) {
+    input.addEventListener("change", async () => {
+        const [file] = input.files;
+        if (file) {
+            document.getElementById(input.dataset.readsInto).value = await file.text();
+        }
+    });
+}
+`;
--- /dev/null
+++ b/src/console/web/controllers/ConsoleContext.ts
@@ -0,0 +1,20 @@
+/** What the controllers share; passed in, because the console keeps nothing itself. */
+import type { FastifyReply } from "fastify";
+import type { WriteLog } from "../../../transport/logging/index.js";
+import type { Sessions } from "../access/index.js";
+import type { ConfigurationPort } from "../ports/index.js";
+
+/** Injection token of the context. */
+export const CONSOLE_CONTEXT = Symbol("console context");
+
+export interface ConsoleContext {
+    readonly port: ConfigurationPort;
+    readonly sessions: Sessions;
+    readonly now: () => number;
+    readonly logInfo: WriteLog;
+}
+
+/** Sends a page. */
+export function sendPage(reply: FastifyReply, status: number, html: string): FastifyReply {
+    return reply.code(status).type("text/html; charset=utf-8").send(html);
+}
--- /dev/null
+++ b/src/console/web/controllers/DraftAnswers.ts
@@ -0,0 +1,122 @@
+/** Answers with the page that fits what became of a draft. */
+import { Inject } from "@nestjs/common";
+import type { FastifyReply } from "fastify";
+import type { Finding } from "../../../state/document/index.js";
+import type { Session } from "../access/index.js";
+import type { Draft, EditTarget } from "../edits/index.js";
+import { describeEdit } from "../edits/index.js";
+import type { KnownNames } from "../forms/index.js";
+import { buildFieldGroups, divideFindings, listKnownNames } from "../forms/index.js";
+import {
+    NO_FINDINGS,
+    renderAbsentPage,
+    renderConflictPage,
+    renderEditPage,
+    renderFaultsPage,
+    renderRefusedPage,
+    renderReviewPage,
+    renderUnchangedPage,
+    renderUnknownPage,
+    renderUnreadablePage,
+} from "../pages/index.js";
+import type { AcceptedDocument } from "../ports/index.js";
+import type { PublicationResult } from "../publishing/index.js";
+import { publishDraft, resolvePublication, reviewDraft } from "../publishing/index.js";
+import type { ConsoleContext } from "./ConsoleContext.js";
+import { CONSOLE_CONTEXT, sendPage } from "./ConsoleContext.js";
+
+/** A piece in a form. */
+export interface FormContent {
+    readonly baseVersion: number;
+    readonly target: EditTarget;
+    readonly isNew: boolean;
+    readonly piece: unknown;
+    readonly message: string;
+}
+
+const EMPTY_NAMES: KnownNames = listKnownNames(undefined);
+
+/** Renders the form of a piece with findings beside its fields. */
+export function renderForm(
+    session: Session,
+    current: AcceptedDocument | undefined,
+    content: FormContent,
+    findings: readonly Finding[],
+): string {
+    const names = current === undefined ? EMPTY_NAMES : listKnownNames(current.document);
+    const groups = buildFieldGroups(content.target, content.piece, names);
+    const placed = findings.length === 0 ? NO_FINDINGS : divideFindings(findings, content.target, groups);
+    return renderEditPage({ ...content, groups, placed, session });
+}
+
+export class DraftAnswers {
+    constructor(@Inject(CONSOLE_CONTEXT) private readonly context: ConsoleContext) {}
+
+    /** Shows what a draft would change. */
+    async review(reply: FastifyReply, session: Session, draft: Draft): Promise<void> {
+        const reviewed = await reviewDraft(this.context.port, draft, session.operator);
+        reviewed.caseOf({
+            Left: failure => sendPage(reply, 503, renderUnreadablePage(session, draft, failure.detail, "/review")),
+            Right: result => this.answer(reply, session, draft, result),
+        });
+    }
+
+    async publish(reply: FastifyReply, session: Session, draft: Draft): Promise<void> {
+        const result = await publishDraft(this.context.port, draft, session.operator);
+        this.logResult(session, draft, result);
+        this.answer(reply, session, draft, result);
+    }
+
+    /** Finds out what became of a publication whose answer was lost. */
+    async resolve(reply: FastifyReply, session: Session, draft: Draft): Promise<void> {
+        const result = await resolvePublication(this.context.port, draft, session.operator);
+        this.logResult(session, draft, result);
+        this.answer(reply, session, draft, result);
+    }
+
+    private logResult(session: Session, draft: Draft, result: PublicationResult): void {
+        const { operator } = session;
+        const fields = { baseVersion: draft.baseVersion, operator, result: result.kind };
+        const sentence = result.kind === "accepted"
+            ? `${operator} published version ${result.version}: ${describeEdit(draft.edit)}.`
+            : `a change of ${operator} to version ${draft.baseVersion} ended as ${result.kind}.`;
+        this.context.logInfo(sentence, fields);
+    }
+
+    private answer(reply: FastifyReply, session: Session, draft: Draft, result: PublicationResult): FastifyReply {
+        switch (result.kind) {
+            case "ready":
+                return sendPage(reply, 200, renderReviewPage(session, draft, result.changes));
+            case "faulty":
+                return this.answerFaults(reply, session, draft, result.current, result.findings);
+            case "accepted":
+                return reply.redirect(`/?published=${result.version}`, 303);
+            case "unchanged":
+                return sendPage(reply, 200, renderUnchangedPage(session, result.version));
+            case "conflict":
+                return sendPage(reply, 409, renderConflictPage(session, draft, result.conflict));
+            case "refused":
+                return sendPage(reply, 422, renderRefusedPage(session, draft, result.detail));
+            case "unreadable":
+                return sendPage(reply, 503, renderUnreadablePage(session, draft, result.detail, "/publish"));
+            case "unknown":
+                return sendPage(reply, 503, renderUnknownPage(session, draft, result.detail));
+            case "absent":
+                return sendPage(reply, 200, renderAbsentPage(session, draft));
+        }
+    }
+
+    private answerFaults(
+        reply: FastifyReply,
+        session: Session,
+        draft: Draft,
+        current: AcceptedDocument | undefined,
+        findings: readonly Finding[],
+    ): FastifyReply {
+        const { baseVersion, edit, message } = draft;
+        const html = edit.kind === "set"
+            ? renderForm(session, current, { ...edit, baseVersion, message }, findings)
+            : renderFaultsPage(session, draft, findings);
+        return sendPage(reply, 422, html);
+    }
+}
--- /dev/null
+++ b/src/console/web/controllers/FaultFilter.ts
@@ -0,0 +1,37 @@
+/** Renders errors of requests as pages. */
+import type { ArgumentsHost, ExceptionFilter } from "@nestjs/common";
+import { Catch, HttpException } from "@nestjs/common";
+import type { FastifyReply } from "fastify";
+import type { WriteLog } from "../../../transport/logging/index.js";
+import { renderFaultPage } from "../pages/index.js";
+import { sendPage } from "./ConsoleContext.js";
+
+const INTERNAL_ERROR_STATUS = 500;
+
+/** Status of an error of Nest or Fastify, or of a fault of the console. */
+function readStatus(error: unknown): number {
+    if (error instanceof HttpException) {
+        return error.getStatus();
+    }
+    const { statusCode } = (error ?? {}) as { readonly statusCode?: unknown; };
+    return typeof statusCode === "number" ? statusCode : INTERNAL_ERROR_STATUS;
+}
+
+@Catch()
+export class FaultFilter implements ExceptionFilter {
+    constructor(private readonly logError: WriteLog) {}
+
+    catch(error: unknown, host: ArgumentsHost): void {
+        const status = readStatus(error);
+        const isFault = status >= INTERNAL_ERROR_STATUS;
+        if (isFault) {
+            this.logError("a request failed.", { error });
+        }
+        const text = isFault ? "The console failed on this request; its log says why." : (error as Error).message;
+        sendPage(
+            host.switchToHttp().getResponse<FastifyReply>(),
+            status,
+            renderFaultPage(undefined, "Not possible", text),
+        );
+    }
+}
--- /dev/null
+++ b/src/console/web/controllers/SessionController.ts
@@ -0,0 +1,55 @@
+/** Signing in and out. */
+import { Body, Controller, Get, Inject, Post, Req, Res } from "@nestjs/common";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { COOKIE_NAME, getSession, SESSION_LIFETIME_MS } from "../access/index.js";
+import { renderSignInPage } from "../pages/index.js";
+import type { ConsoleContext } from "./ConsoleContext.js";
+import { CONSOLE_CONTEXT, sendPage } from "./ConsoleContext.js";
+
+const MAXIMUM_OPERATOR_LENGTH = 64;
+const MS_PER_SECOND = 1_000;
+
+/** The name goes into the history and the log, so it holds no control characters. */
+function normalizeOperator(text: string): string {
+    return text.replaceAll(/\p{C}/gu, "").trim().slice(0, MAXIMUM_OPERATOR_LENGTH);
+}
+
+function formatCookie(value: string, lifetimeMs: number): string {
+    const age = Math.floor(lifetimeMs / MS_PER_SECOND);
+    return `${COOKIE_NAME}=${value}; HttpOnly; SameSite=Strict; Path=/; Max-Age=${age}`;
+}
+
+@Controller()
+export class SessionController {
+    constructor(@Inject(CONSOLE_CONTEXT) private readonly context: ConsoleContext) {}
+
+    @Get("sign-in")
+    showForm(@Res() reply: FastifyReply): void {
+        sendPage(reply, 200, renderSignInPage(""));
+    }
+
+    @Post("sign-in")
+    begin(@Body() body: unknown, @Res() reply: FastifyReply): void {
+        const fields = body instanceof URLSearchParams ? body : new URLSearchParams();
+        const operator = normalizeOperator(fields.get("operator") ?? "");
+        if (operator === "") {
+            sendPage(reply, 422, renderSignInPage("", "Enter your name."));
+            return;
+        }
+        if (!this.context.sessions.verifyToken(fields.get("token") ?? "")) {
+            this.context.logInfo(`refused a wrong token for ${operator}.`, { operator });
+            sendPage(reply, 403, renderSignInPage(operator, "This is not the console's token."));
+            return;
+        }
+        this.context.logInfo(`${operator} signed in.`, { operator });
+        const cookie = this.context.sessions.createCookie(operator, this.context.now());
+        reply.header("set-cookie", formatCookie(cookie, SESSION_LIFETIME_MS)).redirect("/", 303);
+    }
+
+    @Post("sign-out")
+    end(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+        const { operator } = getSession(request);
+        this.context.logInfo(`${operator} signed out.`, { operator });
+        reply.header("set-cookie", formatCookie("", 0)).redirect("/sign-in", 303);
+    }
+}
--- /dev/null
+++ b/src/console/web/controllers/index.ts
@@ -0,0 +1,10 @@
+export { AssetsController } from "./AssetsController.js";
+export { CONSOLE_CONTEXT } from "./ConsoleContext.js";
+export type { ConsoleContext } from "./ConsoleContext.js";
+export { ConvergenceController } from "./ConvergenceController.js";
+export { DocumentController } from "./DocumentController.js";
+export { DraftAnswers } from "./DraftAnswers.js";
+export { EditController } from "./EditController.js";
+export { FaultFilter } from "./FaultFilter.js";
+export { HistoryController } from "./HistoryController.js";
+export { SessionController } from "./SessionController.js";
--- /dev/null
+++ b/src/console/web/edits/Difference.ts
@@ -0,0 +1,80 @@
+/** Readable difference between two documents: entry by entry, setting by setting. */
+import { DocumentSchema } from "../../../state/document/index.js";
+import type { EditTarget } from "./Edit.js";
+import { ENTRY_SECTIONS, readPiece } from "./Edit.js";
+import { formatSetting, listSettings } from "./Settings.js";
+
+/** One setting that differs; undefined where it is left out. */
+export interface SettingChange {
+    readonly path: string;
+    readonly before: string | undefined;
+    readonly after: string | undefined;
+    /** The value that applies where the setting is left out. */
+    readonly defaultText: string | undefined;
+}
+
+export interface EntryChange {
+    readonly target: EditTarget;
+    readonly kind: "added" | "removed" | "changed";
+    readonly settings: readonly SettingChange[];
+}
+
+/** A value that is a document or was meant to be one. */
+type DocumentLike = Readonly<Record<string, unknown>>;
+
+interface DescribedSchema {
+    readonly default?: unknown;
+    readonly properties?: Readonly<Record<string, DescribedSchema>>;
+    readonly patternProperties?: Readonly<Record<string, DescribedSchema>>;
+}
+
+/** Finds the default of a setting in the schema; undefined when it has none. */
+function findDefault(target: EditTarget, path: string): string | undefined {
+    let schema: DescribedSchema | undefined = (DocumentSchema as DescribedSchema).properties?.[target.section];
+    if (target.section !== "mesh") {
+        schema = Object.values(schema?.patternProperties ?? {})[0];
+    }
+    for (const key of path.split(".")) {
+        schema = schema?.properties?.[key];
+    }
+    return schema?.default === undefined ? undefined : formatSetting(schema.default);
+}
+
+function listSettingChanges(target: EditTarget, before: unknown, after: unknown): readonly SettingChange[] {
+    const from = listSettings(before);
+    const to = listSettings(after);
+    return [...new Set([...from.keys(), ...to.keys()])]
+        .map(path => ({
+            after: to.has(path) ? formatSetting(to.get(path)) : undefined,
+            before: from.has(path) ? formatSetting(from.get(path)) : undefined,
+            defaultText: findDefault(target, path),
+            path,
+        }))
+        .filter(change => change.before !== change.after);
+}
+
+function listTargets(documents: readonly DocumentLike[]): readonly EditTarget[] {
+    const entries = ENTRY_SECTIONS.flatMap(section => {
+        const names = documents.flatMap(document => Object.keys(document[section] ?? {}));
+        return [...new Set(names)].sort().map(name => ({ name, section }));
+    });
+    return [{ section: "mesh" }, ...entries];
+}
+
+/** Lists the entries that differ, in the order of the document. */
+export function computeDifference(from: unknown, to: unknown): readonly EntryChange[] {
+    const before = (from ?? {}) as DocumentLike;
+    const after = (to ?? {}) as DocumentLike;
+    return listTargets([before, after]).flatMap(target => {
+        const old = readPiece(before as never, target);
+        const changed = readPiece(after as never, target);
+        const settings = listSettingChanges(target, old, changed);
+        const isChanged = settings.length > 0 || (old === undefined) !== (changed === undefined);
+        const kind = old === undefined
+            ? "added" as const
+            : changed === undefined
+            ? "removed" as const
+            : "changed" as const;
+        return isChanged ? [{ kind, settings, target }] : [];
+    });
+}
--- /dev/null
+++ b/src/console/web/edits/Settings.ts
@@ -0,0 +1,46 @@
+/** A piece of a document as a flat list of settings, so that pieces can be compared and combined. */
+
+/** Separates the keys of a setting's path; names and keys hold no dot. */
+const SEPARATOR = ".";
+
+function isGroup(value: unknown): value is Readonly<Record<string, unknown>> {
+    return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+/** Flattens nested groups to settings by path, for example `probe.path`. Lists are one setting. */
+export function listSettings(piece: unknown, prefix = ""): ReadonlyMap<string, unknown> {
+    if (!isGroup(piece)) {
+        return piece === undefined ? new Map() : new Map([[prefix, piece]]);
+    }
+    return new Map(
+        Object.entries(piece).flatMap(([key, value]) => [
+            ...listSettings(value, prefix === "" ? key : prefix + SEPARATOR + key),
+        ]),
+    );
+}
+
+/** Builds nested groups from settings by path. */
+export function buildPiece(settings: ReadonlyMap<string, unknown>): Readonly<Record<string, unknown>> {
+    const piece: Record<string, unknown> = {};
+    for (const [path, value] of settings) {
+        const keys = path.split(SEPARATOR);
+        const last = keys.pop() ?? "";
+        let group = piece;
+        for (const key of keys) {
+            if (!isGroup(group[key])) {
+                group[key] = {};
+            }
+            group = group[key] as Record<string, unknown>;
+        }
+        group[last] = value;
+    }
+    return piece;
+}
+
+/** Formats the value of a setting for people. */
+export function formatSetting(value: unknown): string {
+    if (Array.isArray(value)) {
+        return value.length === 0 ? "(empty list)" : value.join(", ");
+    }
+    return typeof value === "object" ? JSON.stringify(value) : String(value);
+}
--- /dev/null
+++ b/src/console/web/forms/FindingPlaces.ts
@@ -0,0 +1,58 @@
+/** Assigns findings to the fields of a form. */
+import type { Finding, PathSegment } from "../../../state/document/index.js";
+import type { EditTarget } from "../edits/index.js";
+import { listTargetSegments } from "../edits/index.js";
+import type { Field, FieldGroup } from "./Field.js";
+import { formatFieldName } from "./Field.js";
+
+export interface PlacedFindings {
+    /** By the name of the input. */
+    readonly byField: ReadonlyMap<string, readonly Finding[]>;
+    /** About a group as a whole, by its first key. */
+    readonly byGroup: ReadonlyMap<string, readonly Finding[]>;
+    /** About the edited entry as a whole, such as its name. */
+    readonly aboutEntry: readonly Finding[];
+    /** About other parts of the document. */
+    readonly elsewhere: readonly Finding[];
+}
+
+function isPrefix(prefix: readonly PathSegment[], segments: readonly PathSegment[]): boolean {
+    return prefix.length <= segments.length && prefix.every((key, index) => key === segments[index]);
+}
+
+function addTo(map: Map<string, Finding[]>, key: string, finding: Finding): void {
+    map.set(key, [...map.get(key) ?? [], finding]);
+}
+
+/** Assigns each finding to the field or group that it is about. */
+export function divideFindings(
+    findings: readonly Finding[],
+    target: EditTarget,
+    groups: readonly FieldGroup[],
+): PlacedFindings {
+    const entry = listTargetSegments(target);
+    const fields: readonly Field[] = groups.flatMap(group => group.fields);
+    const byField = new Map<string, Finding[]>();
+    const byGroup = new Map<string, Finding[]>();
+    const aboutEntry: Finding[] = [];
+    const elsewhere: Finding[] = [];
+    for (const finding of findings) {
+        if (!isPrefix(entry, finding.segments)) {
+            elsewhere.push(finding);
+            continue;
+        }
+        const inner = finding.segments.slice(entry.length);
+        const field = fields.find(candidate => isPrefix(candidate.segments, inner));
+        const group = groups.find(candidate => candidate.segments.length > 0 && isPrefix(candidate.segments, inner));
+        if (field !== undefined) {
+            addTo(byField, formatFieldName(field), finding);
+        }
+        else if (group !== undefined) {
+            addTo(byGroup, group.segments[0] ?? "", finding);
+        }
+        else {
+            aboutEntry.push(finding);
+        }
+    }
+    return { aboutEntry, byField, byGroup, elsewhere };
+}
--- /dev/null
+++ b/src/console/web/forms/FormModel.ts
@@ -0,0 +1,160 @@
+/** Derives the form of a section from the schema, so that labels, units, defaults and help are written once. */
+import type { TSchema } from "@sinclair/typebox";
+import type { SourceDocument } from "../../../state/document/index.js";
+import { describeExpected, DocumentSchema } from "../../../state/document/index.js";
+import type { EditTarget } from "../edits/index.js";
+import { formatSetting } from "../edits/index.js";
+import type { Control, Field, FieldGroup } from "./Field.js";
+
+/** Names that the document defines and that fields may refer to. */
+export interface KnownNames {
+    readonly services: readonly string[];
+    readonly classes: readonly string[];
+    readonly resources: readonly string[];
+    readonly regions: readonly string[];
+    readonly failureDomains: readonly string[];
+}
+
+/** Settings that refer to names, by section and path. */
+const REFERENCES: Readonly<Record<string, keyof KnownNames>> = {
+    "mesh.storeRegion": "regions",
+    "routes.class": "classes",
+    "routes.resources": "resources",
+    "routes.service": "services",
+};
+
+/** Texts of more than one line. */
+const PARAGRAPHS: ReadonlySet<string> = new Set(["resources.text"]);
+
+/** Group of the settings that are in no group of the schema. */
+const MAIN_GROUP_LABEL = "Settings";
+
+/** Lists the names that a document defines. */
+export function listKnownNames(document: SourceDocument | undefined): KnownNames {
+    const regions = document?.mesh.regions ?? {};
+    return {
+        classes: Object.keys(document?.classes ?? {}).sort(),
+        failureDomains: Object.values(regions).flatMap(region => region.failureDomains),
+        regions: Object.keys(regions).sort(),
+        resources: Object.keys(document?.resources ?? {}).sort(),
+        services: Object.keys(document?.services ?? {}).sort(),
+    };
+}
+
+function readProperties(schema: TSchema): Readonly<Record<string, TSchema>> {
+    return (schema["properties"] ?? {}) as Readonly<Record<string, TSchema>>;
+}
+
+function isRequiredKey(schema: TSchema, key: string): boolean {
+    return ((schema["required"] ?? []) as readonly string[]).includes(key);
+}
+
+/** Formats a key as a label: `baseDelay` becomes `Base delay`. */
+export function formatLabel(key: string): string {
+    const words = key.replace(/[A-Z]/g, letter => ` ${letter.toLowerCase()}`);
+    return words.charAt(0).toUpperCase() + words.slice(1);
+}
+
+function chooseControl(schema: TSchema, place: string, names: KnownNames): Control {
+    const reference = REFERENCES[place];
+    if (schema["type"] === "array") {
+        return reference === undefined ? { kind: "list" } : { choices: names[reference], kind: "choices" };
+    }
+    if (reference !== undefined) {
+        return { choices: names[reference], isReference: true, kind: "choice" };
+    }
+    if (schema["enum"] !== undefined) {
+        return { choices: schema["enum"] as readonly string[], isReference: false, kind: "choice" };
+    }
+    if (schema["type"] === "integer" || schema["type"] === "boolean") {
+        return { kind: schema["type"] };
+    }
+    return { kind: PARAGRAPHS.has(place) ? "paragraph" : "text" };
+}
+
+/** States the accepted values where the control itself does not show them. */
+function describeHelp(schema: TSchema, control: Control): string {
+    const description = (schema["description"] ?? "") as string;
+    const isStated = control.kind === "text" || control.kind === "integer" || control.kind === "list";
+    return isStated ? `${description} Enter ${describeExpected(schema)}.`.trim() : description;
+}
+
+/** Builds the field of one setting. */
+function buildField(section: string, segments: readonly string[], parent: TSchema, names: KnownNames): Field {
+    const key = segments.at(-1) ?? "";
+    const schema = readProperties(parent)[key] ?? {} as TSchema;
+    const control = chooseControl(schema, [section, ...segments].join("."), names);
+    const fallback: unknown = schema["default"];
+    return {
+        control,
+        defaultText: fallback === undefined ? undefined : formatSetting(fallback),
+        help: describeHelp(schema, control),
+        isRequired: isRequiredKey(parent, key),
+        label: formatLabel(key),
+        segments,
+    };
+}
+
+/** Builds one number for each failure domain; a domain that is no longer known stays visible while it has a value. */
+function buildDomainFields(schema: TSchema, key: string, piece: unknown, names: KnownNames): readonly Field[] {
+    const given = ((piece ?? {}) as Readonly<Record<string, unknown>>)[key];
+    const domains = new Set([...names.failureDomains, ...Object.keys(given ?? {})]);
+    const item = Object.values((schema["patternProperties"] ?? {}) as Readonly<Record<string, TSchema>>)[0];
+    return [...domains].map(domain => ({
+        control: { kind: "integer" },
+        defaultText: undefined,
+        help: item === undefined ? "" : `Enter ${describeExpected(item)}, or nothing.`,
+        isRequired: false,
+        label: domain,
+        segments: [key, domain],
+    }));
+}
+
+function buildRegionsField(schema: TSchema, key: string): Field {
+    return {
+        control: { kind: "regions" },
+        defaultText: undefined,
+        help: `${schema["description"]} One region a line with its failure domains, such as "erie: erie-a, erie-b".`,
+        isRequired: true,
+        label: formatLabel(key),
+        segments: [key],
+    };
+}
+
+/** Finds the schema of the piece that a target names. */
+function findPieceSchema(target: EditTarget): TSchema {
+    const section = readProperties(DocumentSchema)[target.section] ?? {} as TSchema;
+    const entries = Object.values((section["patternProperties"] ?? {}) as Readonly<Record<string, TSchema>>);
+    return entries[0] ?? section;
+}
+
+/** Builds the groups of a form; the settings outside groups come first. */
+export function buildFieldGroups(target: EditTarget, piece: unknown, names: KnownNames): readonly FieldGroup[] {
+    const schema = findPieceSchema(target);
+    const main: Field[] = [];
+    const groups: FieldGroup[] = [];
+    for (const [key, property] of Object.entries(readProperties(schema))) {
+        const group = {
+            help: (property["description"] ?? "") as string,
+            isRequired: isRequiredKey(schema, key),
+            label: formatLabel(key),
+            segments: [key],
+        };
+        if (property["properties"] !== undefined) {
+            const keys = Object.keys(readProperties(property));
+            const fields = keys.map(inner => buildField(target.section, [key, inner], property, names));
+            groups.push({ ...group, fields });
+        }
+        else if (target.section === "mesh" && property["patternProperties"] !== undefined) {
+            main.push(buildRegionsField(property, key));
+        }
+        else if (property["patternProperties"] !== undefined) {
+            groups.push({ ...group, fields: buildDomainFields(property, key, piece, names) });
+        }
+        else {
+            main.push(buildField(target.section, [key], schema, names));
+        }
+    }
+    const first = { fields: main, help: "", isRequired: true, label: MAIN_GROUP_LABEL, segments: [] };
+    return main.length === 0 ? groups : [first, ...groups];
+}
--- /dev/null
+++ b/src/console/web/index.ts
@@ -0,0 +1,15 @@
+/** The operators' console. */
+export { createConsole } from "./ConsoleServer.js";
+export type { ConsoleOptions } from "./ConsoleServer.js";
+export { createStoreConfiguration, parseMeshSummary } from "./ports/index.js";
+export type {
+    AcceptedDocument,
+    ConfigurationPort,
+    ProposalResult,
+    ProposedDocument,
+    ReadFailure,
+    ReadResult,
+    RegionStatus,
+    StoreConfigurationOptions,
+    VersionRecord,
+} from "./ports/index.js";
--- /dev/null
+++ b/src/console/web/pages/EditPage.ts
@@ -0,0 +1,108 @@
+/** Form of one entry of the document, with each finding beside its field. */
+import type { Finding } from "../../../state/document/index.js";
+import type { Session } from "../access/index.js";
+import type { EditTarget } from "../edits/index.js";
+import { describeTarget, SECTION_WORDS } from "../edits/index.js";
+import type { FieldGroup, PlacedFindings } from "../forms/index.js";
+import { formatFieldName, formatInputId, renderFieldGroup, renderFindings } from "../forms/index.js";
+import type { Html } from "../Html.js";
+import { renderHtml } from "../Html.js";
+import { renderFormToken, renderPage } from "./Layout.js";
+
+export interface EditPage {
+    readonly session: Session;
+    readonly baseVersion: number;
+    readonly target: EditTarget;
+    readonly isNew: boolean;
+    readonly piece: unknown;
+    readonly message: string;
+    readonly groups: readonly FieldGroup[];
+    readonly placed: PlacedFindings;
+}
+
+export const NO_FINDINGS: PlacedFindings = {
+    aboutEntry: [],
+    byField: new Map(),
+    byGroup: new Map(),
+    elsewhere: [],
+};
+
+function listLinkedFindings({ groups, placed }: EditPage): readonly (readonly [string, Finding])[] {
+    const fields = groups.flatMap(group => group.fields).flatMap(field => {
+        const name = formatFieldName(field);
+        return (placed.byField.get(name) ?? []).map(finding => [formatInputId(name), finding] as const);
+    });
+    const inGroups = [...placed.byGroup].flatMap(([key, findings]) =>
+        findings.map(finding => [`group-${key}`, finding] as const)
+    );
+    return [...placed.aboutEntry.map(finding => ["name", finding] as const), ...fields, ...inGroups];
+}
+
+/** Renders a list of all findings with links to their fields, which receives the focus. */
+function renderSummary(page: EditPage): Html | undefined {
+    const linked = listLinkedFindings(page);
+    const { elsewhere } = page.placed;
+    const count = linked.length + elsewhere.length;
+    if (count === 0) {
+        return undefined;
+    }
+    const links = linked.map(([id, finding]) =>
+        renderHtml`<li><a href="#${id}">${finding.path}</a>: ${finding.message}</li>`
+    );
+    const others = elsewhere.map(finding =>
+        renderHtml`<li>${finding.path}: ${finding.message} Expected ${finding.expected}.</li>`
+    );
+    return renderHtml`<section class="alert" role="alert" tabindex="-1" data-focus>
+<h2>${count === 1 ? "One finding" : `${count} findings`}: nothing was sent</h2><ul>${links}${others}</ul></section>`;
+}
+
+function renderName(page: EditPage): Html | undefined {
+    const { isNew, placed, target } = page;
+    if (target.section === "mesh") {
+        return undefined;
+    }
+    const findings = renderFindings(placed.aboutEntry, "name-findings");
+    if (!isNew) {
+        return renderHtml`<input type="hidden" name="name" value="${target.name}">${findings}`;
+    }
+    return renderHtml`<div class="field${findings !== undefined && " faulty"}">
+<label for="name">Name <span class="required">(required)</span></label>
+<input type="text" id="name" name="name" value="${target.name}" autocomplete="off" spellcheck="false" autocapitalize="none" aria-describedby="name-findings name-help"${
+        findings !== undefined && renderHtml` aria-invalid="true"`
+    }>${findings}
+<p class="help" id="name-help">Lower-case letters, digits and hyphens. The name can't be changed later.</p></div>`;
+}
+
+/** Renders the field for the reason, which goes into the history. */
+export function renderMessageField(message: string): Html {
+    return renderHtml`<div class="field"><label for="message">Reason</label>
+<input type="text" id="message" name="message" value="${message}" maxlength="500" aria-describedby="message-help">
+<p class="help" id="message-help">Shown in the history. Left empty, it says what was changed.</p></div>`;
+}
+
+function renderTitle({ isNew, target }: EditPage): string {
+    if (target.section === "mesh") {
+        return "Change the settings of the mesh";
+    }
+    return isNew ? `Add a ${SECTION_WORDS[target.section].one}` : `Change ${describeTarget(target)}`;
+}
+
+/** Renders the form. */
+export function renderEditPage(page: EditPage): string {
+    const { baseVersion, groups, isNew, message, piece, placed, session, target } = page;
+    const remove = isNew || target.section === "mesh" ? undefined : renderHtml`
+<button name="action" value="remove" class="danger">Remove this ${SECTION_WORDS[target.section].one}…</button>`;
+    const main = renderHtml`${renderSummary(page)}
+<p>Based on version ${baseVersion}. Empty fields take their default.</p>
+<form method="post" action="/review/form" novalidate>
+${renderFormToken(session)}
+<input type="hidden" name="baseVersion" value="${baseVersion}">
+<input type="hidden" name="section" value="${target.section}">
+<input type="hidden" name="isNew" value="${String(isNew)}">
+${renderName(page)}
+${groups.map(group => renderFieldGroup(group, piece, placed))}
+${renderMessageField(message)}
+<div class="actions"><button name="action" value="review">Review the change</button> <a href="/document">Cancel</a>${remove}</div>
+</form>`;
+    return renderPage({ main, session, title: renderTitle(page) });
+}
--- /dev/null
+++ b/src/console/web/pages/index.ts
@@ -0,0 +1,20 @@
+export {
+    renderConvergence,
+    renderConvergenceFailure,
+    renderConvergencePage,
+    renderEmptyMesh,
+} from "./ConvergencePage.js";
+export { renderDocumentPage, renderImportPage } from "./DocumentPages.js";
+export { NO_FINDINGS, renderEditPage } from "./EditPage.js";
+export { renderHistoryPage, renderVersionPage } from "./HistoryPages.js";
+export {
+    renderAbsentPage,
+    renderFaultPage,
+    renderRefusedPage,
+    renderStoreDownPage,
+    renderUnchangedPage,
+    renderUnknownPage,
+    renderUnreadablePage,
+} from "./OutcomePages.js";
+export { renderConflictPage, renderFaultsPage, renderReviewPage } from "./ReviewPages.js";
+export { renderSignInPage } from "./SignInPage.js";
--- /dev/null
+++ b/src/console/web/ports/StoreConfiguration.ts
@@ -0,0 +1,111 @@
+/** Configuration port over acceptance, which the command line uses as well, and the status objects of the store. */
+import type { Either } from "purify-ts/Either";
+import { Right } from "purify-ts/Either";
+import type { ApplyOutcome, LoadError, StoreAccess } from "../../../coordination/acceptance/index.js";
+import {
+    applyDocument,
+    describeLoadError,
+    loadSnapshot,
+    readHead,
+    readHistory,
+    readVersion,
+} from "../../../coordination/acceptance/index.js";
+import { formatFinding, joinResources } from "../../../state/document/index.js";
+import type { Snapshot } from "../../../state/versions/index.js";
+import type {
+    AcceptedDocument,
+    ConfigurationPort,
+    ProposalResult,
+    ReadFailure,
+    ReadResult,
+    RegionStatus,
+} from "./ConfigurationPort.js";
+import { parseMeshSummary } from "./MeshStatus.js";
+
+/** Prefix of the objects in which relays report the state of the mesh, one for each region. */
+const STATUS_PREFIX = "status/";
+
+export interface StoreConfigurationOptions extends StoreAccess {
+    readonly meshKey: string;
+    readonly now: () => number;
+}
+
+function toAccepted({ manifest, resources }: Snapshot): AcceptedDocument {
+    const { author, message, root, time, version } = manifest;
+    return { author, document: joinResources(resources.values()), message, root, time, version };
+}
+
+function toFailure(error: LoadError): ReadFailure {
+    return { detail: describeLoadError(error) };
+}
+
+function toProposalResult(outcome: ApplyOutcome): ProposalResult {
+    switch (outcome.kind) {
+        case "accepted":
+        case "unchanged":
+            return { kind: outcome.kind, version: outcome.version.version };
+        case "refused":
+            return { detail: outcome.findings.map(formatFinding).join(" "), kind: "refused" };
+        case "failed":
+            return { detail: outcome.detail, kind: "refused" };
+        case "unknown":
+            return { detail: outcome.detail, kind: "unknown" };
+        case "conflict":
+            return { kind: "conflict" };
+    }
+}
+
+/** Creates the port. The current version is held, so that following the mesh reads only the small head. */
+export function createStoreConfiguration(options: StoreConfigurationOptions): ConfigurationPort {
+    const { meshKey, now, store } = options;
+    let held: { readonly snapshot: Snapshot; readonly accepted: AcceptedDocument; } | undefined;
+
+    async function readCurrent(): Promise<Either<ReadFailure, AcceptedDocument | undefined>> {
+        const head = await readHead(key => store.get(key));
+        const stored = head.orDefault(undefined);
+        if (stored === undefined) {
+            return head.bimap(toFailure, () => undefined);
+        }
+        if (held?.snapshot.manifestKey !== stored.head.manifest) {
+            const loaded = await loadSnapshot(store, stored.head, held?.snapshot, meshKey);
+            if (loaded.isLeft()) {
+                return loaded.bimap(toFailure, () => undefined);
+            }
+            const snapshot = loaded.unsafeCoerce();
+            held = { accepted: toAccepted(snapshot), snapshot };
+        }
+        return Right(held.accepted);
+    }
+
+    async function readRegion(region: string): ReadResult<readonly RegionStatus[]> {
+        const found = await store.get(STATUS_PREFIX + region);
+        return found.bimap(
+            error => ({ detail: error.detail }),
+            object => {
+                const summary = object === undefined ? undefined : parseMeshSummary(object.value);
+                return summary === undefined ? [] : [{ region, summary }];
+            },
+        );
+    }
+
+    return {
+        propose: async ({ author, baseVersion, document, message }) => {
+            const request = { author, ifVersion: baseVersion, message, now: now(), source: document };
+            return toProposalResult(await applyDocument({ ...options, ...request }));
+        },
+        readCurrent,
+        readHistory: async limit => (await readHistory(options, limit, meshKey)).mapLeft(toFailure),
+        readStatus: async regions => {
+            const read = await Promise.all(regions.map(readRegion));
+            const failure = read.find(status => status.isLeft());
+            return failure ?? Right(read.flatMap(status => status.orDefault([])));
+        },
+        readVersion: async version => {
+            if (!Number.isSafeInteger(version) || version < 1) {
+                return Right(undefined);
+            }
+            const read = await readVersion(options, version, meshKey);
+            return read.bimap(toFailure, snapshot => snapshot === undefined ? undefined : toAccepted(snapshot));
+        },
+    };
+}
--- /dev/null
+++ b/src/console/web/publishing/Publication.ts
@@ -0,0 +1,70 @@
+/** Publishes a draft by the conditional update that the command line uses as well. */
+import type { Draft } from "../edits/index.js";
+import { describeEdit } from "../edits/index.js";
+import type { ConfigurationPort } from "../ports/index.js";
+import type { ReviewResult } from "./DraftReview.js";
+import { reviewDraft } from "./DraftReview.js";
+
+export type PublicationResult =
+    | ReviewResult
+    /** The store could not be read, so nothing was sent. */
+    | { readonly kind: "unreadable"; readonly detail: string; }
+    | { readonly kind: "refused"; readonly detail: string; }
+    /** The update was sent, and whether it was accepted is not known yet. */
+    | { readonly kind: "unknown"; readonly detail: string; }
+    /** The update was sent and has not taken effect so far; sending it again is safe. */
+    | { readonly kind: "absent"; };
+
+/** Reviews a draft; a failure to read becomes a result. */
+async function reviewAgain(port: ConfigurationPort, draft: Draft, operator: string): Promise<PublicationResult> {
+    const reviewed = await reviewDraft(port, draft, operator);
+    return reviewed.caseOf<PublicationResult>({
+        Left: failure => ({ detail: failure.detail, kind: "unreadable" }),
+        Right: result => result,
+    });
+}
+
+/** Finds out whether a draft whose answer was lost was accepted. */
+export async function resolvePublication(
+    port: ConfigurationPort,
+    draft: Draft,
+    operator: string,
+): Promise<PublicationResult> {
+    const result = await reviewAgain(port, draft, operator);
+    switch (result.kind) {
+        case "unreadable":
+            return { detail: result.detail, kind: "unknown" };
+        case "ready":
+            return { kind: "absent" };
+        default:
+            return result;
+    }
+}
+
+/** Publishes a draft if it has no faults and nobody was first. */
+export async function publishDraft(
+    port: ConfigurationPort,
+    draft: Draft,
+    operator: string,
+): Promise<PublicationResult> {
+    const reviewed = await reviewAgain(port, draft, operator);
+    if (reviewed.kind !== "ready") {
+        return reviewed;
+    }
+    const proposed = await port.propose({
+        author: operator,
+        baseVersion: draft.baseVersion,
+        document: reviewed.document,
+        message: draft.message.trim() === "" ? describeEdit(draft.edit) : draft.message.trim(),
+    });
+    switch (proposed.kind) {
+        case "conflict":
+            return reviewAgain(port, draft, operator);
+        case "unknown": {
+            const resolved = await resolvePublication(port, draft, operator);
+            return resolved.kind === "unknown" ? { detail: proposed.detail, kind: "unknown" } : resolved;
+        }
+        default:
+            return proposed;
+    }
+}
--- a/src/state/document/index.ts
+++ b/src/state/document/index.ts
@@ -27,3 +27,4 @@
     ServiceSettings,
 } from "./MeshDocument.js";
 export { parseQuantity, QuantityKind } from "./Quantity.js";
+export { describeExpected } from "./SchemaRules.js";
