--- a/src/state/document/index.ts
+++ b/src/state/document/index.ts
@@ -29,4 +29,5 @@
     ServiceSettings,
 } from "./MeshDocument.js";
 export { parseQuantity, QuantityKind } from "./Quantity.js";
+export { describeExpected } from "./SchemaRules.js";
 export { findSuggestion } from "./Suggestion.js";
