--- a/src/console/cli/Convergence.ts
+++ b/src/console/cli/Convergence.ts
@@ -17,6 +17,8 @@
     readonly version: number;
     /** Daemons with this version or a newer one in force. */
     readonly inForce: number;
+    /** Other reporters whose daemons don't all have the version, for example those of a region that is cut off. */
+    readonly behind: readonly ReportedSummary[];
     readonly isConverged: boolean;
 }
 
@@ -37,33 +39,42 @@
     }
 }
 
-/**
- * Reads the total that counts most daemons: a region that is cut off from the others writes a total
- * of its own side only. Undefined when no relay has written one.
- */
-export async function readStoredSummary({ store }: StoreAccess): Promise<ReportedSummary | undefined> {
+/** Reads the totals of all regions. A region that is cut off writes a total of its own side only. */
+export async function readStoredSummaries({ store }: StoreAccess): Promise<readonly ReportedSummary[]> {
     const listed = (await store.list(STATUS_PREFIX)).orDefault([]);
     const objects = await Promise.all(listed.map(({ key }) => store.get(key)));
-    const summaries = objects.flatMap(result => {
+    return objects.flatMap(result => {
         const object = result.orDefault(undefined);
         const summary = object === undefined ? undefined : parseSummary(object.value);
         return object === undefined || summary === undefined
             ? []
             : [{ reporter: object.key.slice(STATUS_PREFIX.length), summary }];
     });
-    return summaries.reduce<ReportedSummary | undefined>(
-        (largest, next) => next.summary.daemons > (largest?.summary.daemons ?? -1) ? next : largest,
-        undefined,
-    );
 }
 
-/** Compares a total with the version that has to be in force. */
-export function computeConvergence(reported: ReportedSummary, version: number): Convergence {
-    const { daemons, versions } = reported.summary;
-    const inForce = versions
+function countInForce({ summary }: ReportedSummary, version: number): number {
+    return summary.versions
         .filter(entry => entry.version >= version)
         .reduce((sum, entry) => sum + entry.daemons, 0);
-    return { ...reported, inForce, isConverged: daemons > 0 && inForce >= daemons, version };
+}
+
+function isEverywhere(reported: ReportedSummary, version: number): boolean {
+    const { daemons } = reported.summary;
+    return daemons > 0 && countInForce(reported, version) >= daemons;
+}
+
+/**
+ * Compares totals with the version that has to be in force: the one that counts most daemons is
+ * shown, and every one has to agree. Undefined when there is none.
+ */
+export function computeConvergence(reports: readonly ReportedSummary[], version: number): Convergence | undefined {
+    const [largest, ...others] = [...reports].sort((a, b) => b.summary.daemons - a.summary.daemons);
+    if (largest === undefined) {
+        return undefined;
+    }
+    const behind = others.filter(reported => !isEverywhere(reported, version));
+    const isConverged = behind.length === 0 && isEverywhere(largest, version);
+    return { ...largest, behind, inForce: countInForce(largest, version), isConverged, version };
 }
 
 /** Formats the progress as one line. */
@@ -74,13 +85,16 @@
 }
 
 /** Formats who holds the version back and what the distribution has cost. */
-export function formatDetails({ summary, version }: Convergence): readonly string[] {
+export function formatDetails({ behind, summary, version }: Convergence): readonly string[] {
     const older = summary.versions.filter(entry => entry.version < version);
     return [
         ...older.map(entry =>
             `  ${entry.daemons} at ${entry.version === 0 ? "no version" : `version ${entry.version}`}`
         ),
         ...summary.waiting.map(entry => `  ${entry.daemons} waiting: ${entry.reason}`),
+        ...behind.map(reported =>
+            `  ${reported.reporter} reports ${countInForce(reported, version)} of ${reported.summary.daemons} daemons`
+        ),
         `  control bytes: ${summary.controlBytes}, across regions: ${summary.controlBytesAcrossRegions}`,
     ];
 }
--- a/src/console/cli/__tests__/unit/cli.test.ts
+++ b/src/console/cli/__tests__/unit/cli.test.ts
@@ -109,6 +109,7 @@
     // A region that is cut off sees its own daemons only.
     await writeStatus(server, "superior", createSummary([{ daemons: 6, version: 0 }]));
     await session.run(["status"]);
+    await session.run(["status", "--wait", "--timeout", "1s"]);
     await expect(session.readTranscript()).toMatchFileSnapshot("golden/convergence.txt");
 });
 
--- a/src/console/cli/commands/StatusCommand.ts
+++ b/src/console/cli/commands/StatusCommand.ts
@@ -6,7 +6,13 @@
 import { formatColour, writeResult } from "../CliContext.js";
 import { requireLoaded } from "../CliVersions.js";
 import type { Convergence, ReportedSummary } from "../Convergence.js";
-import { computeConvergence, formatDetails, formatProgress, isMeshSummary, readStoredSummary } from "../Convergence.js";
+import {
+    computeConvergence,
+    formatDetails,
+    formatProgress,
+    isMeshSummary,
+    readStoredSummaries,
+} from "../Convergence.js";
 import { CommandFailure, ExitCode } from "../ExitCode.js";
 
 /** Interval of the reads while waiting; relays write their totals at most every 2 s. */
@@ -15,7 +21,7 @@
 /** Version and total at one moment. */
 interface StatusReading {
     readonly currentVersion: number;
-    readonly reported: ReportedSummary | undefined;
+    readonly reports: readonly ReportedSummary[];
 }
 
 type ReadStatus = () => Promise<StatusReading>;
@@ -48,7 +54,7 @@
         const summary = status["mesh"];
         return {
             currentVersion: Number(status["receivedVersion"] ?? 0),
-            reported: isMeshSummary(summary) ? { reporter: String(status["id"]), summary } : undefined,
+            reports: isMeshSummary(summary) ? [{ reporter: String(status["id"]), summary }] : [],
         };
     };
 }
@@ -65,9 +71,9 @@
 ): Promise<{ readonly convergence: Convergence | undefined; readonly currentVersion: number; }> {
     let lastLine = "";
     for (;;) {
-        const { currentVersion, reported } = await read();
+        const { currentVersion, reports } = await read();
         const version = options.version ?? currentVersion;
-        const convergence = reported === undefined ? undefined : computeConvergence(reported, version);
+        const convergence = computeConvergence(reports, version);
         const isLast = !options.isWaiting || convergence?.isConverged === true || context.now() >= options.deadline;
         const line = convergence === undefined ? "No relay has reported a status yet." : formatProgress(convergence);
         if (options.isJson !== true && (line !== lastLine || isLast && context.isTerminal)) {
@@ -120,7 +126,7 @@
             const readRepeatedly = createRepeatedRead(access);
             const read: ReadStatus = async () => ({
                 currentVersion: requireLoaded(await readHead(readRepeatedly))?.head.version ?? 0,
-                reported: await readStoredSummary(access),
+                reports: await readStoredSummaries(access),
             });
             return reportStatus(context, read, options);
         });
