--- a/src/transport/proxy/AttemptHandler.ts
+++ b/src/transport/proxy/AttemptHandler.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
-import { copyAnswerHeaders, copyTrailers } from "../../protocol/request/index.js";
-import type { Outcome, RefusalReason } from "../../protocol/request/index.js";
+import { copyAnswerHeaders, copyTrailers, RefusalReason } from "../../protocol/request/index.js";
+import type { Outcome } from "../../protocol/request/index.js";
 import type { AnswerCapture } from "./AnswerCapture.js";
 import { NO_ANSWER_STATUS, refuse } from "./AttemptResult.js";
 import type { AttemptResult } from "./AttemptResult.js";
@@ -25,6 +25,10 @@
 }
 
 const FIRST_FINAL_STATUS = 200;
+/** Errors by which undici declines a request that node:http accepted; they say nothing about the server. */
+const INVALID_REQUEST_CODES = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
+/** A withheld answer is read up to this size, so that its connection can be used again. */
+const WITHHELD_MAXIMUM_BYTES = 65_536;
 const BODILESS_STATUSES = new Set([204, 304]);
 
 /** Passes one answer from undici to the caller with backpressure, and finds out how the attempt ended. */
@@ -36,6 +40,7 @@
     #isWritten = false;
     #isSettled = false;
     #status = 0;
+    #skippedBytes = 0;
     #verdict: AnswerVerdict | undefined;
 
     constructor(input: AttemptInput, resolve: (result: AttemptResult) => void) {
@@ -84,7 +89,11 @@
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        if (this.#verdict?.kind !== "deliver" || this.#isSettled) {
+        if (this.#isSettled) {
+            return;
+        }
+        if (this.#verdict?.kind !== "deliver") {
+            this.#skip(chunk);
             return;
         }
         const { response } = this.#input.exchange;
@@ -119,8 +128,21 @@
     }
 
     onResponseError(_controller: Dispatcher.DispatchController | null, error: Error): void {
-        if (!this.#isSettled) {
-            this.#fail(error.message);
+        if (this.#isSettled) {
+            return;
+        }
+        if (!this.#isWritten && INVALID_REQUEST_CODES.has(String((error as NodeJS.ErrnoException).code))) {
+            this.#settle(refuse(RefusalReason.BadRequest, error.message));
+            return;
+        }
+        this.#fail(error.message);
+    }
+
+    #skip(chunk: Buffer): void {
+        this.#skippedBytes += chunk.length;
+        if (this.#skippedBytes > WITHHELD_MAXIMUM_BYTES && this.#verdict?.kind === "withhold") {
+            this.#settle(this.#verdict.result);
+            this.#controller?.abort(new Error("withheld answer is too long to read"));
         }
     }
 
@@ -163,9 +185,14 @@
         }
     }
 
-    /** Closes the caller's connection, so that a broken answer can't be taken for a whole one. */
+    /**
+     * Resets the caller's connection, so that a broken answer can't be taken for a whole one. A plain
+     * close would end an answer to an HTTP/1.0 caller, which gets no chunks.
+     */
     #cut(detail: string): AttemptResult {
-        this.#input.exchange.response.destroy();
+        const { response } = this.#input.exchange;
+        response.socket?.resetAndDestroy();
+        response.destroy();
         return { kind: "cut", status: this.#status, detail };
     }
 
--- a/src/transport/proxy/CallerEntry.ts
+++ b/src/transport/proxy/CallerEntry.ts
@@ -3,7 +3,7 @@
 import { refuse } from "./AttemptResult.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import { Exchange } from "./Exchange.js";
-import { getOutcome, sendResult } from "./PlainAnswer.js";
+import { appendClose, getOutcome, sendResult } from "./PlainAnswer.js";
 import type { ProxyContext } from "./ProxyContext.js";
 import { receiveBody } from "./RequestBody.js";
 import { isPlan, planRequest } from "./RequestPlan.js";
@@ -22,6 +22,7 @@
     const requestId = readRequestId(request) ?? context.createId();
     const exchange = new Exchange(request, response, options.now(), context.deadlines, (headers, outcome) => {
         headers.push(MeshHeader.Outcome, outcome, REQUEST_ID_HEADER, requestId);
+        appendClose(context, request, headers);
     });
     const planned = planRequest(request, requestId, options.readView());
     const log = createAttemptLog();
@@ -30,7 +31,7 @@
         : isPlan(planned)
         ? await runPlan(context, exchange, planned, log, expectsContinue)
         : planned;
-    const status = sendResult(exchange, result, context.isStopping());
+    const status = sendResult(exchange, result);
     exchange.finish();
     record(context, exchange, requestId, isPlan(planned) ? planned : undefined, log, result, status);
 }
--- a/src/transport/proxy/LeaseAnswering.ts
+++ b/src/transport/proxy/LeaseAnswering.ts
@@ -20,12 +20,12 @@
     const refusal = await receiveBody(exchange, LEASE_MESSAGE_MAXIMUM_BYTES);
     const renewal = exchange.body.kind === "buffered" ? parseLeaseRenewal(exchange.body.bytes.toString()) : undefined;
     if (refusal !== undefined || renewal === undefined) {
-        sendResult(exchange, refusal ?? refuse(RefusalReason.BadRequest, "the lease renewal is malformed"), false);
+        sendResult(exchange, refusal ?? refuse(RefusalReason.BadRequest, "the lease renewal is malformed"));
         return;
     }
     const { options, ownServer } = context;
     if (renewal.owner !== options.selfId || renewal.service !== ownServer.readRecord()?.service) {
-        sendResult(exchange, refuse(RefusalReason.Misdirected, "the lease renewal is for another server"), false);
+        sendResult(exchange, refuse(RefusalReason.Misdirected, "the lease renewal is for another server"));
         return;
     }
     const now = options.now();
--- a/src/transport/proxy/LocalExecution.ts
+++ b/src/transport/proxy/LocalExecution.ts
@@ -45,14 +45,19 @@
         return refusal;
     }
     const startedAt = options.now();
-    const result = await sendToServer(context, record, request);
-    const endedAt = options.now();
-    ownServer.admission.complete(request.class, endedAt - startedAt, endedAt);
+    let result: AttemptResult;
+    try {
+        result = await sendToServer(context, record, request);
+    }
+    finally {
+        const now = options.now();
+        ownServer.admission.complete(request.class, now - startedAt, now);
+    }
     if (result.kind === "not-run" && result.reason === RefusalReason.ServerUnreachable) {
         options.reportServerFailure?.(result.detail);
     }
     else {
-        ownServer.noteResult(endedAt, result.kind === "answered" && result.status < FIRST_SERVER_ERROR_STATUS);
+        ownServer.noteResult(options.now(), result.kind === "answered" && result.status < FIRST_SERVER_ERROR_STATUS);
     }
     return result;
 }
--- a/src/transport/proxy/OwnServer.ts
+++ b/src/transport/proxy/OwnServer.ts
@@ -54,9 +54,11 @@
         this.#stateOverride = state;
     }
 
+    /** Whether new work is accepted; not before the daemon has a configuration in force. */
     isAccepting(): boolean {
-        const state = this.#stateOverride ?? this.#readView().members.get(this.#selfId)?.state;
-        return state === MemberState.Live;
+        const view = this.#readView();
+        const state = this.#stateOverride ?? view.members.get(this.#selfId)?.state;
+        return state === MemberState.Live && view.configuration !== undefined;
     }
 
     /** Notes a request's end, which shows more than a probe does. */
--- a/src/transport/proxy/PlainAnswer.ts
+++ b/src/transport/proxy/PlainAnswer.ts
@@ -1,13 +1,22 @@
+import type { IncomingMessage } from "node:http";
 import { getRefusalStatus, MeshHeader, Outcome, RefusalReason } from "../../protocol/request/index.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import type { Exchange } from "./Exchange.js";
 import { DEFAULT_RETRY_AFTER_MS } from "./ProxyConstants.js";
+import type { ProxyContext } from "./ProxyContext.js";
 import { hasUnreadBody } from "./RequestBody.js";
 
 const MS_PER_SECOND = 1_000;
 const SERVICE_UNAVAILABLE_STATUS = 503;
 const TOO_MANY_REQUESTS_STATUS = 429;
 
+/** Tells the caller to close its connection when this daemon stops or the request's body was not read. */
+export function appendClose(context: ProxyContext, request: IncomingMessage, headers: string[]): void {
+    if (context.isStopping() || hasUnreadBody(request)) {
+        headers.push("connection", "close");
+    }
+}
+
 /** Sends a short text answer of the daemon itself. */
 export function sendPlainAnswer(
     exchange: Exchange,
@@ -16,7 +25,7 @@
     text: string,
     extraHeaders: readonly string[] = [],
 ): void {
-    const { request, response } = exchange;
+    const { response } = exchange;
     if (response.headersSent || response.destroyed) {
         return;
     }
@@ -27,16 +36,13 @@
         String(Buffer.byteLength(text)),
         ...extraHeaders,
     ];
-    if (hasUnreadBody(request)) {
-        headers.push("connection", "close");
-    }
     exchange.appendAnswerHeaders(headers, outcome);
     response.writeHead(status, headers);
     response.end(text);
 }
 
 /** Tells the caller how its request ended when no answer of a server was passed on. */
-export function sendResult(exchange: Exchange, result: AttemptResult, isStopping: boolean): number {
+export function sendResult(exchange: Exchange, result: AttemptResult): number {
     switch (result.kind) {
         case "answered":
         case "cut":
@@ -48,9 +54,6 @@
                 const retryAfterMs = result.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
                 headers.push("retry-after", String(Math.ceil(retryAfterMs / MS_PER_SECOND)));
             }
-            if (isStopping && !hasUnreadBody(exchange.request)) {
-                headers.push("connection", "close");
-            }
             sendPlainAnswer(exchange, status, Outcome.NotRun, `Not run: ${result.detail}.\n`, headers);
             return status;
         }
--- a/src/transport/proxy/RelayEntry.ts
+++ b/src/transport/proxy/RelayEntry.ts
@@ -17,7 +17,7 @@
 import { answerLeaseRenewal } from "./LeaseAnswering.js";
 import { executeLocally } from "./LocalExecution.js";
 import type { ServerRequest } from "./LocalExecution.js";
-import { sendResult } from "./PlainAnswer.js";
+import { appendClose, sendResult } from "./PlainAnswer.js";
 import { UNROUTED_DEADLINE_MS } from "./ProxyConstants.js";
 import type { ProxyContext } from "./ProxyContext.js";
 import { receiveBody } from "./RequestBody.js";
@@ -35,10 +35,11 @@
         if (attempt !== undefined) {
             headers.push(MeshHeader.Attempt, attempt);
         }
+        appendClose(context, request, headers);
     });
     const result = await executeRelayed(context, exchange);
     if (result !== undefined) {
-        sendResult(exchange, result, context.isStopping());
+        sendResult(exchange, result);
     }
     exchange.finish();
 }
@@ -72,6 +73,9 @@
 
 function executeForDaemon(context: ProxyContext, exchange: Exchange): Promise<AttemptResult> {
     const { request } = exchange;
+    if (context.options.readView().configuration === undefined) {
+        return Promise.resolve(refuse(RefusalReason.Unsettled, "no configuration is in force on this daemon yet"));
+    }
     const serverRequest: ServerRequest = {
         exchange,
         method: request.method ?? "",
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -72,12 +72,11 @@
         readLoad: () => context.ownServer.readLoad(options.now()),
         stop: async () => {
             state.isStopping = true;
-            while (inFlight.size > 0) {
-                await Promise.all(inFlight);
-            }
+            // What arrives from here on is refused at once and need not be awaited before the ports close.
+            await Promise.all(inFlight);
             stopProbing();
             await leaseRenewing.stop();
-            await Promise.all([close(callers), close(relays)]);
+            await Promise.all([close(callers, inFlight), close(relays, inFlight)]);
             context.deadlines.stop();
             await context.pools.stop();
             options.log("info", "proxy: stopped.");
@@ -178,11 +177,14 @@
     });
 }
 
-function close(server: Server): Promise<void> {
-    return new Promise(resolve => {
+/** Stops listening, lets the last refusals be sent, and closes the idle connections. */
+async function close(server: Server, inFlight: ReadonlySet<Promise<void>>): Promise<void> {
+    const closed = new Promise<void>(resolve => {
         server.close(() => {
             resolve();
         });
-        server.closeAllConnections();
     });
+    await Promise.all(inFlight);
+    server.closeAllConnections();
+    await closed;
 }
--- a/src/transport/proxy/RequestRouting.ts
+++ b/src/transport/proxy/RequestRouting.ts
@@ -2,9 +2,9 @@
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
 import type { Member } from "../../state/members/index.js";
-import { refuse } from "./AttemptResult.js";
+import { NO_ANSWER_STATUS, refuse } from "./AttemptResult.js";
 import type { AttemptResult } from "./AttemptResult.js";
-import type { Exchange } from "./Exchange.js";
+import type { Exchange, Interruption } from "./Exchange.js";
 import { describeInterruption } from "./Exchange.js";
 import { executeOnce } from "./KeyedExecution.js";
 import { executeLocally, sendToServer } from "./LocalExecution.js";
@@ -30,10 +30,12 @@
     attempts: number;
     hop: Hop | undefined;
     server: string | undefined;
+    /** Whether an attempt may have run; a later refusal then no longer proves that the request was not run. */
+    mayHaveRun: boolean;
 }
 
 export function createAttemptLog(): AttemptLog {
-    return { attempts: 0, hop: undefined, server: undefined };
+    return { attempts: 0, hop: undefined, server: undefined, mayHaveRun: false };
 }
 
 /** Servers that answer with these statuses say that they cannot serve now. */
@@ -70,10 +72,17 @@
         };
         return context.chooseServer(query) ?? context.chooseServer({ ...query, excluded: new Set() });
     };
-    return runAttempts(context, exchange, plan, log, chooseNext, member => {
+    const result = await runAttempts(context, exchange, plan, log, chooseNext, member => {
         excluded.add(member.id);
         return tryRepeatable(context, exchange, plan, log, member);
     });
+    return result.kind === "not-run" && log.mayHaveRun
+        ? {
+            kind: "unknown",
+            status: NO_ANSWER_STATUS,
+            detail: `an earlier attempt may have run; then ${result.detail}`,
+        }
+        : result;
 }
 
 /** Runs a request that may run once: at the owner that its key leads to, and at the next only when it was not run. */
@@ -88,7 +97,7 @@
     let next = 0;
     return runAttempts(context, exchange, plan, log, () => ranked[next++ % Math.max(1, ranked.length)], member => {
         const request = buildServerRequest(exchange, plan, () => false);
-        return tryServer(context, plan, log, member, () =>
+        return tryServer(context, exchange, plan, log, member, () =>
             member.id === context.options.selfId
                 ? { hop: Hop.Local, result: executeOnce(context, request, key) }
                 : { hop: Hop.Relayed, result: executeByOwner(context, member, request, true) });
@@ -111,6 +120,7 @@
             return refuse(RefusalReason.NoServer, `service ${plan.service.name} has no live backend server`);
         }
         const result = await run(member);
+        log.mayHaveRun ||= result.kind === "unknown" || result.kind === "withheld";
         if (result.kind !== "withheld" && !shouldRetry(context, exchange, plan, log, result)) {
             return result;
         }
@@ -121,9 +131,9 @@
             class: plan.route.class,
         });
         if (!await sleep(context, exchange, delays.next().value)) {
-            return exchange.interruption === undefined || result.kind === "unknown" || result.kind === "withheld"
+            return exchange.interruption === undefined
                 ? result
-                : describeInterruption(exchange.interruption, false);
+                : describeInterruption(exchange.interruption, log.mayHaveRun);
         }
     }
 }
@@ -159,7 +169,7 @@
         plan,
         status => DECLINING_STATUSES.has(status) && hasRetryLeft(context, exchange, plan, log),
     );
-    return tryServer(context, plan, log, member, () => {
+    return tryServer(context, exchange, plan, log, member, () => {
         if (member.id === context.options.selfId) {
             return { hop: Hop.Local, result: executeLocally(context, request) };
         }
@@ -175,9 +185,12 @@
     record: NonNullable<Member["server"]>,
     request: ServerRequest,
 ): Promise<AttemptResult> {
-    const result = await sendToServer(context, record, request);
-    context.leases.returnSlot(member.id);
-    return result;
+    try {
+        return await sendToServer(context, record, request);
+    }
+    finally {
+        context.leases.returnSlot(member.id);
+    }
 }
 
 function buildServerRequest(
@@ -199,6 +212,7 @@
 /** Makes one attempt and records what it shows about the server. */
 async function tryServer(
     context: ProxyContext,
+    exchange: Exchange,
     plan: RequestPlan,
     log: AttemptLog,
     member: Member,
@@ -220,7 +234,7 @@
         leases.noteEnd(member.id);
     }
     const endedAt = options.now();
-    const effect = classifyResult(result, plan.isShortened);
+    const effect = classifyResult(result, exchange.interruption, plan.isShortened);
     if (balancer.noteEnd(plan.service.name, member.id, effect, endedAt - startedAt, endedAt)) {
         options.log("warn", "proxy: ejected a server by its results.", { server: member.id });
         options.recorder.count({
@@ -239,18 +253,26 @@
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 const UNREACHABLE_REASONS = new Set<RefusalReason>([RefusalReason.ServerUnreachable, RefusalReason.DaemonUnreachable]);
-const DEADLINE_STATUS = 504;
 
-/** What a result shows about its server. A deadline that the caller shortened shows nothing. */
-function classifyResult(result: AttemptResult, isShortened: boolean): AttemptEffect {
+/** What a result shows about its server. What the caller caused shows nothing, or callers could eject servers. */
+function classifyResult(
+    result: AttemptResult,
+    interruption: Interruption | undefined,
+    isShortened: boolean,
+): AttemptEffect {
     switch (result.kind) {
         case "answered":
             return result.status < FIRST_SERVER_ERROR_STATUS ? AttemptEffect.Success : AttemptEffect.Failure;
         case "not-run":
             return UNREACHABLE_REASONS.has(result.reason) ? AttemptEffect.Failure : AttemptEffect.None;
+        case "cut":
+            // A deadline that passes within an answer may be due to a caller that reads slowly.
+            return interruption === undefined ? AttemptEffect.Failure : AttemptEffect.None;
         case "unknown":
-            return isShortened && result.status === DEADLINE_STATUS ? AttemptEffect.None : AttemptEffect.Failure;
-        default:
+            return interruption === undefined || interruption === "deadline" && !isShortened
+                ? AttemptEffect.Failure
+                : AttemptEffect.None;
+        case "withheld":
             return AttemptEffect.Failure;
     }
 }
--- a/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
+++ b/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { startBackend, startRawServer } from "../fixtures/BackendServer.js";
-import { createTeardowns, sendRequest } from "../fixtures/Caller.js";
+import { createTeardowns, sendRaw, sendRequest } from "../fixtures/Caller.js";
 import { buildDocument, startMesh } from "../fixtures/Mesh.js";
 
 const teardowns = createTeardowns();
@@ -40,6 +40,18 @@
         }
     }
 
+    it("resets the connection of an HTTP/1.0 caller, to which a close would be the answer's end", async () => {
+        const server = await startRawServer(socket => {
+            socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n");
+            setTimeout(() => socket.destroy(), 20);
+        });
+        const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }), [{ id: "owner", serverPort: server.port }]);
+        teardowns.add(() => server.stop());
+        teardowns.add(() => mesh.stop());
+        const got = await sendRaw(mesh.getProxy("owner").requestPort, "GET /status HTTP/1.0\r\nhost: a\r\n\r\n");
+        expect(got).toMatch(/^HTTP\/1.1 200 .*hel<reset>$/s);
+    });
+
     it("refuses an answer whose end only the connection's end shows", async () => {
         const server = await startRawServer(socket => {
             socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello");
--- a/src/transport/proxy/__tests__/unit/Deadlines.test.ts
+++ b/src/transport/proxy/__tests__/unit/Deadlines.test.ts
@@ -45,6 +45,19 @@
         });
     }
 
+    it("does not count what callers give up against the server", async () => {
+        const { mesh } = await startSilentServer(10_000);
+        const member = mesh.view.members.get("owner");
+        const second = member === undefined ? [] : [member, { ...member, id: "second" }];
+        mesh.view = { ...mesh.view, membersByService: new Map([["ledger", second]]) };
+        const given = { headers: { "papayaturn-deadline-ms": "20" } };
+        const url = `${mesh.getUrl("owner")}/status`;
+        for (let round = 0; round < 6; round++) {
+            await Promise.all([sendRequest(url, given), sendRequest(url, { cancelAfterMs: 20 })]);
+        }
+        expect(mesh.events.filter(event => event.kind === "ejected")).toEqual([]);
+    });
+
     it("lets a non-repeatable request run on without its caller and keeps the answer", async () => {
         let answerNow: (() => void) | undefined;
         const backend = await startBackend((_seen, _request, response) => {
--- a/src/transport/proxy/__tests__/unit/HostileInput.test.ts
+++ b/src/transport/proxy/__tests__/unit/HostileInput.test.ts
@@ -114,6 +114,35 @@
         expect(control.seen).toHaveLength(0);
     });
 
+    it("runs nothing for other daemons while this one has no configuration in force", async () => {
+        const backend = await startBackend((_seen, _request, response) => response.end("ok"));
+        teardowns.add(() => backend.stop());
+        const mesh = await startMesh(buildDocument(), [
+            {
+                id: "owner",
+                serverPort: backend.port,
+                options: { readView: () => ({ ...mesh.view, configuration: undefined }) },
+            },
+            { id: "entry" },
+        ]);
+        teardowns.add(() => mesh.stop());
+        expect(await sendRequest(`${mesh.getUrl("entry")}/status`))
+            .toMatchObject({ status: 503, outcome: "not-run", reason: "unsettled" });
+        expect(backend.seen).toHaveLength(0);
+    });
+
+    it("passes bytes beyond ASCII on or refuses them, and blames no server for them", async () => {
+        const { mesh } = await startPair();
+        const port = mesh.getProxy("owner").requestPort;
+        for (const path of ["/status/\xff", "/status/\x7f", "/status?q={}|^`"]) {
+            const answer = await sendRaw(
+                port,
+                `GET ${path} HTTP/1.1\r\nhost: a\r\nx-a: \xe9\r\nconnection: close\r\n\r\n`,
+            );
+            expect(answer).toMatch(/^HTTP\/1.1 (200|400) /);
+        }
+    });
+
     it("treats a path like that of the lease renewals as a caller's path", async () => {
         const { mesh } = await startPair();
         expect(await sendRequest(`${mesh.getUrl("entry")}/.papayaturn/leases`, { method: "POST", body: "{}" }))
--- a/src/transport/proxy/__tests__/unit/Retries.test.ts
+++ b/src/transport/proxy/__tests__/unit/Retries.test.ts
@@ -106,6 +106,19 @@
         expect(resets).toBeGreaterThan(0);
     });
 
+    it("does not say not-run when an earlier attempt may have run", async () => {
+        const resetting = await startRawServer(socket => socket.resetAndDestroy());
+        teardowns.add(() => resetting.stop());
+        const mesh = await startServers([resetting.port, resetting.port]);
+        mesh.getProxy("s2").setServerState("leaving");
+        for (let count = 0; count < 5; count++) {
+            expect(await sendRequest(`${mesh.getUrl("entry")}/status`)).toMatchObject({
+                status: 502,
+                outcome: "unknown",
+            });
+        }
+    });
+
     it("keeps retries within the budget while every server declines", async () => {
         const backend = await startBackend((_seen, _request, response) => response.writeHead(503).end("busy"));
         teardowns.add(() => backend.stop());
