--- a/src/transport/proxy/LeaseRenewing.ts
+++ b/src/transport/proxy/LeaseRenewing.ts
@@ -12,8 +12,10 @@
 export interface LeaseRenewing {
     /** Applies for a lease of a server used for the first time, without waiting for the next interval. */
     apply(owner: string): void;
+    /** Stops renewing; the leases lapse. */
+    stop(): void;
     /** Stops renewing and returns all leases, so that the owners need not wait for them to lapse. */
-    stop(): Promise<void>;
+    returnAll(): Promise<void>;
 }
 
 /** Renews the slot leases of the servers in use, each once a second. */
@@ -39,7 +41,10 @@
         apply: owner => {
             renew(leases.planRenewal(owner, options.now()));
         },
-        stop: async () => {
+        stop: () => {
+            clearInterval(timer);
+        },
+        returnAll: async () => {
             clearInterval(timer);
             await Promise.all(leases.planReturns().map(plan => renewLease(context, plan)));
         },
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -19,7 +19,6 @@
 import { handleRelayRequest } from "./RelayEntry.js";
 import { RetryBudgets } from "./RetryBudgets.js";
 import { ServerPools } from "./ServerPools.js";
-import { registerServerProbing } from "./ServerProbing.js";
 
 /** The running request path of one daemon. */
 export interface RequestProxy {
@@ -29,10 +28,16 @@
     explain(query: ExplainQuery): Explanation;
     /** Sets the state of the own server at once, before its member record has changed. */
     setServerState(state: MemberState): void;
+    /** Sets what the own server's health endpoint said; it is reported with the load and removes no server. */
+    setServerHealth(isHealthy: boolean): void;
     /** Load of the own server as other daemons see it. */
     readLoad(): LoadReport;
+    /** Last time, on the scale of `now`, that a request showed the own server's state. */
+    readLastResultAt(): number;
     /** Refuses new work, lets work in flight end, then closes all connections. */
     stop(): Promise<void>;
+    /** Closes all connections at once, as a crash does; for tests. */
+    closeAbruptly(): Promise<void>;
 }
 
 type RequestHandler = (
@@ -57,10 +62,14 @@
         (request, response) => handleRelayRequest(context, request, response),
     );
     const requestPort = await openPort(callers, options.requestPort, options.address);
-    const relayPort = await openPort(relays, options.relayPort, options.address);
+    const relayPort = await openPort(relays, options.relayPort, options.relayAddress ?? options.address);
     const leaseRenewing = startLeaseRenewing(context);
     state.leaseRenewing = leaseRenewing;
-    const stopProbing = registerServerProbing(context);
+    const closePorts = async (pending: ReadonlySet<Promise<void>>): Promise<void> => {
+        await Promise.all([close(callers, pending), close(relays, pending)]);
+        context.deadlines.stop();
+        await context.pools.stop();
+    };
     options.log("info", "proxy: accepts requests.", { requestPort, relayPort });
     return {
         requestPort,
@@ -69,18 +78,24 @@
         setServerState: serverState => {
             context.ownServer.setState(serverState);
         },
+        setServerHealth: isHealthy => {
+            context.ownServer.setHealthy(isHealthy);
+        },
         readLoad: () => context.ownServer.readLoad(options.now()),
+        readLastResultAt: () => context.ownServer.lastResultAt,
         stop: async () => {
             state.isStopping = true;
             // What arrives from here on is refused at once and need not be awaited before the ports close.
             await Promise.all(inFlight);
-            stopProbing();
-            await leaseRenewing.stop();
-            await Promise.all([close(callers, inFlight), close(relays, inFlight)]);
-            context.deadlines.stop();
-            await context.pools.stop();
+            await leaseRenewing.returnAll();
+            await closePorts(inFlight);
             options.log("info", "proxy: stopped.");
         },
+        closeAbruptly: () => {
+            state.isStopping = true;
+            leaseRenewing.stop();
+            return closePorts(new Set());
+        },
     };
 }
 
@@ -177,14 +192,14 @@
     });
 }
 
-/** Stops listening, lets the last refusals be sent, and closes the idle connections. */
-async function close(server: Server, inFlight: ReadonlySet<Promise<void>>): Promise<void> {
+/** Stops listening, lets pending answers be sent, and closes all connections. */
+async function close(server: Server, pending: ReadonlySet<Promise<void>>): Promise<void> {
     const closed = new Promise<void>(resolve => {
         server.close(() => {
             resolve();
         });
     });
-    await Promise.all(inFlight);
+    await Promise.all(pending);
     server.closeAllConnections();
     await closed;
 }
