--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -19,7 +19,6 @@
 import { handleRelayRequest } from "./RelayEntry.js";
 import { RetryBudgets } from "./RetryBudgets.js";
 import { ServerPools } from "./ServerPools.js";
-import { registerServerProbing } from "./ServerProbing.js";
 
 /** The running request path of one daemon. */
 export interface RequestProxy {
@@ -29,6 +28,8 @@
     explain(query: ExplainQuery): Explanation;
     /** Sets the state of the own server at once, before its member record has changed. */
     setServerState(state: MemberState): void;
+    /** Sets what the own server's health endpoint said; it is reported with the load and removes no server. */
+    setServerHealth(isHealthy: boolean): void;
     /** Load of the own server as other daemons see it. */
     readLoad(): LoadReport;
     /** Last time, on the scale of `now`, that a request showed the own server's state. */
@@ -64,11 +65,8 @@
     const relayPort = await openPort(relays, options.relayPort, options.relayAddress ?? options.address);
     const leaseRenewing = startLeaseRenewing(context);
     state.leaseRenewing = leaseRenewing;
-    const stopProbing = registerServerProbing(context);
-    const closeParts = async (): Promise<void> => {
-        stopProbing();
-        await leaseRenewing.stop();
-        await Promise.all([close(callers), close(relays)]);
+    const closePorts = async (pending: ReadonlySet<Promise<void>>): Promise<void> => {
+        await Promise.all([close(callers, pending), close(relays, pending)]);
         context.deadlines.stop();
         await context.pools.stop();
     };
@@ -80,19 +78,23 @@
         setServerState: serverState => {
             context.ownServer.setState(serverState);
         },
+        setServerHealth: isHealthy => {
+            context.ownServer.setHealthy(isHealthy);
+        },
         readLoad: () => context.ownServer.readLoad(options.now()),
         readLastResultAt: () => context.ownServer.lastResultAt,
         stop: async () => {
             state.isStopping = true;
-            while (inFlight.size > 0) {
-                await Promise.all(inFlight);
-            }
-            await closeParts();
+            // What arrives from here on is refused at once and need not be awaited before the ports close.
+            await Promise.all(inFlight);
+            await leaseRenewing.returnAll();
+            await closePorts(inFlight);
             options.log("info", "proxy: stopped.");
         },
         closeAbruptly: () => {
             state.isStopping = true;
-            return closeParts();
+            leaseRenewing.stop();
+            return closePorts(new Set());
         },
     };
 }
@@ -190,11 +192,14 @@
     });
 }
 
-function close(server: Server): Promise<void> {
-    return new Promise(resolve => {
+/** Stops listening, lets pending answers be sent, and closes all connections. */
+async function close(server: Server, pending: ReadonlySet<Promise<void>>): Promise<void> {
+    const closed = new Promise<void>(resolve => {
         server.close(() => {
             resolve();
         });
-        server.closeAllConnections();
     });
+    await Promise.all(pending);
+    server.closeAllConnections();
+    await closed;
 }
