Measure the request policy under failures

Cause: each rule of load balancing, retries and claims should pay in figures against a baseline under the same failures.

Change: `npm run measure -- faults` runs a seeded schedule (slow server, lying health, crash, drain, overload at twice the capacity, lost failure domain) over loopback with real proxies, each daemon in a thread that can be ended without warning; `--policies` selects variants that change one rule each.

--- /dev/null
+++ b/measure/faults/CallerLoad.ts
@@ -0,0 +1,120 @@
+import type { Dispatcher } from "undici";
+import type { Random } from "../../src/state/shared/index.js";
+
+import { Agent } from "undici";
+import { invariant } from "../../src/state/shared/index.js";
+import { sleep } from "./CountingStore.js";
+import { REQUEST_NUMBER_HEADER } from "./WorkerMessages.js";
+
+const MS_PER_S = 1_000;
+
+/** Share of requests that are deposits, which may run once. */
+const DEPOSIT_SHARE = 0.2;
+
+/** A caller repeats a deposit without an answer after this time, under the same key. */
+const REPEAT_DELAY_MS = 200;
+
+/** Callers give up later than the routes' deadline. */
+const CALLER_TIMEOUT_MS = 1_500;
+
+/** What a caller was told of one request. */
+export interface CallResult {
+    /** Number of the request; a repetition of a deposit has the same. */
+    readonly request: number;
+    readonly isDeposit: boolean;
+    readonly outcome: "answered" | "not-run" | "failed";
+    readonly latencyMs: number;
+    /** Whether a caller was told each time that the request was not run. */
+    readonly wasAlwaysNotRun: boolean;
+}
+
+/** Callers that send requests at given times whatever the answers are. */
+export interface CallerLoad {
+    /** Sends at `rate` a second for `durationMs` and returns when every request has ended. */
+    run(rate: number, durationMs: number, listPorts: () => readonly number[]): Promise<readonly CallResult[]>;
+    stop(): Promise<void>;
+}
+
+/** `random` draws the load; `repeatRandom` draws where repetitions go, whose number depends on the answers. */
+export function createCallerLoad(random: Random, repeatRandom: Random): CallerLoad {
+    const agent = new Agent({ connections: 256, headersTimeout: CALLER_TIMEOUT_MS, bodyTimeout: CALLER_TIMEOUT_MS });
+    let lastRequest = 0;
+
+    async function run(
+        rate: number,
+        durationMs: number,
+        listPorts: () => readonly number[],
+    ): Promise<readonly CallResult[]> {
+        const calls: Promise<CallResult>[] = [];
+        const startedAt = performance.now();
+        for (let due = drawGap(rate); due < durationMs; due += drawGap(rate)) {
+            const pauseMs = startedAt + due - performance.now();
+            if (pauseMs > 1) {
+                await sleep(pauseMs);
+            }
+            calls.push(runCall(pickPort(listPorts(), random), ++lastRequest, random() < DEPOSIT_SHARE, listPorts));
+        }
+        return Promise.all(calls);
+    }
+
+    function drawGap(rate: number): number {
+        return -Math.log(1 - random()) * MS_PER_S / rate;
+    }
+
+    function pickPort(ports: readonly number[], draw: Random): number {
+        const port = ports[Math.floor(draw() * ports.length)];
+        invariant(port, "an entry daemon is left");
+        return port;
+    }
+
+    async function runCall(
+        port: number,
+        request: number,
+        isDeposit: boolean,
+        listPorts: () => readonly number[],
+    ): Promise<CallResult> {
+        const startedAt = performance.now();
+        const first = await sendRequest(agent, port, request, isDeposit);
+        let outcome = first;
+        if (isDeposit && first !== "answered") {
+            await sleep(REPEAT_DELAY_MS);
+            outcome = await sendRequest(agent, pickPort(listPorts(), repeatRandom), request, isDeposit);
+        }
+        return {
+            request,
+            isDeposit,
+            outcome,
+            latencyMs: performance.now() - startedAt,
+            wasAlwaysNotRun: first === "not-run" && outcome === "not-run",
+        };
+    }
+
+    return { run, stop: () => agent.close() };
+}
+
+async function sendRequest(
+    dispatcher: Dispatcher,
+    port: number,
+    request: number,
+    isDeposit: boolean,
+): Promise<CallResult["outcome"]> {
+    try {
+        const { statusCode, headers, body } = await dispatcher.request({
+            origin: `http://127.0.0.1:${port}`,
+            method: isDeposit ? "POST" : "GET",
+            path: isDeposit ? "/deposits" : "/status",
+            headers: {
+                [REQUEST_NUMBER_HEADER]: String(request),
+                ...(isDeposit && { "idempotency-key": `deposit-${request}` }),
+            },
+        });
+        await body.dump();
+        if (statusCode < 300) {
+            return "answered";
+        }
+        return headers["papayaturn-outcome"] === "not-run" ? "not-run" : "failed";
+    }
+    catch {
+        return "failed";
+    }
+}
--- /dev/null
+++ b/measure/faults/FaultPhases.ts
@@ -0,0 +1,87 @@
+import type { MeasuredMesh } from "./MeasuredMesh.js";
+
+import { sleep } from "./CountingStore.js";
+import { SERVICE_MS, SLOTS } from "./MeasuredDocument.js";
+import { SERVERS } from "./MeasuredMesh.js";
+import { Behaviour } from "./WorkerMessages.js";
+
+const MS_PER_S = 1_000;
+
+/** Requests that the whole service can answer each second. */
+const CAPACITY_PER_SECOND = SERVERS * SLOTS * MS_PER_S / SERVICE_MS;
+const USUAL_RATE = CAPACITY_PER_SECOND / 2;
+const OVERLOAD_RATE = CAPACITY_PER_SECOND * 2;
+
+/** A fault begins this long after its phase. */
+const FAULT_START_MS = 500;
+
+/** Time from a crash to the view without the member: 3 s as a suspect and the attempt to connect. */
+const DETECTION_MS = 3_500;
+
+/** Time in which the record of a leaving server reaches the other daemons. */
+const RECORD_SPREAD_MS = 200;
+
+/** One part of the schedule: offered load and what fails meanwhile. */
+export interface FaultPhase {
+    readonly name: string;
+    /** Requests offered each second. */
+    readonly rate: number;
+    /** Makes things fail; runs beside the load. */
+    inject(mesh: MeasuredMesh): Promise<void>;
+}
+
+/** The schedule; between the phases the mesh is restored. */
+export const FAULT_PHASES: readonly FaultPhase[] = [
+    { name: "no fault", rate: USUAL_RATE, inject: () => Promise.resolve() },
+    {
+        name: "slow server",
+        rate: USUAL_RATE,
+        inject: mesh => setPhaseBehaviour(mesh, "erie-a-1", Behaviour.Slow),
+    },
+    {
+        name: "lying health",
+        rate: USUAL_RATE,
+        inject: mesh => setPhaseBehaviour(mesh, "erie-b-1", Behaviour.Failing),
+    },
+    {
+        name: "crash",
+        rate: USUAL_RATE,
+        inject: async mesh => {
+            await sleep(FAULT_START_MS);
+            await mesh.crash("erie-a-2");
+            await sleep(DETECTION_MS);
+            mesh.setState("erie-a-2", "dead");
+        },
+    },
+    {
+        name: "drain",
+        rate: USUAL_RATE,
+        inject: async mesh => {
+            await sleep(FAULT_START_MS);
+            mesh.drain("erie-b-2");
+            await sleep(RECORD_SPREAD_MS);
+            mesh.setState("erie-b-2", "leaving");
+        },
+    },
+    { name: "overload 2x", rate: OVERLOAD_RATE, inject: () => Promise.resolve() },
+    {
+        name: "lost domain",
+        rate: USUAL_RATE,
+        inject: async mesh => {
+            await sleep(FAULT_START_MS);
+            await mesh.crashDomain("erie-c");
+            await sleep(DETECTION_MS);
+            mesh.setCutOff(["erie-c"]);
+        },
+    },
+];
+
+/** Length of one phase's load. */
+export const PHASE_MS = 4_200;
+
+async function setPhaseBehaviour(mesh: MeasuredMesh, id: string, behaviour: Behaviour): Promise<void> {
+    await sleep(FAULT_START_MS);
+    mesh.setBehaviour(id, behaviour);
+    await sleep(PHASE_MS - FAULT_START_MS);
+    mesh.setBehaviour(id, Behaviour.Normal);
+}
