--- a/src/transport/proxy/ProxyContext.ts
+++ b/src/transport/proxy/ProxyContext.ts
@@ -26,8 +26,10 @@
 export type TakeRetry = (service: string, now: number) => boolean;
 
 export interface RequestProxyOptions {
-    /** Address of both ports; an IP address. */
+    /** Address of the callers' port; an IP address. */
     readonly address: string;
+    /** Address of the port for other daemons; `address` when omitted. */
+    readonly relayAddress?: string;
     /** Port for callers; 0 takes any. */
     readonly requestPort: number;
     /** Port for requests and lease renewals of other daemons; 0 takes any. */
@@ -47,6 +49,8 @@
     readonly reportServerFailure?: (detail: string) => void;
     readonly chooseServer?: ChooseServer;
     readonly takeRetry?: TakeRetry;
+    /** False makes every request to another server go through its owner; for measurements. */
+    readonly isLeasing?: boolean;
 }
 
 /** What the parts of the request path share. */
@@ -62,6 +66,8 @@
     readonly takeRetry: TakeRetry;
     /** Counts a caller's request for its service's retry budget. */
     readonly recordRequest: (service: string, now: number) => void;
+    /** Applies for slots of a server that this daemon begins to use. */
+    readonly applyForLease: (owner: string) => void;
     readonly isStopping: () => boolean;
     /** Identity of a new attempt or request, unique in the mesh. */
     readonly createId: () => string;
