Handle signals during the start and test the daemon as a process

Cause: a SIGTERM that came between the start and the registration of its handler ended the process at once; a new test of the process found it. An interrupted demo went on to print a report and ended with code 1. Change: signals are handled before the start. Conclusion: bad settings, start without a store, a planned stop and a taken port are tested on the built program.

--- a/demo/ChildProcesses.ts
+++ b/demo/ChildProcesses.ts
@@ -3,6 +3,8 @@
 import { spawn } from "node:child_process";
 import { createInterface } from "node:readline";
 
+/** Small young generation, as docs/operating.md recommends for the daemon. */
+const NODE_FLAGS = ["--enable-source-maps", "--max-semi-space-size=1"];
 const STOP_TIMEOUT_MS = 10_000;
 const KEPT_LINES = 20;
 
@@ -85,7 +87,7 @@
     }
 
     start({ name, script, args, environment, onLine }: StartOptions): RunningProcess {
-        const child = spawn(process.execPath, ["--enable-source-maps", script, ...args], {
+        const child = spawn(process.execPath, [...NODE_FLAGS, script, ...args], {
             env: { PATH: process.env["PATH"], ...environment },
             stdio: ["ignore", "pipe", "pipe"],
         });
--- a/demo/Demo.ts
+++ b/demo/Demo.ts
@@ -97,9 +97,12 @@
     const text = await readExample(name);
     const layout = await planLayout(parseExample(text), chooseFreePorts);
     const processes = new ChildProcesses();
-    const interrupted = new Promise<void>(resolve => {
-        process.on("SIGINT", resolve);
-        process.on("SIGTERM", resolve);
+    const interrupted = new Promise<undefined>(resolve => {
+        for (const signal of ["SIGINT", "SIGTERM"] as const) {
+            process.on(signal, () => {
+                resolve(undefined);
+            });
+        }
     });
     const secrets = drawSecrets();
     const mesh = new DemoMesh(layout, secrets, processes, seed);
@@ -112,7 +115,10 @@
         text,
     });
     try {
-        const result = await Promise.race([scenario.run(), interrupted]);
+        const running = scenario.run();
+        // After an interruption the steps fail, because the processes are gone.
+        running.catch(() => undefined);
+        const result = await Promise.race([running, interrupted]);
         if (result === undefined) {
             return INTERRUPTED_EXIT_CODE;
         }
--- a/src/binaries/DaemonProcess.ts
+++ b/src/binaries/DaemonProcess.ts
@@ -38,16 +38,18 @@
         createPartLogger(part).error(sentence, fields);
     });
     const storeOptions = { timeoutMs: STORE_TIMEOUT_MS, url: settings.storeUrl };
+    const starting = startDaemon(settings, {
+        claimStore: createStoreClient(storeOptions),
+        createPartLogger,
+        store: createStoreClient(storeOptions),
+        ...(delayLink === undefined ? {} : { delayLink }),
+    });
+    // A signal that comes during the start stops the daemon as soon as it has started.
+    registerStopSignals(() => starting.then(daemon => daemon.stop()), log.info);
     try {
-        const daemon = await startDaemon(settings, {
-            claimStore: createStoreClient(storeOptions),
-            createPartLogger,
-            store: createStoreClient(storeOptions),
-            ...(delayLink === undefined ? {} : { delayLink }),
-        });
+        const daemon = await starting;
         const { controlPort, peerPort, relayPort, requestPort } = daemon;
         log.info("started.", { controlPort, peerPort, relayPort, requestPort });
-        registerStopSignals(() => daemon.stop(), log.info);
     }
     catch (error) {
         log.error(`could not start: ${(error as Error).message}.`, { err: error });
--- /dev/null
+++ b/src/binaries/__tests__/unit/papayaturn-daemon.test.ts
@@ -0,0 +1,100 @@
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { text } from "node:stream/consumers";
+import { afterEach, expect, test } from "vitest";
+
+const SCRIPT = "dist/src/binaries/papayaturn-daemon.js";
+/** Nothing listens there; a daemon runs without the store as well. */
+const STORE = "http://127.0.0.1:9";
+const SECRETS = { PAPAYATURN_MESH_KEY: "a mesh key of the test", PAPAYATURN_TOKEN: "a token of the test" };
+
+const children: ChildProcess[] = [];
+
+afterEach(() => {
+    for (const child of children.splice(0)) {
+        child.kill("SIGKILL");
+    }
+});
+
+function startProcess(flags: Readonly<Record<string, string>>, environment: Readonly<Record<string, string>>) {
+    const args = Object.entries(flags).map(([flag, value]) => `--${flag}=${value}`);
+    const child = spawn(process.execPath, [SCRIPT, ...args], { env: environment, stdio: ["ignore", "pipe", "pipe"] });
+    children.push(child);
+    const output = text(child.stdout);
+    const errors = text(child.stderr);
+    const exited = new Promise<number | null>(resolve => child.once("exit", resolve));
+    return { child, end: async () => ({ code: await exited, errors: await errors, output: await output }) };
+}
+
+function buildFlags(changes: Readonly<Record<string, string>> = {}): Record<string, string> {
+    return {
+        "address": "127.0.0.1",
+        "control-port": "0",
+        "failure-domain": "erie-a",
+        "id": "erie-a-1",
+        "peer-port": "0",
+        "region": "erie",
+        "relay-port": "0",
+        "request-port": "0",
+        "store": STORE,
+        ...changes,
+    };
+}
+
+function listMessages(output: string): readonly string[] {
+    return output.trim().split("\n").map(line => (JSON.parse(line) as { msg: string; }).msg);
+}
+
+// Guards against a daemon that starts with bad settings, or names only the first fault.
+test("bad settings end the process with code 2 and all findings", async () => {
+    const { code, errors } = await startProcess({ id: "Erie 1", sed: "x" }, {}).end();
+    expect(code).toBe(2);
+    expect(errors.trim().split("\n").map(line => line.split(" ")[1])).toEqual([
+        "sed",
+        "--address",
+        "--failure-domain",
+        "--id",
+        "--mesh-key-file",
+        "--region",
+        "--store",
+        "--token-file",
+    ]);
+});
+
+// Guards against a planned stop that ends as a failure, and against secrets in the log.
+test("a daemon starts without the store, and SIGTERM ends it with code 0", async () => {
+    const { child, end } = startProcess(buildFlags(), SECRETS);
+    await new Promise<void>(resolve => {
+        const check = (chunk: Buffer): void => {
+            if (chunk.includes("daemon: started.")) {
+                resolve();
+            }
+        };
+        child.stdout?.on("data", check);
+    });
+    child.kill("SIGTERM");
+    const { code, output } = await end();
+    expect(code).toBe(0);
+    expect(listMessages(output)).toEqual([
+        "proxy: accepts requests.",
+        "daemon: started.",
+        "daemon: planned stop begins.",
+        "proxy: stopped.",
+        "daemon: planned stop has ended.",
+    ]);
+    expect(output).not.toContain(SECRETS.PAPAYATURN_MESH_KEY);
+    expect(output).not.toContain(SECRETS.PAPAYATURN_TOKEN);
+});
+
+// Guards against a daemon that keeps running without one of its ports.
+test("a port that is taken ends the process with code 1", async () => {
+    const taken = createServer();
+    await new Promise<void>(resolve => taken.listen(0, "127.0.0.1", resolve));
+    const port = String((taken.address() as AddressInfo).port);
+    const { code, output } = await startProcess(buildFlags({ "control-port": port }), SECRETS).end();
+    await new Promise(resolve => taken.close(resolve));
+    expect(code).toBe(1);
+    expect(listMessages(output).at(-1)).toContain("daemon: could not start: listen EADDRINUSE");
+});
