--- a/src/console/web/ConsoleServer.ts
+++ b/src/console/web/ConsoleServer.ts
@@ -18,8 +18,10 @@
     EditController,
     FaultFilter,
     HistoryController,
+    sendPage,
     SessionController,
 } from "./controllers/index.js";
+import { renderEndedSessionPage } from "./pages/index.js";
 import type { ConfigurationPort } from "./ports/index.js";
 
 export interface ConsoleOptions {
@@ -33,6 +35,8 @@
     readonly hosts: ReadonlySet<string>;
 }
 
+const ENDED_SESSION_STATUS = 401;
+
 /** Everything comes from the console itself; the pages contain no inline script or style. */
 const CONTENT_SECURITY_POLICY = {
     baseUri: ["'none'"],
@@ -64,6 +68,8 @@
 async function registerHeaders(server: FastifyInstance): Promise<void> {
     await server.register(helmet, {
         contentSecurityPolicy: { directives: CONTENT_SECURITY_POLICY, useDefaults: false },
+        // Without any referrer, browsers send forms with the origin "null", which the origin check refuses.
+        referrerPolicy: { policy: "same-origin" },
         // The console speaks http on loopback; a proxy that adds https sets this header itself.
         strictTransportSecurity: false,
         xFrameOptions: { action: "deny" },
@@ -80,7 +86,12 @@
     const server = adapter.getInstance();
     const sessions = createSessions(token);
     await registerHeaders(server as unknown as FastifyInstance);
-    registerAccessHooks(server as unknown as FastifyInstance, { hosts, now, sessions });
+    registerAccessHooks(server as unknown as FastifyInstance, {
+        answerEndedSession: reply => sendPage(reply, ENDED_SESSION_STATUS, renderEndedSessionPage()),
+        hosts,
+        now,
+        sessions,
+    });
     const app = await NestFactory.create<NestFastifyApplication>(
         createConsoleModule({ logInfo, now, port, sessions }),
         adapter,
--- a/src/console/web/__tests__/unit/Access.test.ts
+++ b/src/console/web/__tests__/unit/Access.test.ts
@@ -9,7 +9,19 @@
         for (const path of ["/", "/document", "/document.yaml", "/history/1", "/edit/services/ledger", "/nothing"]) {
             expect(await client.get(path)).toMatchObject({ location: "/sign-in", status: 303 });
         }
-        expect(await client.post("/publish", {})).toMatchObject({ location: "/sign-in", status: 303 });
+        expect((await client.post("/publish", {})).status).toBe(401);
+    });
+
+    it("accepts a form that is sent again after the session ended and the operator signed in again", async () => {
+        const client = await startClient();
+        const form = await client.get("/edit/classes/money");
+        await client.post("/sign-out", readFormFields(form.text, "/sign-out"));
+        const ended = await client.submit(form, "/review/form", { "piece.weight": "9" });
+        expect(ended.status).toBe(401);
+        expect(ended.text).toContain("nothing you typed is lost");
+        await client.post("/sign-in", { operator: "jonas", token: TOKEN });
+        const review = await client.submit(form, "/review/form", { "piece.weight": "9" });
+        expect(review.text).toContain("Publish as version 2");
     });
 
     it("refuses a wrong token and a missing name", async () => {
@@ -31,6 +43,7 @@
         const fields = readFormFields((await client.get("/edit/classes/money")).text, "/review/form");
         expect((await client.post("/review/form", fields, { origin: "http://evil.example" })).status).toBe(403);
         expect((await client.post("/review/form", fields, { "sec-fetch-site": "cross-site" })).status).toBe(403);
+        expect((await client.post("/review/form", fields, { origin: "null" })).status).toBe(403);
         expect((await client.post("/review/form", fields, { origin: "http://localhost" })).status).toBe(200);
         fields.delete("formToken");
         expect((await client.post("/review/form", fields)).status).toBe(403);
@@ -48,7 +61,7 @@
             "content-security-policy":
                 "base-uri 'none';connect-src 'self';default-src 'none';form-action 'self';frame-ancestors 'none';"
                 + "img-src 'self';script-src 'self';style-src 'self'",
-            "referrer-policy": "no-referrer",
+            "referrer-policy": "same-origin",
             "x-content-type-options": "nosniff",
             "x-frame-options": "DENY",
         });
--- /dev/null
+++ b/src/console/web/__tests__/unit/Browser.test.ts
@@ -0,0 +1,148 @@
+import type { Page } from "playwright-core";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import type { Browser } from "../fixtures/Browser.js";
+import { hasChromium, startBrowser } from "../fixtures/Browser.js";
+import { TOKEN } from "../fixtures/ConsoleClient.js";
+import type { LiveConsole } from "../fixtures/LiveConsole.js";
+import { startLiveConsole } from "../fixtures/LiveConsole.js";
+import { parseLakeshore } from "../fixtures/MemoryConfiguration.js";
+
+/** Time after which an element that is not there counts as missing. */
+const ACTION_TIMEOUT_MS = 10_000;
+
+/** Status of a mesh of four daemons. */
+function buildStatus(version: number, daemons: number): object {
+    return {
+        controlBytes: 9_000,
+        controlBytesAcrossRegions: 800,
+        daemons: 4,
+        unsettled: 0,
+        versions: [{ daemons, version }, { daemons: 4 - daemons, version: version - 1 }],
+        waiting: daemons === 4
+            ? []
+            : [{ daemons: 1, reason: "erie-b: service swatches has announced no backend server" }],
+    };
+}
+
+/** Presses Tab until the focus is on an element with the text or name; guards against focus traps. */
+async function moveFocusTo(page: Page, wanted: string): Promise<void> {
+    for (let step = 0; step < 80; step += 1) {
+        await page.keyboard.press("Tab");
+        const focused = await page.evaluate("document.activeElement.name || document.activeElement.textContent");
+        if (String(focused).trim() === wanted) {
+            return;
+        }
+    }
+    throw new Error(`Tab doesn't reach ${wanted}.`);
+}
+
+/** Width by which a page is wider than the window, in CSS pixels. */
+async function measureOverflow(page: Page): Promise<number> {
+    return Number(await page.evaluate("document.documentElement.scrollWidth - window.innerWidth"));
+}
+
+describe.skipIf(!hasChromium())("console in a browser of a phone's width", () => {
+    let live: LiveConsole;
+    let browser: Browser;
+    let page: Page;
+    const faults: string[] = [];
+
+    beforeAll(async () => {
+        live = await startLiveConsole();
+        browser = await startBrowser();
+        ({ page } = browser);
+        page.setDefaultTimeout(ACTION_TIMEOUT_MS);
+        page.on("pageerror", error => faults.push(error.message));
+        // The policy's violations are reported as console errors.
+        page.on("console", message => /Content Security/.test(message.text()) && faults.push(message.text()));
+        await page.goto(live.url);
+    });
+
+    afterAll(async () => {
+        await browser?.close();
+        await live?.close();
+    });
+
+    it("signs in by keyboard", async () => {
+        await page.keyboard.press("Tab");
+        expect(await page.evaluate("document.activeElement.textContent")).toBe("Skip to the content");
+        await moveFocusTo(page, "operator");
+        await page.keyboard.type("jonas");
+        await page.keyboard.press("Tab");
+        await page.keyboard.type(TOKEN);
+        await page.keyboard.press("Enter");
+        await page.waitForSelector("#live");
+        expect(await page.textContent("#live .state")).toContain("Version 1 is accepted.");
+    });
+
+    it("shows the finding of a mistake beside its field and moves the focus to the summary", async () => {
+        await page.goto(`${live.url}/edit/services`);
+        await page.getByLabel("Name").fill("swatches");
+        await page.getByLabel("Slots").fill("12");
+        await page.getByLabel("Connections").fill("8");
+        await page.getByLabel("erie-a").fill("2");
+        await page.getByRole("button", { name: "Review the change" }).press("Enter");
+        await page.waitForSelector("[role=alert]");
+        expect(await page.evaluate("document.activeElement.getAttribute('role')")).toBe("alert");
+        expect(await page.textContent("#piece-connections-findings")).toContain(
+            "8 connections are too few for 12 slots",
+        );
+        expect(await page.getByLabel("erie-a").inputValue()).toBe("2");
+    });
+
+    it("publishes a service and a route that uses it", async () => {
+        await page.getByLabel("Connections").fill("120");
+        await page.getByRole("button", { name: "Review the change" }).click();
+        await page.getByRole("button", { name: "Publish as version 2" }).click();
+        await page.waitForURL(/published=2/);
+        await page.goto(`${live.url}/edit/routes`);
+        await page.getByLabel("Name").fill("swatches");
+        await page.getByLabel("Path").fill("/swatches");
+        await page.locator("[name='piece.service']").selectOption("swatches");
+        await page.locator("[name='piece.class']").selectOption("media");
+        await page.getByLabel("Repeatable").selectOption("yes");
+        await page.getByRole("button", { name: "Review the change" }).click();
+        await page.getByRole("button", { name: "Publish as version 3" }).click();
+        await page.waitForURL(/published=3/);
+        const history = (await live.other.readHistory(3)).unsafeCoerce();
+        expect(history.map(({ author, message }) => `${author}: ${message}`)).toEqual([
+            "jonas: Add route swatches",
+            "jonas: Add service swatches",
+            "marta: first document",
+        ]);
+    });
+
+    it("follows the convergence without a reload", async () => {
+        await live.writeStatus(buildStatus(3, 3));
+        await page.getByText("Version 3 is in force on 3 of 4 daemons.").waitFor();
+        await page.getByText("service swatches has announced no backend server").waitFor();
+        await live.writeStatus(buildStatus(3, 4));
+        await page.getByText("Version 3 is in force on all 4 daemons.").waitFor();
+    });
+
+    it("meets a conflict and makes the change again with nothing typed lost", async () => {
+        await page.goto(`${live.url}/edit/services/swatches`);
+        await page.getByLabel("Slots").fill("16");
+        const current = (await live.other.readCurrent()).unsafeCoerce()?.document ?? parseLakeshore();
+        const swatches = { ...current.services["swatches"], slowStart: "30s" } as typeof current.services[string];
+        const document = { ...current, services: { ...current.services, swatches } };
+        await live.other.propose({ author: "marta", baseVersion: 3, document, message: "slower start" });
+        await page.getByRole("button", { name: "Review the change" }).click();
+        await page.getByText("marta was first: your change was not made").waitFor();
+        await page.getByRole("button", { name: "Make my change again on version 4" }).click();
+        await page.getByRole("button", { name: "Publish as version 5" }).click();
+        await page.waitForURL(/published=5/);
+        const accepted = (await live.other.readCurrent()).unsafeCoerce();
+        expect(accepted?.document.services["swatches"]).toMatchObject({ slots: 16, slowStart: "30s" });
+    });
+
+    it("fits a phone's width on every page and breaks no rule of its policy", async () => {
+        for (
+            const path of ["/", "/document", "/edit/mesh", "/edit/services/ledger", "/history", "/history/5", "/import"]
+        ) {
+            await page.goto(live.url + path);
+            expect(`${path} ${await measureOverflow(page)}`).toBe(`${path} 0`);
+        }
+        expect(faults).toEqual([]);
+    });
+});
--- /dev/null
+++ b/src/console/web/__tests__/unit/ConsoleSettings.test.ts
@@ -0,0 +1,39 @@
+import { describe, expect, it } from "vitest";
+import { parseConsoleSettings } from "../../index.js";
+
+const ENVIRONMENT = { PAPAYATURN_MESH_KEY: "0123456789abcdef", PAPAYATURN_STORE_URL: "http://127.0.0.1:7400" };
+
+function readNoFile(path: string): string {
+    throw new Error(`no file ${path}`);
+}
+
+describe("console settings", () => {
+    it("listens on loopback and has its token generated unless told otherwise", () => {
+        expect(parseConsoleSettings([], ENVIRONMENT, readNoFile).unsafeCoerce()).toMatchObject({
+            host: "127.0.0.1",
+            port: 7480,
+            storeUrl: "http://127.0.0.1:7400",
+            token: undefined,
+        });
+    });
+
+    it("prefers flags to the environment and takes the command line's name of the store flag", () => {
+        const argv = ["--store", "http://127.0.0.1:1", "--console-port", "0", "--console-names", "mesh.example"];
+        const settings = parseConsoleSettings(argv, { ...ENVIRONMENT, PAPAYATURN_CONSOLE_PORT: "5" }, readNoFile);
+        expect(settings.unsafeCoerce()).toMatchObject({ port: 0, storeUrl: "http://127.0.0.1:1" });
+        expect([...settings.unsafeCoerce().names]).toContain("mesh.example");
+    });
+
+    it("reports every bad setting at once", () => {
+        const argv = ["--console-host", "mesh.example", "--console-port", "99999", "--colour=red"];
+        const findings = parseConsoleSettings(argv, { PAPAYATURN_TOKEN: "short" }, readNoFile).swap().unsafeCoerce();
+        expect(findings.map(finding => finding.setting)).toEqual([
+            "colour",
+            "--console-host (PAPAYATURN_CONSOLE_HOST)",
+            "--mesh-key-file (PAPAYATURN_MESH_KEY_FILE)",
+            "--console-port (PAPAYATURN_CONSOLE_PORT)",
+            "--store-url (PAPAYATURN_STORE_URL)",
+            "--token-file (PAPAYATURN_TOKEN_FILE)",
+        ]);
+    });
+});
--- a/src/console/web/access/AccessHooks.ts
+++ b/src/console/web/access/AccessHooks.ts
@@ -29,11 +29,19 @@
     return pairs.find(([name]) => name === COOKIE_NAME)?.slice(1).join("=") ?? "";
 }
 
-/** A browser states the origin of a form; a request without it comes from no browser page. */
+/** Reads the host of an origin; undefined for "null" and other origins without one. */
+function readOriginHost(origin: string): string | undefined {
+    return URL.canParse(origin) ? new URL(origin).host : undefined;
+}
+
+/**
+ * A browser states the origin of a form; a request without it comes from no browser page. The scheme
+ * is not compared, because a proxy may add https.
+ */
 function isOwnOrigin(request: FastifyRequest): boolean {
     const { host, origin } = request.headers;
     const site = request.headers["sec-fetch-site"];
-    const isSameOrigin = origin === undefined || origin === `${request.protocol}://${host}`;
+    const isSameOrigin = origin === undefined || readOriginHost(origin) === host;
     return isSameOrigin && (site === undefined || site === "same-origin" || site === "none");
 }
 
@@ -47,6 +55,8 @@
     /** Host names by which the console is reached; empty for any. */
     readonly hosts: ReadonlySet<string>;
     readonly now: () => number;
+    /** Answers a form that was sent without a session; the form itself must not be lost. */
+    readonly answerEndedSession: (reply: FastifyReply) => FastifyReply;
 }
 
 function refuse(reply: FastifyReply, detail: string): FastifyReply {
@@ -73,7 +83,10 @@
             sessions.set(request, session);
             return undefined;
         }
-        return OPEN_PATHS.has(path) ? undefined : reply.redirect("/sign-in", 303);
+        if (OPEN_PATHS.has(path)) {
+            return undefined;
+        }
+        return request.method === "POST" ? options.answerEndedSession(reply) : reply.redirect("/sign-in", 303);
     });
     server.addHook("preHandler", async (request, reply) => {
         const session = sessions.get(request);
--- a/src/console/web/controllers/SessionController.ts
+++ b/src/console/web/controllers/SessionController.ts
@@ -14,9 +14,11 @@
     return text.replaceAll(/\p{C}/gu, "").trim().slice(0, MAXIMUM_OPERATOR_LENGTH);
 }
 
-function formatCookie(value: string, lifetimeMs: number): string {
+/** Formats the cookie; only https carries it back where the page came by https through a proxy. */
+function formatCookie(value: string, lifetimeMs: number, request: FastifyRequest): string {
     const age = Math.floor(lifetimeMs / MS_PER_SECOND);
-    return `${COOKIE_NAME}=${value}; HttpOnly; SameSite=Strict; Path=/; Max-Age=${age}`;
+    const secure = request.headers.origin?.startsWith("https:") ? "; Secure" : "";
+    return `${COOKIE_NAME}=${value}; HttpOnly; SameSite=Strict; Path=/; Max-Age=${age}${secure}`;
 }
 
 @Controller()
@@ -29,7 +31,7 @@
     }
 
     @Post("sign-in")
-    begin(@Body() body: unknown, @Res() reply: FastifyReply): void {
+    begin(@Body() body: unknown, @Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
         const fields = body instanceof URLSearchParams ? body : new URLSearchParams();
         const operator = normalizeOperator(fields.get("operator") ?? "");
         if (operator === "") {
@@ -43,13 +45,13 @@
         }
         this.context.logInfo(`${operator} signed in.`, { operator });
         const cookie = this.context.sessions.createCookie(operator, this.context.now());
-        reply.header("set-cookie", formatCookie(cookie, SESSION_LIFETIME_MS)).redirect("/", 303);
+        reply.header("set-cookie", formatCookie(cookie, SESSION_LIFETIME_MS, request)).redirect("/", 303);
     }
 
     @Post("sign-out")
     end(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
         const { operator } = getSession(request);
         this.context.logInfo(`${operator} signed out.`, { operator });
-        reply.header("set-cookie", formatCookie("", 0)).redirect("/sign-in", 303);
+        reply.header("set-cookie", formatCookie("", 0, request)).redirect("/sign-in", 303);
     }
 }
--- a/src/console/web/controllers/index.ts
+++ b/src/console/web/controllers/index.ts
@@ -1,5 +1,5 @@
 export { AssetsController } from "./AssetsController.js";
-export { CONSOLE_CONTEXT } from "./ConsoleContext.js";
+export { CONSOLE_CONTEXT, sendPage } from "./ConsoleContext.js";
 export type { ConsoleContext } from "./ConsoleContext.js";
 export { ConvergenceController } from "./ConvergenceController.js";
 export { DocumentController } from "./DocumentController.js";
--- a/src/console/web/index.ts
+++ b/src/console/web/index.ts
@@ -13,3 +13,5 @@
     StoreConfigurationOptions,
     VersionRecord,
 } from "./ports/index.js";
+export { CONSOLE_FLAGS, parseConsoleSettings } from "./settings/index.js";
+export type { ConsoleSettings } from "./settings/index.js";
--- a/src/console/web/pages/SignInPage.ts
+++ b/src/console/web/pages/SignInPage.ts
@@ -16,3 +16,12 @@
 <div class="actions"><button>Sign in</button></div></form>`;
     return renderPage({ main, session: undefined, title: "Sign in" });
 }
+
+/** Renders the answer to a form whose session had ended. Reloading the answer sends the form again. */
+export function renderEndedSessionPage(): string {
+    const main = renderHtml`<section class="alert" role="alert" tabindex="-1" data-focus>
+<p>Nothing was sent, and nothing you typed is lost.</p>
+<ol><li><a href="/sign-in" target="_blank" rel="noopener">Sign in again in another tab</a>, by the same name.</li>
+<li>Come back to this page and reload it, which sends your form again.</li></ol></section>`;
+    return renderPage({ main, session: undefined, title: "Your session ended" });
+}
--- a/src/console/web/pages/index.ts
+++ b/src/console/web/pages/index.ts
@@ -17,4 +17,4 @@
     renderUnreadablePage,
 } from "./OutcomePages.js";
 export { renderConflictPage, renderFaultsPage, renderReviewPage } from "./ReviewPages.js";
-export { renderSignInPage } from "./SignInPage.js";
+export { renderEndedSessionPage, renderSignInPage } from "./SignInPage.js";
--- a/src/transport/settings/DaemonSettings.ts
+++ b/src/transport/settings/DaemonSettings.ts
@@ -1,8 +1,8 @@
-import { parseArgs } from "citty";
 import { readFileSync } from "node:fs";
 import type { Either } from "purify-ts/Either";
 import { Left, Right } from "purify-ts/Either";
 import { DAEMON_FLAGS } from "./DaemonFlags.js";
+import { collectDefaults, collectFlags } from "./FlagParsing.js";
 import type { HostAndPort, ReadTextFile, SettingFinding } from "./SettingsReader.js";
 import { SettingsReader } from "./SettingsReader.js";
 
@@ -36,32 +36,18 @@
     readonly stopTimeoutMs: number;
 }
 
-/** Flags without their defaults, which stand behind the environment's variables. */
-function collectFlags(argv: readonly string[]): Record<string, unknown> {
-    const definitions = Object.fromEntries(Object.keys(DAEMON_FLAGS).map(flag => [flag, { type: "string" as const }]));
-    const { _: positional, ...parsed } = parseArgs([...argv], definitions);
-    // citty reports each flag in kebab and in camel case.
-    const flags = Object.fromEntries(
-        Object.entries(parsed).filter(([name, value]) => !/[A-Z]/.test(name) && value !== undefined),
-    );
-    return positional.length === 0 ? flags : { ...flags, [positional.join(" ")]: true };
-}
-
-function collectDefaults(): Record<string, string | undefined> {
-    const defaults: Record<string, string | undefined> = {};
-    for (const [flag, definition] of Object.entries(DAEMON_FLAGS)) {
-        defaults[flag] = "default" in definition ? definition.default : undefined;
-    }
-    return defaults;
-}
-
 /** Reads the daemon's settings. `Left` holds every fault found, not only the first. */
 export function parseDaemonSettings(
     argv: readonly string[],
     environment: Readonly<Record<string, string | undefined>>,
     readTextFile: ReadTextFile = path => readFileSync(path, "utf8"),
 ): Either<readonly SettingFinding[], DaemonSettings> {
-    const reader = new SettingsReader(collectFlags(argv), environment, collectDefaults(), readTextFile);
+    const reader = new SettingsReader(
+        collectFlags(argv, DAEMON_FLAGS),
+        environment,
+        collectDefaults(DAEMON_FLAGS),
+        readTextFile,
+    );
     reader.reportUnknownFlags(Object.keys(DAEMON_FLAGS));
     const settings: DaemonSettings = {
         address: reader.readAddress("address"),
--- a/src/transport/settings/index.ts
+++ b/src/transport/settings/index.ts
@@ -1,4 +1,6 @@
 export { DAEMON_FLAGS, deriveVariable } from "./DaemonFlags.js";
 export { parseDaemonSettings } from "./DaemonSettings.js";
 export type { DaemonSettings, LogLevel } from "./DaemonSettings.js";
-export type { HostAndPort, SettingFinding } from "./SettingsReader.js";
+export { collectDefaults, collectFlags } from "./FlagParsing.js";
+export type { HostAndPort, ReadTextFile, SettingFinding } from "./SettingsReader.js";
+export { SettingsReader } from "./SettingsReader.js";
