--- a/src/coordination/acceptance/SnapshotLoading.ts
+++ b/src/coordination/acceptance/SnapshotLoading.ts
@@ -1,6 +1,5 @@
 /** Loads versions from the store and checks them: signature, root hash and content hashes. */
-import type { Either } from "purify-ts/Either";
-import { Left, Right } from "purify-ts/Either";
+import { Either, Left, Right } from "purify-ts/Either";
 import type { StoredObject, StoreResult } from "../../state/store/index.js";
 import type { Head, Manifest, Resource, Snapshot, VersionMismatch } from "../../state/versions/index.js";
 import {
@@ -98,7 +97,25 @@
     );
 }
 
-/** Reads the parts that can't be built from the held version. */
+/** Reads the text of a part, or takes it from those that were built from the held version. */
+async function readPart(
+    read: ReadObject,
+    hash: string,
+    heldTexts: ReadonlyMap<string, string>,
+): Promise<Either<LoadError, string>> {
+    const heldText = heldTexts.get(hash);
+    if (heldText !== undefined) {
+        return Right(heldText);
+    }
+    const text = await readText(read, formatPartKey(hash));
+    return text.chain(value =>
+        computeHash(value) === hash
+            ? Right(value)
+            : Left<LoadError>({ detail: `The part "${hash}" is damaged.`, kind: "damaged" })
+    );
+}
+
+/** Reads the parts that can't be built from the held version, all at once. */
 async function readParts(
     read: ReadObject,
     { parts, root }: Manifest,
@@ -106,20 +123,8 @@
 ): Promise<Either<LoadError, ReadonlyMap<string, Resource>>> {
     const heldParts = held === undefined ? [] : buildParts(held.resources.values());
     const heldTexts = new Map(heldParts.map(part => [part.hash, part.text]));
-    const texts: string[] = [];
-    for (const hash of parts) {
-        const heldText = heldTexts.get(hash);
-        const text = heldText === undefined ? await readText(read, formatPartKey(hash)) : Right(heldText);
-        if (text.isLeft()) {
-            return Left(text.extract() as LoadError);
-        }
-        const value = text.unsafeCoerce();
-        if (computeHash(value) !== hash) {
-            return Left({ detail: `The part "${hash}" is damaged.`, kind: "damaged" });
-        }
-        texts.push(value);
-    }
-    return unpackParts(texts, root).mapLeft(toDamaged);
+    const texts = await Promise.all(parts.map(hash => readPart(read, hash, heldTexts)));
+    return Either.sequence(texts).chain(found => unpackParts(found, root).mapLeft(toDamaged));
 }
 
 /** Loads the version of a manifest that was read and checked. */
