Check slot leases by simulation and fix the displacement of holders

A test of displacement failed: a displaced holder took its slot back before the applicant it had been taken for asked again. Slots owed to holders that send more are no longer given away.

--- a/src/coordination/leases/LeaseGrants.ts
+++ b/src/coordination/leases/LeaseGrants.ts
@@ -97,7 +97,9 @@
         const entitled = this.#mayGrant(request, limits, now)
             ? Math.min(request.wanted, this.#computeShare(request, limits))
             : 0;
-        const granted = Math.max(0, Math.min(entitled, free));
+        const growable = free - this.#countOwedBefore(request, now);
+        const renewable = Math.min(free, this.#grants.get(request.holder)?.granted ?? 0);
+        const granted = Math.max(0, Math.min(entitled, Math.max(growable, renewable)));
         if (granted === 0 && request.wanted > 0 && limits.isLeasable) {
             this.#displaceLeastUsed(request);
         }
@@ -106,6 +108,16 @@
         return granted;
     }
 
+    /** Slots owed to holders that send more; without them a displaced holder could take its slot back first. */
+    #countOwedBefore(request: LeaseRequest, now: number): number {
+        let owed = 0;
+        for (const [holder, grant] of this.#grants) {
+            const isBefore = grant.sent > request.sent || grant.sent === request.sent && holder < request.holder;
+            owed += holder !== request.holder && isBefore && grant.owedUntil > now ? grant.owed : 0;
+        }
+        return owed;
+    }
+
     #mayGrant(request: LeaseRequest, limits: GrantLimits, now: number): boolean {
         return limits.isLeasable && now >= this.#mayGrantFrom && !this.#displaced.has(request.holder);
     }
--- /dev/null
+++ b/src/coordination/leases/__tests__/unit/SlotLeases.test.ts
@@ -0,0 +1,151 @@
+import { describe, expect, it } from "vitest";
+import { createSeededRandom } from "../../../../state/shared/index.js";
+import { HeldLeases, LEASE_RENEWAL_INTERVAL_MS, LeaseGrants, RESERVED_SLOTS } from "../../index.js";
+import type { LeaseRequest } from "../../index.js";
+
+const SLOTS = 8;
+const LONGEST_REQUEST_MS = 1_500;
+const STEP_MS = 10;
+
+/** Something that happens at a time of the simulation. */
+interface Event {
+    readonly at: number;
+    run(now: number): void;
+}
+
+/**
+ * One owner and three holders on a virtual clock. Renewals and answers are delayed up to 600 ms and
+ * lost by `lossRate`; holders pause for seconds. Returns the most slots that worked at a time, and
+ * the number of requests sent under leases.
+ */
+function runSimulation(seed: number, lossRate: number, restartsOwner: boolean) {
+    const random = createSeededRandom(seed);
+    const events: Event[] = [];
+    const holders = ["h1", "h2", "h3"].map(id => ({ id, leases: new HeldLeases(), pausedUntil: 0, isWaiting: false }));
+    let grants = new LeaseGrants(0);
+    let ownWorking = 0;
+    let leasedWorking = 0;
+    let highest = 0;
+    let sent = 0;
+    const schedule = (at: number, run: (now: number) => void): void => {
+        events.push({ at, run });
+    };
+    const renew = (holder: (typeof holders)[number], now: number): void => {
+        const plan = holder.leases.planRenewal("owner", now);
+        const request: LeaseRequest = { holder: holder.id, wanted: plan.wanted, inUse: plan.inUse, sent: plan.sent };
+        holder.isWaiting = true;
+        schedule(now + 800, () => {
+            holder.isWaiting = false;
+        });
+        if (random() < lossRate) {
+            return;
+        }
+        schedule(now + random() * 300, at => {
+            const granted = grants.renew(request, {
+                serverSlots: SLOTS,
+                ownWorking,
+                ownQueued: 0,
+                isLeasable: true,
+                longestRequestMs: LONGEST_REQUEST_MS,
+            }, at);
+            const answerAt = at + random() * 300;
+            if (random() >= lossRate) {
+                schedule(answerAt, () => {
+                    holder.leases.applyGrant("owner", granted, now);
+                });
+            }
+        });
+    };
+    for (let now = 0; now < 60_000; now += STEP_MS) {
+        for (const event of events.splice(0)) {
+            if (event.at <= now) {
+                event.run(now);
+            }
+            else {
+                events.push(event);
+            }
+        }
+        if (restartsOwner && now === 30_000) {
+            grants = new LeaseGrants(now);
+            ownWorking = 0;
+            events.splice(0, events.length, ...events.filter(event => !("isOwn" in event)));
+        }
+        const current = grants;
+        if (random() < 0.5 && ownWorking < grants.countOwnSlots(SLOTS, now)) {
+            ownWorking++;
+            const end = {
+                at: now + random() * LONGEST_REQUEST_MS,
+                isOwn: true,
+                run: () => {
+                    ownWorking -= current === grants ? 1 : 0;
+                },
+            };
+            events.push(end);
+        }
+        for (const holder of holders) {
+            if (now < holder.pausedUntil) {
+                continue;
+            }
+            if (random() < 0.0005) {
+                holder.pausedUntil = now + random() * 4_000;
+            }
+            if (now % LEASE_RENEWAL_INTERVAL_MS === 0 && !holder.isWaiting) {
+                renew(holder, now);
+            }
+            if (random() < 0.3) {
+                holder.leases.noteBegin("owner", now);
+                if (holder.leases.takeSlot("owner", now)) {
+                    sent++;
+                    leasedWorking++;
+                    schedule(now + random() * LONGEST_REQUEST_MS, () => {
+                        leasedWorking--;
+                        holder.leases.returnSlot("owner");
+                        holder.leases.noteEnd("owner");
+                    });
+                }
+                else {
+                    holder.leases.noteEnd("owner");
+                }
+            }
+        }
+        highest = Math.max(highest, ownWorking + leasedWorking);
+    }
+    return { highest, sent };
+}
+
+describe("slot leases", () => {
+    it("never let more requests work than the server has slots, with lost and late messages and pauses", () => {
+        for (let seed = 1; seed <= 40; seed++) {
+            const { highest, sent } = runSimulation(seed, 0.2, false);
+            expect(highest, `seed ${seed}`).toBeLessThanOrEqual(SLOTS);
+            expect(highest).toBeGreaterThan(RESERVED_SLOTS);
+            expect(sent).toBeGreaterThan(100);
+        }
+    });
+
+    it("never let more requests work than the server has slots when the owner restarts without memory", () => {
+        for (let seed = 1; seed <= 40; seed++) {
+            expect(runSimulation(seed, 0, true).highest, `seed ${seed}`).toBeLessThanOrEqual(SLOTS);
+        }
+    });
+
+    it("displace the least used holder in favour of an applicant that sends much more", () => {
+        const grants = new LeaseGrants(-10_000);
+        const limits = {
+            serverSlots: 3,
+            ownWorking: 0,
+            ownQueued: 0,
+            isLeasable: true,
+            longestRequestMs: LONGEST_REQUEST_MS,
+        };
+        const ask = (holder: string, sent: number, now: number) =>
+            grants.renew({ holder, wanted: 1, inUse: 0, sent }, limits, now);
+        expect(ask("rare", 1, 0)).toBe(1);
+        expect(ask("busy", 100, 10)).toBe(0);
+        expect(ask("rare", 1, 1_000)).toBe(0);
+        // The slot counts until the older grant has lapsed, since the answer that ended it may be lost.
+        expect(ask("busy", 100, 1_010)).toBe(0);
+        expect(ask("rare", 1, 2_000)).toBe(0);
+        expect(ask("busy", 100, 2_010)).toBe(1);
+    });
+});
