Give lease renewals connections of their own

Requests that run once no longer create demand for leases, and a kept answer does not announce trailers.

--- a/src/transport/proxy/AnswerCapture.ts
+++ b/src/transport/proxy/AnswerCapture.ts
@@ -21,7 +21,11 @@
     begin(status: number, rawHeaders: readonly string[]): void {
         this.#status = status;
         for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-            this.#headers.push([rawHeaders[index] as string, rawHeaders[index + 1] as string]);
+            const name = rawHeaders[index] as string;
+            // Trailers are not kept, so they must not be announced again.
+            if (name.toLowerCase() !== "trailer") {
+                this.#headers.push([name, rawHeaders[index + 1] as string]);
+            }
         }
     }
 
--- a/src/transport/proxy/Exchange.ts
+++ b/src/transport/proxy/Exchange.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Outcome } from "../../protocol/request/index.js";
-import { RefusalReason } from "../../protocol/request/index.js";
+import { getRefusalStatus, RefusalReason } from "../../protocol/request/index.js";
 import { DEADLINE_STATUS, NO_ANSWER_STATUS, refuse } from "./AttemptResult.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import type { DeadlineQueue } from "./DeadlineQueue.js";
@@ -83,7 +83,11 @@
                 : refuse(RefusalReason.Deadline, "the deadline passed before a server had a free slot");
         case "body-too-large":
             return mayHaveRun
-                ? { kind: "unknown", status: 413, detail: "the request body exceeds the route's limit" }
+                ? {
+                    kind: "unknown",
+                    status: getRefusalStatus(RefusalReason.RequestTooLarge),
+                    detail: "the request body exceeds the route's limit",
+                }
                 : refuse(RefusalReason.RequestTooLarge, "the request body exceeds the route's limit");
     }
 }
--- a/src/transport/proxy/LeaseRenewing.ts
+++ b/src/transport/proxy/LeaseRenewing.ts
@@ -3,7 +3,7 @@
 import { LEASE_RENEWAL_PATH, MeshHeader, parseLeaseAnswer } from "../../protocol/request/index.js";
 import type { LeaseAnswer, LeaseRenewal } from "../../protocol/request/index.js";
 import type { Member } from "../../state/members/index.js";
-import { LEASE_RENEWAL_TIMEOUT_MS, RELAY_CONNECT_TIMEOUT_MS, RELAY_CONNECTIONS } from "./ProxyConstants.js";
+import { LEASE_RENEWAL_TIMEOUT_MS, RELAY_CONNECT_TIMEOUT_MS } from "./ProxyConstants.js";
 import type { ProxyContext } from "./ProxyContext.js";
 
 const OK_STATUS = 200;
@@ -83,8 +83,9 @@
     const pool = context.pools.get({
         address: owner.address,
         port: owner.relayPort,
-        connections: RELAY_CONNECTIONS,
+        connections: 1,
         connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS,
+        purpose: "leases",
     }, sentAt);
     try {
         const answer = await pool.request({
--- a/src/transport/proxy/LocalExecution.ts
+++ b/src/transport/proxy/LocalExecution.ts
@@ -5,7 +5,7 @@
 import type { AnswerCapture } from "./AnswerCapture.js";
 import { AttemptHandler } from "./AttemptHandler.js";
 import type { AnswerVerdict } from "./AttemptHandler.js";
-import { refuse } from "./AttemptResult.js";
+import { NO_ANSWER_STATUS, refuse } from "./AttemptResult.js";
 import type { AttemptResult } from "./AttemptResult.js";
 import { describeInterruption } from "./Exchange.js";
 import type { Exchange } from "./Exchange.js";
@@ -146,6 +146,7 @@
         port: record.port,
         connections: record.slots,
         connectTimeoutMs: service?.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+        purpose: "server",
     }, now);
     return new Promise(resolve => {
         const handler = new AttemptHandler({
@@ -171,7 +172,11 @@
     if (answered !== undefined && answered !== attempt) {
         return {
             kind: "withhold",
-            result: { kind: "unknown", status: 502, detail: "the server sent the answer of another request" },
+            result: {
+                kind: "unknown",
+                status: NO_ANSWER_STATUS,
+                detail: "the server sent the answer of another request",
+            },
         };
     }
     return request.shouldWithhold(status)
--- a/src/transport/proxy/RelayedExecution.ts
+++ b/src/transport/proxy/RelayedExecution.ts
@@ -45,6 +45,7 @@
         port: owner.relayPort,
         connections: RELAY_CONNECTIONS,
         connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS,
+        purpose: "relay",
     }, now);
     return new Promise(resolve => {
         const handler = new AttemptHandler({
--- a/src/transport/proxy/RequestRouting.ts
+++ b/src/transport/proxy/RequestRouting.ts
@@ -220,17 +220,18 @@
 ): Promise<AttemptResult> {
     const { balancer, leases, options } = context;
     const startedAt = options.now();
-    const isOther = member.id !== options.selfId;
+    // Requests that run once never go by a lease, so they create no demand for one.
+    const isLeasable = member.id !== options.selfId && plan.route.repeatable;
     log.attempts++;
     log.server = member.id;
     balancer.noteBegin(member.id, startedAt);
-    if (isOther && leases.noteBegin(member.id, startedAt)) {
+    if (isLeasable && leases.noteBegin(member.id, startedAt)) {
         context.applyForLease(member.id);
     }
     const { hop, result: started } = start();
     log.hop = hop;
     const result = await started;
-    if (isOther) {
+    if (isLeasable) {
         leases.noteEnd(member.id);
     }
     const endedAt = options.now();
--- a/src/transport/proxy/ServerPools.ts
+++ b/src/transport/proxy/ServerPools.ts
@@ -7,8 +7,13 @@
     readonly port: number;
     readonly connections: number;
     readonly connectTimeoutMs: number;
+    /** Targets with different purposes share no connections. */
+    readonly purpose: PoolPurpose;
 }
 
+/** Lease renewals have connections of their own, so that they never wait behind relayed requests. */
+export type PoolPurpose = "server" | "relay" | "leases";
+
 interface PooledTarget {
     readonly pool: Pool;
     readonly connections: number;
@@ -20,7 +25,7 @@
     readonly #pools = new Map<string, PooledTarget>();
 
     get(target: PoolTarget, now: number): Pool {
-        const key = `${target.address}:${target.port}`;
+        const key = `${target.purpose} ${target.address}:${target.port}`;
         let pooled = this.#pools.get(key);
         if (pooled !== undefined && pooled.connections !== target.connections) {
             this.#pools.delete(key);
@@ -59,6 +64,8 @@
         connect: { timeout: target.connectTimeoutMs },
         pipelining: 1,
         keepAliveTimeout: SERVER_KEEP_ALIVE_MS,
+        // Servers may ask for more; idle connections would then outlive their slot leases.
+        keepAliveMaxTimeout: SERVER_KEEP_ALIVE_MS,
         // Deadlines are kept for whole requests, see DeadlineQueue.
         headersTimeout: 0,
         bodyTimeout: 0,
