Keep classes to their share of leased slots

Direct requests took any leased slot, so a class could exceed its maximum share of a server. A holder now keeps each class to its share of the lease, and the owner to its share of the slots that are not leased; what exceeds it is relayed and waits or is refused at the owner.

--- a/src/coordination/admission/AdmissionTypes.ts
+++ b/src/coordination/admission/AdmissionTypes.ts
@@ -2,8 +2,6 @@
 export interface AdmissionLimits {
     /** Slots that the owner may use itself: all of the server's less the leased ones. */
     readonly slots: number;
-    /** Slots of the server, the base of each class's maximum share. */
-    readonly serverSlots: number;
     readonly queueLength: number;
 }
 
@@ -11,7 +9,7 @@
 export interface AdmissionRequest {
     readonly class: string;
     readonly weight: number;
-    /** Highest share of the server's slots for the class, 0 to 1. */
+    /** Highest share of the slots for the class, 0 to 1. */
     readonly maximumShare: number;
     /** Time at which waiting is over, milliseconds. */
     readonly deadline: number;
--- a/src/coordination/admission/ServerAdmission.ts
+++ b/src/coordination/admission/ServerAdmission.ts
@@ -108,7 +108,8 @@
     }
 
     #isClassFull(request: AdmissionRequest, limits: AdmissionLimits): boolean {
-        const most = Math.max(1, Math.floor(request.maximumShare * limits.serverSlots));
+        // Holders keep classes to the same share of leased slots, so that the shares add up to one of all slots.
+        const most = Math.max(1, Math.floor(request.maximumShare * limits.slots));
         return (this.#workingByClass.get(request.class) ?? 0) >= most;
     }
 
--- a/src/coordination/leases/HeldLeases.ts
+++ b/src/coordination/leases/HeldLeases.ts
@@ -10,6 +10,7 @@
     expiresAt: number;
     /** Direct requests that work now. */
     inUse: number;
+    readonly inUseByClass: Map<string, number>;
     /** Direct and relayed requests that work now. */
     working: number;
     peak: number;
@@ -17,6 +18,12 @@
     lastUsedAt: number;
 }
 
+/** The class of a request and the highest share of slots that it may use, 0 to 1. */
+export interface SlotSharing {
+    readonly class: string;
+    readonly maximumShare: number;
+}
+
 /** What the holder asks of one owner now. */
 export interface RenewalPlan {
     readonly owner: string;
@@ -35,19 +42,26 @@
         return lease !== undefined && now < lease.expiresAt && lease.inUse < lease.granted;
     }
 
-    /** Takes a slot for one direct request; false when there is none. */
-    takeSlot(owner: string, now: number): boolean {
+    /** Takes a slot for one direct request; false when none is free or the class has its share of the lease. */
+    takeSlot(owner: string, sharing: SlotSharing, now: number): boolean {
         if (!this.hasFreeSlot(owner, now)) {
             return false;
         }
-        this.#find(owner, now).inUse++;
+        const lease = this.#find(owner, now);
+        const usedByClass = lease.inUseByClass.get(sharing.class) ?? 0;
+        if (usedByClass >= sharing.maximumShare * lease.granted) {
+            return false;
+        }
+        lease.inUse++;
+        lease.inUseByClass.set(sharing.class, usedByClass + 1);
         return true;
     }
 
-    returnSlot(owner: string): void {
+    returnSlot(owner: string, className: string): void {
         const lease = this.#leases.get(owner);
         if (lease !== undefined) {
             lease.inUse--;
+            lease.inUseByClass.set(className, (lease.inUseByClass.get(className) ?? 1) - 1);
         }
     }
 
@@ -125,7 +139,16 @@
     #find(owner: string, now: number): HeldLease {
         let lease = this.#leases.get(owner);
         if (lease === undefined) {
-            lease = { granted: 0, expiresAt: 0, inUse: 0, working: 0, peak: 0, sent: 0, lastUsedAt: now };
+            lease = {
+                granted: 0,
+                expiresAt: 0,
+                inUse: 0,
+                inUseByClass: new Map(),
+                working: 0,
+                peak: 0,
+                sent: 0,
+                lastUsedAt: now,
+            };
             this.#leases.set(owner, lease);
         }
         return lease;
--- a/src/coordination/leases/__tests__/unit/SlotLeases.test.ts
+++ b/src/coordination/leases/__tests__/unit/SlotLeases.test.ts
@@ -94,12 +94,12 @@
             }
             if (random() < 0.3) {
                 holder.leases.noteBegin("owner", now);
-                if (holder.leases.takeSlot("owner", now)) {
+                if (holder.leases.takeSlot("owner", { class: "families", maximumShare: 1 }, now)) {
                     sent++;
                     leasedWorking++;
                     schedule(now + random() * LONGEST_REQUEST_MS, () => {
                         leasedWorking--;
-                        holder.leases.returnSlot("owner");
+                        holder.leases.returnSlot("owner", "families");
                         holder.leases.noteEnd("owner");
                     });
                 }
@@ -129,6 +129,17 @@
         }
     });
 
+    it("keep a class to its share of the leased slots", () => {
+        const leases = new HeldLeases();
+        const camps = { class: "camps", maximumShare: 0.5 };
+        leases.noteBegin("owner", 0);
+        leases.applyGrant("owner", 4, 0);
+        expect([1, 2, 3].map(() => leases.takeSlot("owner", camps, 0))).toEqual([true, true, false]);
+        expect(leases.takeSlot("owner", { class: "families", maximumShare: 1 }, 0)).toBe(true);
+        leases.returnSlot("owner", "camps");
+        expect(leases.takeSlot("owner", camps, 0)).toBe(true);
+    });
+
     it("displace the least used holder in favour of an applicant that sends much more", () => {
         const grants = new LeaseGrants(-10_000);
         const limits = {
--- a/src/transport/proxy/OwnServer.ts
+++ b/src/transport/proxy/OwnServer.ts
@@ -26,7 +26,6 @@
         this.#grants = new LeaseGrants(startedAt);
         this.#admission = new ServerAdmission(now => ({
             slots: this.#grants.countOwnSlots(this.readRecord()?.slots ?? 0, now),
-            serverSlots: this.readRecord()?.slots ?? 0,
             queueLength: this.readSettings()?.queue.length ?? NO_SERVICE_QUEUE_LENGTH,
         }));
     }
--- a/src/transport/proxy/RequestRouting.ts
+++ b/src/transport/proxy/RequestRouting.ts
@@ -169,11 +169,13 @@
         plan,
         status => DECLINING_STATUSES.has(status) && hasRetryLeft(context, exchange, plan, log),
     );
+    const settings = context.options.readView().configuration?.document.classes[plan.route.class];
+    const sharing = { class: plan.route.class, maximumShare: settings?.maximumShare ?? 1 };
     return tryServer(context, exchange, plan, log, member, () => {
         if (member.id === context.options.selfId) {
             return { hop: Hop.Local, result: executeLocally(context, request) };
         }
-        return member.server !== undefined && context.leases.takeSlot(member.id, context.options.now())
+        return member.server !== undefined && context.leases.takeSlot(member.id, sharing, context.options.now())
             ? { hop: Hop.Direct, result: sendUnderLease(context, member, member.server, request) }
             : { hop: Hop.Relayed, result: executeByOwner(context, member, request, false) };
     });
@@ -189,7 +191,7 @@
         return await sendToServer(context, record, request);
     }
     finally {
-        context.leases.returnSlot(member.id);
+        context.leases.returnSlot(member.id, request.class);
     }
 }
 
