--- a/measure/requests/index.ts
+++ b/measure/requests/index.ts
@@ -14,6 +14,7 @@
 const BYTES_PER_MB = 1_048_576;
 
 const WARM_UP_ROUNDS = 600;
+const WARM_UP_MS = 1_500;
 const LOW_RATE_PAUSE_MS = 1;
 const FIXED_RATE_BLOCK_MS = 250;
 const FIXED_RATE_PER_SECOND = 500;
@@ -38,6 +39,10 @@
         await runLowRate(paths, WARM_UP_ROUNDS, 0);
         // The leases need the time in which an owner gives none after its start.
         await runFixedRate(paths, 2, FIXED_RATE_BLOCK_MS, FIXED_RATE_PER_SECOND);
+        // All processes are compiled alike before they are compared.
+        for (const path of paths) {
+            await runSaturating(path, SATURATING_CONCURRENCY, WARM_UP_MS);
+        }
         clearResults(paths);
         await runLowRate(paths, rounds, LOW_RATE_PAUSE_MS);
         printLatencies(`low rate, one at a time, ${rounds} each`, paths);
