Forward claims over the relay port

Cause: without holders several owners contend for a shard, and an owner in the region without the store reads and writes whole shards across the paid link.

Change: a daemon sends operations on claims to the holder's relay port with the mesh's token and answers those sent to it; the daemon's composition uses it. An answer of status 200 carries the result; a refusal as not run and a failed connect are certain, anything else may have been committed.

Not yet measured over the network between regions.

--- a/src/protocol/request/index.ts
+++ b/src/protocol/request/index.ts
@@ -1,3 +1,4 @@
+export { CLAIM_FORWARDING_PATH, CLAIM_MESSAGE_MAXIMUM_BYTES } from "./ClaimMessage.js";
 export {
     appendDeadline,
     copyAnswerHeaders,
--- a/src/transport/daemon/RequestPath.ts
+++ b/src/transport/daemon/RequestPath.ts
@@ -1,10 +1,12 @@
 /** Joins the request proxy with claims, metrics and the access log. */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { ClaimLedger, ClaimSettings } from "../../coordination/claims/index.js";
-import { createClaimLedger } from "../../coordination/claims/index.js";
+import type { ClaimLedger, ClaimSettings, Wait } from "../../coordination/claims/index.js";
+import { createClaimLedger, createForwardingCommitter, createHolderChoice } from "../../coordination/claims/index.js";
 import { MemberState } from "../../state/members/index.js";
 import type { Random } from "../../state/shared/index.js";
 import type { ReadMeshView } from "../../state/view/index.js";
+import type { ClaimSender } from "../claims/index.js";
+import { createClaimReceiver, createClaimSender } from "../claims/index.js";
 import { createAccessLog } from "../logging/index.js";
 import type { MetricsSummary } from "../metrics/index.js";
 import { combineRecorders, createRequestMetrics, registerMetricsSender } from "../metrics/index.js";
@@ -34,7 +36,15 @@
     readonly random: Random;
 }
 
-function createLedger({ claimStore, now, random, readView, settings }: RequestPathOptions): ClaimLedger {
+const readUptime = (): number => performance.now();
+const wait: Wait = (ms, signal) => sleep(ms, undefined, signal === undefined ? {} : { signal }).catch(() => undefined);
+
+/** Claims are forwarded to the holders of their shards, so that one write carries those of many daemons. */
+function createLedger(
+    { claimStore, now, random, readView, settings }: RequestPathOptions,
+    sender: ClaimSender,
+): ClaimLedger {
+    const chooseHolders = createHolderChoice(readView);
     return createClaimLedger({
         executor: settings.id,
         isExecutorGone: executor => {
@@ -45,8 +55,16 @@
         random,
         readSettings: () => readView().configuration?.document.mesh.claims ?? DEFAULT_CLAIMS,
         store: claimStore,
-        uptime: () => performance.now(),
-        wait: (ms, signal) => sleep(ms, undefined, signal === undefined ? {} : { signal }).catch(() => undefined),
+        uptime: readUptime,
+        wait,
+        wrapCommitter: direct =>
+            createForwardingCommitter(direct, {
+                chooseHolders,
+                self: settings.id,
+                sendClaim: sender.send,
+                uptime: readUptime,
+                wait,
+            }),
     });
 }
 
@@ -56,7 +74,8 @@
     const proxyLog = createPartLogger("proxy");
     const metricsLog = createPartLogger("metrics");
     const metrics = createRequestMetrics();
-    const ledger = createLedger(options);
+    const claimSender = createClaimSender(settings.meshKey);
+    const ledger = createLedger(options, claimSender);
     const stopMetrics = await registerMetricsSender({
         metrics,
         onError: error => {
@@ -71,6 +90,7 @@
         address: settings.requestHost,
         claims: ledger,
         failureDomain: settings.failureDomain,
+        handleForwardedClaim: createClaimReceiver(ledger.committer, wait),
         log: (level, message, fields) => {
             proxyLog[level](message.replace(/^proxy: /, ""), fields);
         },
@@ -91,11 +111,11 @@
         stop: async () => {
             await Promise.race([proxy.stop(), sleep(settings.stopTimeoutMs, undefined, { ref: false })]);
             ledger.stop();
-            await stopMetrics();
+            await Promise.all([claimSender.stop(), stopMetrics()]);
         },
         closeAbruptly: async () => {
             ledger.stop();
-            await Promise.all([proxy.closeAbruptly(), stopMetrics()]);
+            await Promise.all([proxy.closeAbruptly(), claimSender.stop(), stopMetrics()]);
         },
     };
 }
--- /dev/null
+++ b/src/transport/proxy/ClaimAnswering.ts
@@ -0,0 +1,34 @@
+import { CLAIM_MESSAGE_MAXIMUM_BYTES, RefusalReason } from "../../protocol/request/index.js";
+import { refuse } from "./AttemptResult.js";
+import type { Exchange } from "./Exchange.js";
+import { sendResult } from "./PlainAnswer.js";
+import { CLAIM_ANSWER_TIMEOUT_MS } from "./ProxyConstants.js";
+import type { ProxyContext } from "./ProxyContext.js";
+import { receiveBody } from "./RequestBody.js";
+
+const OK_STATUS = 200;
+
+/** Holder's side of a forwarded claim: reads the operation, lets it be committed, and answers with its result. */
+export async function answerForwardedClaim(context: ProxyContext, exchange: Exchange): Promise<void> {
+    exchange.setDeadline(exchange.receivedAt + CLAIM_ANSWER_TIMEOUT_MS);
+    const refusal = await receiveBody(exchange, CLAIM_MESSAGE_MAXIMUM_BYTES);
+    const { handleForwardedClaim } = context.options;
+    const pending = exchange.body.kind === "buffered" && !context.isStopping()
+        ? handleForwardedClaim?.(exchange.body.bytes.toString())
+        : undefined;
+    if (refusal !== undefined || pending === undefined) {
+        sendResult(exchange, refusal ?? refuse(RefusalReason.BadRequest, "the claim is not taken here"), false);
+        return;
+    }
+    const text = await pending;
+    if (exchange.response.headersSent || exchange.response.destroyed) {
+        return;
+    }
+    exchange.response.writeHead(OK_STATUS, [
+        "content-type",
+        "application/json",
+        "content-length",
+        String(Buffer.byteLength(text)),
+    ]);
+    exchange.response.end(text);
+}
--- a/src/transport/proxy/ProxyConstants.ts
+++ b/src/transport/proxy/ProxyConstants.ts
@@ -25,3 +25,5 @@
 export const LEASE_RENEWAL_TIMEOUT_MS = 800;
 /** Retry-After of refusals that name no time of their own. */
 export const DEFAULT_RETRY_AFTER_MS = 1_000;
+/** Longest time for which a holder of claims works on a forwarded operation. */
+export const CLAIM_ANSWER_TIMEOUT_MS = 1_500;
--- a/src/transport/proxy/ProxyContext.ts
+++ b/src/transport/proxy/ProxyContext.ts
@@ -39,6 +39,8 @@
     readonly region: string;
     readonly readView: ReadMeshView;
     readonly claims: ClaimPort;
+    /** Commits an operation on claims that another daemon sent; undefined when the text is malformed. */
+    readonly handleForwardedClaim?: (text: string) => Promise<string> | undefined;
     readonly recorder: RequestRecorder;
     readonly meshKey: string;
     /** Present time in milliseconds; should not jump. */
--- a/src/transport/proxy/RelayEntry.ts
+++ b/src/transport/proxy/RelayEntry.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
+    CLAIM_FORWARDING_PATH,
     copyRequestHeaders,
     EXECUTION_ONCE,
     formatLoadReport,
@@ -12,6 +13,7 @@
 } from "../../protocol/request/index.js";
 import { refuse } from "./AttemptResult.js";
 import type { AttemptResult } from "./AttemptResult.js";
+import { answerForwardedClaim } from "./ClaimAnswering.js";
 import { Exchange } from "./Exchange.js";
 import { executeOnce } from "./KeyedExecution.js";
 import { answerLeaseRenewal } from "./LeaseAnswering.js";
@@ -22,7 +24,7 @@
 import type { ProxyContext } from "./ProxyContext.js";
 import { receiveBody } from "./RequestBody.js";
 
-/** Handles one request on the relay port: a request for the own server, or a lease renewal. */
+/** Handles one request on the relay port: a request for the own server, a lease renewal, or a claim. */
 export async function handleRelayRequest(
     context: ProxyContext,
     request: IncomingMessage,
@@ -57,6 +59,10 @@
         await answerLeaseRenewal(context, exchange);
         return undefined;
     }
+    if (target === undefined && request.url === CLAIM_FORWARDING_PATH) {
+        await answerForwardedClaim(context, exchange);
+        return undefined;
+    }
     if (target !== options.selfId) {
         return refuse(RefusalReason.Misdirected, `this daemon is ${options.selfId}`);
     }
