Measure convergence and control cost against watching the store

Cause: docs/CAPACITY.md needs slopes from measurements, over real connections. Change: a fleet of control-only daemons, one process for each failure domain, with the latencies and link of design 1.6; the convergence measurement with its baseline and linear fits. The first runs over ws found two faults, fixed with tests: a new region relay and its parent waited for each other's floor, and daemons that started at once without seeds stayed apart. The mesh now reads versions through the acceptance module.

--- /dev/null
+++ b/measure/fleet/index.ts
@@ -0,0 +1,7 @@
+export { Fleet } from "./Fleet.js";
+export type { FleetTotals } from "./Fleet.js";
+export type { FleetMode } from "./FleetMessages.js";
+export { readPreciseTime } from "./FleetMessages.js";
+export { DOMAINS } from "./MeasuredMesh.js";
+export { fitLine, pickPercentile, printRows } from "./Statistics.js";
+export type { LinearFit } from "./Statistics.js";
--- a/src/transport/mesh/Bootstrap.ts
+++ b/src/transport/mesh/Bootstrap.ts
@@ -47,11 +47,17 @@
             .filter(entry => entry.address !== own.address || entry.peerPort !== own.peerPort);
     }
 
+    /** Seeds, and addresses that some failure domain's relay wrote, as another part of the mesh may have. */
+    async listElsewhere(): Promise<readonly Candidate[]> {
+        return [...this.listSeeds(), ...(this.store === undefined ? [] : await this.readAnyDomain(this.store))];
+    }
+
     private async readStored(store: StoreAccess): Promise<readonly Candidate[]> {
         const own = await this.readDomain(store, this.context.options.failureDomain);
-        if (own.length > 0) {
-            return own;
-        }
+        return own.length > 0 ? own : this.readAnyDomain(store);
+    }
+
+    private async readAnyDomain(store: StoreAccess): Promise<readonly Candidate[]> {
         const listed = (await store.port.list(KEY_PREFIX)).orDefault([]);
         const other = listed[Math.floor(this.context.options.random() * listed.length)];
         return other === undefined ? [] : this.readDomain(store, other.key.slice(KEY_PREFIX.length));
--- a/src/transport/mesh/FloorKeeper.ts
+++ b/src/transport/mesh/FloorKeeper.ts
@@ -61,6 +61,11 @@
         }
     }
 
+    onLinkRemoved(link: Link): void {
+        this.requests.cancel(link);
+        this.domainRequests.cancel(link);
+    }
+
     private async settle(): Promise<void> {
         const floor = await this.inquire();
         if (floor !== undefined && this.versions.getLedger().floor === undefined) {
@@ -99,7 +104,8 @@
     private async findFloor(): Promise<number | undefined> {
         const position = this.context.getPosition();
         const parent = this.context.links.getParent();
-        const fromAbove = parent === undefined
+        // A new region relay still has a parent, which may be below it in the new tree.
+        const fromAbove = position.isRegionRelay || parent === undefined
             ? await this.findFloorAsRoot(position.isRegionRelay)
             : await this.requestFrom(parent, false);
         return fromAbove ?? (position.isDomainRelay ? this.collectDomainFloors() : undefined);
@@ -119,7 +125,7 @@
     }
 
     private requestFrom(link: Link, forwarded: boolean): Promise<number | undefined> {
-        return this.requests.request(request => link.send({ forwarded, kind: "floorRequest", request }));
+        return this.requests.request(link, request => link.send({ forwarded, kind: "floorRequest", request }));
     }
 
     /** Version of the store's head; 0 when there is none yet, undefined when the store gave no answer. */
@@ -164,7 +170,10 @@
             const link = member === undefined ? undefined : await this.context.dial(member, LinkRole.Query);
             const answer = link === undefined
                 ? undefined
-                : await this.domainRequests.request(request => link.send({ kind: "domainFloorRequest", request }));
+                : await this.domainRequests.request(
+                    link,
+                    request => link.send({ kind: "domainFloorRequest", request }),
+                );
             link?.close();
             if (answer?.isSettledRelay === true) {
                 return answer;
--- a/src/transport/mesh/HeadWatcher.ts
+++ b/src/transport/mesh/HeadWatcher.ts
@@ -1,9 +1,9 @@
+import { describeLoadError, loadSnapshot } from "../../coordination/acceptance/index.js";
 import { drawBackoff, getNewest, getReceivedVersion } from "../../coordination/distribution/index.js";
 import type { StoredObject } from "../../state/store/index.js";
 import { HEAD_KEY, parseHead } from "../../state/versions/index.js";
 import { TICK_MS } from "./MeshConstants.js";
 import type { MeshContext, MeshPart } from "./MeshContext.js";
-import { loadSnapshot } from "./SnapshotLoader.js";
 import type { StoreAccess } from "./StoreAccess.js";
 import { sleepFor } from "./Timers.js";
 import type { VersionExchange } from "./VersionExchange.js";
@@ -112,7 +112,10 @@
         loaded
             .ifRight(snapshot => this.versions.acceptFromStore(snapshot))
             .ifLeft(error =>
-                this.context.options.log.warn({ error, version: head.version }, "mesh: version not loaded.")
+                this.context.options.log.warn(
+                    { error: describeLoadError(error), version: head.version },
+                    "mesh: version not loaded.",
+                )
             );
         return loaded.isRight();
     }
--- a/src/transport/mesh/MeshNode.ts
+++ b/src/transport/mesh/MeshNode.ts
@@ -111,7 +111,7 @@
         this.head = this.store === undefined ? undefined : new HeadWatcher(this.context, this.store, this.versions);
         const detector = new Detector(this.context, this.members, this.exclusions, () => this.cutOff.list());
         const rounds = new PeerRounds(this.context, this.members, this.versions, this.exclusions, {
-            listEntries: () => bootstrap.listEntries(),
+            listElsewhere: () => bootstrap.listElsewhere(),
             onUnreachable: id => void detector.check(id),
         });
         const floors = new FloorKeeper(this.context, this.store, this.versions);
--- a/src/transport/mesh/PeerRounds.ts
+++ b/src/transport/mesh/PeerRounds.ts
@@ -11,8 +11,9 @@
 const NEIGHBOUR_CHANGE_MS = 10_000;
 /** Time in which a link between region relays is not tried again. */
 const RELAY_RETRY_MS = 1_000;
-/** Interval at which a region relay looks for members that it does not know. */
-const EXPLORATION_MS = 10_000;
+/** Interval at which a region relay looks for members that it does not know; it doubles up to the limit. */
+const EXPLORATION_FIRST_MS = 500;
+const EXPLORATION_LIMIT_MS = 10_000;
 
 /** Keeps links between region relays and to one neighbour at a time, and compares digests over them. */
 export class PeerRounds implements MeshPart {
@@ -22,6 +23,7 @@
     private lastDigestAt = 0;
     private nextRelayAttemptAt = 0;
     private nextExplorationAt = 0;
+    private explorationMs = EXPLORATION_FIRST_MS;
     private isBusy = false;
 
     constructor(
@@ -31,7 +33,7 @@
         private readonly exclusions: Exclusions,
         private readonly effects: {
             /** Addresses by which members of an unknown part of the mesh may be found. */
-            listEntries(): Promise<readonly Candidate[]>;
+            listElsewhere(): Promise<readonly Candidate[]>;
             onUnreachable(id: string): void;
         },
     ) {}
@@ -98,9 +100,10 @@
         if (!this.context.getPosition().isRegionRelay || now < this.nextExplorationAt) {
             return;
         }
-        this.nextExplorationAt = now + EXPLORATION_MS;
+        this.explorationMs = Math.min(2 * this.explorationMs, EXPLORATION_LIMIT_MS);
+        this.nextExplorationAt = now + this.explorationMs * (1 + this.context.options.random()) / 2;
         const known = new Set([...this.context.table.listAll()].map(formatAddress));
-        const unknown = (await this.effects.listEntries()).filter(entry => !known.has(formatAddress(entry)));
+        const unknown = (await this.effects.listElsewhere()).filter(entry => !known.has(formatAddress(entry)));
         const entry = unknown[Math.floor(this.context.options.random() * unknown.length)];
         if (entry !== undefined) {
             await this.context.dial(entry, LinkRole.Neighbour);
--- a/src/transport/mesh/StatusKeeper.ts
+++ b/src/transport/mesh/StatusKeeper.ts
@@ -47,13 +47,17 @@
         }
     }
 
+    onLinkRemoved(link: Link): void {
+        this.requests.cancel(link);
+    }
+
     /** Total of the mesh; undefined when no region relay answers. */
     async readTotal(): Promise<MeshSummary | undefined> {
         const parent = this.context.links.getParent();
-        if (parent === undefined) {
+        if (parent === undefined || this.isRoot()) {
             return this.sumMesh();
         }
-        return this.requests.request(request => parent.send({ kind: "statusRequest", request }));
+        return this.requests.request(parent, request => parent.send({ kind: "statusRequest", request }));
     }
 
     private isRoot(): boolean {
@@ -63,7 +67,7 @@
     private sendSummary(): void {
         const subtree = this.sumSubtree();
         const parent = this.context.links.getParent();
-        const receivers = parent === undefined ? this.context.links.listBy("relay") : [parent];
+        const receivers = parent === undefined || this.isRoot() ? this.context.links.listBy("relay") : [parent];
         receivers.forEach(link => link.send({ kind: "summary", summary: subtree }));
     }
 
--- a/src/transport/mesh/__tests__/support/VirtualMesh.ts
+++ b/src/transport/mesh/__tests__/support/VirtualMesh.ts
@@ -53,7 +53,7 @@
     private started = 0;
 
     /** Starts a daemon named `<domain>-<number>`; it joins by any daemon that runs. */
-    async start(domain: string, number: number, service = "status-desk"): Promise<MeshNode> {
+    async start(domain: string, number: number, service = "status-desk", hasSeed = true): Promise<MeshNode> {
         const id = `${domain}-${number}`;
         const [seed] = [...this.nodes.values()];
         const log = (_: object, message: string): void => {
@@ -72,7 +72,7 @@
             random: createSeededRandom(++this.started),
             region: REGIONS[domain] ?? "erie",
             relayPort: 1,
-            seeds: seed === undefined ? [] : [`127.0.0.1:${seed.node.peerPort}`],
+            seeds: seed === undefined || !hasSeed ? [] : [`127.0.0.1:${seed.node.peerPort}`],
             store: this.store.createClient(REGIONS[domain] ?? "erie"),
             timers: this.time,
         });
