--- a/src/transport/mesh/__tests__/support/VirtualMesh.ts
+++ b/src/transport/mesh/__tests__/support/VirtualMesh.ts
@@ -1,3 +1,4 @@
+import { decodeMessage } from "../../../../protocol/peer/index.js";
 import { splitDocument } from "../../../../state/document/index.js";
 import type { SourceDocument } from "../../../../state/document/index.js";
 import { MemberState } from "../../../../state/members/index.js";
@@ -41,7 +42,7 @@
     readonly network = new MemoryNetwork(this.time);
     readonly store = new FakeStore(this.time);
     readonly nodes = new Map<string, Running>();
-    /** Log lines of all daemons with their virtual time in milliseconds. */
+    /** Log lines of all daemons, in order. */
     readonly lines: string[] = [];
     delayLink: DelayLink = () => 0;
     /** Difference of each daemon's clock from virtual time. */
@@ -57,7 +58,7 @@
         const id = `${domain}-${number}`;
         const [seed] = [...this.nodes.values()];
         const log = (_: object, message: string): void => {
-            this.lines.push(`${String(this.time.present).padStart(6)} ${id} ${message}${formatFields(_)}`);
+            this.lines.push(`${this.formatTime()} ${message}${formatFields(_)} | ${id}`);
         };
         const node = await startMeshNode({
             address: "127.0.0.1",
@@ -85,6 +86,41 @@
         return node;
     }
 
+    /** Adds a line of the test itself to the log. */
+    note(text: string): void {
+        this.lines.push(`${this.formatTime()} --- ${text}`);
+    }
+
+    /** Logs messages of the given kinds as they are sent. */
+    traceMessages(kinds: readonly string[]): void {
+        this.network.alter = frame => {
+            const message = decodeMessage(frame);
+            if (kinds.includes(message.kind)) {
+                const version = message.kind === "update"
+                    ? message.manifest.version
+                    : (message as { version?: number; }).version;
+                this.lines.push(
+                    `${this.formatTime()} sent ${message.kind} of version ${version ?? 0}, ${frame.length} bytes | 1`,
+                );
+            }
+            return [{ delayMs: 0, frame }];
+        };
+    }
+
+    /** The log with equal lines of one moment joined. */
+    formatLog(): string {
+        const groups = new Map<string, string[]>();
+        for (const line of this.lines) {
+            const [text = "", id] = line.split(" | ");
+            groups.set(text, [...(groups.get(text) ?? []), ...(id === undefined ? [] : [id])]);
+        }
+        return [...groups].map(([text, ids]) => `${text}${formatIds(ids)}\n`).join("");
+    }
+
+    private formatTime(): string {
+        return String(Math.round(this.time.present)).padStart(6);
+    }
+
     /** Starts `count` daemons in each failure domain. */
     async startAll(count: number, domains: readonly string[] = Object.keys(REGIONS)): Promise<void> {
         for (let number = 1; number <= count; number++) {
@@ -169,11 +205,28 @@
     }
 }
 
+function formatIds(ids: readonly string[]): string {
+    if (ids.every(id => id === "1")) {
+        return ids.length === 0 ? "" : `, ${ids.length} times`;
+    }
+    return ` on ${ids.toSorted().join(" ")}`;
+}
+
 function formatFields(fields: object): string {
     const text = JSON.stringify(fields);
     return text === "{}" ? "" : ` ${text.replace(/"root":"[0-9a-f]+",?/, "")}`;
 }
 
+/** A mesh in which version 1 is in force everywhere. */
+export async function startConverged(count: number, domains?: readonly string[]): Promise<VirtualMesh> {
+    const mesh = new VirtualMesh();
+    mesh.accept(createDocument("1"));
+    await mesh.startAll(count, domains);
+    await mesh.time.advanceUntil(() => mesh.isEverywhere(1), 20_000);
+    await mesh.time.advance(10_000);
+    return mesh;
+}
+
 /** A document with one service and one route for each name. */
 export function createDocument(note: string, services: readonly string[] = ["status-desk"]): SourceDocument {
     return {
--- a/src/transport/mesh/__tests__/unit/Failures.test.ts
+++ b/src/transport/mesh/__tests__/unit/Failures.test.ts
@@ -1,16 +1,8 @@
 import { expect, test } from "vitest";
 import { MemberState } from "../../../../state/members/index.js";
 import { createSeededRandom } from "../../../../state/shared/index.js";
-import { createDocument, REGIONS, VirtualMesh } from "../support/VirtualMesh.js";
-
-async function startConverged(count: number, domains?: readonly string[]): Promise<VirtualMesh> {
-    const mesh = new VirtualMesh();
-    mesh.accept(createDocument("1"));
-    await mesh.startAll(count, domains);
-    await mesh.time.advanceUntil(() => mesh.isEverywhere(1), 20_000);
-    await mesh.time.advance(10_000);
-    return mesh;
-}
+import { createDocument, REGIONS, startConverged } from "../support/VirtualMesh.js";
+import type { VirtualMesh } from "../support/VirtualMesh.js";
 
 function isKnownEverywhere(mesh: VirtualMesh, id: string, state: MemberState): boolean {
     return mesh.list().every(node => node.readView().members.get(id)?.state === state);
