--- a/src/transport/mesh/Requests.ts
+++ b/src/transport/mesh/Requests.ts
@@ -2,19 +2,19 @@
 import type { Timers } from "./Timers.js";
 import { limitTime } from "./Timers.js";
 
-interface Waiting<T> {
+interface WaitingRequest<T> {
     readonly link: Link;
     readonly resolve: (answer: T | undefined) => void;
 }
 
 /** Questions sent to other daemons whose answers are awaited, by request number. */
 export class Requests<T> {
-    private readonly waiting = new Map<number, Waiting<T>>();
+    private readonly waiting = new Map<number, WaitingRequest<T>>();
     private last = 0;
 
     constructor(private readonly timers: Timers, private readonly limitMs: number) {}
 
-    /** Sends a question over a link; resolves with undefined when the link ends or no answer comes in time. */
+    /** Sends a question; resolves with undefined when no answer comes in time or the link ends. */
     async request(link: Link, send: (request: number) => void): Promise<T | undefined> {
         const request = ++this.last;
         const answer = new Promise<T | undefined>(resolve => this.waiting.set(request, { link, resolve }));
@@ -29,12 +29,10 @@
         this.waiting.get(request)?.resolve(answer);
     }
 
-    /** Ends the questions that were sent over a link that is gone. */
+    /** Ends the questions that were sent over a link that has ended. */
     cancel(link: Link): void {
-        for (const waiting of this.waiting.values()) {
-            if (waiting.link === link) {
-                waiting.resolve(undefined);
-            }
-        }
+        [...this.waiting.values()].filter(waiting => waiting.link === link).forEach(waiting =>
+            waiting.resolve(undefined)
+        );
     }
 }
