Report failure domains, scarce services and cut-off time in the status

Cause: the convergence view has to show the share of each failure domain, services with too few live servers and cut-off failure domains, and the status objects of the store had none of them. Change: summaries count versions for each failure domain, at most 64, as an optional field; the region relay adds scarce services and cut-off times from its own view when it writes status/<region>. The console reads them. The live part replaces only what differs, so that screen readers announce changes only.

--- a/src/console/web/assets/ConsoleScript.ts
+++ b/src/console/web/assets/ConsoleScript.ts
@@ -8,11 +8,27 @@
 document.querySelector("[data-focus]")?.focus();
 
 const live = document.querySelector("[data-follow]");
+// Only parts that differ are replaced, so that screen readers announce changes only and the focus stays.
+function updateLive(html) {
+    const fresh = document.createElement("div");
+    fresh.innerHTML = html;
+    const isSameShape = fresh.children.length === live.children.length;
+    if (!isSameShape) {
+        live.replaceChildren(...fresh.childNodes);
+        return;
+    }
+    [...fresh.children].forEach((child, index) => {
+        if (child.outerHTML !== live.children[index].outerHTML) {
+            live.children[index].replaceWith(child);
+        }
+    });
+}
+
 async function follow() {
     try {
         const response = await fetch(live.dataset.follow, { redirect: "error" });
         if (response.ok) {
-            live.innerHTML = await response.text();
+            updateLive(await response.text());
         }
         live.classList.toggle("stale", !response.ok);
     } catch {
--- a/src/console/web/convergence/Convergence.ts
+++ b/src/console/web/convergence/Convergence.ts
@@ -1,6 +1,12 @@
 /** Computes what the convergence view shows from the accepted version and the status of the regions. */
-import type { WaitingCount } from "../../../coordination/summary/index.js";
-import type { AcceptedDocument, DomainStatus, MeshSummary, RegionStatus } from "../ports/index.js";
+import type {
+    DomainCount,
+    RegionStatus,
+    ScarceService,
+    VersionCount,
+    WaitingCount,
+} from "../../../coordination/summary/index.js";
+import type { AcceptedDocument, ReportedStatus } from "../ports/index.js";
 
 /** Share of some daemons that have the accepted version in force. */
 export interface Share {
@@ -10,7 +16,8 @@
 
 export interface DomainConvergence extends Share {
     readonly failureDomain: string;
-    readonly cutOffSince: number | undefined;
+    /** Time since the failure domain was last reached, milliseconds; undefined while it is reachable. */
+    readonly cutOffForMs: number | undefined;
     /** False when no relay reports this failure domain. */
     readonly isReported: boolean;
 }
@@ -20,12 +27,6 @@
     readonly domains: readonly DomainConvergence[];
 }
 
-export interface ScarceService {
-    readonly service: string;
-    readonly live: number;
-    readonly planned: number;
-}
-
 export interface Convergence {
     readonly version: number;
     readonly author: string;
@@ -43,7 +44,10 @@
     readonly isReported: boolean;
 }
 
-type VersionCounts = Pick<MeshSummary, "daemons" | "versions">;
+interface VersionCounts {
+    readonly daemons: number;
+    readonly versions: readonly VersionCount[];
+}
 
 function computeShare({ daemons, versions }: VersionCounts, accepted: number): Share {
     const newest = versions.filter(entry => entry.version >= accepted);
@@ -61,54 +65,56 @@
  * Each region's relay reports the whole mesh as far as it can see. The report that covers most
  * daemons is used, so that a region that was cut off doesn't hide the others.
  */
-function chooseWidest(statuses: readonly RegionStatus[]): MeshSummary | undefined {
-    return statuses.map(status => status.summary)
-        .reduce<MeshSummary | undefined>((widest, summary) => {
-            return widest === undefined || summary.daemons > widest.daemons ? summary : widest;
+function chooseWidest(reported: readonly ReportedStatus[]): RegionStatus | undefined {
+    return reported.map(({ status }) => status)
+        .reduce<RegionStatus | undefined>((widest, status) => {
+            return widest === undefined || status.daemons > widest.daemons ? status : widest;
         }, undefined);
 }
 
-/** Finds the status of a failure domain; its own region's report is the most recent one. */
-function findDomain(statuses: readonly RegionStatus[], region: string, domain: string): DomainStatus | undefined {
-    const ordered = [...statuses].sort((a, b) => Number(b.region === region) - Number(a.region === region));
-    return ordered.flatMap(status => status.summary.failureDomains).find(status => status.failureDomain === domain);
+/** Finds the counts of a failure domain; its own region's report is the most recent one. */
+function findDomain(
+    reported: readonly ReportedStatus[],
+    region: string,
+    failureDomain: string,
+): DomainCount | undefined {
+    const ordered = [...reported].sort((a, b) => Number(b.region === region) - Number(a.region === region));
+    return ordered
+        .flatMap(({ status }) => status.failureDomains ?? [])
+        .find(count => count.failureDomain === failureDomain);
+}
+
+/** A cut-off failure domain is known from the reports of the others. */
+function findCutOff(reported: readonly ReportedStatus[], failureDomain: string): number | undefined {
+    return reported
+        .flatMap(({ status }) => status.cutOff)
+        .find(entry => entry.failureDomain === failureDomain)?.forMs;
 }
 
 function computeDomain(
-    statuses: readonly RegionStatus[],
+    reported: readonly ReportedStatus[],
     region: string,
     failureDomain: string,
     accepted: number,
 ): DomainConvergence {
-    const status = findDomain(statuses, region, failureDomain);
-    const cutOffSince = statuses
-        .flatMap(entry => entry.summary.failureDomains)
-        .find(entry => entry.failureDomain === failureDomain && entry.cutOffSince !== undefined)?.cutOffSince;
+    const counts = findDomain(reported, region, failureDomain);
     return {
-        ...(status === undefined ? { daemons: 0, inForce: 0 } : computeShare(status, accepted)),
-        cutOffSince,
+        ...(counts === undefined ? { daemons: 0, inForce: 0 } : computeShare(counts, accepted)),
+        cutOffForMs: findCutOff(reported, failureDomain),
         failureDomain,
-        isReported: status !== undefined,
+        isReported: counts !== undefined,
     };
 }
 
-function listScarceServices(accepted: AcceptedDocument, summary: MeshSummary | undefined): readonly ScarceService[] {
-    return (summary?.services ?? []).flatMap(({ live, service }) => {
-        const servers = accepted.document.services[service]?.servers ?? {};
-        const planned = Object.values(servers).reduce((total, count) => total + count, 0);
-        return live < planned ? [{ live, planned, service }] : [];
-    });
-}
-
 /** Computes the view at a time. */
 export function computeConvergence(
     accepted: AcceptedDocument,
-    statuses: readonly RegionStatus[],
+    reported: readonly ReportedStatus[],
     now: number,
 ): Convergence {
-    const widest = chooseWidest(statuses);
+    const widest = chooseWidest(reported);
     const regions = Object.entries(accepted.document.mesh.regions).map(([region, { failureDomains }]) => {
-        const domains = failureDomains.map(domain => computeDomain(statuses, region, domain, accepted.version));
+        const domains = failureDomains.map(domain => computeDomain(reported, region, domain, accepted.version));
         return { ...sumShares(domains), domains, region };
     });
     return {
@@ -120,7 +126,7 @@
         mesh: widest === undefined ? { daemons: 0, inForce: 0 } : computeShare(widest, accepted.version),
         message: accepted.message,
         regions,
-        scarceServices: listScarceServices(accepted, widest),
+        scarceServices: widest?.scarceServices ?? [],
         unsettled: widest?.unsettled ?? 0,
         version: accepted.version,
         waiting: widest?.waiting ?? [],
--- a/src/console/web/forms/FieldRendering.ts
+++ b/src/console/web/forms/FieldRendering.ts
@@ -60,7 +60,7 @@
             selected.includes(choice) && renderHtml` checked`
         }> ${choice}</label>`
     );
-    return renderHtml`<div role="group" ${renderTies(ties)} aria-label="${field.label}" tabindex="-1">${
+    return renderHtml`<div role="group" ${renderTies(ties)} aria-labelledby="${ties.id}-label" tabindex="-1">${
         all.length === 0 ? "The document defines none." : boxes
     }</div>`;
 }
@@ -96,6 +96,14 @@
     }
 }
 
+/** A group of check boxes is labelled by reference, because a label can name only one input. */
+function renderLabel(field: Field, id: string): Html {
+    const mark = field.isRequired ? renderHtml` <span class="required">(required)</span>` : undefined;
+    return field.control.kind === "choices"
+        ? renderHtml`<span class="label" id="${id}-label">${field.label}${mark}</span>`
+        : renderHtml`<label class="label" for="${id}">${field.label}${mark}</label>`;
+}
+
 function renderField(field: Field, piece: unknown, findings: readonly Finding[]): Html {
     const id = formatInputId(formatFieldName(field));
     const ties = {
@@ -104,9 +112,8 @@
         isFaulty: findings.length > 0,
     };
     const fallback = field.defaultText === undefined ? undefined : `Default: ${field.defaultText}.`;
-    const mark = field.isRequired ? renderHtml` <span class="required">(required)</span>` : undefined;
     return renderHtml`<div class="field${findings.length > 0 && " faulty"}">
-<label for="${id}">${field.label}${mark}</label>
+${renderLabel(field, id)}
 ${renderControl(field, piece, ties)}
 ${renderFindings(findings, `${id}-findings`)}
 <p class="help" id="${id}-help">${field.help} ${fallback}</p>
--- a/src/console/web/forms/FormModel.ts
+++ b/src/console/web/forms/FormModel.ts
@@ -75,7 +75,11 @@
 /** States the accepted values where the control itself does not show them. */
 function describeHelp(schema: TSchema, control: Control): string {
     const description = (schema["description"] ?? "") as string;
-    const isStated = control.kind === "text" || control.kind === "integer" || control.kind === "list";
+    if (control.kind === "list") {
+        const [example = []] = (schema["examples"] ?? []) as readonly (readonly string[])[];
+        return `${description} Separate them by commas, such as ${example.join(", ")}.`;
+    }
+    const isStated = control.kind === "text" || control.kind === "integer";
     return isStated ? `${description} Enter ${describeExpected(schema)}.`.trim() : description;
 }
 
--- a/src/console/web/index.ts
+++ b/src/console/web/index.ts
@@ -1,7 +1,7 @@
 /** The operators' console. */
 export { createConsole } from "./ConsoleServer.js";
 export type { ConsoleOptions } from "./ConsoleServer.js";
-export { createStoreConfiguration, parseMeshSummary } from "./ports/index.js";
+export { createStoreConfiguration, parseRegionStatus } from "./ports/index.js";
 export type {
     AcceptedDocument,
     ConfigurationPort,
@@ -9,7 +9,7 @@
     ProposedDocument,
     ReadFailure,
     ReadResult,
-    RegionStatus,
+    ReportedStatus,
     StoreConfigurationOptions,
     VersionRecord,
 } from "./ports/index.js";
--- a/src/console/web/pages/ConvergencePage.ts
+++ b/src/console/web/pages/ConvergencePage.ts
@@ -12,20 +12,20 @@
     } <span class="none">${inForce} of ${daemons}</span>`;
 }
 
-function renderDomain(domain: DomainConvergence, now: number): Html {
-    const note = domain.cutOffSince === undefined
+function renderDomain(domain: DomainConvergence): Html {
+    const note = domain.cutOffForMs === undefined
         ? undefined
-        : renderHtml` <strong class="bad">cut off for ${formatDuration(now - domain.cutOffSince)}</strong>`;
+        : renderHtml` <strong class="bad">cut off for ${formatDuration(domain.cutOffForMs)}</strong>`;
     return renderHtml`<tr><th scope="row" class="inner">${domain.failureDomain}</th><td>${
         domain.isReported ? renderShare(domain) : renderHtml`<span class="none">not reported</span>`
     }${note}</td></tr>`;
 }
 
-function renderRegion(region: RegionConvergence, now: number): Html {
+function renderRegion(region: RegionConvergence): Html {
     const isReported = region.domains.some(domain => domain.isReported);
     return renderHtml`<tr><th scope="row">${region.region}</th><td>${
         isReported ? renderShare(region) : renderHtml`<span class="none">not reported</span>`
-    }</td></tr>${region.domains.map(domain => renderDomain(domain, now))}`;
+    }</td></tr>${region.domains.map(renderDomain)}`;
 }
 
 function describeState({ isReported, mesh, version }: Convergence): string {
@@ -69,7 +69,7 @@
 </dl>
 <h2>Regions and failure domains</h2>
 <table><thead><tr><th scope="col">Place</th><th scope="col">Has version ${view.version} in force</th></tr></thead>
-<tbody>${view.regions.map(region => renderRegion(region, now))}</tbody></table>
+<tbody>${view.regions.map(renderRegion)}</tbody></table>
 <h2>What is waiting, and why</h2>
 ${renderWaiting(view)}
 <h2>Services with too few live servers</h2>
--- a/src/console/web/pages/DocumentPages.ts
+++ b/src/console/web/pages/DocumentPages.ts
@@ -73,9 +73,9 @@
         renderHtml`${alert}<p>The document replaces the whole of version ${baseVersion}; what changes is shown before it is sent.</p>
 <form method="post" action="/import">${renderFormToken(session)}
 <input type="hidden" name="baseVersion" value="${baseVersion}">
-<div class="field" data-needs-script hidden><label for="file">File</label>
+<div class="field" data-needs-script hidden><label class="label" for="file">File</label>
 <input type="file" id="file" accept=".yaml,.yml,.json" data-reads-into="text"></div>
-<div class="field"><label for="text">Document (YAML or JSON)</label>
+<div class="field"><label class="label" for="text">Document (YAML or JSON)</label>
 <textarea id="text" name="text" rows="${IMPORT_ROWS}" spellcheck="false"${
             findings.length > 0 && renderHtml` aria-invalid="true" aria-describedby="findings"`
         }>
--- a/src/console/web/pages/EditPage.ts
+++ b/src/console/web/pages/EditPage.ts
@@ -66,7 +66,7 @@
         return renderHtml`<input type="hidden" name="name" value="${target.name}">${findings}`;
     }
     return renderHtml`<div class="field${findings !== undefined && " faulty"}">
-<label for="name">Name <span class="required">(required)</span></label>
+<label class="label" for="name">Name <span class="required">(required)</span></label>
 <input type="text" id="name" name="name" value="${target.name}" autocomplete="off" spellcheck="false" autocapitalize="none" aria-describedby="name-findings name-help"${
         findings !== undefined && renderHtml` aria-invalid="true"`
     }>${findings}
@@ -75,7 +75,7 @@
 
 /** Renders the field for the reason, which goes into the history. */
 export function renderMessageField(message: string): Html {
-    return renderHtml`<div class="field"><label for="message">Reason</label>
+    return renderHtml`<div class="field"><label class="label" for="message">Reason</label>
 <input type="text" id="message" name="message" value="${message}" maxlength="500" aria-describedby="message-help">
 <p class="help" id="message-help">Shown in the history. Left empty, it says what was changed.</p></div>`;
 }
--- a/src/console/web/pages/SignInPage.ts
+++ b/src/console/web/pages/SignInPage.ts
@@ -7,10 +7,10 @@
         ? undefined
         : renderHtml`<section class="alert" role="alert" tabindex="-1" data-focus><p>${fault}</p></section>`;
     const main = renderHtml`${alert}<form method="post" action="/sign-in">
-<div class="field"><label for="operator">Your name</label>
+<div class="field"><label class="label" for="operator">Your name</label>
 <input type="text" id="operator" name="operator" value="${operator}" required maxlength="64" autocomplete="username" aria-describedby="operator-help">
 <p class="help" id="operator-help">Written into the history with each version that you publish.</p></div>
-<div class="field"><label for="token">Token</label>
+<div class="field"><label class="label" for="token">Token</label>
 <input type="password" id="token" name="token" required autocomplete="current-password" aria-describedby="token-help">
 <p class="help" id="token-help">The console prints it when it starts, unless PAPAYATURN_TOKEN is set.</p></div>
 <div class="actions"><button>Sign in</button></div></form>`;
--- a/src/console/web/ports/ConfigurationPort.ts
+++ b/src/console/web/ports/ConfigurationPort.ts
@@ -1,7 +1,7 @@
 /** What the console needs from the outside; the composition root passes it in. */
 import type { Either } from "purify-ts/Either";
+import type { RegionStatus } from "../../../coordination/summary/index.js";
 import type { SourceDocument } from "../../../state/document/index.js";
-import type { MeshSummary } from "./MeshStatus.js";
 
 /** An accepted version, without its document. */
 export interface VersionRecord {
@@ -42,10 +42,10 @@
     /** The answer was lost: it may have been accepted. */
     | { readonly kind: "unknown"; readonly detail: string; };
 
-/** Summary of the mesh as the relay of one region last wrote it. */
-export interface RegionStatus {
+/** Status of the mesh as the relay of one region last wrote it. */
+export interface ReportedStatus {
     readonly region: string;
-    readonly summary: MeshSummary;
+    readonly status: RegionStatus;
 }
 
 export interface ConfigurationPort {
@@ -58,5 +58,5 @@
     /** Proposes a document by a conditional update. */
     propose(proposal: ProposedDocument): Promise<ProposalResult>;
     /** Reads the status that each of the regions last wrote; a region that wrote none is left out. */
-    readStatus(regions: readonly string[]): ReadResult<readonly RegionStatus[]>;
+    readStatus(regions: readonly string[]): ReadResult<readonly ReportedStatus[]>;
 }
--- a/src/console/web/ports/MeshStatus.ts
+++ b/src/console/web/ports/MeshStatus.ts
@@ -1,26 +1,11 @@
-/** Status objects `status/<region>` as the console reads them: sums that relays wrote, checked leniently. */
-import type { MeshSummary as CommonSummary, VersionCount } from "../../../coordination/summary/index.js";
-
-/** Counts of one failure domain. */
-export interface DomainStatus {
-    readonly failureDomain: string;
-    readonly daemons: number;
-    readonly versions: readonly VersionCount[];
-    /** Time since which no member can be reached, milliseconds; undefined while it is reachable. */
-    readonly cutOffSince: number | undefined;
-}
-
-export interface ServiceStatus {
-    readonly service: string;
-    readonly live: number;
-}
-
-export interface MeshSummary extends CommonSummary {
-    /** Empty when the relay doesn't report failure domains. */
-    readonly failureDomains: readonly DomainStatus[];
-    /** Live servers of services; empty when the relay doesn't report them. */
-    readonly services: readonly ServiceStatus[];
-}
+/** Reads status objects `status/<region>`; a figure of another shape counts as not reported. */
+import type {
+    CutOffStatus,
+    DomainCount,
+    RegionStatus,
+    ScarceService,
+    VersionCount,
+} from "../../../coordination/summary/index.js";
 
 type Fields = Readonly<Record<string, unknown>>;
 
@@ -40,18 +25,28 @@
     return toList(value).map(entry => ({ daemons: toCount(entry["daemons"]), version: toCount(entry["version"]) }));
 }
 
-function readDomain(entry: Fields): DomainStatus {
-    const since = entry["cutOffSince"];
+function readDomain(entry: Fields): DomainCount {
     return {
-        cutOffSince: typeof since === "number" ? since : undefined,
         daemons: toCount(entry["daemons"]),
         failureDomain: String(entry["failureDomain"]),
         versions: readVersions(entry["versions"]),
     };
 }
 
+function readCutOff(entry: Fields): CutOffStatus {
+    return { failureDomain: String(entry["failureDomain"]), forMs: toCount(entry["forMs"]) };
+}
+
+function readScarceService(entry: Fields): ScarceService {
+    return {
+        live: toCount(entry["live"]),
+        planned: toCount(entry["planned"]),
+        service: String(entry["service"]),
+    };
+}
+
 /** Parses the value of a status object; undefined when it is no JSON object. */
-export function parseMeshSummary(text: string): MeshSummary | undefined {
+export function parseRegionStatus(text: string): RegionStatus | undefined {
     let value: unknown;
     try {
         value = JSON.parse(text);
@@ -66,12 +61,10 @@
     return {
         controlBytes: toCount(fields["controlBytes"]),
         controlBytesAcrossRegions: toCount(fields["controlBytesAcrossRegions"]),
+        cutOff: toList(fields["cutOff"]).map(readCutOff),
         daemons: toCount(fields["daemons"]),
         failureDomains: toList(fields["failureDomains"]).map(readDomain),
-        services: toList(fields["services"]).map(entry => ({
-            live: toCount(entry["live"]),
-            service: String(entry["service"]),
-        })),
+        scarceServices: toList(fields["scarceServices"]).map(readScarceService),
         unsettled: toCount(fields["unsettled"]),
         versions: readVersions(fields["versions"]),
         waiting: toList(fields["waiting"]).map(entry => ({
--- a/src/console/web/ports/StoreConfiguration.ts
+++ b/src/console/web/ports/StoreConfiguration.ts
@@ -18,9 +18,9 @@
     ProposalResult,
     ReadFailure,
     ReadResult,
-    RegionStatus,
+    ReportedStatus,
 } from "./ConfigurationPort.js";
-import { parseMeshSummary } from "./MeshStatus.js";
+import { parseRegionStatus } from "./MeshStatus.js";
 
 /** Prefix of the objects in which relays report the state of the mesh, one for each region. */
 const STATUS_PREFIX = "status/";
@@ -77,13 +77,13 @@
         return Right(held.accepted);
     }
 
-    async function readRegion(region: string): ReadResult<readonly RegionStatus[]> {
+    async function readRegion(region: string): ReadResult<readonly ReportedStatus[]> {
         const found = await store.get(STATUS_PREFIX + region);
         return found.bimap(
             error => ({ detail: error.detail }),
             object => {
-                const summary = object === undefined ? undefined : parseMeshSummary(object.value);
-                return summary === undefined ? [] : [{ region, summary }];
+                const status = object === undefined ? undefined : parseRegionStatus(object.value);
+                return status === undefined ? [] : [{ region, status }];
             },
         );
     }
--- a/src/coordination/summary/Summary.ts
+++ b/src/coordination/summary/Summary.ts
@@ -1,6 +1,9 @@
 /** Most versions and most waiting reasons that a summary carries. */
 export const SUMMARY_ENTRIES_LIMIT = 8;
 
+/** Most failure domains that a summary counts; the largest planned mesh has 13. */
+export const SUMMARY_DOMAINS_LIMIT = 64;
+
 /** Count of daemons that have one version in force; version 0 stands for none. */
 export interface VersionCount {
     readonly version: number;
@@ -13,6 +16,14 @@
     readonly daemons: number;
 }
 
+/** Counts of the daemons of one failure domain. */
+export interface DomainCount {
+    readonly failureDomain: string;
+    readonly daemons: number;
+    /** The newest versions first. */
+    readonly versions: readonly VersionCount[];
+}
+
 /** What a subtree of daemons reports to its parent; sums are over the subtree. */
 export interface MeshSummary {
     readonly daemons: number;
@@ -25,6 +36,8 @@
     readonly controlBytes: number;
     /** The part of `controlBytes` that was sent to another region. */
     readonly controlBytesAcrossRegions: number;
+    /** By name; left out by a sender that doesn't count them. */
+    readonly failureDomains?: readonly DomainCount[];
 }
 
 export const EMPTY_SUMMARY: MeshSummary = {
@@ -38,21 +51,18 @@
 
 /** Adds up the summaries of disjoint subtrees. */
 export function mergeSummaries(summaries: readonly MeshSummary[]): MeshSummary {
-    const versions = new Map<number, number>();
     const waiting = new Map<string, number>();
     for (const summary of summaries) {
-        summary.versions.forEach(entry => addCount(versions, entry.version, entry.daemons));
         summary.waiting.forEach(entry => addCount(waiting, entry.reason, entry.daemons));
     }
+    const domains = summaries.flatMap(summary => summary.failureDomains ?? []);
     return {
         controlBytes: sumField(summaries, summary => summary.controlBytes),
         controlBytesAcrossRegions: sumField(summaries, summary => summary.controlBytesAcrossRegions),
         daemons: sumField(summaries, summary => summary.daemons),
+        ...(domains.length === 0 ? {} : { failureDomains: mergeDomains(domains) }),
         unsettled: sumField(summaries, summary => summary.unsettled),
-        versions: [...versions]
-            .map(([version, daemons]) => ({ daemons, version }))
-            .sort((a, b) => b.version - a.version)
-            .slice(0, SUMMARY_ENTRIES_LIMIT),
+        versions: mergeVersions(summaries.flatMap(summary => summary.versions)),
         waiting: [...waiting]
             .map(([reason, daemons]) => ({ daemons, reason }))
             .sort((a, b) => b.daemons - a.daemons || (a.reason < b.reason ? -1 : 1))
@@ -60,6 +70,30 @@
     };
 }
 
+function mergeVersions(counts: readonly VersionCount[]): readonly VersionCount[] {
+    const versions = new Map<number, number>();
+    counts.forEach(entry => addCount(versions, entry.version, entry.daemons));
+    return [...versions]
+        .map(([version, daemons]) => ({ daemons, version }))
+        .sort((a, b) => b.version - a.version)
+        .slice(0, SUMMARY_ENTRIES_LIMIT);
+}
+
+function mergeDomains(counts: readonly DomainCount[]): readonly DomainCount[] {
+    const domains = new Map<string, DomainCount>();
+    for (const entry of counts) {
+        const held = domains.get(entry.failureDomain);
+        domains.set(entry.failureDomain, {
+            daemons: (held?.daemons ?? 0) + entry.daemons,
+            failureDomain: entry.failureDomain,
+            versions: mergeVersions([...held?.versions ?? [], ...entry.versions]),
+        });
+    }
+    return [...domains.values()]
+        .sort((a, b) => a.failureDomain < b.failureDomain ? -1 : 1)
+        .slice(0, SUMMARY_DOMAINS_LIMIT);
+}
+
 function addCount<K>(counts: Map<K, number>, key: K, count: number): void {
     counts.set(key, (counts.get(key) ?? 0) + count);
 }
--- a/src/protocol/peer/Messages.ts
+++ b/src/protocol/peer/Messages.ts
@@ -2,7 +2,7 @@
  * Messages between daemons. Each is defined by the shapes of its fields; the wire form is
  * `[kind, fields…]` in msgpack, so field names are not sent.
  */
-import { SUMMARY_ENTRIES_LIMIT } from "../../coordination/summary/index.js";
+import { SUMMARY_DOMAINS_LIMIT, SUMMARY_ENTRIES_LIMIT } from "../../coordination/summary/index.js";
 import type { MeshSummary } from "../../coordination/summary/index.js";
 import { DIGEST_BUCKETS, MemberState } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
@@ -70,14 +70,18 @@
     readonly since: number;
 }
 
-const summary: Shape<MeshSummary> = createRecordShape({
+const versionCounts = createListShape(createRecordShape({ version: integer, daemons: integer }), SUMMARY_ENTRIES_LIMIT);
+const domainCount = createRecordShape({ failureDomain: name, daemons: integer, versions: versionCounts });
+
+const summary = createRecordShape({
     daemons: integer,
     unsettled: integer,
-    versions: createListShape(createRecordShape({ version: integer, daemons: integer }), SUMMARY_ENTRIES_LIMIT),
+    versions: versionCounts,
     waiting: createListShape(createRecordShape({ reason: detail, daemons: integer }), SUMMARY_ENTRIES_LIMIT),
     controlBytes: integer,
     controlBytesAcrossRegions: integer,
-});
+    failureDomains: createOptionalShape(createListShape(domainCount, SUMMARY_DOMAINS_LIMIT)),
+}) as unknown as Shape<MeshSummary>;
 
 const FIELDS = {
     hello: {
--- a/src/transport/mesh/MeshNode.ts
+++ b/src/transport/mesh/MeshNode.ts
@@ -6,6 +6,7 @@
     UNJOINED_POSITION,
 } from "../../coordination/distribution/index.js";
 import type { TreePosition } from "../../coordination/distribution/index.js";
+import { createRegionStatus } from "../../coordination/summary/index.js";
 import type { MeshSummary } from "../../coordination/summary/index.js";
 import type { FrameConnection, PeerMessage } from "../../protocol/peer/index.js";
 import { MemberState, MemberTable } from "../../state/members/index.js";
@@ -107,7 +108,12 @@
         const bootstrap = new Bootstrap(this.context, this.store);
         this.tree = new TreeKeeper(this.context, this.exclusions, bootstrap);
         this.cutOff = new CutOffKeeper(this.context, () => this.view.markChanged());
-        this.status = new StatusKeeper(this.context, this.store, () => this.describeOwn());
+        this.status = new StatusKeeper(
+            this.context,
+            this.store,
+            () => this.describeOwn(),
+            total => createRegionStatus(total, this.view.read(), this.cutOff.list(), now()),
+        );
         this.head = this.store === undefined ? undefined : new HeadWatcher(this.context, this.store, this.versions);
         const detector = new Detector(this.context, this.members, this.exclusions, () => this.cutOff.list());
         const rounds = new PeerRounds(this.context, this.members, this.versions, this.exclusions, {
@@ -308,12 +314,14 @@
     private describeOwn(): MeshSummary {
         const ledger = this.versions.getLedger();
         const counters = this.readCounters();
+        const versions = [{ daemons: 1, version: ledger.inForce?.version ?? 0 }];
         return {
             controlBytes: counters.sentBytes,
             controlBytesAcrossRegions: counters.sentBytesAcrossRegions,
             daemons: 1,
+            failureDomains: [{ daemons: 1, failureDomain: this.options.failureDomain, versions }],
             unsettled: ledger.floor === undefined ? 1 : 0,
-            versions: [{ daemons: 1, version: ledger.inForce?.version ?? 0 }],
+            versions,
             waiting: ledger.waiting.map(reason => ({ daemons: 1, reason })),
         };
     }
--- a/src/transport/mesh/StatusKeeper.ts
+++ b/src/transport/mesh/StatusKeeper.ts
@@ -1,5 +1,5 @@
 import { EMPTY_SUMMARY, mergeSummaries } from "../../coordination/summary/index.js";
-import type { MeshSummary } from "../../coordination/summary/index.js";
+import type { MeshSummary, RegionStatus } from "../../coordination/summary/index.js";
 import type { MessageOf } from "../../protocol/peer/index.js";
 import type { Link } from "./Link.js";
 import { REQUEST_TIMEOUT_MS } from "./MeshConstants.js";
@@ -28,6 +28,7 @@
         private readonly context: MeshContext,
         private readonly store: StoreAccess | undefined,
         private readonly describeOwn: () => MeshSummary,
+        private readonly describeRegion: (total: MeshSummary) => RegionStatus,
     ) {
         this.requests = new Requests(context.timers, REQUEST_TIMEOUT_MS);
     }
@@ -91,7 +92,7 @@
     }
 
     private async write(): Promise<void> {
-        const value = JSON.stringify(this.sumMesh());
+        const value = JSON.stringify(this.describeRegion(this.sumMesh()));
         if (this.store === undefined || value === this.written) {
             return;
         }
