Name failure domains only in the summaries of domain relays

Cause: with counts for each failure domain, the summary of every daemon grew from 112 to 194 bytes, once an interval. Change: the domain relay states the failure domain for the sum of its own domain; the daemons below it send what they sent before.

--- a/src/coordination/summary/Summary.ts
+++ b/src/coordination/summary/Summary.ts
@@ -36,7 +36,7 @@
     readonly controlBytes: number;
     /** The part of `controlBytes` that was sent to another region. */
     readonly controlBytesAcrossRegions: number;
-    /** By name; left out by a sender that doesn't count them. */
+    /** By name; left out below a domain relay, where all daemons are of one failure domain. */
     readonly failureDomains?: readonly DomainCount[];
 }
 
@@ -49,6 +49,12 @@
     waiting: [],
 };
 
+/** States that all daemons of a sum are of one failure domain. */
+export function countAsDomain(summary: MeshSummary, failureDomain: string): MeshSummary {
+    const { daemons, versions } = summary;
+    return { ...summary, failureDomains: [{ daemons, failureDomain, versions }] };
+}
+
 /** Adds up the summaries of disjoint subtrees. */
 export function mergeSummaries(summaries: readonly MeshSummary[]): MeshSummary {
     const waiting = new Map<string, number>();
--- a/src/coordination/summary/__tests__/unit/Summary.test.ts
+++ b/src/coordination/summary/__tests__/unit/Summary.test.ts
@@ -3,11 +3,10 @@
 import type { Member, MemberState } from "../../../../state/members/index.js";
 import type { MeshView } from "../../../../state/view/index.js";
 import type { MeshSummary } from "../../index.js";
-import { createRegionStatus, EMPTY_SUMMARY, mergeSummaries } from "../../index.js";
+import { countAsDomain, createRegionStatus, EMPTY_SUMMARY, mergeSummaries } from "../../index.js";
 
 function createDaemonSummary(failureDomain: string, version: number): MeshSummary {
-    const versions = [{ daemons: 1, version }];
-    return { ...EMPTY_SUMMARY, daemons: 1, failureDomains: [{ daemons: 1, failureDomain, versions }], versions };
+    return countAsDomain({ ...EMPTY_SUMMARY, daemons: 1, versions: [{ daemons: 1, version }] }, failureDomain);
 }
 
 function createMember(id: string, failureDomain: string, state: MemberState): Member {
--- a/src/transport/mesh/MeshNode.ts
+++ b/src/transport/mesh/MeshNode.ts
@@ -314,14 +314,12 @@
     private describeOwn(): MeshSummary {
         const ledger = this.versions.getLedger();
         const counters = this.readCounters();
-        const versions = [{ daemons: 1, version: ledger.inForce?.version ?? 0 }];
         return {
             controlBytes: counters.sentBytes,
             controlBytesAcrossRegions: counters.sentBytesAcrossRegions,
             daemons: 1,
-            failureDomains: [{ daemons: 1, failureDomain: this.options.failureDomain, versions }],
             unsettled: ledger.floor === undefined ? 1 : 0,
-            versions,
+            versions: [{ daemons: 1, version: ledger.inForce?.version ?? 0 }],
             waiting: ledger.waiting.map(reason => ({ daemons: 1, reason })),
         };
     }
--- a/src/transport/mesh/StatusKeeper.ts
+++ b/src/transport/mesh/StatusKeeper.ts
@@ -1,4 +1,4 @@
-import { EMPTY_SUMMARY, mergeSummaries } from "../../coordination/summary/index.js";
+import { countAsDomain, EMPTY_SUMMARY, mergeSummaries } from "../../coordination/summary/index.js";
 import type { MeshSummary, RegionStatus } from "../../coordination/summary/index.js";
 import type { MessageOf } from "../../protocol/peer/index.js";
 import type { Link } from "./Link.js";
@@ -75,7 +75,16 @@
     /** The own state and that of the children; a child's summary counts only while it is linked. */
     private sumSubtree(): MeshSummary {
         const children = this.context.links.listBy("child").map(link => link.summary ?? EMPTY_SUMMARY);
-        return mergeSummaries([this.describeOwn(), ...children]);
+        const others = children.filter(summary => summary.failureDomains !== undefined);
+        const ownDomain = mergeSummaries([
+            this.describeOwn(),
+            ...children.filter(summary => summary.failureDomains === undefined),
+        ]);
+        // Only domain relays name the failure domain, so that the summaries below them stay small.
+        const counted = this.context.getPosition().isDomainRelay
+            ? countAsDomain(ownDomain, this.context.options.failureDomain)
+            : ownDomain;
+        return mergeSummaries([counted, ...others]);
     }
 
     private sumMesh(): MeshSummary {
