--- a/src/transport/proxy/RelayEntry.ts
+++ b/src/transport/proxy/RelayEntry.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
+    CLAIM_FORWARDING_PATH,
     copyRequestHeaders,
     EXECUTION_ONCE,
     formatLoadReport,
@@ -12,17 +13,18 @@
 } from "../../protocol/request/index.js";
 import { refuse } from "./AttemptResult.js";
 import type { AttemptResult } from "./AttemptResult.js";
+import { answerForwardedClaim } from "./ClaimAnswering.js";
 import { Exchange } from "./Exchange.js";
 import { executeOnce } from "./KeyedExecution.js";
 import { answerLeaseRenewal } from "./LeaseAnswering.js";
 import { executeLocally } from "./LocalExecution.js";
 import type { ServerRequest } from "./LocalExecution.js";
-import { sendResult } from "./PlainAnswer.js";
+import { appendClose, sendResult } from "./PlainAnswer.js";
 import { UNROUTED_DEADLINE_MS } from "./ProxyConstants.js";
 import type { ProxyContext } from "./ProxyContext.js";
 import { receiveBody } from "./RequestBody.js";
 
-/** Handles one request on the relay port: a request for the own server, or a lease renewal. */
+/** Handles one request on the relay port: a request for the own server, a lease renewal, or a claim. */
 export async function handleRelayRequest(
     context: ProxyContext,
     request: IncomingMessage,
@@ -35,10 +37,11 @@
         if (attempt !== undefined) {
             headers.push(MeshHeader.Attempt, attempt);
         }
+        appendClose(context, request, headers);
     });
     const result = await executeRelayed(context, exchange);
     if (result !== undefined) {
-        sendResult(exchange, result, context.isStopping());
+        sendResult(exchange, result);
     }
     exchange.finish();
 }
@@ -57,6 +60,10 @@
         await answerLeaseRenewal(context, exchange);
         return undefined;
     }
+    if (target === undefined && request.url === CLAIM_FORWARDING_PATH) {
+        await answerForwardedClaim(context, exchange);
+        return undefined;
+    }
     if (target !== options.selfId) {
         return refuse(RefusalReason.Misdirected, `this daemon is ${options.selfId}`);
     }
@@ -72,6 +79,9 @@
 
 function executeForDaemon(context: ProxyContext, exchange: Exchange): Promise<AttemptResult> {
     const { request } = exchange;
+    if (context.options.readView().configuration === undefined) {
+        return Promise.resolve(refuse(RefusalReason.Unsettled, "no configuration is in force on this daemon yet"));
+    }
     const serverRequest: ServerRequest = {
         exchange,
         method: request.method ?? "",
