--- a/src/transport/mesh/StatusKeeper.ts
+++ b/src/transport/mesh/StatusKeeper.ts
@@ -1,5 +1,5 @@
-import { EMPTY_SUMMARY, mergeSummaries } from "../../coordination/summary/index.js";
-import type { MeshSummary } from "../../coordination/summary/index.js";
+import { countAsDomain, EMPTY_SUMMARY, mergeSummaries } from "../../coordination/summary/index.js";
+import type { MeshSummary, RegionStatus } from "../../coordination/summary/index.js";
 import type { MessageOf } from "../../protocol/peer/index.js";
 import type { Link } from "./Link.js";
 import { REQUEST_TIMEOUT_MS } from "./MeshConstants.js";
@@ -28,6 +28,7 @@
         private readonly context: MeshContext,
         private readonly store: StoreAccess | undefined,
         private readonly describeOwn: () => MeshSummary,
+        private readonly describeRegion: (total: MeshSummary) => RegionStatus,
     ) {
         this.requests = new Requests(context.timers, REQUEST_TIMEOUT_MS);
     }
@@ -78,7 +79,16 @@
     /** The own state and that of the children; a child's summary counts only while it is linked. */
     private sumSubtree(): MeshSummary {
         const children = this.context.links.listBy("child").map(link => link.summary ?? EMPTY_SUMMARY);
-        return mergeSummaries([this.describeOwn(), ...children]);
+        const others = children.filter(summary => summary.failureDomains !== undefined);
+        const ownDomain = mergeSummaries([
+            this.describeOwn(),
+            ...children.filter(summary => summary.failureDomains === undefined),
+        ]);
+        // Only domain relays name the failure domain, so that the summaries below them stay small.
+        const counted = this.context.getPosition().isDomainRelay
+            ? countAsDomain(ownDomain, this.context.options.failureDomain)
+            : ownDomain;
+        return mergeSummaries([counted, ...others]);
     }
 
     private sumMesh(): MeshSummary {
@@ -95,7 +105,7 @@
     }
 
     private async write(): Promise<void> {
-        const value = JSON.stringify(this.sumMesh());
+        const value = JSON.stringify(this.describeRegion(this.sumMesh()));
         if (this.store === undefined || value === this.written) {
             return;
         }
