Ask for more leased slots when demand grows

A lease followed demand only once a second, so a burst went through the owner until the next renewal. A renewal is now sent early when more requests work than slots were last asked for, at most every 200 ms. A renewal that is skipped because the last one has no answer no longer resets the counts of its interval. Not measured; a unit test covers when renewals are sent early.

--- a/src/coordination/leases/HeldLeases.ts
+++ b/src/coordination/leases/HeldLeases.ts
@@ -1,4 +1,4 @@
-import { LEASE_IDLE_MS, LEASE_MS } from "./LeaseConstants.js";
+import { LEASE_GROWTH_INTERVAL_MS, LEASE_IDLE_MS, LEASE_MS } from "./LeaseConstants.js";
 
 /** Part of the highest concurrency that remains after an interval without such concurrency. */
 const PEAK_DECAY = 0.7;
@@ -16,6 +16,9 @@
     peak: number;
     sent: number;
     lastUsedAt: number;
+    /** Slots asked for by the last renewal, and when. */
+    asked: number;
+    askedAt: number;
 }
 
 /** The class of a request and the highest share of slots that it may use, 0 to 1. */
@@ -65,15 +68,17 @@
         }
     }
 
-    /** Counts the begin of a request to the server of `owner`; true for the first one, which should apply at once. */
+    /**
+     * Counts the begin of a request to the server of `owner`. True when a renewal should be sent at
+     * once: for the first request, and when more requests work than slots were last asked for.
+     */
     noteBegin(owner: string, now: number): boolean {
-        const isFirst = !this.#leases.has(owner);
         const lease = this.#find(owner, now);
         lease.working++;
         lease.sent++;
         lease.lastUsedAt = now;
         lease.peak = Math.max(lease.peak, lease.working);
-        return isFirst;
+        return lease.working > lease.asked && now - lease.askedAt >= LEASE_GROWTH_INTERVAL_MS;
     }
 
     noteEnd(owner: string): void {
@@ -83,11 +88,12 @@
         }
     }
 
-    /** Plans a renewal for each server in use and begins a new interval of counting. */
-    planRenewals(now: number): RenewalPlan[] {
-        return [...this.#leases.keys()].map(owner => this.planRenewal(owner, now));
+    /** Owners of the servers in use. */
+    listOwners(): string[] {
+        return [...this.#leases.keys()];
     }
 
+    /** Plans the renewal that is sent now and begins a new interval of counting. */
     planRenewal(owner: string, now: number): RenewalPlan {
         const lease = this.#find(owner, now);
         const isIdle = lease.working === 0 && now - lease.lastUsedAt >= LEASE_IDLE_MS;
@@ -99,6 +105,8 @@
         };
         lease.peak = Math.max(lease.working, lease.peak * PEAK_DECAY);
         lease.sent = 0;
+        lease.asked = plan.wanted;
+        lease.askedAt = now;
         if (isIdle) {
             this.#leases.delete(owner);
         }
@@ -148,6 +156,8 @@
                 peak: 0,
                 sent: 0,
                 lastUsedAt: now,
+                asked: 0,
+                askedAt: Number.NEGATIVE_INFINITY,
             };
             this.#leases.set(owner, lease);
         }
--- a/src/coordination/leases/LeaseConstants.ts
+++ b/src/coordination/leases/LeaseConstants.ts
@@ -13,3 +13,5 @@
  * whose own requests use every slot would never lease any.
  */
 export const HIGHEST_OWED_SHARE = 1 / 6;
+/** Least time between renewals that are sent early because demand grew. */
+export const LEASE_GROWTH_INTERVAL_MS = 200;
--- a/src/coordination/leases/__tests__/unit/SlotLeases.test.ts
+++ b/src/coordination/leases/__tests__/unit/SlotLeases.test.ts
@@ -140,6 +140,15 @@
         expect(leases.takeSlot("owner", camps, 0)).toBe(true);
     });
 
+    it("ask for more at once when demand exceeds what was asked for, but not in quick succession", () => {
+        const leases = new HeldLeases();
+        expect(leases.noteBegin("owner", 0)).toBe(true);
+        expect(leases.planRenewal("owner", 0).wanted).toBe(2);
+        expect([10, 20, 300].map(now => leases.noteBegin("owner", now))).toEqual([false, false, true]);
+        expect(leases.planRenewal("owner", 300).wanted).toBe(5);
+        expect(leases.noteBegin("owner", 600)).toBe(false);
+    });
+
     it("displace the least used holder in favour of an applicant that sends much more", () => {
         const grants = new LeaseGrants(-10_000);
         const limits = {
--- a/src/transport/proxy/LeaseRenewing.ts
+++ b/src/transport/proxy/LeaseRenewing.ts
@@ -23,24 +23,22 @@
     const { leases, options } = context;
     const pending = new Set<string>();
     // A renewal is left out while the last one has no answer; the lease then lapses by itself.
-    const renew = (plan: RenewalPlan): void => {
-        if (options.isLeasing !== false && !pending.has(plan.owner)) {
-            pending.add(plan.owner);
-            void renewLease(context, plan).finally(() => pending.delete(plan.owner));
+    const renew = (owner: string): void => {
+        if (options.isLeasing !== false && !pending.has(owner)) {
+            pending.add(owner);
+            const plan = leases.planRenewal(owner, options.now());
+            void renewLease(context, plan).finally(() => pending.delete(owner));
         }
     };
     const timer = setInterval(() => {
-        const now = options.now();
-        for (const plan of leases.planRenewals(now)) {
-            renew(plan);
+        for (const owner of leases.listOwners()) {
+            renew(owner);
         }
-        context.pools.sweep(now);
+        context.pools.sweep(options.now());
     }, LEASE_RENEWAL_INTERVAL_MS);
     timer.unref();
     return {
-        apply: owner => {
-            renew(leases.planRenewal(owner, options.now()));
-        },
+        apply: renew,
         stop: () => {
             clearInterval(timer);
         },
