Bound the store calls of a cold start; measure herds and outages

Change: the first daemon of a failure domain claims the bootstrap object when it is absent, and the others join by it; the wait of a lone daemon has jitter. Measurements of a failure domain's restart and of a store outage.

--- a/measure/fleet/Fleet.ts
+++ b/measure/fleet/Fleet.ts
@@ -128,6 +128,12 @@
         return [...(this.inForce.get(version)?.values() ?? [])];
     }
 
+    /** Daemons that run and have the version in force now. */
+    async countInForce(version: number): Promise<number> {
+        const reports = await Promise.all(this.workers.map(worker => this.readReport(worker)));
+        return reports.reduce((total, each) => total + (each.versions[version] ?? 0), 0);
+    }
+
     async readTotals(): Promise<FleetTotals> {
         const reports = await Promise.all(this.workers.map(worker => this.readReport(worker)));
         const sum = (read: (report: FleetReport) => number): number =>
--- a/measure/fleet/FleetWorker.ts
+++ b/measure/fleet/FleetWorker.ts
@@ -2,7 +2,7 @@
 import { MemberState } from "../../src/state/members/index.js";
 import { createSeededRandom } from "../../src/state/shared/index.js";
 import { startMeshNode } from "../../src/transport/mesh/index.js";
-import type { MeshNode } from "../../src/transport/mesh/index.js";
+import type { ControlCounters, MeshNode } from "../../src/transport/mesh/index.js";
 import { createStoreClient } from "../../src/transport/store/index.js";
 import type { StoreClient } from "../../src/transport/store/index.js";
 import { BaselineDaemon } from "./BaselineDaemon.js";
@@ -23,6 +23,8 @@
 const callsBySecond = new Map<number, number>();
 let client: StoreClient | undefined;
 let storeCalls = 0;
+/** Counters of daemons that were closed, so that totals never fall. */
+const closedCounters: ControlCounters[] = [];
 
 function emitEvent(event: FleetEvent): void {
     process.send?.(event);
@@ -90,6 +92,7 @@
 }
 
 async function closeDaemons(): Promise<void> {
+    closedCounters.push(...[...nodes.values()].map(node => node.readCounters()));
     await Promise.all([...nodes.values()].map(node => node.closeAbruptly()));
     nodes.clear();
     baselines.splice(0).forEach(daemon => daemon.stop());
@@ -106,7 +109,7 @@
     held.forEach(version => {
         versions[version] = (versions[version] ?? 0) + 1;
     });
-    const counters = [...nodes.values()].map(node => node.readCounters());
+    const counters = [...closedCounters, ...[...nodes.values()].map(node => node.readCounters())];
     const { system, user } = process.cpuUsage();
     const { heapUsed, rss } = process.memoryUsage();
     const transferred = client?.readTransferredBytes();
--- /dev/null
+++ b/measure/outage/index.ts
@@ -0,0 +1,101 @@
+/**
+ * Measures an outage of the store: whether versions stay in force, how new daemons fare during it,
+ * and how long a version that is accepted right after it takes.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { parseArgs } from "node:util";
+import { Fleet, pickPercentile, printRows, readPreciseTime } from "../fleet/index.js";
+import type { FleetMode } from "../fleet/index.js";
+
+const SETTLE_MS = 4_000;
+/** Time that the daemons of a restarted failure domain get during the outage. */
+const RECOVERY_LIMIT_MS = 15_000;
+
+interface Measured {
+    readonly mode: FleetMode;
+    readonly size: number;
+    readonly keptInOutage: number;
+    readonly recoveredInOutage: number;
+    readonly peakStoreCalls: number;
+    readonly afterOutage: readonly number[];
+}
+
+/** `--sizes 104 --outage 10000`: sizes, and the outage in milliseconds before a failure domain restarts. */
+export async function runMeasurement(args: readonly string[]): Promise<number> {
+    const { values } = parseArgs({
+        args: [...args],
+        options: {
+            outage: { default: "10000", type: "string" },
+            sizes: { default: "104", type: "string" },
+        },
+    });
+    const results: Measured[] = [];
+    for (const size of values.sizes.split(",").map(Number)) {
+        for (const mode of ["mesh", "baseline"] as const) {
+            results.push(await measureOutage(mode, size, Number(values.outage)));
+        }
+    }
+    printRows([
+        [
+            "mode",
+            "daemons",
+            "in force in outage",
+            "after a domain restarts in it",
+            "peak store calls/s",
+            "first change p50",
+            "max",
+        ],
+        ...results.map(({ afterOutage, keptInOutage, mode, peakStoreCalls, recoveredInOutage, size }) => [
+            mode,
+            size,
+            keptInOutage,
+            recoveredInOutage,
+            peakStoreCalls,
+            pickPercentile(afterOutage, 0.5),
+            Math.max(...afterOutage),
+        ]),
+    ]);
+    return 0;
+}
+
+async function measureOutage(mode: FleetMode, size: number, outageMs: number): Promise<Measured> {
+    const fleet = await Fleet.start(mode, size, "convergence");
+    try {
+        const first = await fleet.accept();
+        await fleet.startDaemons();
+        await fleet.awaitInForce(first.version);
+        await sleep(SETTLE_MS);
+        await fleet.readTotals();
+        fleet.store.setFaults({ outage: true });
+        await sleep(outageMs);
+        const keptInOutage = await fleet.countInForce(first.version);
+        await fleet.crash("superior-a");
+        await fleet.startDaemons(["superior-a"]);
+        const recoveredInOutage = await awaitCount(fleet, first.version, size);
+        const { peakStoreCalls } = await fleet.readTotals();
+        fleet.store.setFaults({ outage: false });
+        const second = await fleet.accept();
+        const times = await fleet.awaitInForce(second.version);
+        return {
+            afterOutage: times.map(time => time - second.at),
+            keptInOutage,
+            mode,
+            peakStoreCalls,
+            recoveredInOutage,
+            size,
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+async function awaitCount(fleet: Fleet, version: number, size: number): Promise<number> {
+    const deadline = readPreciseTime() + RECOVERY_LIMIT_MS;
+    let count = await fleet.countInForce(version);
+    while (count < size && readPreciseTime() < deadline) {
+        await sleep(200);
+        count = await fleet.countInForce(version);
+    }
+    return count;
+}
--- a/src/transport/mesh/Bootstrap.ts
+++ b/src/transport/mesh/Bootstrap.ts
@@ -53,18 +53,35 @@
     }
 
     private async readStored(store: StoreAccess): Promise<readonly Candidate[]> {
-        const own = await this.readDomain(store, this.context.options.failureDomain);
+        const { failureDomain } = this.context.options;
+        const own = await this.readDomain(store, failureDomain) ?? await this.writeFirst(store, failureDomain);
         return own.length > 0 ? own : this.readAnyDomain(store);
     }
 
     private async readAnyDomain(store: StoreAccess): Promise<readonly Candidate[]> {
         const listed = (await store.port.list(KEY_PREFIX)).orDefault([]);
         const other = listed[Math.floor(this.context.options.random() * listed.length)];
-        return other === undefined ? [] : this.readDomain(store, other.key.slice(KEY_PREFIX.length));
+        return other === undefined ? [] : await this.readDomain(store, other.key.slice(KEY_PREFIX.length)) ?? [];
+    }
+
+    /**
+     * Writes the own address when the failure domain has none. Of daemons that start at once one
+     * succeeds, and the others join by it, so that they do not all count themselves as the first.
+     */
+    private async writeFirst(store: StoreAccess, domain: string): Promise<readonly Candidate[]> {
+        const { address, peerPort } = this.context.getOwnRecord();
+        const value = JSON.stringify({ addresses: [{ address, peerPort }] });
+        const written = await store.port.put(`${KEY_PREFIX}${domain}`, value, { kind: "absent" });
+        return written.isRight() ? [] : await this.readDomain(store, domain) ?? [];
     }
 
-    private async readDomain(store: StoreAccess, domain: string): Promise<readonly Candidate[]> {
-        const stored = (await store.port.get(`${KEY_PREFIX}${domain}`)).orDefault(undefined);
+    /** Undefined when the store has no object for the failure domain. */
+    private async readDomain(store: StoreAccess, domain: string): Promise<readonly Candidate[] | undefined> {
+        const read = await store.port.get(`${KEY_PREFIX}${domain}`);
+        const stored = read.orDefault(undefined);
+        if (read.isRight() && stored === undefined) {
+            return undefined;
+        }
         const own = this.context.getOwnRecord();
         return parseAddresses(stored?.value ?? "")
             .filter(entry => entry.address !== own.address || entry.peerPort !== own.peerPort);
--- a/src/transport/mesh/JoinState.ts
+++ b/src/transport/mesh/JoinState.ts
@@ -2,6 +2,8 @@
 
 /** Time without reaching any entry after which a daemon with an answering store counts itself as the first. */
 const ALONE_AFTER_MS = 2_000;
+/** Spreads the daemons that start at once, so that those that come later find the first one. */
+const ALONE_JITTER_MS = 2_000;
 
 /**
  * Whether this daemon has joined. One that has only just started knows no other member, and would
@@ -10,10 +12,10 @@
 export class JoinState implements MeshPart {
     readonly handlers = {};
     private joined = false;
-    private readonly startedAt: number;
+    private readonly aloneAt: number;
 
     constructor(private readonly context: MeshContext, private readonly isStoreReachable: () => boolean | undefined) {
-        this.startedAt = context.now();
+        this.aloneAt = context.now() + ALONE_AFTER_MS + context.options.random() * ALONE_JITTER_MS;
     }
 
     isJoined(): boolean {
@@ -26,7 +28,7 @@
         }
         const hasContact = this.context.table.size > 1 && this.context.links.listTree().length > 0;
         // With the store unreachable and no seed answering, nothing tells a first daemon from a cut-off one.
-        const isFirst = this.isStoreReachable() === true && this.context.now() - this.startedAt >= ALONE_AFTER_MS;
+        const isFirst = this.isStoreReachable() === true && this.context.now() >= this.aloneAt;
         this.joined = hasContact || isFirst;
     }
 }
