--- a/src/transport/mesh/FloorKeeper.ts
+++ b/src/transport/mesh/FloorKeeper.ts
@@ -52,11 +52,6 @@
         this.domainRequests = new Requests(context.timers, REQUEST_TIMEOUT_MS);
     }
 
-    onLinkRemoved(link: Link): void {
-        this.requests.cancel(link);
-        this.domainRequests.cancel(link);
-    }
-
     tick(): void {
         if (this.versions.getLedger().floor === undefined && !this.isAsking) {
             this.isAsking = true;
@@ -66,6 +61,11 @@
         }
     }
 
+    onLinkRemoved(link: Link): void {
+        this.requests.cancel(link);
+        this.domainRequests.cancel(link);
+    }
+
     private async settle(): Promise<void> {
         const floor = await this.inquire();
         if (floor !== undefined && this.versions.getLedger().floor === undefined) {
@@ -104,10 +104,8 @@
     private async findFloor(): Promise<number | undefined> {
         const position = this.context.getPosition();
         const parent = this.context.links.getParent();
-        // While members still find their places two daemons may have each other as parent; a region
-        // relay that waited for its parent's answer would then wait for its own.
-        const isRoot = parent === undefined || (position.isRegionRelay && this.context.isJoined());
-        const fromAbove = isRoot
+        // A new region relay still has a parent, which may be below it in the new tree.
+        const fromAbove = position.isRegionRelay || parent === undefined
             ? await this.findFloorAsRoot(position.isRegionRelay)
             : await this.requestFrom(parent, false);
         return fromAbove ?? (position.isDomainRelay ? this.collectDomainFloors() : undefined);
--- a/src/transport/mesh/StatusKeeper.ts
+++ b/src/transport/mesh/StatusKeeper.ts
@@ -32,10 +32,6 @@
         this.requests = new Requests(context.timers, REQUEST_TIMEOUT_MS);
     }
 
-    onLinkRemoved(link: Link): void {
-        this.requests.cancel(link);
-    }
-
     tick(): void {
         const now = this.context.now();
         if (now - this.lastSentAt >= this.context.getIntervals().summaryMs) {
@@ -51,10 +47,14 @@
         }
     }
 
+    onLinkRemoved(link: Link): void {
+        this.requests.cancel(link);
+    }
+
     /** Total of the mesh; undefined when no region relay answers. */
     async readTotal(): Promise<MeshSummary | undefined> {
         const parent = this.context.links.getParent();
-        if (parent === undefined) {
+        if (parent === undefined || this.isRoot()) {
             return this.sumMesh();
         }
         return this.requests.request(parent, request => parent.send({ kind: "statusRequest", request }));
@@ -67,7 +67,7 @@
     private sendSummary(): void {
         const subtree = this.sumSubtree();
         const parent = this.context.links.getParent();
-        const receivers = parent === undefined ? this.context.links.listBy("relay") : [parent];
+        const receivers = parent === undefined || this.isRoot() ? this.context.links.listBy("relay") : [parent];
         receivers.forEach(link => link.send({ kind: "summary", summary: subtree }));
     }
 
