--- a/src/transport/mesh/StatusKeeper.ts
+++ b/src/transport/mesh/StatusKeeper.ts
@@ -33,10 +33,6 @@
         this.requests = new Requests(context.timers, REQUEST_TIMEOUT_MS);
     }
 
-    onLinkRemoved(link: Link): void {
-        this.requests.cancel(link);
-    }
-
     tick(): void {
         const now = this.context.now();
         if (now - this.lastSentAt >= this.context.getIntervals().summaryMs) {
