--- a/src/transport/proxy/ClaimAnswering.ts
+++ b/src/transport/proxy/ClaimAnswering.ts
@@ -17,7 +17,7 @@
         ? handleForwardedClaim?.(exchange.body.bytes.toString())
         : undefined;
     if (refusal !== undefined || pending === undefined) {
-        sendResult(exchange, refusal ?? refuse(RefusalReason.BadRequest, "the claim is not taken here"), false);
+        sendResult(exchange, refusal ?? refuse(RefusalReason.BadRequest, "the claim is not taken here"));
         return;
     }
     const text = await pending;
