Log store outages and keep each part's log prefix

Cause: a daemon that lost the store logged nothing, so an operator could not tell a store outage from a quiet mesh; lines of the peer part appeared under the mesh prefix, and each version in force was logged twice. Change: the first failed and the first answered store call after it are logged; the peer part keeps its prefix; the daemon's second line is gone. Conclusion: an outage is visible in the log of each daemon that uses the store.

--- a/src/transport/daemon/Daemon.ts
+++ b/src/transport/daemon/Daemon.ts
@@ -6,7 +6,7 @@
 import type { MeshView, ReadMeshView } from "../../state/view/index.js";
 import type { ControlHealth, ControlInterface } from "../control/index.js";
 import { startControlInterface } from "../control/index.js";
-import type { PartLogger } from "../logging/index.js";
+import type { CreatePartLogger, PartLogger } from "../logging/index.js";
 import type { MeshLog, MeshNode } from "../mesh/index.js";
 import { startMeshNode } from "../mesh/index.js";
 import type { DaemonSettings } from "../settings/index.js";
@@ -31,8 +31,11 @@
 };
 
 /** The mesh's log has bunyan's order of arguments and messages with their prefix. */
-function createMeshLog(logger: PartLogger): MeshLog {
+/** Writes the lines of a mesh node under the part that each names before its sentence. */
+function createMeshLog(createPartLogger: CreatePartLogger): MeshLog {
+    const loggers = { mesh: createPartLogger("mesh"), peer: createPartLogger("peer") };
     const createWriter = (level: "debug" | "info" | "warn") => (fields: object, message: string): void => {
+        const logger = message.startsWith("peer: ") ? loggers.peer : loggers.mesh;
         logger[level](message.replace(/^[a-z]+: /, ""), { ...fields });
     };
     return { debug: createWriter("debug"), info: createWriter("info"), warn: createWriter("warn") };
@@ -129,12 +132,7 @@
     }
 
     #observeView(view: MeshView): void {
-        const before = this.#inForce.read()?.version;
         this.#inForce.observe(view, Date.now());
-        const present = this.#inForce.read();
-        if (present !== undefined && present.version !== before) {
-            this.log.info(`version ${present.version} is in force.`, { root: present.root });
-        }
     }
 
     #readHealth(): ControlHealth {
@@ -176,7 +174,7 @@
         address: settings.address,
         failureDomain: settings.failureDomain,
         id: settings.id,
-        log: createMeshLog(effects.createPartLogger("mesh")),
+        log: createMeshLog(effects.createPartLogger),
         meshKey: settings.meshKey,
         now: () => Date.now(),
         peerPort: settings.peerPort,
--- a/src/transport/mesh/MeshNode.ts
+++ b/src/transport/mesh/MeshNode.ts
@@ -81,7 +81,7 @@
         const now = createSteadyClock(options.now);
         const table = new MemberTable();
         this.counter = new TrafficCounter(options.region);
-        this.store = options.store === undefined ? undefined : new StoreAccess(options.store);
+        this.store = options.store === undefined ? undefined : new StoreAccess(options.store, options.log);
         this.exclusions = new Exclusions(now);
         this.opener = this.createOpener(timers, now);
         this.context = {
--- a/src/transport/mesh/StoreAccess.ts
+++ b/src/transport/mesh/StoreAccess.ts
@@ -1,6 +1,7 @@
 import type { Either } from "purify-ts/Either";
 import type { StoredObject, StoreError, StorePort, StoreResult } from "../../state/store/index.js";
 import { HEAD_KEY } from "../../state/versions/index.js";
+import type { MeshLog } from "./MeshOptions.js";
 
 /** The store as the mesh uses it: counts calls and remembers whether the last one was answered. */
 export class StoreAccess {
@@ -8,7 +9,7 @@
     private calls = 0;
     private reachable: boolean | undefined;
 
-    constructor(store: StorePort) {
+    constructor(store: StorePort, private readonly log: MeshLog) {
         this.port = {
             delete: (key, version, signal) => this.track(store.delete(key, version, signal)),
             get: (key, signal) => this.track(store.get(key, signal)),
@@ -34,7 +35,20 @@
     private async track<T>(result: StoreResult<T>): Promise<Either<StoreError, T>> {
         this.calls++;
         const either = await result;
-        this.reachable = either.caseOf({ Left: error => error.kind === "refused", Right: () => true });
+        const isReachable = either.caseOf({ Left: error => error.kind === "refused", Right: () => true });
+        if (isReachable !== (this.reachable ?? true)) {
+            this.reportReachable(isReachable);
+        }
+        this.reachable = isReachable;
         return either;
     }
+
+    private reportReachable(isReachable: boolean): void {
+        if (isReachable) {
+            this.log.info({}, "mesh: store answers again.");
+        }
+        else {
+            this.log.warn({}, "mesh: store does not answer.");
+        }
+    }
 }
