Choose demo ports outside the range of outgoing connections

Cause: a demo of the marshals failed because the port chosen for a daemon was taken by an outgoing connection before the daemon bound it. Conclusion: the race is ruled out while the range stays below the system's.

--- a/demo/Demo.ts
+++ b/demo/Demo.ts
@@ -12,6 +12,7 @@
 import { ChildProcesses } from "./ChildProcesses.js";
 import { DaemonClient } from "./DaemonClient.js";
 import { planLayout } from "./DemoLayout.js";
+import type { DemoSecrets } from "./DemoMesh.js";
 import { DemoMesh, drawSecrets } from "./DemoMesh.js";
 import type { DemoFigures } from "./DemoReport.js";
 import { renderReport } from "./DemoReport.js";
@@ -78,12 +79,17 @@
     return checks.every(check => check.violations.length === 0);
 }
 
-function printAddresses(mesh: DemoMesh, token: string): void {
+function printAddresses(mesh: DemoMesh, secrets: DemoSecrets): void {
     const lines = mesh.places.map(place =>
         `  ${place.id} (${place.service}): requests http://127.0.0.1:${place.requestPort}, `
         + `control http://127.0.0.1:${place.controlPort}`
     );
-    process.stdout.write(`Store ${mesh.storeUrl}, token ${token}\n${lines.join("\n")}\nCtrl-C ends the demo.\n`);
+    process.stdout.write(
+        `${lines.join("\n")}\n\nSettings for the command line and the console:\n`
+            + `export PAPAYATURN_STORE_URL=${mesh.storeUrl}\n`
+            + `export PAPAYATURN_MESH_KEY=${secrets.meshKey}\n`
+            + `export PAPAYATURN_TOKEN=${secrets.token}\n\nCtrl-C ends the demo.\n`,
+    );
 }
 
 interface DemoArguments {
@@ -124,7 +130,7 @@
         }
         const kept = printResult(result, `Mesh ${name}, ${layout.places.length} daemons`, json);
         if (keep) {
-            printAddresses(mesh, secrets.token);
+            printAddresses(mesh, secrets);
             await interrupted;
         }
         return kept ? 0 : 1;
--- /dev/null
+++ b/demo/__tests__/unit/FreePorts.test.ts
@@ -0,0 +1,22 @@
+import { readFileSync } from "node:fs";
+import { expect, test } from "vitest";
+import { chooseFreePorts } from "../../FreePorts.js";
+
+const DEFAULT_EPHEMERAL_START = 32_768;
+const RANGE_FILE = "/proc/sys/net/ipv4/ip_local_port_range";
+
+function readEphemeralStart(): number {
+    try {
+        return Number(readFileSync(RANGE_FILE, "utf8").split(/\s+/)[0]);
+    }
+    catch {
+        return DEFAULT_EPHEMERAL_START;
+    }
+}
+
+// Guards against a daemon that cannot start because an outgoing connection took its port meanwhile.
+test("chosen ports differ and are not local ports of outgoing connections", async () => {
+    const ports = await chooseFreePorts(52);
+    expect(new Set(ports).size).toBe(52);
+    expect(ports.filter(port => port >= readEphemeralStart())).toEqual([]);
+});
