Measure the memory of each part of a daemon

Cause: the memory of the control part was not told apart from that of the runtime and the request path. Change: npm run measure -- memory loads each part in a process of its own and fits the growth with members and services.

--- a/measure/Measure.ts
+++ b/measure/Measure.ts
@@ -1,6 +1,6 @@
 /** Entry of `npm run measure -- NAME`: each measurement is a folder beside this file. */
 
-const MEASUREMENTS = ["convergence", "herd", "outage", "requests", "faults"] as const;
+const MEASUREMENTS = ["convergence", "herd", "outage", "requests", "faults", "memory"] as const;
 
 /** What the `index.ts` of each measurement exports. */
 interface MeasurementModule {
