--- a/src/transport/daemon/ServerProbe.ts
+++ b/src/transport/daemon/ServerProbe.ts
@@ -8,6 +8,9 @@
 const DEFAULT_PROBE = { path: "/health", timeoutMs: 1000 } as const;
 const SERVER_ERROR = 500;
 
+/** What the probe needs of the watch. */
+export type ProbedWatch = Pick<ServerWatch, "observeAnswer" | "observeProbe" | "readServer" | "tick">;
+
 /** Ends what was registered. */
 export type Teardown = () => void;
 
@@ -29,7 +32,7 @@
 
 /** Checks the renewals of the daemon's server at an interval and probes it when the watch asks for it. */
 export function registerServerProbe(
-    watch: ServerWatch,
+    watch: ProbedWatch,
     readView: ReadMeshView,
     readLastResultAt: () => number,
     reportHealth: (isHealthy: boolean) => void,
