--- a/src/coordination/distribution/index.ts
+++ b/src/coordination/distribution/index.ts
@@ -14,3 +14,5 @@
     raiseReleased,
 } from "./VersionLedger.js";
 export type { Preparation, VersionLedger } from "./VersionLedger.js";
+export { shouldWatchStore } from "./StoreWatchers.js";
+export type { WatcherQuery } from "./StoreWatchers.js";
--- /dev/null
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -0,0 +1,111 @@
+import { OutlierEjection } from "../balancing/index.js";
+import { WorkEstimates } from "../scheduling/index.js";
+import { Distance } from "./PlacementTypes.js";
+import type { OwnerLoad } from "./PlacementTypes.js";
+
+/** A report older than this says nothing about the present queue; owners report several times a second. */
+const LOAD_VALID_MS = 2_000;
+/** Weight of the newest result in the share of successes. */
+const RESULT_SMOOTHING = 0.05;
+/** How much slower a server works while it is cold, by the users' sheets. */
+const COLD_FACTOR = 2;
+/** Slots assumed before the first report. */
+const ASSUMED_SLOTS = 8;
+/** Round trips to owners by distance, before any was measured. */
+const ASSUMED_ROUND_TRIP_MS = {
+    [Distance.SameDomain]: 1,
+    [Distance.SameRegion]: 3,
+    [Distance.OtherRegion]: 26,
+} as const;
+
+/** What one daemon has observed of one backend server and its owner. */
+export class OwnerStatistics {
+    readonly ejection = new OutlierEjection();
+    readonly #work = new WorkEstimates();
+    #load: OwnerLoad | undefined;
+    #loadAt = 0;
+    #inFlight = 0;
+    /** Requests sent since the last report, which it doesn't count. */
+    #sentSinceReport = 0;
+    #successShare = 1;
+    #roundTripMs: number | undefined;
+
+    constructor(readonly distance: Distance) {}
+
+    get inFlight(): number {
+        return this.#inFlight;
+    }
+
+    get load(): OwnerLoad | undefined {
+        return this.#load;
+    }
+
+    /** Share of requests that the server did not fail, with more weight on recent ones. */
+    get successShare(): number {
+        return this.#successShare;
+    }
+
+    noteBegin(now: number): void {
+        this.#inFlight++;
+        this.#sentSinceReport++;
+        this.ejection.noteBegin(now);
+    }
+
+    noteEnd(): void {
+        this.#inFlight--;
+    }
+
+    recordLoad(load: OwnerLoad, now: number): void {
+        this.#load = load;
+        this.#loadAt = now;
+        this.#sentSinceReport = 0;
+    }
+
+    recordRoundTrip(ms: number): void {
+        this.#roundTripMs = ms;
+    }
+
+    recordSuccess(route: string, workMs: number, now: number): void {
+        this.#work.observe(route, workMs);
+        this.#successShare += (1 - this.#successShare) * RESULT_SMOOTHING;
+        this.ejection.recordSuccess(now);
+    }
+
+    /** Counts a failure; true when it ejects the server. */
+    recordFailure(mayEject: boolean, now: number): boolean {
+        this.#successShare -= this.#successShare * RESULT_SMOOTHING;
+        return this.ejection.recordFailure(mayEject, now);
+    }
+
+    /** Forgets the results, for example when another server runs beside the owner. */
+    resetResults(): void {
+        this.#successShare = 1;
+        this.#work.reset();
+    }
+
+    /** Time until an answer to a request of the route that is sent now. */
+    estimateLatency(route: string, now: number): number {
+        const roundTripMs = this.#roundTripMs ?? ASSUMED_ROUND_TRIP_MS[this.distance];
+        return roundTripMs + this.#estimateWait(now) + this.estimateWork(route, now);
+    }
+
+    estimateWork(route: string, now: number): number {
+        const workMs = this.#work.estimate(route);
+        const coldUntil = this.#loadAt + (this.#load?.coldLeftMs ?? 0);
+        return now < coldUntil ? workMs * COLD_FACTOR : workMs;
+    }
+
+    #estimateWait(now: number): number {
+        const load = this.#load;
+        if (load === undefined || now - this.#loadAt > LOAD_VALID_MS) {
+            return Math.max(0, this.#inFlight + 1 - ASSUMED_SLOTS) * this.#work.mean / ASSUMED_SLOTS;
+        }
+        const slots = Math.max(1, load.slots);
+        const reported = load.running + load.queued;
+        const backlog = Math.max(reported + this.#sentSinceReport, this.#inFlight);
+        if (backlog < slots) {
+            return 0;
+        }
+        return load.waitMs + (backlog - Math.max(slots - 1, reported)) * load.workMs / slots;
+    }
+}
--- /dev/null
+++ b/src/coordination/placement/Placement.ts
@@ -0,0 +1,71 @@
+/**
+ * Chooses the owner that serves a request.
+ *
+ * Load pattern: failure domains that are short of slots beside others that have some, with links
+ * between them that cost more than a small delay. A request stays near while it can be in time there.
+ */
+import type { Random } from "../../state/shared/index.js";
+import type { OwnerStatistics } from "./OwnerStatistics.js";
+import { Distance } from "./PlacementTypes.js";
+import type { PlacementQuery } from "./PlacementTypes.js";
+
+/** Value of a late answer against one in time: the users' benefit for late ones and their weight on being served. */
+const LATE_VALUE = 0.5;
+/** Part of the work time over which the chance of meeting a limit falls from 1 to 0; work times vary by about this. */
+const LATENCY_SPREAD = 1;
+/** Value lost per millisecond of expected latency; decides between servers that are otherwise equal. */
+const VALUE_PER_MS = 0.0001;
+/** Random part of a score, so that daemons with the same reports don't choose the same server. */
+const SCORE_NOISE = 0.01;
+const BYTES_PER_KILOBYTE = 1_000;
+/** Price of a kilobyte against the value of one answer, by distance; from the users' prices of links. */
+const PRICE_PER_KILOBYTE = {
+    [Distance.SameDomain]: 0,
+    [Distance.SameRegion]: 0.008,
+    [Distance.OtherRegion]: 0.03,
+} as const;
+
+/** An owner that may be chosen. */
+export interface PlacementCandidate {
+    readonly id: string;
+    readonly statistics: OwnerStatistics;
+}
+
+export interface Placement<T extends PlacementCandidate> {
+    readonly candidate: T;
+    readonly score: number;
+    /** Expected time until the answer. */
+    readonly latencyMs: number;
+}
+
+/** Returns the best candidate, or undefined when serving the request anywhere costs more than it is worth. */
+export function choosePlacement<T extends PlacementCandidate>(
+    candidates: Iterable<T>,
+    query: PlacementQuery,
+    now: number,
+    random: Random,
+): Placement<T> | undefined {
+    let best: Placement<T> | undefined;
+    for (const candidate of candidates) {
+        const latencyMs = candidate.statistics.estimateLatency(query.route, now);
+        const score = computeScore(candidate.statistics, query, latencyMs, now) + random() * SCORE_NOISE;
+        if (score > 0 && (best === undefined || score > best.score)) {
+            best = { candidate, latencyMs, score };
+        }
+    }
+    return best;
+}
+
+function computeScore(statistics: OwnerStatistics, query: PlacementQuery, latencyMs: number, now: number): number {
+    const spreadMs = statistics.estimateWork(query.route, now) * LATENCY_SPREAD;
+    const inTime = computeChance(query.targetLeftMs - latencyMs, spreadMs);
+    const served = computeChance(query.budgetLeftMs - latencyMs, spreadMs);
+    const value = statistics.successShare * (served * LATE_VALUE + inTime * (1 - LATE_VALUE));
+    const cost = query.bytes / BYTES_PER_KILOBYTE * PRICE_PER_KILOBYTE[statistics.distance];
+    return value - cost - latencyMs * VALUE_PER_MS;
+}
+
+/** Chance that a limit is met which lies `marginMs` beyond the expected latency. */
+function computeChance(marginMs: number, spreadMs: number): number {
+    return Math.min(1, Math.max(0, 0.5 + marginMs / Math.max(1, spreadMs)));
+}
--- a/src/coordination/recording/RequestRecorder.ts
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -16,6 +16,8 @@
     readonly server: string | undefined;
     readonly latencyMs: number;
     readonly queuedMs: number;
+    /** Why the request ended as it did, when it was not simply answered. */
+    readonly detail?: string | undefined;
 }
 
 /** Counted events: `refused`, `retried` or `ejected`, each with its reason. */
--- /dev/null
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -0,0 +1,127 @@
+/**
+ * What a daemon knows of the backend server beside it from the server's own reports, and whether the
+ * server may get new work. Reports can be late, doubled or crossed, and a server may start again.
+ */
+
+/** Phase of a server's life as it reported it. */
+export const ServerPhase = { Ready: "ready", Leaving: "leaving", Gone: "gone" } as const;
+export type ServerPhase = (typeof ServerPhase)[keyof typeof ServerPhase];
+
+/** One report of a server about itself. */
+export interface ServerReport {
+    readonly serverId: string;
+    readonly service: string;
+    readonly address: string;
+    readonly port: number;
+    readonly slots: number;
+    readonly phase: ServerPhase;
+    /** How much longer the server is slow after its start. */
+    readonly coldLeftMs: number;
+    /** Start of the server, Unix milliseconds; undefined when the reporter doesn't tell. */
+    readonly startedAt: number | undefined;
+    /** Rises with each report of one start. */
+    readonly sequence: number;
+}
+
+/** The server that is registered, and since when it may be slow. */
+export interface RegisteredServer extends ServerReport {
+    readonly coldUntil: number;
+    /** When the last report came. */
+    readonly reportedAt: number;
+}
+
+export const ReportVerdict = { Accepted: "accepted", Outdated: "outdated" } as const;
+export type ReportVerdict = (typeof ReportVerdict)[keyof typeof ReportVerdict];
+
+/** Left servers whose late reports are still recognized. */
+const REMEMBERED_DEPARTURES = 32;
+/** First pause before a server that could not be reached is tried again, doubled after each further failure. */
+const RETRY_BASE_MS = 250;
+const RETRY_MAXIMUM_MS = 2_000;
+
+export class ServerRegistration {
+    #server: RegisteredServer | undefined;
+    /** Start time of servers that left, by id; undefined values are kept for servers that tell none. */
+    readonly #departed = new Map<string, number | undefined>();
+    #unreachableUntil = 0;
+    #failures = 0;
+
+    get server(): RegisteredServer | undefined {
+        return this.#server;
+    }
+
+    /** Whether the server may get new work now. */
+    isOpen(now: number): boolean {
+        return this.#server?.phase === ServerPhase.Ready && now >= this.#unreachableUntil;
+    }
+
+    /** Takes a report in; an outdated one changes nothing and is acknowledged all the same. */
+    accept(report: ServerReport, now: number): ReportVerdict {
+        if (this.#isOutdated(report)) {
+            return ReportVerdict.Outdated;
+        }
+        const isOther = this.#server?.serverId !== report.serverId || this.#server.startedAt !== report.startedAt;
+        this.#server = { ...report, coldUntil: now + report.coldLeftMs, reportedAt: now };
+        if (isOther || this.#failures === 0) {
+            this.#unreachableUntil = 0;
+            this.#failures = 0;
+        }
+        return ReportVerdict.Accepted;
+    }
+
+    /** Records that the server with this id is gone; no later report of that start opens it again. */
+    acceptDeparture(serverId: string, startedAt: number | undefined): void {
+        const known = this.#server?.serverId === serverId ? this.#server : undefined;
+        this.#departed.delete(serverId);
+        this.#departed.set(serverId, startedAt ?? known?.startedAt);
+        for (const oldest of this.#departed.keys()) {
+            if (this.#departed.size <= REMEMBERED_DEPARTURES) {
+                break;
+            }
+            this.#departed.delete(oldest);
+        }
+        if (known !== undefined) {
+            this.#server = { ...known, phase: ServerPhase.Gone };
+        }
+    }
+
+    /** Closes the server for a pause that grows, after it could not be reached. */
+    recordUnreachable(now: number): void {
+        if (now < this.#unreachableUntil) {
+            return;
+        }
+        this.#unreachableUntil = now + Math.min(RETRY_MAXIMUM_MS, RETRY_BASE_MS * 2 ** this.#failures);
+        this.#failures++;
+    }
+
+    recordReachable(): void {
+        this.#failures = 0;
+        this.#unreachableUntil = 0;
+    }
+
+    /** Closes the registration of a server that another one replaced at its address. */
+    recordReplaced(serverId: string): void {
+        this.acceptDeparture(serverId, undefined);
+    }
+
+    #isOutdated(report: ServerReport): boolean {
+        if (this.#departed.has(report.serverId)) {
+            const departedStart = this.#departed.get(report.serverId);
+            if (departedStart === undefined || report.startedAt === undefined || report.startedAt <= departedStart) {
+                return true;
+            }
+        }
+        const current = this.#server;
+        if (current === undefined) {
+            return false;
+        }
+        if (current.startedAt !== undefined && report.startedAt !== undefined) {
+            if (report.startedAt !== current.startedAt) {
+                return report.startedAt < current.startedAt;
+            }
+        }
+        return report.serverId === current.serverId
+            && (report.sequence < current.sequence
+                || current.phase === ServerPhase.Leaving && report.phase === ServerPhase.Ready);
+    }
+}
--- /dev/null
+++ b/src/coordination/scheduling/WorkEstimates.ts
@@ -0,0 +1,34 @@
+/** Weight of the newest work time in a mean; about the last ten requests count. */
+const WORK_SMOOTHING = 0.1;
+/** Assumed before any request of a server has ended; a typical page or record of the users' services. */
+const INITIAL_WORK_MS = 150;
+
+/** Mean work times of one backend server, over all requests and for each route. */
+export class WorkEstimates {
+    readonly #byRoute = new Map<string, number>();
+    #mean: number | undefined;
+
+    /** Mean over all routes. */
+    get mean(): number {
+        return this.#mean ?? INITIAL_WORK_MS;
+    }
+
+    estimate(route: string): number {
+        return this.#byRoute.get(route) ?? this.mean;
+    }
+
+    observe(route: string, workMs: number): void {
+        this.#mean = average(this.#mean, workMs);
+        this.#byRoute.set(route, average(this.#byRoute.get(route), workMs));
+    }
+
+    /** Forgets what was learnt, for example when another server took the address. */
+    reset(): void {
+        this.#byRoute.clear();
+        this.#mean = undefined;
+    }
+}
+
+function average(mean: number | undefined, value: number): number {
+    return mean === undefined ? value : mean + (value - mean) * WORK_SMOOTHING;
+}
--- /dev/null
+++ b/src/protocol/dialect/Dialect.ts
@@ -0,0 +1,54 @@
+/**
+ * What callers and backend servers of a platform say in headers, in this project's terms. An adapter
+ * implements it; nothing else knows the platform's names.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+
+/** What a caller says of its request. */
+export interface CallerStatement {
+    /** Undefined when the caller gave none. */
+    readonly requestId: string | undefined;
+    /** How long the caller waits for the answer; undefined when it doesn't say. */
+    readonly timeLeftMs: number | undefined;
+}
+
+/** What a server is told beside the caller's own request. */
+export interface ServerInstruction {
+    readonly timeLeftMs: number;
+    /** Id of the server that is meant; any other declines. */
+    readonly serverId: string;
+    /** Service that runs on the VM where the request began. */
+    readonly callerService: string;
+}
+
+/** Load that a server states of itself. */
+export interface StatedLoad {
+    readonly running: number;
+    readonly waiting: number;
+    readonly slots: number;
+}
+
+/** What a server says about its answer. */
+export interface ServerStatement {
+    /** Id of the request that is answered; undefined when the answer names none. */
+    readonly requestId: string | undefined;
+    /** Whether the server states that it did not run the request. */
+    readonly isNotRun: boolean;
+    /** Whether another server than the one that was meant has answered. */
+    readonly isMisdirected: boolean;
+    readonly load: StatedLoad | undefined;
+    /** How long the server keeps an idle connection; undefined when it doesn't say. */
+    readonly idleTimeoutMs: number | undefined;
+}
+
+export interface Dialect {
+    readCaller(headers: IncomingHttpHeaders): CallerStatement;
+    /** Whether a header, in lower case, is set by the system whatever the caller sent. */
+    isSystemHeader(name: string): boolean;
+    /** Headers for a server; names and values alternate. */
+    buildServerHeaders(instruction: ServerInstruction): string[];
+    /** `headers` has lower-case names. */
+    readServer(status: number, headers: ReadonlyMap<string, string>): ServerStatement;
+    /** Headers that tell a caller when to come back. */
+    buildReturnHeaders(returnAfterMs: number): string[];
+}
--- /dev/null
+++ b/src/protocol/dialect/index.ts
@@ -0,0 +1,1 @@
+export type { CallerStatement, Dialect, ServerInstruction, ServerStatement, StatedLoad } from "./Dialect.js";
--- /dev/null
+++ b/src/protocol/session/SessionMessages.ts
@@ -0,0 +1,195 @@
+/**
+ * Messages on a session between the daemon that places requests (the caller's side) and the owner of
+ * a backend server. The wire form is `[kind, fields…]` in msgpack.
+ */
+import { Packr } from "msgpackr";
+import type { OwnerLoad } from "../../coordination/placement/index.js";
+import { RequestKind } from "../../state/traffic/index.js";
+import { memberShape } from "../peer/index.js";
+import {
+    booleanShape,
+    createChoiceShape,
+    createIntegerShape,
+    createListShape,
+    createOptionalShape,
+    createRecordShape,
+    createTextShape,
+    MessageError,
+} from "../peer/index.js";
+import type { RecordOf, Shape } from "../peer/index.js";
+import { RefusalReason } from "../request/index.js";
+
+/** Bound on one frame; larger bodies are divided. */
+export const SESSION_FRAME_LIMIT_BYTES = 4 * 1_048_576;
+
+const HEADERS_LIMIT = 512;
+const HEADER_TEXT_LIMIT = 65_536;
+const MEMBERS_LIMIT = 4_096;
+
+const name = createTextShape(256);
+const text = createTextShape(HEADER_TEXT_LIMIT);
+const integer = createIntegerShape();
+const headers = createListShape(text, HEADERS_LIMIT);
+
+/** Bytes of a body. */
+const bytesShape: Shape<Uint8Array> = {
+    decode(raw, path) {
+        if (!(raw instanceof Uint8Array)) {
+            throw new MessageError(`${path} is not a byte string`);
+        }
+        return raw;
+    },
+    encode: value => value,
+};
+
+/** A finite number; times may be negative and have fractions. */
+const numberShape: Shape<number> = {
+    decode(raw, path) {
+        if (typeof raw !== "number" || !Number.isFinite(raw)) {
+            throw new MessageError(`${path} is not a number`);
+        }
+        return raw;
+    },
+    encode: value => value,
+};
+
+const load = createRecordShape({
+    isOpen: booleanShape,
+    running: integer,
+    queued: integer,
+    slots: integer,
+    waitMs: numberShape,
+    workMs: numberShape,
+    coldLeftMs: numberShape,
+}) as unknown as Shape<OwnerLoad>;
+
+const ownedRequest = createRecordShape({
+    requestId: name,
+    method: name,
+    target: text,
+    headers,
+    body: bytesShape,
+    route: name,
+    service: name,
+    kind: createChoiceShape(Object.values(RequestKind)),
+    priority: integer,
+    isNested: booleanShape,
+    /** Times are what is left when the message is sent, since clocks differ. */
+    targetLeftMs: numberShape,
+    budgetLeftMs: numberShape,
+    callerService: name,
+});
+
+/** What each side tells the other about itself whenever it says that it is alive. */
+const condition = {
+    /** Sequenced frames received so far. */
+    received: integer,
+    /** Revision of the configuration in force; 0 when none is. */
+    revision: integer,
+    /** Whether the daemon has a working watch of the store. */
+    isWatching: booleanShape,
+};
+
+const FIELDS = {
+    hello: {
+        ...condition,
+        sessionId: name,
+        member: memberShape,
+        members: createListShape(memberShape, MEMBERS_LIMIT),
+    },
+    welcome: {
+        ...condition,
+        /** False when the owner holds nothing of the session, for example after it restarted. */
+        isResumed: booleanShape,
+        members: createListShape(memberShape, MEMBERS_LIMIT),
+        load,
+    },
+    ping: { ...condition, sentAt: numberShape },
+    pong: { ...condition, sentAt: numberShape, load },
+    acknowledge: { received: integer },
+    load: { load },
+    configurationRequest: {},
+    /** Whole text of a version, as it is in the store. */
+    configuration: { revision: integer, text: createTextShape(SESSION_FRAME_LIMIT_BYTES) },
+    request: { stream: integer, request: ownedRequest },
+    /** A request that may run once has a slot; the caller's side answers `proceed` or `cancel`. */
+    offer: { stream: integer },
+    proceed: { stream: integer },
+    cancel: { stream: integer },
+    pause: { stream: integer },
+    resume: { stream: integer },
+    refused: {
+        stream: integer,
+        reason: createChoiceShape(Object.values(RefusalReason)),
+        detail: text,
+        retryAfterMs: numberShape,
+        load,
+    },
+    /** The server said that it did not run the request. */
+    declined: { stream: integer, detail: text, load },
+    /** The request may have run; there is no answer. */
+    unknown: { stream: integer, detail: text, load },
+    answer: {
+        stream: integer,
+        status: integer,
+        headers,
+        body: bytesShape,
+        workMs: numberShape,
+        queuedMs: numberShape,
+        load,
+    },
+    answerHead: { stream: integer, status: integer, headers, workMs: numberShape, queuedMs: numberShape },
+    answerData: { stream: integer, body: bytesShape },
+    answerEnd: { stream: integer, load },
+    /** The answer broke off after its head was sent. */
+    answerCut: { stream: integer, detail: text, load },
+} as const;
+
+type FieldsOf = typeof FIELDS;
+export type SessionMessageKind = keyof FieldsOf;
+export type SessionMessageOf<K extends SessionMessageKind> = { readonly kind: K; } & RecordOf<FieldsOf[K]>;
+export type SessionMessage = { [K in SessionMessageKind]: SessionMessageOf<K>; }[SessionMessageKind];
+
+const KINDS = Object.keys(FIELDS) as SessionMessageKind[];
+const SHAPES = KINDS.map(kind => createRecordShape(FIELDS[kind]) as Shape<unknown>);
+
+/** Kinds that are not delivered again after a connection was lost: the next one replaces them. */
+const UNSEQUENCED: ReadonlySet<SessionMessageKind> = new Set([
+    "hello",
+    "welcome",
+    "ping",
+    "pong",
+    "acknowledge",
+    "load",
+    "configurationRequest",
+    "configuration",
+]);
+
+export function isSequenced(kind: SessionMessageKind): boolean {
+    return !UNSEQUENCED.has(kind);
+}
+
+const packr = new Packr({ mapsAsObjects: true, useRecords: false });
+
+export function encodeSessionMessage(message: SessionMessage): Uint8Array {
+    const index = KINDS.indexOf(message.kind);
+    return packr.pack([index, ...SHAPES[index]?.encode(message) as unknown[]]);
+}
+
+/** Throws `MessageError` for anything that is not exactly one known message. */
+export function decodeSessionMessage(frame: Uint8Array): SessionMessage {
+    let raw: unknown;
+    try {
+        raw = packr.unpack(frame);
+    }
+    catch (error) {
+        throw new MessageError(`frame cannot be unpacked: ${error instanceof Error ? error.message : "unknown"}`);
+    }
+    const index: unknown = Array.isArray(raw) ? raw[0] : undefined;
+    const kind = typeof index === "number" ? KINDS[index] : undefined;
+    const shape = typeof index === "number" ? SHAPES[index] : undefined;
+    if (!Array.isArray(raw) || kind === undefined || shape === undefined) {
+        throw new MessageError("frame is no known message");
+    }
+    return { kind, ...shape.decode(raw.slice(1), kind) as object } as SessionMessage;
+}
--- a/src/state/store/StorePort.ts
+++ b/src/state/store/StorePort.ts
@@ -21,10 +21,13 @@
     | { readonly kind: "absent"; }
     | { readonly kind: "version"; readonly version: ObjectVersion; };
 
-/** The store performed nothing and said why. `condition` means that another write came first. */
+/**
+ * The store performed nothing and said why. `condition` means that another write came first,
+ * `history` that a watch begins before what the store still knows.
+ */
 export interface StoreRefused {
     readonly kind: "refused";
-    readonly reason: "condition" | "rate" | "too-large" | "invalid";
+    readonly reason: "condition" | "rate" | "too-large" | "invalid" | "history";
     readonly detail: string;
 }
 
--- /dev/null
+++ b/src/transport/directory/MemberKeeper.ts
@@ -0,0 +1,138 @@
+/**
+ * Finds the other daemons: each writes its record to the store once and then reads those of the
+ * others. Of two that start together, at least one finds the other and connects to it.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { generateBackoffDelays } from "../../coordination/retries/index.js";
+import { MemberTable } from "../../state/members/index.js";
+import type { Member } from "../../state/members/index.js";
+import type { MeshStorePort, StoreError } from "../../state/store/index.js";
+import type { PartLogger } from "../logging/index.js";
+import { STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
+
+export interface MemberKeeperOptions {
+    readonly self: Member;
+    /** Whether the whole mesh starts for the first time, so that no record can be there. */
+    readonly isFirstStart: boolean;
+    readonly store: MeshStorePort;
+    readonly log: PartLogger;
+    readonly random: () => number;
+    /** Told of each record that is new or replaced an older one, not of the own. */
+    onMember(member: Member): void;
+}
+
+export class MemberKeeper {
+    readonly #options: MemberKeeperOptions;
+    readonly #table = new MemberTable();
+    #self: Member;
+    #isRegistered = false;
+    #isStopping = false;
+
+    constructor(options: MemberKeeperOptions) {
+        this.#options = options;
+        this.#self = options.self;
+    }
+
+    get self(): Member {
+        return this.#self;
+    }
+
+    /** Whether the own record is known to be in the store and those of the others were read. */
+    get isRegistered(): boolean {
+        return this.#isRegistered;
+    }
+
+    /** All records, the own one included. */
+    list(): readonly Member[] {
+        return [this.#self, ...this.#table.listAll()];
+    }
+
+    get(id: string): Member | undefined {
+        return this.#table.get(id);
+    }
+
+    /** Takes records of other daemons in. */
+    merge(members: readonly Member[]): void {
+        for (const member of members) {
+            if (member.id === this.#self.id) {
+                this.#outdo(member);
+            }
+            else if (this.#table.merge(member)) {
+                this.#options.log.info(`daemon ${member.id} of ${member.server?.service ?? "no service"} is known.`, {
+                    member,
+                });
+                this.#options.onMember(member);
+            }
+        }
+    }
+
+    /** Registers and reads the others; tries until both are done. */
+    async register(): Promise<void> {
+        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, this.#options.random);
+        let isWritten = false;
+        let mayBeThere = !this.#options.isFirstStart;
+        let isLost = false;
+        while (!this.#isStopping && !this.#isRegistered) {
+            const error = await (mayBeThere || isWritten ? this.#read(isWritten) : this.#write());
+            if (error === undefined) {
+                isWritten ||= !mayBeThere;
+                mayBeThere = false;
+                if (isLost) {
+                    isLost = false;
+                    this.#options.log.info("the store answers again.");
+                }
+                continue;
+            }
+            if (!isLost) {
+                isLost = true;
+                this.#options.log.warn(`the own record can't be registered: ${error.detail}.`, { error });
+            }
+            await sleep(delays.next().value);
+        }
+    }
+
+    /** Removes the own record, when the VM leaves for good. */
+    async deregister(): Promise<void> {
+        this.#isStopping = true;
+        const result = await this.#options.store.deleteMember(this.#self.id);
+        result.ifLeft(error => {
+            this.#options.log.warn(`the own record can't be removed: ${error.detail}.`, { error });
+        });
+    }
+
+    stop(): void {
+        this.#isStopping = true;
+    }
+
+    async #read(isWritten: boolean): Promise<StoreError | undefined> {
+        const result = await this.#options.store.listMembers();
+        return result.caseOf<StoreError | undefined>({
+            Left: error => error,
+            Right: members => {
+                const own = members.find(({ id }) => id === this.#self.id);
+                this.#isRegistered = isWritten || own !== undefined && isSamePlace(own, this.#self);
+                this.merge(members);
+                return undefined;
+            },
+        });
+    }
+
+    async #write(): Promise<StoreError | undefined> {
+        const result = await this.#options.store.writeMember(this.#self);
+        return result.caseOf<StoreError | undefined>({ Left: error => error, Right: () => undefined });
+    }
+
+    /** A record of an earlier run must not replace the present one, even after the clock was set back. */
+    #outdo(record: Member): void {
+        if (record.incarnation > this.#self.incarnation) {
+            this.#self = { ...this.#self, incarnation: record.incarnation + 1 };
+        }
+    }
+}
+
+/** Whether a daemon is reached as the record says; the other fields concern one run. */
+function isSamePlace(left: Member, right: Member): boolean {
+    return left.address === right.address && left.peerPort === right.peerPort
+        && left.failureDomain === right.failureDomain && left.region === right.region
+        && left.server?.service === right.server?.service && left.server?.port === right.server?.port;
+}
--- a/src/transport/logging/Logger.ts
+++ b/src/transport/logging/Logger.ts
@@ -23,6 +23,11 @@
     isEnabled(level: LogLevel): boolean;
 }
 
+/** Takes whole lines. */
+export interface LogOutput {
+    write(line: string): boolean;
+}
+
 export interface LoggerOptions {
     /** Name of the program, for example `papayaturn-daemon`. */
     readonly name: string;
@@ -30,7 +35,7 @@
     /** Fields of every line, for example the daemon's id. */
     readonly fields?: LogFields;
     /** Standard output when omitted. */
-    readonly output?: NodeJS.WritableStream;
+    readonly output?: LogOutput;
 }
 
 /** Creates the log of a part; `part` is the prefix of its lines. */
@@ -41,7 +46,7 @@
 
 /** Starts a program's log: one JSON object a line. */
 export function createLogger(options: LoggerOptions): CreatePartLogger {
-    const stream: Stream = { level: options.level, stream: options.output ?? process.stdout };
+    const stream: Stream = { level: options.level, stream: (options.output ?? process.stdout) as NodeJS.WritableStream };
     const root = bunyan.createLogger({ ...options.fields, name: options.name, streams: [stream] });
     return part => createPartLogger(root, part);
 }
--- a/src/transport/logging/index.ts
+++ b/src/transport/logging/index.ts
@@ -2,3 +2,5 @@
 export { createAccessLog } from "./AccessLog.js";
 export { createLogger, LOG_LEVELS, parseLogLevel } from "./Logger.js";
 export type { CreatePartLogger, LogFields, LoggerOptions, LogLevel, PartLogger, WriteLog } from "./Logger.js";
+export { BoundedOutput } from "./BoundedOutput.js";
+export type { WriteBytes } from "./BoundedOutput.js";
--- /dev/null
+++ b/src/transport/ownership/OwnerGate.ts
@@ -0,0 +1,251 @@
+/**
+ * The only way to the backend server beside this daemon. It keeps the server's slots exactly, queues
+ * or refuses what has no slot, and closes before the leaving of the server is acknowledged.
+ */
+import type { OwnerLoad } from "../../coordination/placement/index.js";
+import { ReportVerdict, ServerPhase, ServerRegistration } from "../../coordination/registration/index.js";
+import type { RegisteredServer, ServerReport } from "../../coordination/registration/index.js";
+import type { SlotChanges } from "../../coordination/scheduling/index.js";
+import { SlotQueue, WorkEstimates } from "../../coordination/scheduling/index.js";
+import type { Dialect } from "../../protocol/dialect/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
+import { RequestKind } from "../../state/traffic/index.js";
+import type { PartLogger } from "../logging/index.js";
+import type { OwnedHandle, OwnedRequest, OwnerEvents } from "./OwnedRequest.js";
+import { CLOSED_RETRY_MS, SHORTEST_BUDGET_MS } from "./OwnershipConstants.js";
+import { isWellFormed } from "./RequestBytes.js";
+import { ServerConnections } from "./ServerConnections.js";
+import { GateEntry } from "./GateEntry.js";
+
+/** Time between checks of queued requests when nothing else happens. */
+const QUEUE_CHECK_MS = 25;
+
+export interface OwnerGateOptions {
+    readonly dialect: Dialect;
+    readonly log: PartLogger;
+    /** Milliseconds; must not jump. */
+    readonly now: () => number;
+    /** Told after the gate opened or closed. */
+    readonly onChange: (load: OwnerLoad) => void;
+}
+
+export class OwnerGate {
+    readonly registration = new ServerRegistration();
+    readonly #options: OwnerGateOptions;
+    readonly #estimates = new WorkEstimates();
+    readonly #queue: SlotQueue<GateEntry>;
+    readonly #connections: ServerConnections;
+    readonly #entries = new Set<GateEntry>();
+    #isStopping = false;
+    #queueTimer: NodeJS.Timeout | undefined;
+    #wasOpen = false;
+
+    constructor(options: OwnerGateOptions) {
+        this.#options = options;
+        this.#queue = new SlotQueue(() => this.registration.server?.slots ?? 0, this.#estimates);
+        this.#connections = new ServerConnections(options.dialect, options.now);
+    }
+
+    /** Requests that wait or run. */
+    get pending(): number {
+        return this.#entries.size;
+    }
+
+    get running(): number {
+        return this.#queue.running;
+    }
+
+    readLoad(): OwnerLoad {
+        const now = this.#options.now();
+        const server = this.registration.server;
+        return {
+            coldLeftMs: Math.max(0, (server?.coldUntil ?? 0) - now),
+            isOpen: this.#isOpen(now),
+            queued: this.#queue.queued,
+            running: this.#queue.running,
+            slots: server?.slots ?? 0,
+            waitMs: this.#queue.estimateWait(),
+            workMs: this.#estimates.mean,
+        };
+    }
+
+    /** Takes a report of the server in; when it is leaving, nothing reaches it after this call. */
+    acceptReport(report: ServerReport): void {
+        const before = this.registration.server;
+        const now = this.#options.now();
+        if (this.registration.accept(report, now) === ReportVerdict.Outdated) {
+            this.#options.log.info("outdated report of a server dropped.", { report, registered: before });
+            return;
+        }
+        const isOther = before?.serverId !== report.serverId || before.startedAt !== report.startedAt;
+        if (isOther) {
+            this.#estimates.reset();
+            this.#connections.closeIdle();
+        }
+        if (isOther || before.phase !== report.phase) {
+            this.#options.log.info(`server ${report.serverId} is ${report.phase}.`, { report });
+        }
+        this.#connections.setTarget(report.address, report.port);
+        this.#closeQueueUnlessOpen(now);
+    }
+
+    /** The server says that it is gone; nothing reaches it after this call. */
+    acceptDeparture(serverId: string, startedAt: number | undefined): void {
+        this.registration.acceptDeparture(serverId, startedAt);
+        this.#options.log.info(`server ${serverId} has left.`);
+        this.#closeQueueUnlessOpen(this.#options.now());
+    }
+
+    /** Refuses new work from now on; what runs or waits goes on. */
+    beginStop(): void {
+        this.#isStopping = true;
+        this.#noteOpenness(this.#options.now());
+    }
+
+    closeAll(): void {
+        clearInterval(this.#queueTimer);
+        this.#connections.closeAll();
+    }
+
+    /** Accepts or refuses a request; all outcomes come as events, possibly before this returns. */
+    submit(request: OwnedRequest, events: OwnerEvents): OwnedHandle {
+        const now = this.#options.now();
+        const entry = new GateEntry(request, events, now, {
+            acquire: isFresh => this.#connections.acquire(isFresh),
+            dialect: this.#options.dialect,
+            now: this.#options.now,
+            onFinish: (finished, hadSlot) => this.#finish(finished, hadSlot),
+            onUnreachable: detail => this.#recordUnreachable(detail),
+            onReached: () => this.registration.recordReachable(),
+            onReplaced: () => this.#recordReplaced(),
+            readLoad: () => this.readLoad(),
+            readServer: () => this.registration.server,
+            observeWork: (route, workMs) => this.#estimates.observe(route, workMs),
+        });
+        const refusal = this.#findRefusal(request, now);
+        if (refusal !== undefined) {
+            events.onRefused({ ...refusal, retryAfterMs: CLOSED_RETRY_MS }, this.readLoad());
+            return entry;
+        }
+        this.#entries.add(entry);
+        this.#apply(this.#queue.add(entry, now));
+        this.#watchQueue();
+        return entry;
+    }
+
+    #findRefusal(request: OwnedRequest, now: number): { reason: RefusalReason; detail: string; } | undefined {
+        const server = this.registration.server;
+        if (this.#isStopping) {
+            return { detail: "the daemon of the server is stopping", reason: RefusalReason.Stopping };
+        }
+        if (server === undefined) {
+            return { detail: "no server has reported to its daemon", reason: RefusalReason.NoServer };
+        }
+        if (server.service !== request.service) {
+            return { detail: `the server is of ${server.service}`, reason: RefusalReason.Misdirected };
+        }
+        if (!this.#isOpen(now)) {
+            const isReady = server.phase === ServerPhase.Ready;
+            return {
+                detail: isReady ? "the server can't be reached" : `the server is ${server.phase}`,
+                reason: isReady ? RefusalReason.ServerUnreachable : RefusalReason.ServerLeaving,
+            };
+        }
+        if (!isWellFormed(request)) {
+            return { detail: "the request can't be written as a message", reason: RefusalReason.BadRequest };
+        }
+        return request.budgetLeftMs < SHORTEST_BUDGET_MS
+            ? { detail: "no time is left", reason: RefusalReason.Deadline }
+            : undefined;
+    }
+
+    #isOpen(now: number): boolean {
+        return !this.#isStopping && this.registration.isOpen(now);
+    }
+
+    #apply(changes: SlotChanges<GateEntry>): void {
+        for (const { request: entry, refusal } of changes.refused) {
+            this.#entries.delete(entry);
+            const reason = refusal.reason === "overloaded" ? RefusalReason.Overloaded : RefusalReason.Deadline;
+            const detail = `${this.#queue.running} running and ${this.#queue.queued} waiting for `
+                + `${this.registration.server?.slots ?? 0} slots`;
+            entry.refuse({ detail, reason, retryAfterMs: refusal.retryAfterMs });
+        }
+        for (const entry of changes.started) {
+            entry.start(entry.request.kind === RequestKind.Once);
+        }
+    }
+
+    #finish(entry: GateEntry, hadSlot: boolean): void {
+        this.#entries.delete(entry);
+        const now = this.#options.now();
+        if (hadSlot) {
+            this.#apply(this.#queue.release(now));
+        }
+        else {
+            this.#queue.remove(entry);
+        }
+    }
+
+    /** Deadlines pass and predictions change while requests wait. */
+    #watchQueue(): void {
+        if (this.#queueTimer !== undefined || this.#queue.queued === 0) {
+            return;
+        }
+        this.#queueTimer = setInterval(() => {
+            this.#apply(this.#queue.advance(this.#options.now()));
+            if (this.#queue.queued === 0) {
+                clearInterval(this.#queueTimer);
+                this.#queueTimer = undefined;
+            }
+        }, QUEUE_CHECK_MS);
+    }
+
+    #recordUnreachable(detail: string): void {
+        const now = this.#options.now();
+        const wasOpen = this.registration.isOpen(now);
+        this.registration.recordUnreachable(now);
+        if (wasOpen) {
+            this.#options.log.warn(`server can't be reached: ${detail}.`, { server: this.registration.server });
+        }
+        this.#closeQueueUnlessOpen(now);
+    }
+
+    #recordReplaced(): void {
+        const server = this.registration.server;
+        if (server !== undefined) {
+            this.#options.log.warn(`another server answers at the address of ${server.serverId}.`, { server });
+            this.registration.recordReplaced(server.serverId);
+            this.#closeQueueUnlessOpen(this.#options.now());
+        }
+    }
+
+    /** Refuses what waits when the server gets nothing new, and tells others of a change. */
+    #closeQueueUnlessOpen(now: number): void {
+        const server: RegisteredServer | undefined = this.registration.server;
+        if (!this.#isOpen(now) && !this.#isStopping) {
+            for (const entry of [...this.#entries]) {
+                if (!entry.hasStarted && this.#queue.remove(entry)) {
+                    this.#entries.delete(entry);
+                    entry.refuse({
+                        detail: `the server is ${server?.phase ?? "unknown"} or can't be reached`,
+                        reason: RefusalReason.ServerLeaving,
+                        retryAfterMs: CLOSED_RETRY_MS,
+                    });
+                }
+                else {
+                    entry.withdrawOffer();
+                }
+            }
+        }
+        this.#noteOpenness(now);
+    }
+
+    #noteOpenness(now: number): void {
+        const isOpen = this.#isOpen(now);
+        if (isOpen !== this.#wasOpen) {
+            this.#wasOpen = isOpen;
+            this.#options.onChange(this.readLoad());
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/ownership/OwnershipConstants.ts
@@ -0,0 +1,20 @@
+/** The server is on the same VM: a connection that is not made in this time is not going to be. */
+export const CONNECT_TIMEOUT_MS = 400;
+/** Idle connections older than this are closed, well before the idle timeout that servers of the users have (10 s). */
+export const IDLE_LIMIT_MS = 6_000;
+/** A request that may run once takes only a connection that was in use this short a time ago. */
+export const FRESH_IDLE_MS = 1_000;
+/** Distance kept from the idle timeout that a server states. */
+export const IDLE_MARGIN_MS = 1_000;
+/** Answers up to this size are passed on whole, so that one that breaks off can be replaced by another server's. */
+export const WHOLE_ANSWER_BYTES = 65_536;
+/** Time beyond the request's budget in which the server's own answer at the budget arrives. */
+export const ANSWER_GRACE_MS = 150;
+/** Time in which the caller's daemon answers an offer: the longest round trip and a delay of its process. */
+export const OFFER_TIMEOUT_MS = 500;
+/** Less time than this is no use to any server. */
+export const SHORTEST_BUDGET_MS = 5;
+/** Pause named to callers when no server is open and nothing is known of its return. */
+export const CLOSED_RETRY_MS = 300;
+/** Longest line and header block that is accepted from a server. */
+export const ANSWER_HEADER_LIMIT_BYTES = 65_536;
--- /dev/null
+++ b/src/transport/ownership/ServerConnection.ts
@@ -0,0 +1,250 @@
+/**
+ * One connection to the backend server. Bytes that belong to no request in progress, or answers that
+ * name another request, are dropped and never passed on.
+ */
+import { HTTPParser } from "http-parser-js";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import type { Dialect, ServerStatement } from "../../protocol/dialect/index.js";
+import { ANSWER_HEADER_LIMIT_BYTES, CONNECT_TIMEOUT_MS } from "./OwnershipConstants.js";
+
+HTTPParser.encoding = "latin1";
+type AnswerParser = InstanceType<typeof HTTPParser>;
+
+/** How one request on a connection goes on. Exactly one of `onEnd`, `onNotSent` and `onBroken` is called last. */
+export interface ExchangeEvents {
+    onHead(status: number, headers: readonly string[], statement: ServerStatement): void;
+    onData(body: Uint8Array): void;
+    onEnd(): void;
+    /** No byte was sent: the connection could not be made. */
+    onNotSent(detail: string): void;
+    /** The connection ended or the answer was malformed after the request was sent. */
+    onBroken(detail: string): void;
+}
+
+interface Exchange {
+    readonly requestId: string;
+    readonly isHead: boolean;
+    readonly bytes: Uint8Array;
+    readonly events: ExchangeEvents;
+    isSent: boolean;
+    /** Whether the answer that is being read is this request's. */
+    isOwnAnswer: boolean;
+}
+
+interface ParsedHead {
+    readonly statusCode: number;
+    readonly headers: readonly string[];
+    readonly shouldKeepAlive: boolean;
+}
+
+const FIRST_FINAL_STATUS = 200;
+const FIRST_FAILURE_STATUS = 300;
+const SKIP_BODY = 1;
+
+export class ServerConnection {
+    readonly #socket: Socket;
+    readonly #dialect: Dialect;
+    readonly #onFree: (connection: ServerConnection) => void;
+    readonly #onClose: (connection: ServerConnection) => void;
+    readonly #parser: AnswerParser;
+    #exchange: Exchange | undefined;
+    #isConnected = false;
+    #isClosed = false;
+    #isReusable = true;
+    #isInterim = false;
+    #idleTimeoutMs = Infinity;
+    #idleSince = 0;
+
+    constructor(
+        address: string,
+        port: number,
+        dialect: Dialect,
+        onFree: (connection: ServerConnection) => void,
+        onClose: (connection: ServerConnection) => void,
+    ) {
+        this.#dialect = dialect;
+        this.#onFree = onFree;
+        this.#onClose = onClose;
+        this.#parser = this.#createParser();
+        this.#socket = connect({ host: address, noDelay: true, port });
+        const timer = setTimeout(() => this.#socket.destroy(new Error("connecting timed out")), CONNECT_TIMEOUT_MS);
+        this.#socket.once("connect", () => {
+            clearTimeout(timer);
+            this.#isConnected = true;
+            this.#write();
+        });
+        let error: Error | undefined;
+        this.#socket.on("error", cause => {
+            error = cause;
+        });
+        this.#socket.on("data", chunk => this.#read(chunk));
+        this.#socket.on("end", () => this.#finishByEnd());
+        this.#socket.on("close", () => {
+            clearTimeout(timer);
+            this.#close(error?.message ?? "the server closed the connection");
+        });
+    }
+
+    get idleSince(): number {
+        return this.#idleSince;
+    }
+
+    get idleTimeoutMs(): number {
+        return this.#idleTimeoutMs;
+    }
+
+    get isClosed(): boolean {
+        return this.#isClosed;
+    }
+
+    markIdle(now: number): void {
+        this.#idleSince = now;
+    }
+
+    /** Sends one request; the connection must be free. */
+    send(requestId: string, isHead: boolean, bytes: Uint8Array, events: ExchangeEvents): void {
+        this.#exchange = { bytes, events, isHead, isOwnAnswer: false, isSent: false, requestId };
+        if (this.#isClosed) {
+            this.#fail("the connection is closed");
+        }
+        else if (this.#isConnected) {
+            this.#write();
+        }
+    }
+
+    pause(): void {
+        this.#socket.pause();
+    }
+
+    resume(): void {
+        this.#socket.resume();
+    }
+
+    /** Ends the connection; an exchange in progress gets no further event. */
+    destroy(): void {
+        this.#exchange = undefined;
+        this.#socket.destroy();
+    }
+
+    #write(): void {
+        const exchange = this.#exchange;
+        if (exchange !== undefined && !exchange.isSent) {
+            exchange.isSent = true;
+            this.#socket.write(exchange.bytes);
+        }
+    }
+
+    #createParser(): AnswerParser {
+        const parser = new HTTPParser(HTTPParser.RESPONSE);
+        parser.maxHeaderSize = ANSWER_HEADER_LIMIT_BYTES;
+        parser.onHeadersComplete = (head: ParsedHead) => this.#readHead(head);
+        parser.onBody = (chunk: Buffer, offset: number, length: number) => {
+            if (this.#exchange?.isOwnAnswer === true) {
+                this.#exchange.events.onData(chunk.subarray(offset, offset + length));
+            }
+        };
+        parser.onMessageComplete = () => this.#finishAnswer();
+        return parser;
+    }
+
+    #read(chunk: Buffer): void {
+        if (this.#exchange === undefined) {
+            // An answer that nobody waits for; the next request must not get it.
+            this.#socket.destroy();
+            return;
+        }
+        const result = this.#parser.execute(chunk);
+        if (result instanceof Error) {
+            this.#fail(`the answer is malformed: ${result.message}`);
+            this.#socket.destroy();
+        }
+        else if (this.#exchange === undefined && !this.#isReusable) {
+            this.#socket.destroy();
+        }
+    }
+
+    #readHead(head: ParsedHead): number | undefined {
+        this.#isInterim = head.statusCode < FIRST_FINAL_STATUS;
+        if (this.#isInterim) {
+            return undefined;
+        }
+        const exchange = this.#exchange;
+        if (exchange === undefined || exchange.isOwnAnswer) {
+            this.#isReusable = false;
+            return undefined;
+        }
+        const statement = this.#dialect.readServer(head.statusCode, toHeaderMap(head.headers));
+        this.#isReusable &&= head.shouldKeepAlive;
+        if (statement.requestId === undefined && head.statusCode < FIRST_FAILURE_STATUS) {
+            this.#fail("a successful answer names no request");
+            this.#socket.destroy();
+            return undefined;
+        }
+        if (statement.requestId !== undefined && statement.requestId !== exchange.requestId) {
+            return undefined;
+        }
+        this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
+        exchange.isOwnAnswer = true;
+        exchange.events.onHead(head.statusCode, head.headers, statement);
+        return exchange.isHead ? SKIP_BODY : undefined;
+    }
+
+    #finishAnswer(): void {
+        const exchange = this.#exchange;
+        if (this.#isInterim || exchange === undefined || !exchange.isOwnAnswer) {
+            return;
+        }
+        this.#exchange = undefined;
+        exchange.events.onEnd();
+        if (this.#isReusable && !this.#isClosed) {
+            // After the rest of the chunk was read: what follows the answer makes the connection unusable.
+            queueMicrotask(() => {
+                if (this.#isReusable && !this.#isClosed && this.#exchange === undefined) {
+                    this.#onFree(this);
+                }
+            });
+        }
+        else {
+            this.#socket.destroy();
+        }
+    }
+
+    #finishByEnd(): void {
+        this.#isReusable = false;
+        if (this.#exchange?.isOwnAnswer === true) {
+            this.#parser.finish();
+        }
+    }
+
+    #close(detail: string): void {
+        if (this.#isClosed) {
+            return;
+        }
+        this.#isClosed = true;
+        this.#fail(detail);
+        this.#onClose(this);
+    }
+
+    #fail(detail: string): void {
+        const exchange = this.#exchange;
+        this.#exchange = undefined;
+        if (exchange === undefined) {
+            return;
+        }
+        if (exchange.isSent) {
+            exchange.events.onBroken(detail);
+        }
+        else {
+            exchange.events.onNotSent(detail);
+        }
+    }
+}
+
+function toHeaderMap(headers: readonly string[]): ReadonlyMap<string, string> {
+    const map = new Map<string, string>();
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        map.set((headers[index] as string).toLowerCase(), headers[index + 1] as string);
+    }
+    return map;
+}
--- /dev/null
+++ b/src/transport/ownership/ServerConnections.ts
@@ -0,0 +1,83 @@
+/** Connections of an owner to its backend server: one request at a time on each, the last used one first. */
+import type { Dialect } from "../../protocol/dialect/index.js";
+import { FRESH_IDLE_MS, IDLE_LIMIT_MS, IDLE_MARGIN_MS } from "./OwnershipConstants.js";
+import { ServerConnection } from "./ServerConnection.js";
+
+export class ServerConnections {
+    readonly #dialect: Dialect;
+    readonly #now: () => number;
+    #target: { readonly address: string; readonly port: number; } | undefined;
+    #idle: ServerConnection[] = [];
+    readonly #open = new Set<ServerConnection>();
+
+    constructor(dialect: Dialect, now: () => number) {
+        this.#dialect = dialect;
+        this.#now = now;
+    }
+
+    /** Connections that are open, idle ones included. */
+    get size(): number {
+        return this.#open.size;
+    }
+
+    /** Sets the server's address; idle connections to another one are closed. */
+    setTarget(address: string, port: number): void {
+        if (this.#target?.address !== address || this.#target.port !== port) {
+            this.#target = { address, port };
+            this.closeIdle();
+        }
+    }
+
+    /** Returns a free connection. `isFresh` asks for one that the server has certainly not closed meanwhile. */
+    acquire(isFresh: boolean): ServerConnection | undefined {
+        const now = this.#now();
+        this.#closeExpired(now);
+        const last = this.#idle.at(-1);
+        if (last !== undefined && (!isFresh || now - last.idleSince <= FRESH_IDLE_MS)) {
+            this.#idle.pop();
+            return last;
+        }
+        if (this.#target === undefined) {
+            return undefined;
+        }
+        const connection = new ServerConnection(
+            this.#target.address,
+            this.#target.port,
+            this.#dialect,
+            free => {
+                free.markIdle(this.#now());
+                this.#idle.push(free);
+            },
+            closed => {
+                this.#open.delete(closed);
+                this.#idle = this.#idle.filter(other => other !== closed);
+            },
+        );
+        this.#open.add(connection);
+        return connection;
+    }
+
+    closeIdle(): void {
+        const idle = this.#idle;
+        this.#idle = [];
+        for (const connection of idle) {
+            connection.destroy();
+        }
+    }
+
+    closeAll(): void {
+        for (const connection of this.#open) {
+            connection.destroy();
+        }
+        this.#idle = [];
+    }
+
+    #closeExpired(now: number): void {
+        const isExpired = (connection: ServerConnection): boolean =>
+            now - connection.idleSince > Math.min(IDLE_LIMIT_MS, connection.idleTimeoutMs - IDLE_MARGIN_MS);
+        for (const connection of this.#idle.filter(isExpired)) {
+            connection.destroy();
+        }
+        this.#idle = this.#idle.filter(connection => !connection.isClosed && !isExpired(connection));
+    }
+}
--- /dev/null
+++ b/src/transport/ownership/index.ts
@@ -0,0 +1,3 @@
+export type { AnswerHead, OwnedHandle, OwnedRequest, OwnerEvents, OwnerRefusal } from "./OwnedRequest.js";
+export { OwnerGate } from "./OwnerGate.js";
+export type { OwnerGateOptions } from "./OwnerGate.js";
--- a/src/transport/peer/WebSocketNetwork.ts
+++ b/src/transport/peer/WebSocketNetwork.ts
@@ -4,15 +4,15 @@
 import type { FrameConnection } from "../../protocol/peer/index.js";
 import type { PeerListener, PeerNetwork } from "./PeerNetwork.js";
 
-const CONNECT_TIMEOUT_MS = 2_000;
+const DEFAULT_CONNECT_TIMEOUT_MS = 2_000;
 /** Time for the last messages and the closing handshake; then the socket is destroyed. */
 const CLOSE_TIMEOUT_MS = 1_000;
 /** Compression is done on whole messages by the codec, once for all receivers. */
 const SOCKET_OPTIONS = { maxPayload: FRAME_LIMIT_BYTES, perMessageDeflate: false } as const;
 
 /** Peer connections over `ws`. */
-export function createWebSocketNetwork(): PeerNetwork {
-    return { connect, listen: openListener };
+export function createWebSocketNetwork(connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS): PeerNetwork {
+    return { connect: (address, port) => connect(address, port, connectTimeoutMs), listen: openListener };
 }
 
 async function openListener(
@@ -39,9 +39,9 @@
     await new Promise<void>(resolve => server.close(() => resolve()));
 }
 
-async function connect(address: string, port: number): Promise<FrameConnection> {
+async function connect(address: string, port: number, handshakeTimeout: number): Promise<FrameConnection> {
     const host = address.includes(":") ? `[${address}]` : address;
-    const socket = new WebSocket(`ws://${host}:${port}`, { ...SOCKET_OPTIONS, handshakeTimeout: CONNECT_TIMEOUT_MS });
+    const socket = new WebSocket(`ws://${host}:${port}`, { ...SOCKET_OPTIONS, handshakeTimeout });
     const connection = wrapSocket(socket);
     await new Promise<void>((resolve, reject) => {
         socket.once("open", resolve);
--- /dev/null
+++ b/src/transport/sessions/CallerSession.ts
@@ -0,0 +1,194 @@
+/** Owner's side of a session: requests that another daemon places at the own backend server. */
+import type { FrameConnection } from "../../protocol/peer/index.js";
+import { encodeSessionMessage, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
+import type { SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
+import type { OwnedHandle, OwnerEvents } from "../ownership/index.js";
+import type { SessionEffects } from "./SessionTypes.js";
+
+interface Stream {
+    handle: OwnedHandle | undefined;
+    isPaused: boolean;
+    /** The caller gave the request up, or has its answer. */
+    isEnded: boolean;
+}
+
+export class CallerSession {
+    readonly #channel = new ReliableChannel();
+    readonly #streams = new Map<number, Stream>();
+    readonly #effects: SessionEffects;
+    #connection: FrameConnection | undefined;
+    /** When the last connection was lost; undefined while there is one. */
+    #lostAt: number | undefined;
+
+    constructor(readonly peerId: string, effects: SessionEffects) {
+        this.#effects = effects;
+    }
+
+    get lostAt(): number | undefined {
+        return this.#lostAt;
+    }
+
+    /** Requests that have no end yet. */
+    get pending(): number {
+        return this.#streams.size;
+    }
+
+    /** Goes on over a new connection; false when the sides no longer fit together. */
+    attach(connection: FrameConnection, hello: SessionMessageOf<"hello">, isResumed: boolean): boolean {
+        this.#connection?.close();
+        this.#connection = connection;
+        this.#lostAt = undefined;
+        const { isWatching, revision } = this.#effects.readCondition();
+        const load = this.#effects.readLoad();
+        const members = [...this.#effects.listMembers()];
+        const received = this.#channel.received;
+        // Before anything else: the caller's side waits for this message.
+        const welcome = { isResumed, isWatching, kind: "welcome", load, members, received, revision } as const;
+        this.#channel.noteReported();
+        connection.send(encodeSessionMessage(welcome));
+        return this.#channel.attach(connection, isResumed ? hello.received : 0);
+    }
+
+    detach(connection: FrameConnection): void {
+        this.#channel.detach(connection);
+        if (this.#connection === connection) {
+            this.#connection = undefined;
+            this.#lostAt = this.#effects.now();
+        }
+    }
+
+    /** Tells the other daemon of a change of the load that it should not wait for. */
+    sendLoad(): void {
+        this.#channel.send({ kind: "load", load: this.#effects.readLoad() });
+    }
+
+    handle(message: SessionMessage, bytes: number): void {
+        if (isSequenced(message.kind)) {
+            this.#channel.noteReceived(bytes);
+        }
+        switch (message.kind) {
+            case "ping":
+                this.#answerPing(message);
+                return;
+            case "acknowledge":
+                this.#acknowledge(message.received);
+                return;
+            case "configurationRequest":
+                this.#sendConfiguration();
+                return;
+            case "request":
+                this.#submit(message);
+                return;
+            case "proceed":
+                this.#streams.get(message.stream)?.handle?.proceed();
+                return;
+            case "cancel":
+                this.#cancel(message.stream);
+                return;
+            case "pause":
+                this.#streams.get(message.stream)?.handle?.pause();
+                return;
+            case "resume":
+                this.#streams.get(message.stream)?.handle?.resume();
+                return;
+            default:
+                this.#effects.log.warn(`message ${message.kind} is not for the owner's side.`, { peer: this.peerId });
+        }
+    }
+
+    /** Ends all requests, after the other daemon has given the session up. */
+    close(): void {
+        for (const stream of this.#streams.values()) {
+            stream.isEnded = true;
+            stream.handle?.cancel();
+        }
+        this.#streams.clear();
+        this.#connection?.close();
+    }
+
+    #answerPing(message: SessionMessageOf<"ping">): void {
+        this.#acknowledge(message.received);
+        this.#effects.onCondition({ id: this.peerId, isWatching: message.isWatching, revision: message.revision });
+        this.#channel.send({
+            ...this.#effects.readCondition(),
+            kind: "pong",
+            load: this.#effects.readLoad(),
+            received: this.#channel.received,
+            sentAt: message.sentAt,
+        });
+        this.#channel.noteReported();
+    }
+
+    #acknowledge(received: number): void {
+        const hadRoom = this.#channel.hasRoom;
+        if (!this.#channel.acknowledge(received)) {
+            this.#effects.log.warn("more messages acknowledged than were sent.", { peer: this.peerId });
+            this.#connection?.close();
+            return;
+        }
+        if (!hadRoom && this.#channel.hasRoom) {
+            for (const stream of this.#streams.values()) {
+                if (stream.isPaused) {
+                    stream.isPaused = false;
+                    stream.handle?.resume();
+                }
+            }
+        }
+    }
+
+    #sendConfiguration(): void {
+        const configuration = this.#effects.readConfiguration();
+        if (configuration !== undefined) {
+            this.#channel.send({ kind: "configuration", ...configuration });
+        }
+    }
+
+    #submit(message: SessionMessageOf<"request">): void {
+        const stream: Stream = { handle: undefined, isEnded: false, isPaused: false };
+        this.#streams.set(message.stream, stream);
+        const handle = this.#effects.submit(message.request, this.#buildEvents(message.stream, stream));
+        if (!stream.isEnded) {
+            stream.handle = handle;
+        }
+    }
+
+    #cancel(id: number): void {
+        const stream = this.#streams.get(id);
+        if (stream !== undefined) {
+            stream.isEnded = true;
+            this.#streams.delete(id);
+            stream.handle?.cancel();
+        }
+    }
+
+    #buildEvents(id: number, stream: Stream): OwnerEvents {
+        const send = (message: SessionMessage): void => {
+            if (!stream.isEnded) {
+                this.#channel.send(message);
+            }
+        };
+        const end = (message: SessionMessage): void => {
+            send(message);
+            stream.isEnded = true;
+            this.#streams.delete(id);
+        };
+        const readLoad = this.#effects.readLoad;
+        return {
+            onAnswer: (head, body, load = readLoad()) => end({ ...head, body, kind: "answer", load, stream: id }),
+            onCut: (detail, load = readLoad()) => end({ detail, kind: "answerCut", load, stream: id }),
+            onData: body => {
+                send({ body, kind: "answerData", stream: id });
+                if (!this.#channel.hasRoom) {
+                    stream.isPaused = true;
+                    stream.handle?.pause();
+                }
+            },
+            onDeclined: (detail, load = readLoad()) => end({ detail, kind: "declined", load, stream: id }),
+            onEnd: (load = readLoad()) => end({ kind: "answerEnd", load, stream: id }),
+            onHead: head => send({ ...head, kind: "answerHead", stream: id }),
+            onOffer: () => send({ kind: "offer", stream: id }),
+            onRefused: (refusal, load = readLoad()) => end({ ...refusal, kind: "refused", load, stream: id }),
+            onUnknown: (detail, load = readLoad()) => end({ detail, kind: "unknown", load, stream: id }),
+        };
+    }
+}
--- /dev/null
+++ b/src/transport/sessions/OwnerSession.ts
@@ -0,0 +1,422 @@
+/** Caller's side of a session: requests that this daemon places at the backend server of another one. */
+import type { OwnerLoad } from "../../coordination/placement/index.js";
+import { generateBackoffDelays } from "../../coordination/retries/index.js";
+import type { FrameConnection } from "../../protocol/peer/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
+import { encodeSessionMessage, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
+import type { SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
+import type { Member } from "../../state/members/index.js";
+import { isRepeatable } from "../../state/traffic/index.js";
+import type { OwnedHandle, OwnedRequest, OwnerEvents } from "../ownership/index.js";
+import type { PeerNetwork } from "../peer/index.js";
+import { consumeFrames } from "./ConsumeFrames.js";
+import { MISSED_PINGS, REDIAL_BASE_MS, REDIAL_MAXIMUM_MS, SESSION_KEPT_MS, STALL_MS } from "./SessionConstants.js";
+import type { SessionEffects } from "./SessionTypes.js";
+
+/** Events of a request on a session. */
+export interface SessionRequestEvents extends OwnerEvents {
+    /** The owner has not been heard from; the request may be placed elsewhere as well if it may be repeated. */
+    onStalled(): void;
+}
+
+export interface OwnerSessionOptions extends SessionEffects {
+    readonly network: PeerNetwork;
+    readonly pingMs: () => number;
+    readonly createSessionId: () => string;
+    onLoad(id: string, load: OwnerLoad): void;
+    onRoundTrip(id: string, ms: number): void;
+}
+
+interface PendingRequest {
+    readonly request: OwnedRequest;
+    readonly events: SessionRequestEvents;
+    readonly submittedAt: number;
+    /** A request that may run once may be at its server after this was sent. */
+    hasProceeded: boolean;
+    isStalled: boolean;
+}
+
+const REFUSED_CODE = "ECONNREFUSED";
+
+export class OwnerSession {
+    readonly #options: OwnerSessionOptions;
+    #member: Member;
+    #channel = new ReliableChannel();
+    #sessionId: string;
+    #hasBegun = false;
+    #connection: FrameConnection | undefined;
+    readonly #pending = new Map<number, PendingRequest>();
+    #lastStream = 0;
+    #lastHeardAt = -Infinity;
+    #lostAt: number;
+    #isClosed = false;
+    #isDialing = false;
+    #redialTimer: NodeJS.Timeout | undefined;
+    #delays: Generator<number, never>;
+    #wasLost = true;
+
+    constructor(member: Member, options: OwnerSessionOptions) {
+        this.#member = member;
+        this.#options = options;
+        this.#sessionId = options.createSessionId();
+        this.#delays = this.#createDelays();
+        this.#lostAt = options.now();
+        void this.#dial();
+    }
+
+    get member(): Member {
+        return this.#member;
+    }
+
+    get pending(): number {
+        return this.#pending.size;
+    }
+
+    /** Whether the owner answers; requests placed now are expected to reach it. */
+    isUsable(now: number): boolean {
+        return this.#connection !== undefined && now - this.#lastHeardAt <= this.#computeSilence();
+    }
+
+    /** Time since when the owner can't be reached; undefined while it can. */
+    readLostSince(now: number): number | undefined {
+        if (this.isUsable(now)) {
+            return undefined;
+        }
+        return this.#connection === undefined ? this.#lostAt : this.#lastHeardAt;
+    }
+
+    /** Takes a newer record in; a changed address is dialed next. */
+    updateMember(member: Member): void {
+        const hasMoved = member.address !== this.#member.address || member.peerPort !== this.#member.peerPort;
+        this.#member = member;
+        if (hasMoved) {
+            this.#connection?.close();
+        }
+        this.redial();
+    }
+
+    /** Opens a lost connection at once, for example after the other daemon has connected to this one. */
+    redial(): void {
+        if (this.#connection === undefined && !this.#isDialing) {
+            this.#delays = this.#createDelays();
+            clearTimeout(this.#redialTimer);
+            void this.#dial();
+        }
+    }
+
+    submit(request: OwnedRequest, events: SessionRequestEvents): OwnedHandle {
+        const stream = ++this.#lastStream;
+        const pending: PendingRequest = {
+            events,
+            hasProceeded: false,
+            isStalled: false,
+            request,
+            submittedAt: this.#options.now(),
+        };
+        this.#pending.set(stream, pending);
+        this.#channel.send({ kind: "request", request, stream });
+        return {
+            cancel: () => {
+                if (this.#pending.delete(stream)) {
+                    this.#channel.send({ kind: "cancel", stream });
+                }
+            },
+            pause: () => this.#channel.send({ kind: "pause", stream }),
+            proceed: () => {
+                if (this.#pending.has(stream)) {
+                    pending.hasProceeded = true;
+                    this.#channel.send({ kind: "proceed", stream });
+                }
+            },
+            resume: () => this.#channel.send({ kind: "resume", stream }),
+        };
+    }
+
+    /** Sends a sign of life, and ends what has been silent for too long. */
+    tick(now: number): void {
+        if (this.#connection === undefined) {
+            if (now - this.#lostAt > STALL_MS) {
+                this.#stall();
+            }
+            if (this.#hasBegun && now - this.#lostAt > SESSION_KEPT_MS) {
+                this.#reset("the daemon of the server can't be reached");
+            }
+            return;
+        }
+        if (now - this.#lastHeardAt > this.#computeSilence()) {
+            this.#options.log.warn(`${this.#member.id} is silent, connecting again.`, { peer: this.#member.id });
+            this.#stall();
+            this.#connection.close();
+            this.#lose(this.#connection);
+            return;
+        }
+        this.#channel.send({
+            ...this.#options.readCondition(),
+            kind: "ping",
+            received: this.#channel.received,
+            sentAt: now,
+        });
+        this.#channel.noteReported();
+        if (this.#channel.isOverLimit) {
+            this.#connection.close();
+            this.#reset("the daemon of the server doesn't take what it is sent");
+        }
+    }
+
+    requestConfiguration(): void {
+        this.#channel.send({ kind: "configurationRequest" });
+    }
+
+    close(): void {
+        this.#isClosed = true;
+        clearTimeout(this.#redialTimer);
+        this.#connection?.close();
+    }
+
+    #createDelays(): Generator<number, never> {
+        return generateBackoffDelays(REDIAL_BASE_MS, REDIAL_MAXIMUM_MS, this.#options.random);
+    }
+
+    #computeSilence(): number {
+        return MISSED_PINGS * this.#options.pingMs();
+    }
+
+    async #dial(): Promise<void> {
+        this.#isDialing = true;
+        const { address, peerPort } = this.#member;
+        try {
+            const connection = await this.#options.network.connect(address, peerPort);
+            this.#isDialing = false;
+            if (this.#isClosed) {
+                connection.close();
+                return;
+            }
+            await this.#converse(connection);
+        }
+        catch (error) {
+            this.#isDialing = false;
+            this.#fail(error as NodeJS.ErrnoException);
+        }
+        if (!this.#isClosed && this.#connection === undefined) {
+            this.#scheduleRedial();
+        }
+    }
+
+    /** A refused connection shows that the process is gone, and with it all that it knew of the session. */
+    #fail(error: NodeJS.ErrnoException): void {
+        if (error.code === REFUSED_CODE && this.#hasBegun) {
+            this.#reset("the daemon of the server has ended");
+        }
+        if (!this.#wasLost) {
+            this.#wasLost = true;
+            this.#options.log.warn(`${this.#member.id} can't be reached: ${error.message}.`, { peer: this.#member.id });
+        }
+    }
+
+    #scheduleRedial(): void {
+        clearTimeout(this.#redialTimer);
+        this.#redialTimer = setTimeout(() => {
+            if (this.#connection === undefined && !this.#isDialing) {
+                void this.#dial();
+            }
+        }, this.#delays.next().value);
+    }
+
+    async #converse(connection: FrameConnection): Promise<void> {
+        connection.send(encodeSessionMessage({
+            ...this.#options.readCondition(),
+            kind: "hello",
+            member: this.#options.readSelf(),
+            members: [...this.#options.listMembers()],
+            received: this.#channel.received,
+            sessionId: this.#sessionId,
+        }));
+        try {
+            await consumeFrames(connection, (message, bytes) => {
+                this.#lastHeardAt = this.#options.now();
+                this.#handle(connection, message, bytes);
+            });
+        }
+        finally {
+            this.#lose(connection);
+        }
+    }
+
+    #lose(connection: FrameConnection): void {
+        this.#channel.detach(connection);
+        if (this.#connection === connection) {
+            this.#connection = undefined;
+            this.#lostAt = this.#options.now();
+            this.#scheduleRedial();
+        }
+    }
+
+    #handle(connection: FrameConnection, message: SessionMessage, bytes: number): void {
+        if (message.kind === "welcome") {
+            this.#begin(connection, message);
+            return;
+        }
+        if (this.#connection !== connection) {
+            return;
+        }
+        if (isSequenced(message.kind)) {
+            this.#channel.noteReceived(bytes);
+        }
+        if ("load" in message) {
+            this.#options.onLoad(this.#member.id, message.load);
+        }
+        switch (message.kind) {
+            case "pong":
+                this.#acknowledge(message.received);
+                this.#options.onCondition({ ...message, id: this.#member.id });
+                this.#options.onRoundTrip(this.#member.id, this.#options.now() - message.sentAt);
+                return;
+            case "acknowledge":
+                this.#acknowledge(message.received);
+                return;
+            case "configuration":
+                this.#options.onConfiguration(message);
+                return;
+            case "load":
+                return;
+            default:
+                this.#dispatch(message);
+        }
+    }
+
+    #begin(connection: FrameConnection, welcome: SessionMessageOf<"welcome">): void {
+        if (this.#hasBegun && !welcome.isResumed) {
+            // The other side has begun the session anew under the same id.
+            this.#abandonPending("the daemon of the server has restarted");
+        }
+        if (!this.#channel.attach(connection, welcome.received, message => this.#renew(message))) {
+            this.#reset("the session can't be resumed");
+            connection.close();
+            return;
+        }
+        this.#hasBegun = true;
+        this.#connection = connection;
+        this.#delays = this.#createDelays();
+        if (this.#wasLost) {
+            this.#wasLost = false;
+            this.#options.log.info(`connected to ${this.#member.id}.`, { isResumed: welcome.isResumed });
+        }
+        this.#options.onMembers(welcome.members);
+        this.#options.onLoad(this.#member.id, welcome.load);
+        this.#options.onCondition({ ...welcome, id: this.#member.id });
+        for (const pending of this.#pending.values()) {
+            pending.isStalled = false;
+        }
+    }
+
+    #acknowledge(received: number): void {
+        if (!this.#channel.acknowledge(received)) {
+            this.#options.log.warn("more messages acknowledged than were sent.", { peer: this.#member.id });
+            this.#connection?.close();
+        }
+    }
+
+    #dispatch(message: SessionMessage): void {
+        if (!("stream" in message)) {
+            this.#options.log.warn(`message ${message.kind} is not for the caller's side.`, { peer: this.#member.id });
+            return;
+        }
+        const events = this.#pending.get(message.stream)?.events;
+        if (events === undefined) {
+            return;
+        }
+        switch (message.kind) {
+            case "offer":
+                events.onOffer();
+                return;
+            case "answerHead":
+                events.onHead(message);
+                return;
+            case "answerData":
+                events.onData(message.body);
+                return;
+            default:
+                this.#pending.delete(message.stream);
+        }
+        switch (message.kind) {
+            case "refused":
+                events.onRefused(message, message.load);
+                return;
+            case "declined":
+                events.onDeclined(message.detail, message.load);
+                return;
+            case "unknown":
+                events.onUnknown(message.detail, message.load);
+                return;
+            case "answer":
+                events.onAnswer(message, message.body, message.load);
+                return;
+            case "answerEnd":
+                events.onEnd(message.load);
+                return;
+            case "answerCut":
+                events.onCut(message.detail, message.load);
+        }
+    }
+
+    /**
+     * The owner is silent. A request that may run once and was not told to proceed is taken back: it
+     * can't start without that message. Others may be placed elsewhere as well.
+     */
+    #stall(): void {
+        for (const [stream, pending] of [...this.#pending]) {
+            if (!isRepeatable(pending.request.kind) && !pending.hasProceeded) {
+                this.#pending.delete(stream);
+                this.#channel.send({ kind: "cancel", stream });
+                pending.events.onRefused({
+                    detail: "the daemon of the server is silent",
+                    reason: RefusalReason.DaemonUnreachable,
+                    retryAfterMs: 0,
+                }, undefined);
+            }
+            else if (!pending.isStalled) {
+                pending.isStalled = true;
+                pending.events.onStalled();
+            }
+        }
+    }
+
+    /** A request that is sent again has less time left than when it was sent first. */
+    #renew(message: SessionMessage): SessionMessage {
+        if (message.kind !== "request") {
+            return message;
+        }
+        const submittedAt = this.#pending.get(message.stream)?.submittedAt;
+        const { request } = message;
+        const elapsedMs = submittedAt === undefined ? request.budgetLeftMs : this.#options.now() - submittedAt;
+        return {
+            ...message,
+            request: {
+                ...request,
+                budgetLeftMs: request.budgetLeftMs - elapsedMs,
+                targetLeftMs: request.targetLeftMs - elapsedMs,
+            },
+        };
+    }
+
+    /** Gives the session up: the other side holds nothing of it any more, or is not heard from again. */
+    #reset(detail: string): void {
+        this.#sessionId = this.#options.createSessionId();
+        this.#abandonPending(detail);
+    }
+
+    #abandonPending(detail: string): void {
+        const pending = [...this.#pending.values()];
+        this.#pending.clear();
+        this.#channel = new ReliableChannel();
+        this.#hasBegun = false;
+        for (const { events, hasProceeded, request } of pending) {
+            if (isRepeatable(request.kind) || hasProceeded) {
+                events.onUnknown(detail, undefined);
+            }
+            else {
+                events.onRefused({ detail, reason: RefusalReason.DaemonUnreachable, retryAfterMs: 0 }, undefined);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/sessions/SessionTypes.ts
@@ -0,0 +1,38 @@
+import type { OwnerLoad } from "../../coordination/placement/index.js";
+import type { SessionMessageOf } from "../../protocol/session/index.js";
+import type { Member } from "../../state/members/index.js";
+import type { PartLogger } from "../logging/index.js";
+import type { OwnedHandle, OwnedRequest, OwnerEvents } from "../ownership/index.js";
+
+/** What a daemon tells of itself in each sign of life. */
+export interface OwnCondition {
+    readonly revision: number;
+    readonly isWatching: boolean;
+}
+
+/** What another daemon told of itself. */
+export interface PeerCondition extends OwnCondition {
+    readonly id: string;
+}
+
+/** What sessions need of the daemon. */
+export interface SessionEffects {
+    readonly log: PartLogger;
+    /** Milliseconds; must not jump. */
+    readonly now: () => number;
+    readonly random: () => number;
+    readSelf(): Member;
+    listMembers(): readonly Member[];
+    readCondition(): OwnCondition;
+    readLoad(): OwnerLoad;
+    /** Records learnt from another daemon. */
+    onMembers(members: readonly Member[]): void;
+    onCondition(condition: PeerCondition): void;
+    /** The other daemon's text of a version. */
+    onConfiguration(message: SessionMessageOf<"configuration">): void;
+    /** Version in force as text, for another daemon; undefined when there is none. */
+    readConfiguration(): Omit<SessionMessageOf<"configuration">, "kind"> | undefined;
+    /** Gives a request of another daemon to the own gate. */
+    submit(request: OwnedRequest, events: OwnerEvents): OwnedHandle;
+}
+
--- a/src/transport/settings/SettingsReader.ts
+++ b/src/transport/settings/SettingsReader.ts
@@ -17,6 +17,7 @@
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9.-]{0,62}$/;
 const HIGHEST_PORT = 65_535;
+const MS_PER_SECOND = 1_000;
 
 /** Reads settings from flags, then variables, then defaults, and collects every fault found. */
 export class SettingsReader {
@@ -64,6 +65,25 @@
             : this.#report(flag, `"${text}" is not a whole number from ${minimum} to ${maximum}`, minimum);
     }
 
+    /** A number with or without a fraction. */
+    readNumber(flag: string, minimum: number, maximum: number): number {
+        const text = this.readRequired(flag);
+        const value = Number(text);
+        return text === "" || (value >= minimum && value <= maximum)
+            ? value
+            : this.#report(flag, `"${text}" is not a number from ${minimum} to ${maximum}`, minimum);
+    }
+
+    /** A duration with its unit, for example `250ms` or `2.5s`; returns milliseconds. */
+    readDuration(flag: string, longestMs: number): number {
+        const text = this.readRequired(flag);
+        const match = /^(\d+(?:\.\d+)?)(ms|s)$/.exec(text);
+        const ms = Number(match?.[1]) * (match?.[2] === "s" ? MS_PER_SECOND : 1);
+        return text === "" || ms <= longestMs
+            ? ms
+            : this.#report(flag, `"${text}" is not a duration such as 250ms or 2.5s of at most ${longestMs} ms`, 0);
+    }
+
     /** Port 0 selects a free one. */
     readPort(flag: string): number {
         return this.readInteger(flag, 0, HIGHEST_PORT);
@@ -88,6 +108,11 @@
         return text === undefined ? undefined : this.#parseHostAndPort(flag, text);
     }
 
+    readRequiredHostAndPort(flag: string): HostAndPort {
+        this.readRequired(flag);
+        return this.readHostAndPort(flag) ?? { host: "", port: 0 };
+    }
+
     readHostsAndPorts(flag: string): readonly HostAndPort[] {
         const entries = (this.readText(flag) ?? "").split(",").map(entry => entry.trim()).filter(entry => entry !== "");
         return entries.map(entry => this.#parseHostAndPort(flag, entry)).filter(entry => entry !== undefined);
--- /dev/null
+++ b/src/transport/sidecar/Sidecar.ts
@@ -0,0 +1,272 @@
+/** Joins the parts of a daemon that runs on a platform beside a backend server. */
+import type { Server } from "node:http";
+import { RetryBudget } from "../../coordination/retries/index.js";
+import type { Dialect } from "../../protocol/dialect/index.js";
+import { MemberState } from "../../state/members/index.js";
+import type { Member } from "../../state/members/index.js";
+import type { MeshStorePort } from "../../state/store/index.js";
+import { ConfigurationKeeper, MemberKeeper } from "../directory/index.js";
+import type { DecodeConfiguration } from "../directory/index.js";
+import { createAccessLog } from "../logging/index.js";
+import type { CreatePartLogger, PartLogger } from "../logging/index.js";
+import { combineRecorders, createRequestMetrics } from "../metrics/index.js";
+import { OwnerGate } from "../ownership/index.js";
+import type { PeerNetwork } from "../peer/index.js";
+import { SessionHub } from "../sessions/index.js";
+import { BUDGET_SHARE, CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
+import { renderMetrics } from "./MetricsText.js";
+import { openPlainPort } from "./PlainEndpoints.js";
+import type { AnswerCall } from "./PlainEndpoints.js";
+import type { SidecarSettings } from "./SidecarSettings.js";
+
+/** Time without any reachable daemon after which callers should go elsewhere. */
+const ISOLATED_MS = 1_500;
+/** Part of the time between SIGTERM and SIGKILL that a planned stop uses. */
+const STOP_SHARE = 0.93;
+const MS_PER_SECOND = 1_000;
+
+/** What a daemon is given beside its settings. */
+export interface SidecarEffects {
+    readonly createPartLogger: CreatePartLogger;
+    readonly dialect: Dialect;
+    readonly store: MeshStorePort;
+    readonly decodeConfiguration: DecodeConfiguration;
+    readonly network: PeerNetwork;
+    /** Answers the platform's question whether callers may come. */
+    readonly answerReady: (isReady: boolean) => AnswerCall;
+    /** Answers reports of the backend server. */
+    readonly answerReports: (gate: OwnerGate, log: PartLogger) => AnswerCall;
+    readonly now: () => number;
+    /** Unix milliseconds. */
+    readonly readWallClock: () => number;
+    readonly random: () => number;
+    readonly createSessionId: () => string;
+    readonly readDroppedLines: () => number;
+}
+
+export interface Sidecar {
+    /** Planned stop: interrupts no request. */
+    stop(): Promise<void>;
+}
+
+export async function startSidecar(settings: SidecarSettings, effects: SidecarEffects): Promise<Sidecar> {
+    const sidecar = new RunningSidecar(settings, effects);
+    await sidecar.start();
+    return sidecar;
+}
+
+class RunningSidecar implements Sidecar {
+    readonly #settings: SidecarSettings;
+    readonly #effects: SidecarEffects;
+    readonly #log: PartLogger;
+    readonly #gate: OwnerGate;
+    readonly #hub: SessionHub;
+    readonly #members: MemberKeeper;
+    readonly #directory: ServerDirectory;
+    readonly #configuration: ConfigurationKeeper;
+    readonly #callers: CallerListener;
+    readonly #metrics = createRequestMetrics();
+    readonly #budgets = new Map<string, RetryBudget>();
+    readonly #servers: Server[] = [];
+    #isStopping = false;
+    #isolatedSince: number | undefined;
+
+    constructor(settings: SidecarSettings, effects: SidecarEffects) {
+        this.#settings = settings;
+        this.#effects = effects;
+        const { createPartLogger, now, random } = effects;
+        this.#log = createPartLogger("daemon");
+        const self = buildMember(settings, effects.readWallClock());
+        this.#gate = new OwnerGate({
+            dialect: effects.dialect,
+            log: createPartLogger("gate"),
+            now,
+            onChange: load => {
+                this.#directory.recordLoad(settings.id, load);
+                this.#hub.announceLoad();
+            },
+        });
+        this.#members = new MemberKeeper({
+            isFirstStart: settings.isFirstStart,
+            log: createPartLogger("members"),
+            onMember: member => this.#addMember(member),
+            random,
+            self,
+            store: effects.store,
+        });
+        this.#hub = new SessionHub({
+            createSessionId: effects.createSessionId,
+            listMembers: () => this.#members.list(),
+            log: createPartLogger("sessions"),
+            network: effects.network,
+            now,
+            onCondition: condition => this.#configuration.noteCondition(condition),
+            onConfiguration: ({ revision, text }) => this.#configuration.adopt({ revision, text }, "another daemon"),
+            onLoad: (id, load) => this.#directory.recordLoad(id, load),
+            onMembers: members => this.#members.merge(members),
+            onRoundTrip: (id, ms) => this.#directory.recordRoundTrip(id, ms),
+            random,
+            readCondition: () => ({
+                isWatching: this.#configuration.isWatching,
+                revision: this.#configuration.text?.revision ?? 0,
+            }),
+            readConfiguration: () => this.#configuration.text,
+            readLoad: () => this.#gate.readLoad(),
+            readSelf: () => this.#members.self,
+            submit: (request, events) => this.#gate.submit(request, events),
+        });
+        const requestLog = createPartLogger("requests");
+        this.#directory = new ServerDirectory({
+            gate: this.#gate,
+            hub: this.#hub,
+            now,
+            onEject: (id, service) => {
+                requestLog.warn(`server of ${id} is ejected for its failures.`, { id, service });
+                this.#metrics.count({ class: undefined, kind: "ejected", reason: "failures", service });
+            },
+            self,
+        });
+        this.#configuration = new ConfigurationKeeper({
+            decode: effects.decodeConfiguration,
+            listReachable: () => this.#listReachable(),
+            log: createPartLogger("configuration"),
+            now,
+            onChange: configuration => this.#callers.applyConfiguration(configuration),
+            random,
+            requestFrom: id => this.#hub.getOwner(id)?.requestConfiguration(),
+            selfId: settings.id,
+            store: effects.store,
+        });
+        this.#callers = new CallerListener({
+            dialect: effects.dialect,
+            directory: this.#directory,
+            log: requestLog,
+            now,
+            random,
+            readCallerService: () => settings.service,
+            readConfiguration: () => this.#configuration.configuration,
+            recorder: combineRecorders([this.#metrics, createAccessLog(requestLog)]),
+            recordRequest: service => this.#getBudget(service).recordRequest(now()),
+            selfId: settings.id,
+            takeRepeat: service => this.#takeRepeat(service),
+        });
+    }
+
+    async start(): Promise<void> {
+        const { callerAddress, metricsAddress, peerAddress, readyAddress, reportAddress } = this.#settings;
+        await this.#hub.start(peerAddress.host, peerAddress.port);
+        await this.#callers.listen(callerAddress.host, callerAddress.port);
+        const answerReports = this.#effects.answerReports(this.#gate, this.#log);
+        this.#servers.push(
+            await openPlainPort(reportAddress, answerReports),
+            await openPlainPort(readyAddress, call => this.#effects.answerReady(this.#isReady())(call)),
+        );
+        if (metricsAddress !== undefined) {
+            this.#servers.push(await openPlainPort(metricsAddress, () => ({
+                body: this.#renderMetrics(),
+                contentType: "text/plain; version=0.0.4",
+                status: 200,
+            })));
+        }
+        this.#configuration.start();
+        void this.#members.register();
+        this.#log.info("started.", { settings: this.#settings });
+    }
+
+    async stop(): Promise<void> {
+        this.#isStopping = true;
+        const begin = this.#effects.now();
+        const longestMs = this.#settings.graceMs * STOP_SHARE;
+        this.#gate.beginStop();
+        this.#members.stop();
+        await this.#callers.drain(longestMs);
+        while (this.#gate.pending > 0 && this.#effects.now() - begin < longestMs) {
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        this.#configuration.stop();
+        await this.#hub.stop();
+        this.#gate.closeAll();
+        this.#log.info("planned stop has ended.", {
+            open: this.#callers.open,
+            pending: this.#gate.pending,
+            tookMs: Math.round(this.#effects.now() - begin),
+        });
+    }
+
+    #addMember(member: Member): void {
+        this.#hub.connect(member);
+        this.#directory.addMember(member);
+    }
+
+    #listReachable() {
+        const now = this.#effects.now();
+        const self = this.#members.self;
+        return [...this.#hub.listOwners()]
+            .filter(session => session.isUsable(now))
+            .map(({ member }) => ({ distance: computeDistance(self, member), id: member.id }));
+    }
+
+    /** Callers may come when requests can be routed and other servers can be reached. */
+    #isReady(): boolean {
+        if (this.#isStopping || this.#configuration.configuration === undefined) {
+            return false;
+        }
+        const now = this.#effects.now();
+        const isAlone = this.#members.list().length <= 1 || this.#listReachable().length > 0;
+        this.#isolatedSince = isAlone ? undefined : this.#isolatedSince ?? now;
+        return this.#isolatedSince === undefined || now - this.#isolatedSince < ISOLATED_MS;
+    }
+
+    #getBudget(service: string): RetryBudget {
+        let budget = this.#budgets.get(service);
+        if (budget === undefined) {
+            budget = new RetryBudget(this.#effects.now());
+            this.#budgets.set(service, budget);
+        }
+        return budget;
+    }
+
+    /** The mesh's budget is shared by all daemons without talk: each uses its own requests' part and an equal part of the slack. */
+    #takeRepeat(service: string): boolean {
+        const { retryRatio, retrySlack, retryWindowMs } = this.#settings;
+        const daemons = Math.max(1, this.#members.list().length);
+        const isTaken = this.#getBudget(service).takeRetry({
+            budget: retryRatio * BUDGET_SHARE,
+            minimumPerSecond: retrySlack * BUDGET_SHARE / daemons / (retryWindowMs / MS_PER_SECOND),
+        }, this.#effects.now());
+        if (!isTaken) {
+            this.#metrics.count({ class: undefined, kind: "refused", reason: "repeat-budget", service });
+        }
+        return isTaken;
+    }
+
+    #renderMetrics(): string {
+        const load = () => this.#gate.readLoad();
+        return renderMetrics(this.#metrics, [
+            { name: "server_running", read: () => load().running },
+            { name: "server_queued", read: () => load().queued },
+            { name: "server_open", read: () => Number(load().isOpen) },
+            { name: "configuration_revision", read: () => this.#configuration.text?.revision ?? 0 },
+            { name: "members", read: () => this.#members.list().length },
+            { name: "members_reachable", read: () => this.#listReachable().length },
+            { name: "log_lines_dropped_total", read: this.#effects.readDroppedLines },
+        ]);
+    }
+}
+
+function buildMember(settings: SidecarSettings, startedAt: number): Member {
+    const { failureDomain, id, peerAddress, region, serverAddress, service } = settings;
+    return {
+        address: peerAddress.host,
+        failureDomain,
+        id,
+        incarnation: startedAt,
+        peerPort: peerAddress.port,
+        region,
+        relayPort: peerAddress.port,
+        revision: 0,
+        server: { address: serverAddress.host, connections: 0, port: serverAddress.port, service, slots: 0 },
+        state: MemberState.Live,
+    };
+}
+
--- /dev/null
+++ b/src/transport/sidecar/SidecarSettings.ts
@@ -0,0 +1,83 @@
+/** Settings of a daemon on a platform that starts it beside a backend server and keeps its configuration. */
+import type { ArgsDef } from "citty";
+import type { Either } from "purify-ts/Either";
+import { Left, Right } from "purify-ts/Either";
+import type { LogLevel } from "../logging/index.js";
+import { LOG_LEVELS } from "../logging/index.js";
+import type { HostAndPort, SettingFinding } from "../settings/index.js";
+import { SettingsReader } from "../settings/index.js";
+
+export const SIDECAR_FLAGS = {
+    "caller-address": { description: "ip:port for requests of callers on this VM", type: "string" },
+    "failure-domain": { description: "failure domain of the VM", type: "string" },
+    "first-start": { default: "false", description: "whether the whole mesh starts for the first time", type: "string" },
+    "grace": { default: "6s", description: "time between SIGTERM and SIGKILL", type: "string" },
+    "id": { description: "unique name of this daemon", type: "string" },
+    "log-level": { default: "info", description: LOG_LEVELS.join(", "), type: "string" },
+    "metrics-address": { description: "ip:port for metrics", type: "string" },
+    "peer-address": { description: "ip:port for other daemons", type: "string" },
+    "ready-address": { description: "ip:port for the question whether callers may come", type: "string" },
+    "region": { description: "region of the VM", type: "string" },
+    "report-address": { description: "ip:port for reports of the backend server", type: "string" },
+    "retry-ratio": { default: "0.2", description: "repeats for each request that the mesh may send", type: "string" },
+    "retry-slack": { default: "60", description: "repeats that the mesh may send besides, in one window", type: "string" },
+    "retry-window": { default: "10s", description: "window of the repeat budget", type: "string" },
+    "server-address": { description: "ip:port of the backend server", type: "string" },
+    "service": { description: "service of the backend server", type: "string" },
+    "store": { description: "base URL of the store", type: "string", valueHint: "url" },
+} as const satisfies ArgsDef;
+
+export interface SidecarSettings {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly service: string;
+    readonly callerAddress: HostAndPort;
+    readonly peerAddress: HostAndPort;
+    readonly readyAddress: HostAndPort;
+    readonly reportAddress: HostAndPort;
+    readonly serverAddress: HostAndPort;
+    readonly metricsAddress: HostAndPort | undefined;
+    readonly storeUrl: string;
+    readonly isFirstStart: boolean;
+    readonly graceMs: number;
+    readonly retryRatio: number;
+    readonly retrySlack: number;
+    readonly retryWindowMs: number;
+    readonly logLevel: LogLevel;
+}
+
+const LONGEST_MS = 3_600_000;
+const HIGHEST_SLACK = 1_000_000;
+
+/** Reads settings from flags, then the environment, then defaults, and collects every fault. */
+export function parseSidecarSettings(
+    flags: Readonly<Record<string, unknown>>,
+    environment: Readonly<Record<string, string | undefined>>,
+): Either<readonly SettingFinding[], SidecarSettings> {
+    const defaults = Object.fromEntries(
+        Object.entries(SIDECAR_FLAGS).map(([name, flag]) => [name, "default" in flag ? flag.default : undefined]),
+    );
+    const reader = new SettingsReader(flags, environment, defaults, () => "");
+    reader.reportUnknownFlags(Object.keys(SIDECAR_FLAGS));
+    const settings = {
+        callerAddress: reader.readRequiredHostAndPort("caller-address"),
+        failureDomain: reader.readName("failure-domain"),
+        graceMs: reader.readDuration("grace", LONGEST_MS),
+        id: reader.readName("id"),
+        isFirstStart: reader.readChoice("first-start", ["true", "false"]) === "true",
+        logLevel: reader.readChoice("log-level", LOG_LEVELS) ?? "info",
+        metricsAddress: reader.readHostAndPort("metrics-address"),
+        peerAddress: reader.readRequiredHostAndPort("peer-address"),
+        readyAddress: reader.readRequiredHostAndPort("ready-address"),
+        region: reader.readName("region"),
+        reportAddress: reader.readRequiredHostAndPort("report-address"),
+        retryRatio: reader.readNumber("retry-ratio", 0, 1),
+        retrySlack: reader.readNumber("retry-slack", 0, HIGHEST_SLACK),
+        retryWindowMs: reader.readDuration("retry-window", LONGEST_MS),
+        serverAddress: reader.readRequiredHostAndPort("server-address"),
+        service: reader.readName("service"),
+        storeUrl: reader.readUrl("store"),
+    };
+    return reader.findings.length > 0 ? Left(reader.findings) : Right(settings);
+}
--- /dev/null
+++ b/src/transport/sidecar/index.ts
@@ -0,0 +1,5 @@
+export type { AnswerCall, PlainAnswer, PlainCall } from "./PlainEndpoints.js";
+export { startSidecar } from "./Sidecar.js";
+export type { Sidecar, SidecarEffects } from "./Sidecar.js";
+export { parseSidecarSettings, SIDECAR_FLAGS } from "./SidecarSettings.js";
+export type { SidecarSettings } from "./SidecarSettings.js";
--- /dev/null
+++ b/src/transport/traffic/CallerExchange.ts
@@ -0,0 +1,108 @@
+/** One request of a caller and the answer on its way back. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Outcome } from "../../protocol/request/index.js";
+import type { AnswerHead } from "../ownership/index.js";
+
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+export class CallerExchange {
+    /** Called once when the caller goes away before its answer is complete. */
+    onLeave: (() => void) | undefined;
+    /** Called when the caller takes data again after `sendData` returned false. */
+    onDrain: (() => void) | undefined;
+    #isEnded = false;
+    #isGone = false;
+
+    constructor(
+        readonly request: IncomingMessage,
+        private readonly response: ServerResponse,
+        /** Whether the connection is to be closed after the answer. */
+        private readonly shouldClose: () => boolean,
+    ) {
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                this.#isGone = true;
+                this.#isEnded = true;
+                this.onLeave?.();
+            }
+        });
+        response.on("drain", () => this.onDrain?.());
+    }
+
+    get isEnded(): boolean {
+        return this.#isEnded;
+    }
+
+    get isGone(): boolean {
+        return this.#isGone;
+    }
+
+    /** Sends a server's whole answer. */
+    sendAnswer(head: AnswerHead, body: Uint8Array): void {
+        if (this.#isEnded) {
+            return;
+        }
+        this.#isEnded = true;
+        const headers = [...head.headers];
+        const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
+        if (!isBodiless && !hasHeader(headers, "content-length")) {
+            headers.push("content-length", String(body.length));
+        }
+        this.#writeHead(head.status, headers);
+        this.response.end(isBodiless ? undefined : body);
+    }
+
+    /** Begins a long answer. */
+    sendHead(head: AnswerHead): void {
+        if (!this.#isEnded) {
+            this.#writeHead(head.status, [...head.headers]);
+        }
+    }
+
+    /** False when the caller takes no more at the moment. */
+    sendData(body: Uint8Array): boolean {
+        return this.#isEnded || this.response.write(body);
+    }
+
+    sendEnd(): void {
+        if (!this.#isEnded) {
+            this.#isEnded = true;
+            this.response.end();
+        }
+    }
+
+    /** Resets the connection, so that a broken answer can't be taken for a whole one. */
+    cut(): void {
+        this.#isEnded = true;
+        this.response.socket?.resetAndDestroy();
+        this.response.destroy();
+    }
+
+    /** Sends an answer of this daemon itself. */
+    sendOwn(status: number, outcome: Outcome, text: string, headers: readonly string[] = []): void {
+        if (this.#isEnded) {
+            return;
+        }
+        this.#isEnded = true;
+        const sentence = `${outcome === Outcome.NotRun ? "Not run" : "Outcome unknown"}: ${text}.\n`;
+        this.#writeHead(status, [
+            "content-type",
+            "text/plain; charset=utf-8",
+            "content-length",
+            String(Buffer.byteLength(sentence)),
+            ...headers,
+        ]);
+        this.response.end(sentence);
+    }
+
+    #writeHead(status: number, headers: string[]): void {
+        if (this.shouldClose()) {
+            headers.push("connection", "close");
+        }
+        this.response.writeHead(status, headers);
+    }
+}
+
+function hasHeader(headers: readonly string[], name: string): boolean {
+    return headers.some((part, index) => index % 2 === 0 && part.toLowerCase() === name);
+}
--- /dev/null
+++ b/src/transport/traffic/CallerListener.ts
@@ -0,0 +1,261 @@
+/** The port for callers of this VM: reads requests, finds their routes and has them forwarded. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { RouteStatistics } from "../../coordination/placement/index.js";
+import { WeightedSplit } from "../../coordination/routing/index.js";
+import { copyRequestHeaders, Outcome } from "../../protocol/request/index.js";
+import { findRoute } from "../../state/traffic/index.js";
+import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import type { PartLogger } from "../logging/index.js";
+import { BodyFault, BodyStore } from "./BodyReading.js";
+import type { BodyResult } from "./BodyReading.js";
+import { CallerExchange } from "./CallerExchange.js";
+import { ForwardedRequest } from "./ForwardedRequest.js";
+import type { ForwardingContext } from "./ForwardedRequest.js";
+import {
+    INITIAL_HEADER_TIMEOUT_MS,
+    INITIAL_IDLE_TIMEOUT_MS,
+    PARSER_HEADER_LIMIT_BYTES,
+    STOP_ACCEPT_MS,
+    STOP_CHECK_MS,
+    STOP_MINIMUM_MS,
+    STOP_QUIET_MS,
+    UNKNOWN_RETRY_MS,
+} from "./TrafficConstants.js";
+
+export interface CallerListenerOptions extends ForwardingContext {
+    readonly log: PartLogger;
+    /** Service that runs on this VM. */
+    readonly readCallerService: () => string;
+    readonly readConfiguration: () => TrafficConfiguration | undefined;
+    /** Counts a request for its service's repeat budget. */
+    recordRequest(service: string): void;
+}
+
+/** Headers that frame a body; the body is sent with its length. */
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+const BAD_REQUEST_STATUS = 400;
+const NOT_FOUND_STATUS = 404;
+const TOO_LARGE_STATUS = 413;
+const HEADERS_TOO_LARGE_STATUS = 431;
+const UNAVAILABLE_STATUS = 503;
+/** Separators and the line end of a header field. */
+const FIELD_OVERHEAD_BYTES = 4;
+
+export class CallerListener {
+    readonly #options: CallerListenerOptions;
+    readonly #server: Server;
+    readonly #bodies = new BodyStore();
+    readonly #split = new WeightedSplit();
+    readonly #statistics = new Map<string, RouteStatistics>();
+    #open = 0;
+    #lastRequestAt = 0;
+    #stopsSince: number | undefined;
+
+    constructor(options: CallerListenerOptions) {
+        this.#options = options;
+        this.#server = createServer({
+            headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
+            keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
+            maxHeaderSize: PARSER_HEADER_LIMIT_BYTES,
+            noDelay: true,
+            requestTimeout: 0,
+        });
+        this.#server.maxHeadersCount = 0;
+        const handle = (request: IncomingMessage, response: ServerResponse): void => {
+            response.sendDate = false;
+            this.#open++;
+            this.#lastRequestAt = options.now();
+            response.once("close", () => this.#open--);
+            void this.#handle(request, response).catch((error: unknown) => {
+                options.log.error("request failed by an internal error.", { err: error });
+                response.destroy();
+            });
+        };
+        this.#server.on("request", handle);
+        this.#server.on("checkContinue", (request: IncomingMessage, response: ServerResponse) => {
+            response.writeContinue();
+            handle(request, response);
+        });
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+            options.log.info(`connection of a caller closed: ${error.message}.`, { code: error.code });
+            socket.destroy();
+        });
+    }
+
+    /** Requests that have no answer yet. */
+    get open(): number {
+        return this.#open;
+    }
+
+    listen(address: string, port: number): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, address, () => {
+                this.#server.off("error", reject);
+                resolve();
+            });
+        });
+    }
+
+    /** Follows the limits of a new version. */
+    applyConfiguration({ limits }: TrafficConfiguration): void {
+        this.#server.headersTimeout = limits.headerTimeoutMs;
+        this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.#split.reset();
+    }
+
+    /** Serves on until callers have gone elsewhere and all answers were sent, at most until `deadlineMs` from now. */
+    async drain(deadlineMs: number): Promise<void> {
+        const begin = this.#options.now();
+        this.#stopsSince = begin;
+        for (;;) {
+            await new Promise(resolve => setTimeout(resolve, STOP_CHECK_MS));
+            const now = this.#options.now();
+            const elapsed = now - begin;
+            const isQuiet = this.#open === 0 && now - this.#lastRequestAt > STOP_QUIET_MS;
+            if (elapsed >= deadlineMs || elapsed >= STOP_MINIMUM_MS && isQuiet) {
+                break;
+            }
+        }
+        this.#server.close();
+        this.#server.closeIdleConnections();
+    }
+
+    /** Whether new requests are refused because the planned stop is near its end. */
+    #isClosed(now: number): boolean {
+        return this.#stopsSince !== undefined && now - this.#stopsSince > STOP_ACCEPT_MS;
+    }
+
+    async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const arrivedAt = this.#options.now();
+        const exchange = new CallerExchange(
+            request,
+            response,
+            () => this.#stopsSince !== undefined || !request.complete,
+        );
+        const configuration = this.#options.readConfiguration();
+        const requestId = this.#options.dialect.readCaller(request.headers).requestId;
+        if (configuration === undefined) {
+            this.#refuse(exchange, requestId, "no configuration is in force on this daemon yet");
+            return;
+        }
+        if (this.#isClosed(arrivedAt)) {
+            this.#refuse(exchange, requestId, "this daemon is stopping");
+            return;
+        }
+        if (requestId === undefined) {
+            this.#reject(exchange, requestId, BAD_REQUEST_STATUS, "the request has no id");
+            return;
+        }
+        if (countHeaderBytes(request) > configuration.limits.headerBytes) {
+            this.#reject(exchange, requestId, HEADERS_TOO_LARGE_STATUS, "the headers are too large");
+            return;
+        }
+        const target = request.url ?? "";
+        const queryAt = target.indexOf("?");
+        const path = queryAt < 0 ? target : target.slice(0, queryAt);
+        const route = findRoute(configuration, request.headers.host, path);
+        if (route === undefined) {
+            this.#reject(
+                exchange,
+                requestId,
+                NOT_FOUND_STATUS,
+                `version ${configuration.version} has no route for ${request.headers.host ?? "no host"} ${path}`,
+            );
+            return;
+        }
+        const body = await this.#bodies.read(request, configuration.limits.bodyBytes);
+        this.#forward(exchange, { arrivedAt, body, requestId, route, target });
+    }
+
+    #forward(
+        exchange: CallerExchange,
+        { arrivedAt, body, requestId, route, target }: {
+            readonly arrivedAt: number;
+            readonly body: BodyResult;
+            readonly requestId: string;
+            readonly route: RoutePolicy;
+            readonly target: string;
+        },
+    ): void {
+        switch (body.kind) {
+            case BodyFault.Left:
+                return;
+            case BodyFault.TooLarge:
+                this.#reject(exchange, requestId, TOO_LARGE_STATUS, "the body is too large");
+                return;
+            case BodyFault.NoRoom:
+                this.#refuse(exchange, requestId, "too many bodies are being read");
+                return;
+        }
+        const service = this.#split.chooseService(route);
+        if (service === undefined || exchange.isGone) {
+            this.#refuse(exchange, requestId, `route ${route.name} has no service`);
+            this.#bodies.release(body.bytes);
+            return;
+        }
+        const { request } = exchange;
+        const budgetMs = this.#options.dialect.readCaller(request.headers).timeLeftMs ?? route.timeoutMs;
+        const statistics = this.#getStatistics(route.name);
+        const spentMs = statistics.observeBudget(budgetMs, arrivedAt);
+        this.#options.recordRequest(service);
+        const plan = {
+            arrivedAt,
+            body: body.bytes,
+            callerDeadlineAt: arrivedAt + budgetMs,
+            callerService: this.#options.readCallerService(),
+            deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),
+            headers: this.#copyHeaders(request),
+            isNested: false,
+            method: request.method ?? "",
+            requestId,
+            route,
+            service,
+            statistics,
+            target,
+            targetAt: arrivedAt + route.targetLatencyMs - spentMs,
+        };
+        new ForwardedRequest(this.#options, plan, exchange, () => this.#bodies.release(body.bytes)).start();
+    }
+
+    #copyHeaders(request: IncomingMessage): string[] {
+        const copied = copyRequestHeaders(request.rawHeaders, request.headers.connection);
+        const kept: string[] = [];
+        for (let index = 0; index + 1 < copied.length; index += 2) {
+            const name = copied[index] as string;
+            if (!FRAMING_HEADERS.has(name) && !this.#options.dialect.isSystemHeader(name)) {
+                kept.push(name, copied[index + 1] as string);
+            }
+        }
+        return kept;
+    }
+
+    #getStatistics(route: string): RouteStatistics {
+        let statistics = this.#statistics.get(route);
+        if (statistics === undefined) {
+            statistics = new RouteStatistics();
+            this.#statistics.set(route, statistics);
+        }
+        return statistics;
+    }
+
+    /** The request was not run and may come back. */
+    #refuse(exchange: CallerExchange, requestId: string | undefined, detail: string): void {
+        this.#options.log.info(`request refused: ${detail}.`, { requestId });
+        const headers = this.#options.dialect.buildReturnHeaders(UNKNOWN_RETRY_MS);
+        exchange.sendOwn(UNAVAILABLE_STATUS, Outcome.NotRun, detail, headers);
+    }
+
+    /** The request is not one that can be served. */
+    #reject(exchange: CallerExchange, requestId: string | undefined, status: number, detail: string): void {
+        this.#options.log.info(`request rejected with ${status}: ${detail}.`, { requestId });
+        exchange.sendOwn(status, Outcome.NotRun, detail);
+    }
+}
+
+function countHeaderBytes({ method, rawHeaders, url }: IncomingMessage): number {
+    return rawHeaders.reduce((sum, part) => sum + part.length, 0) + rawHeaders.length / 2 * FIELD_OVERHEAD_BYTES
+        + (method?.length ?? 0) + (url?.length ?? 0);
+}
--- /dev/null
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -0,0 +1,136 @@
+/** The backend servers that requests can be placed at, with what is known of each. */
+import { Distance, OwnerStatistics } from "../../coordination/placement/index.js";
+import type { OwnerLoad, PlacementCandidate } from "../../coordination/placement/index.js";
+import type { Member } from "../../state/members/index.js";
+import type { OwnedHandle, OwnedRequest, OwnerGate } from "../ownership/index.js";
+import type { SessionHub, SessionRequestEvents } from "../sessions/index.js";
+import { EJECTION_MAXIMUM_SHARE } from "./TrafficConstants.js";
+
+/** An owner of a server, this daemon or another one. */
+export interface Owner extends PlacementCandidate {
+    readonly service: string;
+    submit(request: OwnedRequest, events: SessionRequestEvents): OwnedHandle;
+}
+
+export interface ServerDirectoryOptions {
+    readonly self: Member;
+    readonly gate: OwnerGate;
+    readonly hub: SessionHub;
+    readonly now: () => number;
+    /** Told when a server is ejected for its results. */
+    onEject(id: string, service: string): void;
+}
+
+export class ServerDirectory {
+    readonly #options: ServerDirectoryOptions;
+    readonly #ownersByService = new Map<string, Map<string, Owner>>();
+    readonly #statistics = new Map<string, OwnerStatistics>();
+    readonly #services = new Map<string, string>();
+
+    constructor(options: ServerDirectoryOptions) {
+        this.#options = options;
+        const { gate, self } = options;
+        this.#add(self, (request, events) => gate.submit(request, events));
+    }
+
+    /** Adds the server of another daemon; one that is known already is kept with its results. */
+    addMember(member: Member): void {
+        this.#add(member, (request, events) => {
+            const session = this.#options.hub.getOwner(member.id);
+            if (session === undefined) {
+                throw new Error(`there is no session with ${member.id}`);
+            }
+            return session.submit(request, events);
+        });
+    }
+
+    readStatistics(id: string): OwnerStatistics | undefined {
+        return this.#statistics.get(id);
+    }
+
+    recordLoad(id: string, load: OwnerLoad): void {
+        this.#statistics.get(id)?.recordLoad(load, this.#options.now());
+    }
+
+    recordRoundTrip(id: string, ms: number): void {
+        this.#statistics.get(id)?.recordRoundTrip(ms);
+    }
+
+    /** Owners of a service that take requests now, other than the excluded ones. */
+    *listCandidates(service: string, excluded: ReadonlySet<string>, now: number): Generator<Owner> {
+        for (const owner of this.#ownersByService.get(service)?.values() ?? []) {
+            if (!excluded.has(owner.id) && this.#isAvailable(owner, now) && owner.statistics.ejection.isAvailable(now)) {
+                yield owner;
+            }
+        }
+    }
+
+    /** Like `listCandidates`, with the servers that were ejected; for when no other is left. */
+    *listEjected(service: string, excluded: ReadonlySet<string>, now: number): Generator<Owner> {
+        for (const owner of this.#ownersByService.get(service)?.values() ?? []) {
+            if (!excluded.has(owner.id) && this.#isAvailable(owner, now)) {
+                yield owner;
+            }
+        }
+    }
+
+    /** Counts a failure of a server and ejects it if it is an outlier and not too many others are ejected. */
+    recordFailure(owner: Owner): void {
+        const now = this.#options.now();
+        const all = [...this.#ownersByService.get(owner.service)?.values() ?? []];
+        const ejected = all.filter(({ statistics }) => statistics.ejection.isEjected(now)).length;
+        if (owner.statistics.recordFailure((ejected + 1) / all.length <= EJECTION_MAXIMUM_SHARE, now)) {
+            this.#options.onEject(owner.id, owner.service);
+        }
+    }
+
+    /** Time until the first server of the service is expected to have a free slot. */
+    estimateCapacity(service: string): number | undefined {
+        let earliest: number | undefined;
+        for (const { statistics: { load } } of this.#ownersByService.get(service)?.values() ?? []) {
+            if (load?.isOpen === true) {
+                earliest = Math.min(earliest ?? Infinity, load.waitMs);
+            }
+        }
+        return earliest;
+    }
+
+    #isAvailable(owner: Owner, now: number): boolean {
+        if (owner.id === this.#options.self.id) {
+            return this.#options.gate.readLoad().isOpen;
+        }
+        return owner.statistics.load?.isOpen === true && this.#options.hub.getOwner(owner.id)?.isUsable(now) === true;
+    }
+
+    #add(member: Member, submit: Owner["submit"]): void {
+        const service = member.server?.service;
+        if (service === undefined) {
+            return;
+        }
+        const previous = this.#services.get(member.id);
+        if (previous !== undefined && previous !== service) {
+            this.#ownersByService.get(previous)?.delete(member.id);
+            this.#statistics.delete(member.id);
+        }
+        this.#services.set(member.id, service);
+        const statistics = this.#statistics.get(member.id) ?? new OwnerStatistics(this.#computeDistance(member));
+        this.#statistics.set(member.id, statistics);
+        let owners = this.#ownersByService.get(service);
+        if (owners === undefined) {
+            owners = new Map();
+            this.#ownersByService.set(service, owners);
+        }
+        owners.set(member.id, { id: member.id, service, statistics, submit });
+    }
+
+    #computeDistance(member: Member): Distance {
+        return computeDistance(this.#options.self, member);
+    }
+}
+
+export function computeDistance(self: Member, member: Member): Distance {
+    if (member.failureDomain === self.failureDomain) {
+        return Distance.SameDomain;
+    }
+    return member.region === self.region ? Distance.SameRegion : Distance.OtherRegion;
+}
