--- a/scripts/bundle-sidecar.mjs
+++ b/scripts/bundle-sidecar.mjs
@@ -4,7 +4,10 @@
 const [outfile] = process.argv.slice(2);
 
 await build({
-    banner: { js: "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);" },
+    banner: {
+        js: "import { createRequire as createBundleRequire } from \"node:module\"; "
+            + "const require = createBundleRequire(import.meta.url);",
+    },
     bundle: true,
     entryPoints: ["platform/papayaturn-sidecar.ts"],
     external: ["bufferutil", "utf-8-validate", "dtrace-provider", "mv", "safe-json-stringify"],
