--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -196,6 +196,8 @@
             return;
         }
         this.#exchange = undefined;
+        // The reader of this answer may have paused it; the next one must be read all the same.
+        this.#socket.resume();
         exchange.events.onEnd();
         if (this.#isReusable && !this.#isClosed) {
             // After the rest of the chunk was read: what follows the answer makes the connection unusable.
