Keep to the right daemon at a reused address; pass on answers without a length as they are

Cause: a daemon whose address went to another VM was still dialed; the daemon there ended its session with the same peer each time, so requests that may run once were lost, and requests reached servers of another service. Answers without a length got one on the way, also where the server had broken off. Sessions now name the daemon that is meant, and a record is dropped when a later one has its address. The work times of requests that were given up count as lower bounds, so that slow servers are avoided. Calls of servers are recognized by the id of the request that runs beside this daemon.

--- a/src/coordination/placement/OwnerStatistics.ts
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -71,6 +71,11 @@
         this.ejection.recordSuccess(now);
     }
 
+    /** Takes in a request that was given up after `elapsedMs` without an answer. */
+    recordUnfinished(route: string, elapsedMs: number): void {
+        this.#work.observeUnfinished(route, elapsedMs);
+    }
+
     /** Counts a failure; true when it ejects the server. */
     recordFailure(mayEject: boolean, now: number): boolean {
         this.#successShare -= this.#successShare * RESULT_SMOOTHING;
--- a/src/coordination/placement/Placement.ts
+++ b/src/coordination/placement/Placement.ts
@@ -18,11 +18,14 @@
 /** Random part of a score, so that daemons with the same reports don't choose the same server. */
 const SCORE_NOISE = 0.01;
 const BYTES_PER_KILOBYTE = 1_000;
-/** Price of a kilobyte against the value of one answer, by distance; from the users' prices of links. */
+/**
+ * Price of a kilobyte against the value of one answer, by distance. Half of the users' prices of links:
+ * a request that is turned away costs its caller more than the answer is worth.
+ */
 const PRICE_PER_KILOBYTE = {
     [Distance.SameDomain]: 0,
-    [Distance.SameRegion]: 0.008,
-    [Distance.OtherRegion]: 0.03,
+    [Distance.SameRegion]: 0.004,
+    [Distance.OtherRegion]: 0.015,
 } as const;
 
 /** An owner that may be chosen. */
--- a/src/coordination/scheduling/WorkEstimates.ts
+++ b/src/coordination/scheduling/WorkEstimates.ts
@@ -22,6 +22,13 @@
         this.#byRoute.set(route, average(this.#byRoute.get(route), workMs));
     }
 
+    /** Takes in work that was given up after `workMs`: it counts only where the estimate was lower. */
+    observeUnfinished(route: string, workMs: number): void {
+        if (workMs > this.estimate(route)) {
+            this.observe(route, workMs);
+        }
+    }
+
     /** Forgets what was learnt, for example when another server took the address. */
     reset(): void {
         this.#byRoute.clear();
--- /dev/null
+++ b/src/coordination/scheduling/__tests__/unit/SlotQueue.test.ts
@@ -0,0 +1,111 @@
+import { describe, expect, it } from "vitest";
+import { SlotQueue, WorkEstimates } from "../../index.js";
+import type { SlotRequest } from "../../index.js";
+import { buildLoad, replayInOrder, replaySlotQueue } from "../fixtures/LoadReplay.js";
+
+function createRequest(fields: Partial<SlotRequest> = {}): SlotRequest {
+    return { deadlineAt: 1_200, isNested: false, priority: 2, route: "r", targetAt: 600, ...fields };
+}
+
+function createQueue(slots: number, workMs = 100) {
+    const estimates = new WorkEstimates();
+    estimates.observe("r", workMs);
+    return new SlotQueue<SlotRequest>(() => slots, estimates);
+}
+
+describe("order of service", () => {
+    it("starts a nested call before requests that hold no slot elsewhere", () => {
+        const queue = createQueue(1);
+        queue.add(createRequest(), 0);
+        const waiting = createRequest();
+        const nested = createRequest({ isNested: true, priority: 99 });
+        queue.add(waiting, 1);
+        queue.add(nested, 2);
+        expect(queue.release(50).started).toEqual([nested]);
+    });
+
+    it("starts what can still be in time before what is late already", () => {
+        const queue = createQueue(1);
+        queue.add(createRequest(), 0);
+        const late = createRequest({ deadlineAt: 2_000, targetAt: 50 });
+        const inTime = createRequest({ deadlineAt: 2_000, targetAt: 700 });
+        queue.add(late, 1);
+        queue.add(inTime, 2);
+        expect(queue.release(100).started).toEqual([inTime]);
+    });
+
+    it("starts the more urgent route first among those in time", () => {
+        const queue = createQueue(1);
+        queue.add(createRequest(), 0);
+        const usual = createRequest();
+        const urgent = createRequest({ priority: 1 });
+        queue.add(usual, 1);
+        queue.add(urgent, 2);
+        expect(queue.release(100).started).toEqual([urgent]);
+    });
+});
+
+describe("turning away", () => {
+    it("refuses at once a request that can't be served before its deadline", () => {
+        const queue = createQueue(1, 500);
+        queue.add(createRequest(), 0);
+        queue.add(createRequest({ deadlineAt: 10_000 }), 0);
+        const hopeless = createRequest({ deadlineAt: 700, priority: 3 });
+        const { refused } = queue.add(hopeless, 0);
+        expect(refused.map(({ request }) => request)).toEqual([hopeless]);
+        expect(refused[0]?.refusal.retryAfterMs).toBeGreaterThan(0);
+    });
+
+    it("never runs more requests than there are slots", () => {
+        const queue = createQueue(3);
+        const started = Array.from({ length: 20 }, () => queue.add(createRequest(), 0).started.length);
+        expect(started.reduce((sum, count) => sum + count, 0)).toBe(3);
+        expect(queue.running).toBe(3);
+    });
+
+    it("starts nothing while the server has no slots", () => {
+        const queue = createQueue(0);
+        expect(queue.add(createRequest(), 0).started).toEqual([]);
+    });
+});
+
+/** A ledger server of 12 slots: payments and stock look-ups at 1.7 times its capacity for three seconds. */
+const BURST = {
+    kinds: [
+        {
+            meanWorkMs: 290,
+            perSecond: (at: number) => at > 4_000 && at < 7_000 ? 46 : 22,
+            priority: 1,
+            route: "deposit-pay",
+            targetMs: 800,
+            timeoutMs: 1_500,
+            worth: 2,
+        },
+        {
+            isNested: true,
+            meanWorkMs: 55,
+            perSecond: (at: number) => at > 4_000 && at < 7_000 ? 60 : 33,
+            priority: 2,
+            route: "fabric-stock",
+            targetMs: 200,
+            timeoutMs: 600,
+            worth: 1,
+        },
+    ],
+    lengthMs: 16_000,
+    seed: 7,
+    slots: 12,
+};
+
+describe("replay of a burst", () => {
+    it("earns more than a queue in the order of arrival and refuses before the deadline", () => {
+        const load = buildLoad(BURST);
+        const before = replayInOrder(load, BURST.slots);
+        const after = replaySlotQueue(load, BURST.slots);
+        process.stdout.write(
+            `burst: benefit ${after.benefit.toFixed(0)} of ${after.owed}, in order ${before.benefit.toFixed(0)}\n`,
+        );
+        expect(after.benefit).toBeGreaterThan(before.benefit);
+        expect(after.longestRefusedWaitMs).toBeLessThan(1_500);
+    });
+});
--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -10,6 +10,8 @@
     readonly requestId: string | undefined;
     /** How long the caller waits for the answer; undefined when it doesn't say. */
     readonly timeLeftMs: number | undefined;
+    /** Id of the request for which a server makes this call, if the id tells; to be checked against what runs. */
+    readonly parentId: string | undefined;
 }
 
 /** What a server is told beside the caller's own request. */
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -94,11 +94,14 @@
     hello: {
         ...condition,
         sessionId: name,
+        /** Daemon that is meant; another one may have got its address. */
+        target: name,
         member: memberShape,
         members: createListShape(memberShape, MEMBERS_LIMIT),
     },
     welcome: {
         ...condition,
+        id: name,
         /** False when the owner holds nothing of the session, for example after it restarted. */
         isResumed: booleanShape,
         members: createListShape(memberShape, MEMBERS_LIMIT),
@@ -133,12 +136,20 @@
         stream: integer,
         status: integer,
         headers,
+        isCloseDelimited: booleanShape,
         body: bytesShape,
         workMs: numberShape,
         queuedMs: numberShape,
         load,
     },
-    answerHead: { stream: integer, status: integer, headers, workMs: numberShape, queuedMs: numberShape },
+    answerHead: {
+        stream: integer,
+        status: integer,
+        headers,
+        isCloseDelimited: booleanShape,
+        workMs: numberShape,
+        queuedMs: numberShape,
+    },
     answerData: { stream: integer, body: bytesShape },
     answerEnd: { stream: integer, load },
     /** The answer broke off after its head was sent. */
--- a/src/transport/directory/MemberKeeper.ts
+++ b/src/transport/directory/MemberKeeper.ts
@@ -17,6 +17,8 @@
     readonly store: MeshStorePort;
     readonly log: PartLogger;
     readonly random: () => number;
+    /** Told of a daemon whose address another one has now. */
+    onGone(member: Member): void;
     /** Told of each record that is new or replaced an older one, not of the own. */
     onMember(member: Member): void;
 }
@@ -57,7 +59,8 @@
             if (member.id === this.#self.id) {
                 this.#outdo(member);
             }
-            else if (this.#table.merge(member)) {
+            else if (!this.#isSuperseded(member) && this.#table.merge(member)) {
+                this.#dropFormerAt(member);
                 this.#options.log.info(`daemon ${member.id} of ${member.server?.service ?? "no service"} is known.`, {
                     member,
                 });
@@ -122,6 +125,24 @@
         return result.caseOf<StoreError | undefined>({ Left: error => error, Right: () => undefined });
     }
 
+    /** Whether a daemon that started later has the record's address. */
+    #isSuperseded(member: Member): boolean {
+        return this.list().some(other =>
+            other.id !== member.id && isSameAddress(other, member) && other.incarnation > member.incarnation
+        );
+    }
+
+    /** A VM that is gone leaves its address to another one. */
+    #dropFormerAt(member: Member): void {
+        for (const other of [...this.#table.listAll()]) {
+            if (other.id !== member.id && isSameAddress(other, member)) {
+                this.#table.remove(other.id);
+                this.#options.log.info(`daemon ${other.id} is gone: ${member.id} has its address.`, { member: other });
+                this.#options.onGone(other);
+            }
+        }
+    }
+
     /** A record of an earlier run must not replace the present one, even after the clock was set back. */
     #outdo(record: Member): void {
         if (record.incarnation > this.#self.incarnation) {
@@ -130,9 +151,12 @@
     }
 }
 
+function isSameAddress(left: Member, right: Member): boolean {
+    return left.address === right.address && left.peerPort === right.peerPort;
+}
+
 /** Whether a daemon is reached as the record says; the other fields concern one run. */
 function isSamePlace(left: Member, right: Member): boolean {
-    return left.address === right.address && left.peerPort === right.peerPort
-        && left.failureDomain === right.failureDomain && left.region === right.region
+    return isSameAddress(left, right) && left.failureDomain === right.failureDomain && left.region === right.region
         && left.server?.service === right.server?.service && left.server?.port === right.server?.port;
 }
--- a/src/transport/ownership/GateEntry.ts
+++ b/src/transport/ownership/GateEntry.ts
@@ -18,6 +18,8 @@
     readServer(): RegisteredServer | undefined;
     readLoad(): OwnerLoad;
     observeWork(route: string, workMs: number): void;
+    /** Work that took at least this long and was then given up. */
+    observeUnfinished(route: string, workMs: number): void;
     onUnreachable(detail: string): void;
     onReached(): void;
     /** Another server answered at the address. */
@@ -26,6 +28,8 @@
     onFinish(entry: GateEntry, hadSlot: boolean): void;
 }
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 const Phase = { Waiting: 0, Offered: 1, Running: 2, Ended: 3 } as const;
 
 export class GateEntry implements SlotRequest, OwnedHandle {
@@ -102,6 +106,7 @@
             return;
         }
         const connection = this.#connection;
+        this.#noteSlow();
         this.#end();
         connection?.destroy();
     }
@@ -148,8 +153,11 @@
         }
         this.#ending = statement.isNotRun || statement.isMisdirected ? "declined" : "answer";
         const workMs = this.context.now() - this.#startedAt;
-        const headers = copyAnswerHeaders(rawHeaders, findConnectionOptions(rawHeaders));
-        this.#head = { headers, queuedMs: this.#startedAt - this.arrivedAt, status, workMs };
+        const headers = copyAnswerHeaders(rawHeaders, findHeader(rawHeaders, "connection"));
+        const isCloseDelimited = !this.#isBodiless(status)
+            && findHeader(rawHeaders, "content-length") === undefined
+            && findHeader(rawHeaders, "transfer-encoding") === undefined;
+        this.#head = { headers, isCloseDelimited, queuedMs: this.#startedAt - this.arrivedAt, status, workMs };
         if (this.#ending === "answer") {
             this.context.observeWork(this.request.route, workMs);
         }
@@ -218,13 +226,25 @@
         );
     }
 
+    #isBodiless(status: number): boolean {
+        return this.request.method === "HEAD" || BODILESS_STATUSES.has(status);
+    }
+
     /** The server gave no answer in the request's time. */
     #expire(): void {
         const connection = this.#connection;
+        this.#noteSlow();
         this.#finishBroken("the server gave no answer in time");
         connection?.destroy();
     }
 
+    /** A request that is given up shows at least that its work takes longer than this. */
+    #noteSlow(): void {
+        if (this.#phase === Phase.Running && this.#head === undefined) {
+            this.context.observeUnfinished(this.request.route, this.context.now() - this.#startedAt);
+        }
+    }
+
     /** Ends the entry and gives its slot back, before its end is told. */
     #end(): void {
         const hadSlot = this.#phase === Phase.Offered || this.#phase === Phase.Running;
@@ -235,9 +255,9 @@
     }
 }
 
-function findConnectionOptions(headers: readonly string[]): string | undefined {
+function findHeader(headers: readonly string[], name: string): string | undefined {
     for (let index = 0; index + 1 < headers.length; index += 2) {
-        if ((headers[index] as string).toLowerCase() === "connection") {
+        if ((headers[index] as string).toLowerCase() === name) {
             return headers[index + 1];
         }
     }
--- a/src/transport/ownership/OwnerGate.ts
+++ b/src/transport/ownership/OwnerGate.ts
@@ -55,6 +55,16 @@
         return this.#queue.running;
     }
 
+    /** Whether the server is at work on the request with this id. */
+    isRunning(requestId: string): boolean {
+        for (const entry of this.#entries) {
+            if (entry.hasStarted && entry.request.requestId === requestId) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     readLoad(): OwnerLoad {
         const now = this.#options.now();
         const server = this.registration.server;
@@ -120,6 +130,7 @@
             onReplaced: () => this.#recordReplaced(),
             readLoad: () => this.readLoad(),
             readServer: () => this.registration.server,
+            observeUnfinished: (route, workMs) => this.#estimates.observeUnfinished(route, workMs),
             observeWork: (route, workMs) => this.#estimates.observe(route, workMs),
         });
         const refusal = this.#findRefusal(request, now);
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -43,7 +43,8 @@
         const members = [...this.#effects.listMembers()];
         const received = this.#channel.received;
         // Before anything else: the caller's side waits for this message.
-        const welcome = { isResumed, isWatching, kind: "welcome", load, members, received, revision } as const;
+        const id = this.#effects.readSelf().id;
+        const welcome = { id, isResumed, isWatching, kind: "welcome", load, members, received, revision } as const;
         this.#channel.noteReported();
         connection.send(encodeSessionMessage(welcome));
         return this.#channel.attach(connection, isResumed ? hello.received : 0);
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -150,6 +150,15 @@
             this.#lose(this.#connection);
             return;
         }
+        this.sendPing(now);
+        if (this.#channel.isOverLimit) {
+            this.#connection.close();
+            this.#reset("the daemon of the server doesn't take what it is sent");
+        }
+    }
+
+    /** Tells the owner that this daemon is alive and which version it has. */
+    sendPing(now: number): void {
         this.#channel.send({
             ...this.#options.readCondition(),
             kind: "ping",
@@ -157,20 +166,19 @@
             sentAt: now,
         });
         this.#channel.noteReported();
-        if (this.#channel.isOverLimit) {
-            this.#connection.close();
-            this.#reset("the daemon of the server doesn't take what it is sent");
-        }
     }
 
     requestConfiguration(): void {
         this.#channel.send({ kind: "configurationRequest" });
     }
 
-    close(): void {
+    /** Ends the session for good, and with it all requests on it. */
+    close(detail: string): void {
         this.#isClosed = true;
         clearTimeout(this.#redialTimer);
         this.#connection?.close();
+        this.#connection = undefined;
+        this.#abandonPending(detail);
     }
 
     #createDelays(): Generator<number, never> {
@@ -230,6 +238,7 @@
             members: [...this.#options.listMembers()],
             received: this.#channel.received,
             sessionId: this.#sessionId,
+            target: this.#member.id,
         }));
         try {
             await consumeFrames(connection, (message, bytes) => {
@@ -247,7 +256,9 @@
         if (this.#connection === connection) {
             this.#connection = undefined;
             this.#lostAt = this.#options.now();
-            this.#scheduleRedial();
+            if (!this.#isClosed) {
+                this.#scheduleRedial();
+            }
         }
     }
 
--- a/src/transport/sessions/SessionConstants.ts
+++ b/src/transport/sessions/SessionConstants.ts
@@ -4,12 +4,12 @@
 export const REDIAL_BASE_MS = 60;
 export const REDIAL_MAXIMUM_MS = 1_000;
 /** Time between signs of life on a session with few others; more sessions mean longer pauses. */
-export const PING_BASE_MS = 300;
-export const PING_MAXIMUM_MS = 1_500;
+export const PING_BASE_MS = 500;
+export const PING_MAXIMUM_MS = 2_000;
 /** Signs of life that a daemon sends in a second, at most, over all its sessions. */
-export const PINGS_PER_SECOND = 60;
+export const PINGS_PER_SECOND = 40;
 /** Pings without an answer after which a connection counts as silent. */
-export const MISSED_PINGS = 4;
+export const MISSED_PINGS = 2.5;
 /** Time after which requests on a lost connection are offered elsewhere if they may be repeated. */
 export const STALL_MS = 250;
 /** Time for which both sides keep the state of a session without a connection. */
--- a/src/transport/sessions/SessionHub.ts
+++ b/src/transport/sessions/SessionHub.ts
@@ -61,6 +61,12 @@
         }
     }
 
+    /** Ends the session with a daemon that is gone. */
+    disconnect(id: string): void {
+        this.#owners.get(id)?.close("the daemon is gone");
+        this.#owners.delete(id);
+    }
+
     getOwner(id: string): OwnerSession | undefined {
         return this.#owners.get(id);
     }
@@ -76,10 +82,18 @@
         }
     }
 
+    /** Tells the others at once that this daemon has a new version. */
+    announceCondition(): void {
+        const now = this.#options.now();
+        for (const session of this.#owners.values()) {
+            session.sendPing(now);
+        }
+    }
+
     async stop(): Promise<void> {
         clearTimeout(this.#timer);
         for (const session of this.#owners.values()) {
-            session.close();
+            session.close("this daemon stops");
         }
         for (const session of this.#callers.values()) {
             session.close();
@@ -114,7 +128,14 @@
                 session.handle(message, bytes);
             }
             else if (message.kind === "hello") {
-                session = this.#begin(connection, message);
+                this.#options.onMembers([message.member, ...message.members]);
+                if (message.target === this.#options.readSelf().id) {
+                    session = this.#begin(connection, message);
+                }
+                else {
+                    this.#options.log.info(`connection for ${message.target} closed.`, { peer: message.member.id });
+                    connection.close();
+                }
             }
             else {
                 connection.close();
@@ -139,7 +160,6 @@
             this.#callers.delete(hello.sessionId);
             session.close();
         }
-        this.#options.onMembers([hello.member, ...hello.members]);
         this.#options.onCondition({ ...hello, id: hello.member.id });
         // The other daemon is up: a session that waits for its next attempt to connect need not wait.
         this.#owners.get(hello.member.id)?.redial();
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -89,6 +89,10 @@
         this.#members = new MemberKeeper({
             isFirstStart: settings.isFirstStart,
             log: createPartLogger("members"),
+            onGone: member => {
+                this.#hub.disconnect(member.id);
+                this.#directory.removeMember(member);
+            },
             onMember: member => this.#addMember(member),
             random,
             self,
@@ -131,7 +135,10 @@
             listReachable: () => this.#listReachable(),
             log: createPartLogger("configuration"),
             now,
-            onChange: configuration => this.#callers.applyConfiguration(configuration),
+            onChange: configuration => {
+                this.#callers.applyConfiguration(configuration);
+                this.#hub.announceCondition();
+            },
             random,
             requestFrom: id => this.#hub.getOwner(id)?.requestConfiguration(),
             selfId: settings.id,
@@ -140,6 +147,7 @@
         this.#callers = new CallerListener({
             dialect: effects.dialect,
             directory: this.#directory,
+            isRunning: requestId => this.#gate.isRunning(requestId),
             log: requestLog,
             now,
             random,
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -44,6 +44,11 @@
         }
         this.#isEnded = true;
         const headers = [...head.headers];
+        if (head.isCloseDelimited) {
+            this.#writeCloseDelimited(head);
+            this.response.end(body);
+            return;
+        }
         const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
         if (!isBodiless && !hasHeader(headers, "content-length")) {
             headers.push("content-length", String(body.length));
@@ -54,7 +59,13 @@
 
     /** Begins a long answer. */
     sendHead(head: AnswerHead): void {
-        if (!this.#isEnded) {
+        if (this.#isEnded) {
+            return;
+        }
+        if (head.isCloseDelimited) {
+            this.#writeCloseDelimited(head);
+        }
+        else {
             this.#writeHead(head.status, [...head.headers]);
         }
     }
@@ -95,6 +106,13 @@
         this.response.end(sentence);
     }
 
+    /** The end of such an answer can't be told from a broken one, so it must not get a length on the way. */
+    #writeCloseDelimited(head: AnswerHead): void {
+        this.response.useChunkedEncodingByDefault = false;
+        this.response.shouldKeepAlive = false;
+        this.response.writeHead(head.status, [...head.headers, "connection", "close"]);
+    }
+
     #writeHead(status: number, headers: string[]): void {
         if (this.shouldClose()) {
             headers.push("connection", "close");
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -28,6 +28,8 @@
     readonly log: PartLogger;
     /** Service that runs on this VM. */
     readonly readCallerService: () => string;
+    /** Whether the own backend server runs the request with this id. */
+    readonly isRunning: (requestId: string) => boolean;
     readonly readConfiguration: () => TrafficConfiguration | undefined;
     /** Counts a request for its service's repeat budget. */
     recordRequest(service: string): void;
@@ -197,7 +199,8 @@
             return;
         }
         const { request } = exchange;
-        const budgetMs = this.#options.dialect.readCaller(request.headers).timeLeftMs ?? route.timeoutMs;
+        const statement = this.#options.dialect.readCaller(request.headers);
+        const budgetMs = statement.timeLeftMs ?? route.timeoutMs;
         const statistics = this.#getStatistics(route.name);
         const spentMs = statistics.observeBudget(budgetMs, arrivedAt);
         this.#options.recordRequest(service);
@@ -208,7 +211,7 @@
             callerService: this.#options.readCallerService(),
             deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),
             headers: this.#copyHeaders(request),
-            isNested: false,
+            isNested: statement.parentId !== undefined && this.#options.isRunning(statement.parentId),
             method: request.method ?? "",
             requestId,
             route,
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -377,6 +377,7 @@
             this.#attempts.delete(attempt);
             attempt.owner.statistics.noteEnd();
             attempt.owner.statistics.ejection.noteNoResult();
+            attempt.owner.statistics.recordUnfinished(this.#plan.route.name, this.#context.now() - attempt.sentAt);
             attempt.handle?.cancel();
         }
     }
@@ -429,6 +430,9 @@
             || isRepeatable(this.#plan.route.kind) && this.#attempts.size > 0
             || [...this.#attempts].some(({ isTaken }) => isTaken);
         for (const attempt of [...this.#attempts]) {
+            if (this.#context.now() - attempt.sentAt > attempt.owner.statistics.estimateWork(this.#plan.route.name, 0)) {
+                this.#context.directory.recordFailure(attempt.owner);
+            }
             this.#cancel(attempt);
         }
         if (this.#kept !== undefined) {
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -44,6 +44,13 @@
         });
     }
 
+    /** Drops the server of a daemon that is gone. */
+    removeMember(member: Member): void {
+        this.#ownersByService.get(this.#services.get(member.id) ?? "")?.delete(member.id);
+        this.#services.delete(member.id);
+        this.#statistics.delete(member.id);
+    }
+
     readStatistics(id: string): OwnerStatistics | undefined {
         return this.#statistics.get(id);
     }
