--- /dev/null
+++ b/src/coordination/registration/__tests__/unit/ServerRegistration.test.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from "vitest";
+import { ReportVerdict, ServerPhase, ServerRegistration } from "../../index.js";
+import type { ServerReport } from "../../index.js";
+
+function createReport(fields: Partial<ServerReport> = {}): ServerReport {
+    return {
+        address: "10.0.0.1",
+        coldLeftMs: 0,
+        phase: ServerPhase.Ready,
+        port: 80,
+        sequence: 1,
+        serverId: "i-1",
+        service: "ledger",
+        slots: 12,
+        startedAt: 100,
+        ...fields,
+    };
+}
+
+describe("reports that come late or crossed", () => {
+    it("ignores a ready report that was sent before the leaving one", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport({ phase: ServerPhase.Leaving, sequence: 5 }), 0);
+        expect(registration.accept(createReport({ sequence: 4 }), 1)).toBe(ReportVerdict.Outdated);
+        expect(registration.isOpen(1)).toBe(false);
+    });
+
+    it("ignores a report of an earlier start at the same address", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport({ serverId: "i-2", startedAt: 200 }), 0);
+        expect(registration.accept(createReport({ sequence: 50 }), 1)).toBe(ReportVerdict.Outdated);
+        expect(registration.server?.serverId).toBe("i-2");
+    });
+
+    it("takes a new start under the same id, whose counts begin again", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport({ phase: ServerPhase.Leaving, sequence: 50 }), 0);
+        expect(registration.accept(createReport({ sequence: 1, startedAt: 300 }), 1)).toBe(ReportVerdict.Accepted);
+        expect(registration.isOpen(1)).toBe(true);
+    });
+
+    it("keeps a departed start closed and opens for a later one", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport(), 0);
+        registration.acceptDeparture("i-1", undefined);
+        expect(registration.accept(createReport({ sequence: 2 }), 1)).toBe(ReportVerdict.Outdated);
+        expect(registration.accept(createReport({ sequence: 1, startedAt: 101 }), 2)).toBe(ReportVerdict.Accepted);
+    });
+
+    it("recognizes a late report of a server that departed before this daemon knew it", () => {
+        const registration = new ServerRegistration();
+        registration.acceptDeparture("i-1", 100);
+        expect(registration.accept(createReport({ sequence: 2 }), 1)).toBe(ReportVerdict.Outdated);
+    });
+});
+
+describe("a server that can't be reached", () => {
+    it("is closed for a pause that grows and opens when it is reached", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport(), 0);
+        registration.recordUnreachable(0);
+        expect(registration.isOpen(249)).toBe(false);
+        expect(registration.isOpen(250)).toBe(true);
+        registration.recordUnreachable(250);
+        expect(registration.isOpen(749)).toBe(false);
+        registration.recordReachable();
+        expect(registration.isOpen(260)).toBe(true);
+    });
+
+    it("is opened at once by the report of another start", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport(), 0);
+        registration.recordUnreachable(0);
+        registration.accept(createReport({ serverId: "i-2", startedAt: 200 }), 10);
+        expect(registration.isOpen(10)).toBe(true);
+    });
+});
