--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -63,7 +63,11 @@
         this.#channel.send({ kind: "load", load: this.#effects.readLoad() });
     }
 
-    handle(message: SessionMessage, bytes: number): void {
+    /** Takes a message in; one that is left over from an earlier connection is sent again over the present one. */
+    handle(connection: FrameConnection, message: SessionMessage, bytes: number): void {
+        if (connection !== this.#connection) {
+            return;
+        }
         if (isSequenced(message.kind)) {
             this.#channel.noteReceived(bytes);
         }
--- a/src/transport/sessions/SessionHub.ts
+++ b/src/transport/sessions/SessionHub.ts
@@ -125,7 +125,7 @@
         let session: CallerSession | undefined;
         const handle = (message: SessionMessage, bytes: number): void => {
             if (session !== undefined) {
-                session.handle(message, bytes);
+                session.handle(connection, message, bytes);
             }
             else if (message.kind === "hello") {
                 this.#options.onMembers([message.member, ...message.members]);
--- /dev/null
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from "vitest";
+import { FrameQueue } from "../../../../protocol/peer/index.js";
+import type { FrameConnection } from "../../../../protocol/peer/index.js";
+import type { SessionMessage } from "../../../../protocol/session/index.js";
+import { createOwnedRequest, createSilentLogger } from "../../../ownership/__tests__/fixtures/Gate.js";
+import { CallerSession } from "../../CallerSession.js";
+import { createMember } from "../fixtures/Hubs.js";
+
+const LOAD = { coldLeftMs: 0, isOpen: true, queued: 0, running: 0, slots: 2, waitMs: 0, workMs: 50 } as const;
+
+function createConnection(): FrameConnection {
+    return { close: () => undefined, countBuffered: () => 0, frames: new FrameQueue(), send: () => undefined };
+}
+
+function createHello(received: number) {
+    return {
+        isWatching: false,
+        kind: "hello",
+        member: createMember("caller", 1),
+        members: [],
+        received,
+        revision: 0,
+        sessionId: "s",
+        target: "owner",
+    } as const;
+}
+
+describe("a session that goes on over a second connection", () => {
+    it("submits a request once that arrives over both connections", () => {
+        const submitted: string[] = [];
+        const session = new CallerSession("caller", {
+            listMembers: () => [],
+            log: createSilentLogger(),
+            now: () => 0,
+            onCondition: () => undefined,
+            onConfiguration: () => undefined,
+            onMembers: () => undefined,
+            random: () => 0.5,
+            readCondition: () => ({ isWatching: false, revision: 0 }),
+            readConfiguration: () => undefined,
+            readLoad: () => LOAD,
+            readSelf: () => createMember("owner", 2),
+            submit: request => {
+                submitted.push(request.requestId);
+                return {
+                    cancel: () => undefined,
+                    pause: () => undefined,
+                    proceed: () => undefined,
+                    resume: () => undefined,
+                };
+            },
+        });
+        const [first, second] = [createConnection(), createConnection()];
+        const request: SessionMessage = { kind: "request", request: createOwnedRequest("a"), stream: 1 };
+        session.attach(first, createHello(0), false);
+        session.attach(second, createHello(0), true);
+        session.handle(first, request, 10);
+        session.handle(second, request, 10);
+        expect(submitted).toEqual(["a"]);
+    });
+});
--- a/src/transport/traffic/TrafficConstants.ts
+++ b/src/transport/traffic/TrafficConstants.ts
@@ -18,7 +18,7 @@
  * Part of the mesh's retry budget that one daemon uses. Budgets decay while the users' windows slide, and
  * calls that a repeated request makes count as repeats as well.
  */
-export const BUDGET_SHARE = 0.5;
+export const BUDGET_SHARE = 0.6;
 /** Limits before a version is in force. */
 export const INITIAL_HEADER_TIMEOUT_MS = 3_000;
 export const INITIAL_IDLE_TIMEOUT_MS = 15_000;
