Tell waits by order of service, and refuse early what would only be late under lasting overload

Change: an owner reports the waits of nested, in-time and late requests; the wait of late ones counts the work that is offered meanwhile; a request that was admitted in time keeps its place.

--- a/src/coordination/placement/OwnerStatistics.ts
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -1,7 +1,8 @@
 import { OutlierEjection } from "../balancing/index.js";
 import { WorkEstimates } from "../scheduling/index.js";
+import type { SlotWaits } from "../scheduling/index.js";
 import { Distance } from "./PlacementTypes.js";
-import type { OwnerLoad } from "./PlacementTypes.js";
+import type { OwnerLoad, PlacementQuery } from "./PlacementTypes.js";
 
 /** A report older than this says nothing about the present queue; owners report several times a second. */
 const LOAD_VALID_MS = 2_000;
@@ -88,10 +89,12 @@
         this.#work.reset();
     }
 
-    /** Time until an answer to a request of the route that is sent now. */
-    estimateLatency(route: string, now: number): number {
+    /** Time until an answer to a request that is sent now. */
+    estimateLatency({ isNested, route, targetLeftMs }: PlacementQuery, now: number): number {
         const roundTripMs = this.#roundTripMs ?? ASSUMED_ROUND_TRIP_MS[this.distance];
-        return roundTripMs + this.#estimateWait(now) + this.estimateWork(route, now);
+        const unqueuedMs = roundTripMs + this.estimateWork(route, now);
+        const nearMs = unqueuedMs + this.#estimateWait(isNested ? "nestedMs" : "inTimeMs", now);
+        return isNested || nearMs <= targetLeftMs ? nearMs : unqueuedMs + this.#estimateWait("lateMs", now);
     }
 
     estimateWork(route: string, now: number): number {
@@ -100,7 +103,7 @@
         return now < coldUntil ? workMs * COLD_FACTOR : workMs;
     }
 
-    #estimateWait(now: number): number {
+    #estimateWait(tier: keyof SlotWaits, now: number): number {
         const load = this.#load;
         if (load === undefined || now - this.#loadAt > LOAD_VALID_MS) {
             return Math.max(0, this.#inFlight + 1 - ASSUMED_SLOTS) * this.#work.mean / ASSUMED_SLOTS;
@@ -111,6 +114,6 @@
         if (backlog < slots) {
             return 0;
         }
-        return load.waitMs + (backlog - Math.max(slots - 1, reported)) * load.workMs / slots;
+        return load.waits[tier] + (backlog - Math.max(slots - 1, reported)) * load.workMs / slots;
     }
 }
--- a/src/coordination/placement/Placement.ts
+++ b/src/coordination/placement/Placement.ts
@@ -50,7 +50,7 @@
 ): Placement<T> | undefined {
     let best: Placement<T> | undefined;
     for (const candidate of candidates) {
-        const latencyMs = candidate.statistics.estimateLatency(query.route, now);
+        const latencyMs = candidate.statistics.estimateLatency(query, now);
         const score = computeScore(candidate.statistics, query, latencyMs, now) + random() * SCORE_NOISE;
         if (score > 0 && (best === undefined || score > best.score)) {
             best = { candidate, latencyMs, score };
--- a/src/coordination/placement/PlacementTypes.ts
+++ b/src/coordination/placement/PlacementTypes.ts
@@ -1,3 +1,5 @@
+import type { SlotWaits } from "../scheduling/index.js";
+
 /** How far a server is from the daemon that chooses it. */
 export const Distance = { SameDomain: 0, SameRegion: 1, OtherRegion: 2 } as const;
 export type Distance = (typeof Distance)[keyof typeof Distance];
@@ -9,8 +11,8 @@
     readonly running: number;
     readonly queued: number;
     readonly slots: number;
-    /** Time that a request which came at the report would wait for a slot. */
-    readonly waitMs: number;
+    /** Time that a request which came at the report would wait for a slot, by the order of service. */
+    readonly waits: SlotWaits;
     /** Mean work time over all routes. */
     readonly workMs: number;
     /** How much longer the server is slow after its start. */
@@ -20,6 +22,7 @@
 /** A request that is to be placed. */
 export interface PlacementQuery {
     readonly route: string;
+    readonly isNested: boolean;
     /** Time in which an answer is in time; may be negative. */
     readonly targetLeftMs: number;
     /** Time after which an answer is of no use. */
--- a/src/coordination/scheduling/SlotQueue.ts
+++ b/src/coordination/scheduling/SlotQueue.ts
@@ -1,9 +1,10 @@
 /**
  * Decides which request gets the next slot of a backend server, and which are turned away.
  *
- * Load pattern: bursts above the server's capacity, by requests that differ in urgency, and by calls
- * for which a request that already holds a slot elsewhere is waiting.
+ * Load pattern: bursts and lasting load above the server's capacity, by requests that differ in urgency,
+ * and by calls for which a request that already holds a slot elsewhere is waiting.
  */
+import { OfferedLoad } from "./OfferedLoad.js";
 import type { WorkEstimates } from "./WorkEstimates.js";
 
 /** A request that asks for a slot. Times are on the scale of `now`, milliseconds. */
@@ -32,20 +33,38 @@
     readonly refused: readonly { readonly request: T; readonly refusal: SlotRefusal; }[];
 }
 
+/** Time after which a request that comes now would start, by the order of service. */
+export interface SlotWaits {
+    readonly nestedMs: number;
+    readonly inTimeMs: number;
+    readonly lateMs: number;
+}
+
 interface Waiting<T> {
     readonly request: T;
     readonly order: number;
+    /** Whether it was expected to be in time when it came. */
+    wasInTime: boolean;
 }
 
 /** Part of the estimated work time that must fit before the deadline; the estimate is a mean, half are shorter. */
 const NEEDED_SHARE_OF_WORK = 0.7;
+/** Part of the estimated work time that must fit before the target when a request comes: most work times are shorter. */
+const ADMITTED_SHARE_OF_WORK = 1.2;
+/** Part that must still fit while it waits; lower, so that a request is not passed over after it has waited. */
+const KEPT_SHARE_OF_WORK = 0.5;
+/** Least part of the slots that is expected to be left for late requests, so that their wait stays finite. */
+const LEAST_LEFT_SHARE = 0.02;
 
 /** Order of service. */
 const Tier = { Nested: 0, InTime: 1, Late: 2 } as const;
+type Tier = (typeof Tier)[keyof typeof Tier];
 
 export class SlotQueue<T extends SlotRequest> {
     readonly #readSlots: () => number;
     readonly #estimates: WorkEstimates;
+    /** Work of requests that go before late ones. */
+    readonly #offered = new OfferedLoad();
     #waiting: Waiting<T>[] = [];
     #running = 0;
     #order = 0;
@@ -65,7 +84,10 @@
 
     /** Adds a request; the changes tell whether it or another one starts or is refused. */
     add(request: T, now: number): SlotChanges<T> {
-        this.#waiting.push({ request, order: this.#order++ });
+        if (this.#classify(request, now) !== Tier.Late) {
+            this.#offered.add(this.#estimates.estimate(request.route), now);
+        }
+        this.#waiting.push({ order: this.#order++, request, wasInTime: false });
         return this.advance(now);
     }
 
@@ -91,18 +113,24 @@
         }
         const slots = Math.max(0, this.#readSlots());
         const started: T[] = [];
-        const refused: { request: T; refusal: SlotRefusal; }[] = [];
-        const ranked = this.#rank(now);
+        const refused: T[] = [];
         const kept: Waiting<T>[] = [];
-        // Work ahead of the next request, in slot-milliseconds: half of each running request's work remains on average.
+        // Work ahead of the next request, in slot-milliseconds.
         let workAhead = 0;
-        for (const waiting of ranked) {
+        for (const waiting of this.#rank(now)) {
             const { request } = waiting;
             const workMs = this.#estimates.estimate(request.route);
-            const waitMs = this.#running < slots ? 0 : this.#estimateWait(workAhead, slots);
+            const tier = this.#classify(request, now, waiting.wasInTime);
+            let waitMs = this.#estimateStart(tier, workAhead, now);
+            if (tier === Tier.InTime && !waiting.wasInTime) {
+                waiting.wasInTime = now + waitMs + workMs * ADMITTED_SHARE_OF_WORK <= request.targetAt;
+                if (!waiting.wasInTime) {
+                    // It would be late by the time that it gets a slot, and others would go before it.
+                    waitMs = this.#estimateStart(Tier.Late, workAhead, now);
+                }
+            }
             if (now + waitMs + workMs * NEEDED_SHARE_OF_WORK > request.deadlineAt) {
-                const reason = waitMs > 0 ? "overloaded" : "deadline";
-                refused.push({ request, refusal: { reason, retryAfterMs: this.estimateWait() } });
+                refused.push(request);
             }
             else if (this.#running < slots) {
                 this.#running++;
@@ -114,35 +142,45 @@
             }
         }
         this.#waiting = kept;
-        return { started, refused };
+        const retryAfterMs = refused.length > 0 ? this.estimateWaits(now).inTimeMs : 0;
+        const reason = this.#running >= slots ? "overloaded" : "deadline";
+        return { started, refused: refused.map(request => ({ request, refusal: { reason, retryAfterMs } })) };
     }
 
-    /** Time after which a request that comes now would start behind all others. */
-    estimateWait(): number {
-        const slots = Math.max(1, this.#readSlots());
-        if (this.#running + this.#waiting.length < slots) {
-            return 0;
+    /** Time after which a request that comes now would start. */
+    estimateWaits(now: number): SlotWaits {
+        const workAhead = [0, 0, 0];
+        for (const { request, wasInTime } of this.#waiting) {
+            const workMs = this.#estimates.estimate(request.route);
+            for (let tier: number = this.#classify(request, now, wasInTime); tier <= Tier.Late; tier++) {
+                workAhead[tier] = (workAhead[tier] ?? 0) + workMs;
+            }
         }
-        const workAhead = this.#waiting.reduce((sum, { request }) => sum + this.#estimates.estimate(request.route), 0);
-        return this.#estimateWait(workAhead, slots);
+        return {
+            inTimeMs: this.#estimateStart(Tier.InTime, workAhead[Tier.InTime] ?? 0, now),
+            lateMs: this.#estimateStart(Tier.Late, workAhead[Tier.Late] ?? 0, now),
+            nestedMs: this.#estimateStart(Tier.Nested, workAhead[Tier.Nested] ?? 0, now),
+        };
     }
 
-    /** Time of the earliest deadline among those that wait; undefined when none waits. */
-    readNextDeadline(): number | undefined {
-        return this.#waiting.reduce<number | undefined>(
-            (earliest, { request }) => Math.min(earliest ?? Infinity, request.deadlineAt),
-            undefined,
-        );
-    }
-
-    #estimateWait(workAhead: number, slots: number): number {
+    #estimateStart(tier: Tier, workAhead: number, now: number): number {
+        const slots = Math.max(1, this.#readSlots());
+        if (this.#running < slots) {
+            return 0;
+        }
         const nextFreeMs = this.#estimates.mean / (slots + 1);
-        return nextFreeMs + workAhead / Math.max(1, slots);
+        // Requests that come later and still can be in time go before a late one.
+        const left = tier === Tier.Late
+            ? Math.max(slots * LEAST_LEFT_SHARE, slots - this.#offered.read(now))
+            : slots;
+        return tier === Tier.Late ? (nextFreeMs * slots + workAhead) / left : nextFreeMs + workAhead / left;
     }
 
     /** Nested calls first, then what can still be in time, then what is late; each by priority and urgency. */
     #rank(now: number): Waiting<T>[] {
-        const tiers = new Map(this.#waiting.map(waiting => [waiting, this.#classify(waiting.request, now)]));
+        const tiers = new Map(
+            this.#waiting.map(waiting => [waiting, this.#classify(waiting.request, now, waiting.wasInTime)]),
+        );
         return [...this.#waiting].sort((left, right) => {
             const tier = tiers.get(left) ?? Tier.Late;
             return tier - (tiers.get(right) ?? Tier.Late)
@@ -154,11 +192,12 @@
         });
     }
 
-    #classify(request: T, now: number): number {
+    #classify(request: T, now: number, wasInTime = false): Tier {
         if (request.isNested) {
             return Tier.Nested;
         }
-        const endAt = now + this.#estimates.estimate(request.route);
+        const share = wasInTime ? KEPT_SHARE_OF_WORK : 1;
+        const endAt = now + this.#estimates.estimate(request.route) * share;
         return endAt <= request.targetAt ? Tier.InTime : Tier.Late;
     }
 }
--- a/src/coordination/scheduling/__tests__/unit/SlotQueue.test.ts
+++ b/src/coordination/scheduling/__tests__/unit/SlotQueue.test.ts
@@ -49,7 +49,7 @@
     it("refuses at once a request that can't be served before its deadline", () => {
         const queue = createQueue(1, 500);
         queue.add(createRequest(), 0);
-        queue.add(createRequest({ deadlineAt: 10_000 }), 0);
+        queue.add(createRequest({ deadlineAt: 10_000, targetAt: 10_000 }), 0);
         const hopeless = createRequest({ deadlineAt: 700, priority: 3 });
         const { refused } = queue.add(hopeless, 0);
         expect(refused.map(({ request }) => request)).toEqual([hopeless]);
@@ -109,3 +109,34 @@
         expect(after.longestRefusedWaitMs).toBeLessThan(1_500);
     });
 });
+
+/** A status server of 12 slots that gets 1.25 times what it can do, for as long as the replay lasts. */
+const LASTING_OVERLOAD = {
+    kinds: [{
+        meanWorkMs: 275,
+        perSecond: () => 55,
+        priority: 2,
+        route: "repair-status",
+        targetMs: 600,
+        timeoutMs: 1_200,
+        worth: 1,
+    }],
+    lengthMs: 20_000,
+    seed: 11,
+    slots: 12,
+};
+
+describe("replay of a lasting overload", () => {
+    it("refuses what can't be served soon after it came, and serves the others in time", () => {
+        const load = buildLoad(LASTING_OVERLOAD);
+        const before = replayInOrder(load, LASTING_OVERLOAD.slots);
+        const after = replaySlotQueue(load, LASTING_OVERLOAD.slots);
+        process.stdout.write(
+            `lasting overload: benefit ${after.benefit.toFixed(0)} of ${after.owed}, in order ${before.benefit.toFixed(0)}`
+                + `; refused after ${after.meanRefusedWaitMs.toFixed(0)} ms, in order ${before.meanRefusedWaitMs.toFixed(0)}\n`,
+        );
+        expect(after.benefit).toBeGreaterThan(before.benefit);
+        // An eighth of the target: up to this a wait before a refusal costs the caller nothing.
+        expect(after.meanRefusedWaitMs).toBeLessThan(600 / 8);
+    });
+});
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -58,7 +58,7 @@
     running: integer,
     queued: integer,
     slots: integer,
-    waitMs: numberShape,
+    waits: createRecordShape({ nestedMs: numberShape, inTimeMs: numberShape, lateMs: numberShape }),
     workMs: numberShape,
     coldLeftMs: numberShape,
 }) as unknown as Shape<OwnerLoad>;
--- a/src/transport/ownership/OwnerGate.ts
+++ b/src/transport/ownership/OwnerGate.ts
@@ -74,7 +74,7 @@
             queued: this.#queue.queued,
             running: this.#queue.running,
             slots: server?.slots ?? 0,
-            waitMs: this.#queue.estimateWait(),
+            waits: this.#queue.estimateWaits(now),
             workMs: this.#estimates.mean,
         };
     }
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -141,6 +141,7 @@
         }
         const query = {
             budgetLeftMs: leftMs,
+            isNested: this.#plan.isNested,
             bytes: this.#plan.body.length + statistics.answerBytes,
             route: route.name,
             targetLeftMs: targetAt - now,
@@ -219,7 +220,7 @@
                     this.#refusals.push({
                         detail,
                         reason: RefusalReason.Overloaded,
-                        retryAfterMs: load?.waitMs ?? UNKNOWN_RETRY_MS,
+                        retryAfterMs: load?.waits.inTimeMs ?? UNKNOWN_RETRY_MS,
                     });
                     this.#placeAgain(detail, "declined");
                 }
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -96,7 +96,7 @@
         let earliest: number | undefined;
         for (const { statistics: { load } } of this.#ownersByService.get(service)?.values() ?? []) {
             if (load?.isOpen === true) {
-                earliest = Math.min(earliest ?? Infinity, load.waitMs);
+                earliest = Math.min(earliest ?? Infinity, load.waits.inTimeMs);
             }
         }
         return earliest;
--- a/src/transport/traffic/TrafficConstants.ts
+++ b/src/transport/traffic/TrafficConstants.ts
@@ -1,7 +1,7 @@
 /** Time beyond a request's limit in which an answer that is on its way arrives; callers wait no longer than this for a verdict. */
 export const VERDICT_GRACE_MS = 120;
 /** Owners that are asked for a slot for one request. */
-export const MAXIMUM_OFFERS = 5;
+export const MAXIMUM_OFFERS = 4;
 /** Time that must be left for another server to be worth a try. */
 export const SHORTEST_RETRY_MS = 40;
 /** Time after which an answer may be called overdue at the earliest. */
