--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,7 @@
 const verbRegex = `^(${VERBS.join("|")})([A-Z0-9]|$)`;
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "coverage/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "coverage/**"] },
     ...tseslint.configs.strict,
     {
         files: ["**/*.ts"],
--- a/src/coordination/scheduling/WorkEstimates.ts
+++ b/src/coordination/scheduling/WorkEstimates.ts
@@ -18,8 +18,8 @@
     }
 
     observe(route: string, workMs: number): void {
-        this.#mean = average(this.#mean, workMs);
-        this.#byRoute.set(route, average(this.#byRoute.get(route), workMs));
+        this.#mean = updateMean(this.#mean, workMs);
+        this.#byRoute.set(route, updateMean(this.#byRoute.get(route), workMs));
     }
 
     /** Takes in work that was given up after `workMs`: it counts only where the estimate was lower. */
@@ -36,6 +36,6 @@
     }
 }
 
-function average(mean: number | undefined, value: number): number {
+function updateMean(mean: number | undefined, value: number): number {
     return mean === undefined ? value : mean + (value - mean) * WORK_SMOOTHING;
 }
--- a/src/coordination/scheduling/__tests__/unit/SlotQueue.test.ts
+++ b/src/coordination/scheduling/__tests__/unit/SlotQueue.test.ts
@@ -132,8 +132,12 @@
         const before = replayInOrder(load, LASTING_OVERLOAD.slots);
         const after = replaySlotQueue(load, LASTING_OVERLOAD.slots);
         process.stdout.write(
-            `lasting overload: benefit ${after.benefit.toFixed(0)} of ${after.owed}, in order ${before.benefit.toFixed(0)}`
-                + `; refused after ${after.meanRefusedWaitMs.toFixed(0)} ms, in order ${before.meanRefusedWaitMs.toFixed(0)}\n`,
+            `lasting overload: benefit ${after.benefit.toFixed(0)} of ${after.owed}, in order ${
+                before.benefit.toFixed(0)
+            }`
+                + `; refused after ${after.meanRefusedWaitMs.toFixed(0)} ms, in order ${
+                    before.meanRefusedWaitMs.toFixed(0)
+                }\n`,
         );
         expect(after.benefit).toBeGreaterThan(before.benefit);
         // An eighth of the target: up to this a wait before a refusal costs the caller nothing.
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -11,7 +11,6 @@
     createChoiceShape,
     createIntegerShape,
     createListShape,
-    createOptionalShape,
     createRecordShape,
     createTextShape,
     MessageError,
--- a/src/transport/logging/Logger.ts
+++ b/src/transport/logging/Logger.ts
@@ -46,7 +46,10 @@
 
 /** Starts a program's log: one JSON object a line. */
 export function createLogger(options: LoggerOptions): CreatePartLogger {
-    const stream: Stream = { level: options.level, stream: (options.output ?? process.stdout) as NodeJS.WritableStream };
+    const stream: Stream = {
+        level: options.level,
+        stream: (options.output ?? process.stdout) as NodeJS.WritableStream,
+    };
     const root = bunyan.createLogger({ ...options.fields, name: options.name, streams: [stream] });
     return part => createPartLogger(root, part);
 }
--- a/src/transport/ownership/OwnerGate.ts
+++ b/src/transport/ownership/OwnerGate.ts
@@ -11,11 +11,11 @@
 import { RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
+import { GateEntry } from "./GateEntry.js";
 import type { OwnedHandle, OwnedRequest, OwnerEvents } from "./OwnedRequest.js";
 import { CLOSED_RETRY_MS, SHORTEST_BUDGET_MS } from "./OwnershipConstants.js";
 import { isWellFormed } from "./RequestBytes.js";
 import { ServerConnections } from "./ServerConnections.js";
-import { GateEntry } from "./GateEntry.js";
 
 /** Time between checks of queued requests when nothing else happens. */
 const QUEUE_CHECK_MS = 25;
--- a/src/transport/ownership/RequestBytes.ts
+++ b/src/transport/ownership/RequestBytes.ts
@@ -5,7 +5,7 @@
 const TOKEN_PATTERN = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
 const TARGET_PATTERN = /^[\x21-\xff]+$/;
 /** Header values have no control characters other than tabs. */
-// eslint-disable-next-line no-control-regex
+
 const VALUE_PATTERN = /^[\t\x20-\x7e\x80-\xff]*$/;
 
 /** Whether all parts can stand in a message without changing its structure. */
--- a/src/transport/ownership/__tests__/unit/OwnerGate.test.ts
+++ b/src/transport/ownership/__tests__/unit/OwnerGate.test.ts
@@ -54,7 +54,10 @@
     });
 
     it.each([
-        ["is shorter than it states", (id: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nContent-Length: 9\r\n\r\nab`],
+        [
+            "is shorter than it states",
+            (id: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nContent-Length: 9\r\n\r\nab`,
+        ],
         ["is no HTTP", () => "\u0001\u0002 what\r\n\r\n"],
         ["names no request", () => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"],
     ])("calls a request unknown whose answer %s", async (_name, format) => {
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -35,4 +35,3 @@
     /** Gives a request of another daemon to the own gate. */
     submit(request: OwnedRequest, events: OwnerEvents): OwnedHandle;
 }
-
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -6,7 +6,15 @@
 import { CallerSession } from "../../CallerSession.js";
 import { createMember } from "../fixtures/Hubs.js";
 
-const LOAD = { coldLeftMs: 0, isOpen: true, queued: 0, running: 0, slots: 2, waits: { inTimeMs: 0, lateMs: 0, nestedMs: 0 }, workMs: 50 } as const;
+const LOAD = {
+    coldLeftMs: 0,
+    isOpen: true,
+    queued: 0,
+    running: 0,
+    slots: 2,
+    waits: { inTimeMs: 0, lateMs: 0, nestedMs: 0 },
+    workMs: 50,
+} as const;
 
 function createConnection(): FrameConnection {
     return { close: () => undefined, countBuffered: () => 0, frames: new FrameQueue(), send: () => undefined };
--- a/src/transport/sidecar/MetricsText.ts
+++ b/src/transport/sidecar/MetricsText.ts
@@ -17,7 +17,12 @@
         const common = `class="${labels.class}",service="${labels.service}"`;
         lines.push(`papayaturn_requests_total{${common}} ${count}`);
         for (const [name, distribution] of [["latency", latencyMs], ["queued", queuedMs]] as const) {
-            for (const [quantile, value] of [["0.5", distribution.p50], ["0.9", distribution.p90], ["0.99", distribution.p99]]) {
+            for (
+                const [quantile, value] of [["0.5", distribution.p50], ["0.9", distribution.p90], [
+                    "0.99",
+                    distribution.p99,
+                ]]
+            ) {
                 lines.push(
                     `papayaturn_${name}_seconds{${common},quantile="${quantile}"} ${Number(value) / MS_PER_SECOND}`,
                 );
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -170,11 +170,13 @@
             await openPlainPort(readyAddress, call => this.#effects.answerReady(this.#isReady())(call)),
         );
         if (metricsAddress !== undefined) {
-            this.#servers.push(await openPlainPort(metricsAddress, () => ({
-                body: this.#renderMetrics(),
-                contentType: "text/plain; version=0.0.4",
-                status: 200,
-            })));
+            this.#servers.push(
+                await openPlainPort(metricsAddress, () => ({
+                    body: this.#renderMetrics(),
+                    contentType: "text/plain; version=0.0.4",
+                    status: 200,
+                })),
+            );
         }
         this.#configuration.start();
         void this.#members.register();
@@ -277,4 +279,3 @@
         state: MemberState.Live,
     };
 }
-
--- a/src/transport/sidecar/SidecarSettings.ts
+++ b/src/transport/sidecar/SidecarSettings.ts
@@ -10,7 +10,11 @@
 export const SIDECAR_FLAGS = {
     "caller-address": { description: "ip:port for requests of callers on this VM", type: "string" },
     "failure-domain": { description: "failure domain of the VM", type: "string" },
-    "first-start": { default: "false", description: "whether the whole mesh starts for the first time", type: "string" },
+    "first-start": {
+        default: "false",
+        description: "whether the whole mesh starts for the first time",
+        type: "string",
+    },
     "grace": { default: "6s", description: "time between SIGTERM and SIGKILL", type: "string" },
     "id": { description: "unique name of this daemon", type: "string" },
     "log-level": { default: "info", description: LOG_LEVELS.join(", "), type: "string" },
@@ -20,7 +24,11 @@
     "region": { description: "region of the VM", type: "string" },
     "report-address": { description: "ip:port for reports of the backend server", type: "string" },
     "retry-ratio": { default: "0.2", description: "repeats for each request that the mesh may send", type: "string" },
-    "retry-slack": { default: "60", description: "repeats that the mesh may send besides, in one window", type: "string" },
+    "retry-slack": {
+        default: "60",
+        description: "repeats that the mesh may send besides, in one window",
+        type: "string",
+    },
     "retry-window": { default: "10s", description: "window of the repeat budget", type: "string" },
     "server-address": { description: "ip:port of the backend server", type: "string" },
     "service": { description: "service of the backend server", type: "string" },
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -167,8 +167,19 @@
     #send(owner: Owner): void {
         const now = this.#context.now();
         const attempt: Attempt = { handle: undefined, isEnded: false, isTaken: false, owner, sentAt: now };
-        const { body, callerService, deadlineAt, headers, isNested, method, requestId, route, service, target, targetAt } =
-            this.#plan;
+        const {
+            body,
+            callerService,
+            deadlineAt,
+            headers,
+            isNested,
+            method,
+            requestId,
+            route,
+            service,
+            target,
+            targetAt,
+        } = this.#plan;
         const request: OwnedRequest = {
             body,
             budgetLeftMs: deadlineAt - now,
@@ -205,7 +216,13 @@
             onCut: (detail, load) => {
                 if (this.#end(attempt, load)) {
                     this.#context.directory.recordFailure(attempt.owner);
-                    this.#finish(attempt.owner, BAD_GATEWAY_STATUS, Outcome.Unknown, detail, () => this.#exchange.cut());
+                    this.#finish(
+                        attempt.owner,
+                        BAD_GATEWAY_STATUS,
+                        Outcome.Unknown,
+                        detail,
+                        () => this.#exchange.cut(),
+                    );
                 }
             },
             onData: body => {
@@ -395,8 +412,13 @@
         }
         if (this.#mayHaveRun) {
             const detail = this.#lastDetail;
-            this.#finish(undefined, BAD_GATEWAY_STATUS, Outcome.Unknown, detail, () =>
-                this.#exchange.sendOwn(BAD_GATEWAY_STATUS, Outcome.Unknown, detail));
+            this.#finish(
+                undefined,
+                BAD_GATEWAY_STATUS,
+                Outcome.Unknown,
+                detail,
+                () => this.#exchange.sendOwn(BAD_GATEWAY_STATUS, Outcome.Unknown, detail),
+            );
             return;
         }
         this.#refuse();
@@ -431,7 +453,9 @@
             || isRepeatable(this.#plan.route.kind) && this.#attempts.size > 0
             || [...this.#attempts].some(({ isTaken }) => isTaken);
         for (const attempt of [...this.#attempts]) {
-            if (this.#context.now() - attempt.sentAt > attempt.owner.statistics.estimateWork(this.#plan.route.name, 0)) {
+            if (
+                this.#context.now() - attempt.sentAt > attempt.owner.statistics.estimateWork(this.#plan.route.name, 0)
+            ) {
                 this.#context.directory.recordFailure(attempt.owner);
             }
             this.#cancel(attempt);
@@ -440,8 +464,13 @@
             this.#deliver(this.#kept);
         }
         else if (mayRun) {
-            this.#finish(undefined, GATEWAY_TIMEOUT_STATUS, Outcome.Unknown, "the time is over", () =>
-                this.#exchange.sendOwn(GATEWAY_TIMEOUT_STATUS, Outcome.Unknown, "the time is over"));
+            this.#finish(
+                undefined,
+                GATEWAY_TIMEOUT_STATUS,
+                Outcome.Unknown,
+                "the time is over",
+                () => this.#exchange.sendOwn(GATEWAY_TIMEOUT_STATUS, Outcome.Unknown, "the time is over"),
+            );
         }
         else {
             this.#refuse();
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -66,7 +66,9 @@
     /** Owners of a service that take requests now, other than the excluded ones. */
     *listCandidates(service: string, excluded: ReadonlySet<string>, now: number): Generator<Owner> {
         for (const owner of this.#ownersByService.get(service)?.values() ?? []) {
-            if (!excluded.has(owner.id) && this.#isAvailable(owner, now) && owner.statistics.ejection.isAvailable(now)) {
+            if (
+                !excluded.has(owner.id) && this.#isAvailable(owner, now) && owner.statistics.ejection.isAvailable(now)
+            ) {
                 yield owner;
             }
         }
