--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -47,6 +47,8 @@
 export interface Sidecar {
     /** Planned stop: interrupts no request. */
     stop(): Promise<void>;
+    /** Ends at once as a crash does; for tests. */
+    closeAbruptly(): Promise<void>;
 }
 
 export async function startSidecar(settings: SidecarSettings, effects: SidecarEffects): Promise<Sidecar> {
@@ -193,9 +195,7 @@
         while (this.#gate.pending > 0 && this.#effects.now() - begin < longestMs) {
             await new Promise(resolve => setTimeout(resolve, 20));
         }
-        this.#configuration.stop();
-        await this.#hub.stop();
-        this.#gate.closeAll();
+        await this.#closePorts();
         this.#log.info("planned stop has ended.", {
             open: this.#callers.open,
             pending: this.#gate.pending,
@@ -203,6 +203,22 @@
         });
     }
 
+    async closeAbruptly(): Promise<void> {
+        this.#members.stop();
+        this.#callers.closeAbruptly();
+        await this.#closePorts();
+    }
+
+    async #closePorts(): Promise<void> {
+        this.#configuration.stop();
+        await this.#hub.stop();
+        this.#gate.closeAll();
+        for (const server of this.#servers) {
+            server.close();
+            server.closeAllConnections();
+        }
+    }
+
     #addMember(member: Member): void {
         this.#hub.connect(member);
         this.#directory.addMember(member);
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -125,6 +125,11 @@
         this.#server.closeIdleConnections();
     }
 
+    closeAbruptly(): void {
+        this.#server.close();
+        this.#server.closeAllConnections();
+    }
+
     /** Whether new requests are refused because the planned stop is near its end. */
     #isClosed(now: number): boolean {
         return this.#stopsSince !== undefined && now - this.#stopsSince > STOP_ACCEPT_MS;
