--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -47,6 +47,8 @@
 export interface Sidecar {
     /** Planned stop: interrupts no request. */
     stop(): Promise<void>;
+    /** Takes changed settings in; those of ports and of the daemon's identity need a restart. */
+    reload(settings: SidecarSettings): void;
     /** Ends at once as a crash does; for tests. */
     closeAbruptly(): Promise<void>;
 }
@@ -57,8 +59,17 @@
     return sidecar;
 }
 
+/** Settings that are followed while the daemon runs. */
+const RELOADED_SETTINGS: ReadonlySet<string> = new Set([
+    "graceMs",
+    "retryRatio",
+    "retrySlack",
+    "retryWindowMs",
+    "storeUrl",
+]);
+
 class RunningSidecar implements Sidecar {
-    readonly #settings: SidecarSettings;
+    #settings: SidecarSettings;
     readonly #effects: SidecarEffects;
     readonly #log: PartLogger;
     readonly #gate: OwnerGate;
@@ -203,6 +214,20 @@
         });
     }
 
+    reload(settings: SidecarSettings): void {
+        const before = this.#settings as unknown as Record<string, unknown>;
+        const changed = Object.entries(settings)
+            .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(before[name]))
+            .map(([name]) => name);
+        const ignored = changed.filter(name => !RELOADED_SETTINGS.has(name));
+        const followed = changed.filter(name => RELOADED_SETTINGS.has(name));
+        this.#settings = {
+            ...this.#settings,
+            ...Object.fromEntries(Object.entries(settings).filter(([name]) => RELOADED_SETTINGS.has(name))),
+        };
+        this.#log.info("settings were read again.", { followed, ignored });
+    }
+
     async closeAbruptly(): Promise<void> {
         this.#members.stop();
         this.#callers.closeAbruptly();
