Keep one connection of a session between its hello and its welcome

Both hellos named the same count of received messages, answers that came meanwhile were counted twice, and after the next reset a message was taken for received that was not: the end of an answer came without its beginning. The new test failed before (two connections instead of one).

--- a/src/protocol/session/ReliableChannel.ts
+++ b/src/protocol/session/ReliableChannel.ts
@@ -77,13 +77,10 @@
         }
     }
 
-    /** Drops what the other side has received; false when it claims more than was sent. */
+    /** Drops what the other side has received; false when the count is none that it can have. */
     acknowledge(received: number): boolean {
         const count = received - this.#acknowledged;
-        if (count < 0) {
-            return true;
-        }
-        if (count > this.#unacknowledged.length) {
+        if (count < 0 || count > this.#unacknowledged.length) {
             return false;
         }
         for (let index = 0; index < count; index++) {
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -10,7 +10,14 @@
 import type { OwnedHandle, OwnedRequest, OwnerEvents } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { consumeFrames } from "./ConsumeFrames.js";
-import { MISSED_PINGS, REDIAL_BASE_MS, REDIAL_MAXIMUM_MS, SESSION_KEPT_MS, STALL_MS } from "./SessionConstants.js";
+import {
+    MISSED_PINGS,
+    REDIAL_BASE_MS,
+    REDIAL_MAXIMUM_MS,
+    SESSION_KEPT_MS,
+    STALL_MS,
+    WELCOME_TIMEOUT_MS,
+} from "./SessionConstants.js";
 import type { SessionEffects } from "./SessionTypes.js";
 
 /** Events of a request on a session. */
@@ -51,6 +58,7 @@
     #lostAt: number;
     #isClosed = false;
     #isDialing = false;
+    #dials = 0;
     #redialTimer: NodeJS.Timeout | undefined;
     #delays: Generator<number, never>;
     #wasLost = true;
@@ -191,10 +199,10 @@
 
     async #dial(): Promise<void> {
         this.#isDialing = true;
+        const dial = ++this.#dials;
         const { address, peerPort } = this.#member;
         try {
             const connection = await this.#options.network.connect(address, peerPort);
-            this.#isDialing = false;
             if (this.#isClosed) {
                 connection.close();
                 return;
@@ -202,11 +210,14 @@
             await this.#converse(connection);
         }
         catch (error) {
-            this.#isDialing = false;
             this.#fail(error as NodeJS.ErrnoException);
         }
-        if (!this.#isClosed && this.#connection === undefined) {
-            this.#scheduleRedial();
+        // A silent connection may end long after the next one was opened.
+        if (dial === this.#dials) {
+            this.#isDialing = false;
+            if (!this.#isClosed && this.#connection === undefined) {
+                this.#scheduleRedial();
+            }
         }
     }
 
@@ -240,6 +251,12 @@
             sessionId: this.#sessionId,
             target: this.#member.id,
         }));
+        // Only one connection at a time may be between its hello and its welcome: the counts in both must hold.
+        const timer = setTimeout(() => {
+            if (this.#connection !== connection) {
+                connection.close();
+            }
+        }, WELCOME_TIMEOUT_MS);
         try {
             await consumeFrames(connection, (message, bytes) => {
                 this.#lastHeardAt = this.#options.now();
@@ -247,6 +264,7 @@
             });
         }
         finally {
+            clearTimeout(timer);
             this.#lose(connection);
         }
     }
@@ -306,6 +324,7 @@
             return;
         }
         this.#hasBegun = true;
+        this.#isDialing = false;
         this.#connection = connection;
         this.#delays = this.#createDelays();
         if (this.#wasLost) {
--- a/src/transport/sessions/SessionConstants.ts
+++ b/src/transport/sessions/SessionConstants.ts
@@ -1,5 +1,7 @@
 /** A daemon that can be reached accepts a connection within one round trip between regions and a delay of its process. */
 export const CONNECT_TIMEOUT_MS = 700;
+/** Time in which the other daemon answers a hello; as for a connection. */
+export const WELCOME_TIMEOUT_MS = 700;
 /** Pause before a connection is opened again, doubled after each failure, with full jitter. */
 export const REDIAL_BASE_MS = 60;
 export const REDIAL_MAXIMUM_MS = 1_000;
--- a/src/transport/sessions/__tests__/unit/Sessions.test.ts
+++ b/src/transport/sessions/__tests__/unit/Sessions.test.ts
@@ -71,6 +71,21 @@
     });
 });
 
+describe("a session that is asked to connect again", () => {
+    it("opens no second connection while the first waits for its welcome", async () => {
+        const { link, session } = await openPair(() => undefined);
+        link.setDelay(100);
+        const before = link.countConnections();
+        link.resetAll();
+        for (let index = 0; index < 20; index++) {
+            session.redial();
+            await new Promise(resolve => setTimeout(resolve, 15));
+        }
+        await waitUntil(() => session.isUsable(performance.now()));
+        expect(link.countConnections() - before).toBe(1);
+    });
+});
+
 describe("an owner that ends", () => {
     it("leaves a request unknown that it may have started", async () => {
         const { crashOwner, link, server, session } = await openPair(() => undefined);
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -214,7 +214,8 @@
         return {
             onAnswer: (head, body, load) => this.#takeAnswer(attempt, head, body, load),
             onCut: (detail, load) => {
-                if (this.#end(attempt, load)) {
+                const isStreaming = this.#streaming === attempt;
+                if (this.#end(attempt, load) && this.#isBegun(isStreaming, detail)) {
                     this.#context.directory.recordFailure(attempt.owner);
                     this.#finish(
                         attempt.owner,
@@ -243,7 +244,8 @@
                 }
             },
             onEnd: load => {
-                if (this.#end(attempt, load)) {
+                const isStreaming = this.#streaming === attempt;
+                if (this.#end(attempt, load) && this.#isBegun(isStreaming, "the answer ended without a beginning")) {
                     this.#recordSuccess(attempt, this.#streamedBytes);
                     this.#finish(attempt.owner, 200, Outcome.Answered, "", () => this.#exchange.sendEnd());
                 }
@@ -266,13 +268,7 @@
                 if (this.#end(attempt, load)) {
                     this.#mayHaveRun = true;
                     this.#context.directory.recordFailure(attempt.owner);
-                    if (isRepeatable(this.#plan.route.kind)) {
-                        this.#placeAgain(detail, "unknown");
-                    }
-                    else {
-                        this.#lastDetail = detail;
-                        this.#concludeIfIdle();
-                    }
+                    this.#placeAgainIfRepeatable(detail);
                 }
             },
         };
@@ -329,10 +325,29 @@
         this.#exchange.sendHead(head);
     }
 
+    /** An end without its beginning is no answer; the request may have run. */
+    #isBegun(isStreaming: boolean, detail: string): boolean {
+        if (!isStreaming) {
+            this.#mayHaveRun = true;
+            this.#placeAgainIfRepeatable(detail);
+        }
+        return isStreaming;
+    }
+
     #recordSuccess(attempt: Attempt, bytes: number): void {
         this.#plan.statistics.recordAnswer(this.#context.now() - attempt.sentAt, bytes);
     }
 
+    #placeAgainIfRepeatable(detail: string): void {
+        if (isRepeatable(this.#plan.route.kind)) {
+            this.#placeAgain(detail, "unknown");
+        }
+        else {
+            this.#lastDetail = detail;
+            this.#concludeIfIdle();
+        }
+    }
+
     /** Places the request again after an attempt ended without an answer. */
     #placeAgain(detail: string, reason: string): void {
         this.#lastDetail = detail;
--- a/standins/faults/LoopbackProxy.ts
+++ b/standins/faults/LoopbackProxy.ts
@@ -8,6 +8,8 @@
 
 export interface LoopbackProxy {
     readonly port: number;
+    /** Connections that were opened so far. */
+    countConnections(): number;
     /** Resets all connections; new ones are accepted. */
     resetAll(): void;
     /** Bytes of a silent direction are held and pass when the silence ends. */
@@ -29,6 +31,7 @@
     let silence: Silence = Silence.None;
     let isRefusing = false;
     let delayMs = 0;
+    let connections = 0;
 
     function pass(from: Socket, to: Socket, direction: Silence): void {
         from.on("data", (data: Buffer) => {
@@ -60,6 +63,7 @@
             outer.resetAndDestroy();
             return;
         }
+        connections++;
         const inner = connect({ host, noDelay: true, port: targetPort });
         const pair = { inner, outer };
         pairs.add(pair);
@@ -85,6 +89,7 @@
             resetAll();
             await new Promise(resolve => server.close(resolve));
         },
+        countConnections: () => connections,
         port: (server.address() as AddressInfo).port,
         resetAll,
         setDelay: ms => {
