Believe load reports less as time passes; weigh delays below the target less than bytes

A reported wait now shrinks with the report's age. A faster server in another failure domain no longer wins by a delay that costs the caller nothing.

--- a/src/coordination/placement/OwnerStatistics.ts
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -114,6 +114,8 @@
         if (backlog < slots) {
             return 0;
         }
-        return load.waits[tier] + (backlog - Math.max(slots - 1, reported)) * load.workMs / slots;
+        // The queue has moved on since the report; without this, all daemons stay away until the next one.
+        const waitMs = Math.max(0, load.waits[tier] - (now - this.#loadAt));
+        return waitMs + (backlog - Math.max(slots - 1, reported)) * load.workMs / slots;
     }
 }
--- a/src/coordination/placement/Placement.ts
+++ b/src/coordination/placement/Placement.ts
@@ -14,9 +14,9 @@
 /** Part of the work time over which the chance of meeting a limit falls from 1 to 0; work times vary by about this. */
 const LATENCY_SPREAD = 1;
 /** Value lost per millisecond of expected latency; decides between servers that are otherwise equal. */
-const VALUE_PER_MS = 0.0001;
+const VALUE_PER_MS = 0.00004;
 /** Random part of a score, so that daemons with the same reports don't choose the same server. */
-const SCORE_NOISE = 0.01;
+const SCORE_NOISE = 0.005;
 const BYTES_PER_KILOBYTE = 1_000;
 /**
  * Price of a kilobyte against the value of one answer, by distance. Half of the users' prices of links:
--- /dev/null
+++ b/src/coordination/placement/__tests__/unit/Placement.test.ts
@@ -0,0 +1,133 @@
+import { describe, expect, it } from "vitest";
+import { createSeededRandom } from "../../../../state/shared/index.js";
+import { choosePlacement, computeReturnTime, Distance, OwnerStatistics, RouteStatistics } from "../../index.js";
+import type { OwnerLoad, PlacementQuery } from "../../index.js";
+
+const random = createSeededRandom(3);
+
+function createLoad(fields: Partial<OwnerLoad> = {}): OwnerLoad {
+    return {
+        coldLeftMs: 0,
+        isOpen: true,
+        queued: 0,
+        running: 0,
+        slots: 12,
+        waits: { inTimeMs: 0, lateMs: 0, nestedMs: 0 },
+        workMs: 200,
+        ...fields,
+    };
+}
+
+function createCandidate(id: string, distance: Distance, load: Partial<OwnerLoad> = {}) {
+    const statistics = new OwnerStatistics(distance);
+    for (let count = 0; count < 10; count++) {
+        statistics.recordSuccess("r", 200, 0);
+    }
+    statistics.recordLoad(createLoad(load), 0);
+    return { id, statistics };
+}
+
+function createQuery(fields: Partial<PlacementQuery> = {}): PlacementQuery {
+    return { budgetLeftMs: 1_200, bytes: 2_000, isNested: false, route: "r", targetLeftMs: 600, ...fields };
+}
+
+const busy = (waitMs: number) => ({
+    queued: 6,
+    running: 12,
+    waits: { inTimeMs: waitMs, lateMs: waitMs * 5, nestedMs: 20 },
+});
+
+describe("where a request goes", () => {
+    it("stays in its failure domain while it can be in time there", () => {
+        const near = createCandidate("near", Distance.SameDomain, busy(100));
+        const far = createCandidate("far", Distance.OtherRegion);
+        expect(choosePlacement([far, near], createQuery(), 0, random)?.candidate.id).toBe("near");
+    });
+
+    it("leaves its failure domain before it would be late there", () => {
+        const near = createCandidate("near", Distance.SameDomain, busy(500));
+        const far = createCandidate("far", Distance.OtherRegion);
+        expect(choosePlacement([near, far], createQuery(), 0, random)?.candidate.id).toBe("far");
+    });
+
+    it("is nowhere when a large answer would cost more than it is worth", () => {
+        const far = createCandidate("far", Distance.OtherRegion);
+        expect(choosePlacement([far], createQuery({ bytes: 90_000 }), 0, random)).toBeUndefined();
+        const near = createCandidate("near", Distance.SameRegion);
+        expect(choosePlacement([near], createQuery({ bytes: 90_000 }), 0, random)?.candidate.id).toBe("near");
+    });
+
+    it("follows the short wait of a nested call, not that behind all others", () => {
+        const near = createCandidate("near", Distance.SameDomain, busy(2_000));
+        const query = createQuery({ budgetLeftMs: 600, isNested: true, targetLeftMs: 400 });
+        expect(choosePlacement([near], query, 0, random)?.candidate.id).toBe("near");
+        expect(choosePlacement([near], { ...query, isNested: false }, 0, random)).toBeUndefined();
+    });
+
+    it("avoids a server whose requests were given up after a long time", () => {
+        const slow = createCandidate("slow", Distance.SameDomain);
+        for (let count = 0; count < 10; count++) {
+            slow.statistics.recordUnfinished("r", 1_200);
+        }
+        const other = createCandidate("other", Distance.SameRegion);
+        expect(choosePlacement([slow, other], createQuery(), 0, random)?.candidate.id).toBe("other");
+    });
+
+    it("avoids a server that fails part of its requests", () => {
+        const grey = createCandidate("grey", Distance.SameDomain);
+        for (let count = 0; count < 20; count++) {
+            grey.statistics.recordFailure(false, 0);
+        }
+        const other = createCandidate("other", Distance.SameRegion);
+        expect(choosePlacement([grey, other], createQuery(), 0, random)?.candidate.id).toBe("other");
+    });
+});
+
+describe("load reports", () => {
+    it("are believed less as time passes, so that servers whose queue has drained get work again", () => {
+        const near = createCandidate("near", Distance.SameDomain, busy(450));
+        expect(choosePlacement([near], createQuery({ budgetLeftMs: 700 }), 0, random)).toBeUndefined();
+        expect(choosePlacement([near], createQuery({ budgetLeftMs: 700 }), 200, random)?.candidate.id).toBe("near");
+    });
+
+    it("don't send a herd to the one server that last looked free", () => {
+        const candidates = ["a", "b", "c"].map(id => createCandidate(id, Distance.SameDomain));
+        const counts = new Map<string, number>();
+        for (let count = 0; count < 60; count++) {
+            const chosen = choosePlacement(candidates, createQuery(), 0, random)?.candidate;
+            chosen?.statistics.noteBegin(0);
+            counts.set(chosen?.id ?? "", (counts.get(chosen?.id ?? "") ?? 0) + 1);
+        }
+        for (const id of ["a", "b", "c"]) {
+            expect(counts.get(id)).toBeGreaterThan(12);
+        }
+    });
+});
+
+describe("the time to come back", () => {
+    it("is spread around the time at which a slot is expected, within what callers honour", () => {
+        const times = Array.from({ length: 200 }, () => computeReturnTime(400, 2_400, random));
+        expect(Math.min(...times)).toBeLessThan(220);
+        expect(Math.max(...times)).toBeGreaterThan(580);
+        expect(Math.max(...Array.from({ length: 50 }, () => computeReturnTime(5_000, 900, random)))).toBe(300);
+    });
+});
+
+describe("a route's requests", () => {
+    it("show how much of its time a returning caller has spent", () => {
+        const statistics = new RouteStatistics();
+        expect(statistics.observeBudget(2_500, 0)).toBe(0);
+        expect(statistics.observeBudget(1_900, 10)).toBe(600);
+        expect(statistics.observeBudget(2_500, 20)).toBe(0);
+    });
+
+    it("call an answer overdue only after enough answers", () => {
+        const statistics = new RouteStatistics();
+        expect(statistics.estimateOverdue()).toBeUndefined();
+        for (let count = 0; count < 40; count++) {
+            statistics.recordAnswer(200 + count % 10, 1_000);
+        }
+        expect(statistics.estimateOverdue()).toBeGreaterThan(200);
+        expect(statistics.estimateOverdue()).toBeLessThan(600);
+    });
+});
