Pass large bodies and unusual headers between daemons; never repeat a message that can't be read

Found by reading the limits of both sides against each other: a body above one megabyte, more than 256 headers or an id of over 256 characters was accepted from a caller, refused by the owner's decoder, and sent again on each new connection, so the session never came back. Limits now follow what callers may send, and a message that can't be read ends its session.

--- a/src/protocol/session/ReliableChannel.ts
+++ b/src/protocol/session/ReliableChannel.ts
@@ -12,7 +12,7 @@
 /** Unacknowledged bytes above which the sender should stop producing. */
 const WINDOW_BYTES = 262_144;
 /** Unacknowledged bytes at which the channel is given up, so that a silent peer can't use up the memory. */
-const KEPT_LIMIT_BYTES = 16 * 1_048_576;
+const KEPT_LIMIT_BYTES = 96 * 1_048_576;
 
 interface SentFrame {
     readonly message: SessionMessage;
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -18,11 +18,12 @@
 import type { RecordOf, Shape } from "../peer/index.js";
 import { RefusalReason } from "../request/index.js";
 
-/** Bound on one frame; larger bodies are divided. */
-export const SESSION_FRAME_LIMIT_BYTES = 4 * 1_048_576;
+/** Bound on one frame: the largest body that operators allow today (64 MB) and the message around it. */
+export const SESSION_FRAME_LIMIT_BYTES = 80 * 1_048_576;
 
-const HEADERS_LIMIT = 512;
-const HEADER_TEXT_LIMIT = 65_536;
+/** Names and values; the size of a caller's header block is limited where it arrives. */
+const HEADERS_LIMIT = 131_072;
+const HEADER_TEXT_LIMIT = 131_072;
 const MEMBERS_LIMIT = 4_096;
 
 const name = createTextShape(256);
@@ -63,13 +64,13 @@
 }) as unknown as Shape<OwnerLoad>;
 
 const ownedRequest = createRecordShape({
-    requestId: name,
+    requestId: text,
     method: name,
     target: text,
     headers,
     body: bytesShape,
-    route: name,
-    service: name,
+    route: text,
+    service: text,
     kind: createChoiceShape(Object.values(RequestKind)),
     priority: integer,
     isNested: booleanShape,
--- a/src/transport/ownership/GateEntry.ts
+++ b/src/transport/ownership/GateEntry.ts
@@ -6,7 +6,13 @@
 import { copyAnswerHeaders, RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
 import type { AnswerHead, OwnedHandle, OwnedRequest, OwnerEvents, OwnerRefusal } from "./OwnedRequest.js";
-import { ANSWER_GRACE_MS, CLOSED_RETRY_MS, OFFER_TIMEOUT_MS, WHOLE_ANSWER_BYTES } from "./OwnershipConstants.js";
+import {
+    ANSWER_GRACE_MS,
+    CLOSED_RETRY_MS,
+    OFFER_TIMEOUT_MS,
+    SHORTEST_BUDGET_MS,
+    WHOLE_ANSWER_BYTES,
+} from "./OwnershipConstants.js";
 import { encodeRequest } from "./RequestBytes.js";
 import type { ServerConnection } from "./ServerConnection.js";
 
@@ -122,15 +128,19 @@
     #run(): void {
         const now = this.context.now();
         const server = this.context.readServer();
+        const timeLeftMs = this.deadlineAt - now;
+        if (timeLeftMs < SHORTEST_BUDGET_MS) {
+            this.#finishNotSent(RefusalReason.Deadline, "no time is left");
+            return;
+        }
         const connection = this.context.acquire(this.request.kind === RequestKind.Once);
         if (server === undefined || connection === undefined) {
-            this.#finishNotSent("no server is registered");
+            this.#finishNotSent(RefusalReason.NoServer, "no server is registered");
             return;
         }
         this.#phase = Phase.Running;
         this.#startedAt = now;
         this.#connection = connection;
-        const timeLeftMs = this.deadlineAt - now;
         this.#timer = setTimeout(() => this.#expire(), Math.max(0, timeLeftMs) + ANSWER_GRACE_MS);
         const { callerService, method, requestId } = this.request;
         const instruction = { callerService, serverId: server.serverId, timeLeftMs };
@@ -141,7 +151,7 @@
             onHead: (status, headers, statement) => this.#addHead(status, headers, statement),
             onNotSent: detail => {
                 this.context.onUnreachable(detail);
-                this.#finishNotSent(detail);
+                this.#finishNotSent(RefusalReason.ServerUnreachable, detail);
             },
         });
     }
@@ -218,12 +228,9 @@
         }
     }
 
-    #finishNotSent(detail: string): void {
+    #finishNotSent(reason: RefusalReason, detail: string): void {
         this.#end();
-        this.events.onRefused(
-            { detail, reason: RefusalReason.ServerUnreachable, retryAfterMs: CLOSED_RETRY_MS },
-            this.context.readLoad(),
-        );
+        this.events.onRefused({ detail, reason, retryAfterMs: CLOSED_RETRY_MS }, this.context.readLoad());
     }
 
     #isBodiless(status: number): boolean {
--- a/src/transport/peer/WebSocketNetwork.ts
+++ b/src/transport/peer/WebSocketNetwork.ts
@@ -7,20 +7,38 @@
 const DEFAULT_CONNECT_TIMEOUT_MS = 2_000;
 /** Time for the last messages and the closing handshake; then the socket is destroyed. */
 const CLOSE_TIMEOUT_MS = 1_000;
-/** Compression is done on whole messages by the codec, once for all receivers. */
-const SOCKET_OPTIONS = { maxPayload: FRAME_LIMIT_BYTES, perMessageDeflate: false } as const;
+
+export interface WebSocketNetworkOptions {
+    readonly connectTimeoutMs?: number;
+    /** Largest frame that is accepted. */
+    readonly frameLimitBytes?: number;
+}
+
+interface SocketOptions {
+    readonly maxPayload: number;
+    /** Compression is done on whole messages by the codec, once for all receivers. */
+    readonly perMessageDeflate: false;
+}
 
 /** Peer connections over `ws`. */
-export function createWebSocketNetwork(connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS): PeerNetwork {
-    return { connect: (address, port) => connect(address, port, connectTimeoutMs), listen: openListener };
+export function createWebSocketNetwork(
+    { connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS, frameLimitBytes = FRAME_LIMIT_BYTES }: WebSocketNetworkOptions =
+        {},
+): PeerNetwork {
+    const options: SocketOptions = { maxPayload: frameLimitBytes, perMessageDeflate: false };
+    return {
+        connect: (address, port) => connect(address, port, connectTimeoutMs, options),
+        listen: (address, port, onConnection) => openListener(address, port, onConnection, options),
+    };
 }
 
 async function openListener(
     address: string,
     port: number,
     onConnection: (connection: FrameConnection) => void,
+    options: SocketOptions,
 ): Promise<PeerListener> {
-    const server = new WebSocketServer({ ...SOCKET_OPTIONS, clientTracking: true, host: address, port });
+    const server = new WebSocketServer({ ...options, clientTracking: true, host: address, port });
     server.on("connection", socket => onConnection(wrapSocket(socket)));
     await new Promise<void>((resolve, reject) => {
         server.once("listening", resolve);
@@ -39,9 +57,14 @@
     await new Promise<void>(resolve => server.close(() => resolve()));
 }
 
-async function connect(address: string, port: number, handshakeTimeout: number): Promise<FrameConnection> {
+async function connect(
+    address: string,
+    port: number,
+    handshakeTimeout: number,
+    options: SocketOptions,
+): Promise<FrameConnection> {
     const host = address.includes(":") ? `[${address}]` : address;
-    const socket = new WebSocket(`ws://${host}:${port}`, { ...SOCKET_OPTIONS, handshakeTimeout });
+    const socket = new WebSocket(`ws://${host}:${port}`, { ...options, handshakeTimeout });
     const connection = wrapSocket(socket);
     await new Promise<void>((resolve, reject) => {
         socket.once("open", resolve);
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -1,6 +1,7 @@
 /** Caller's side of a session: requests that this daemon places at the backend server of another one. */
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
+import { MessageError } from "../../protocol/peer/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
 import { encodeSessionMessage, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
@@ -222,8 +223,11 @@
     }
 
     /** A refused connection shows that the process is gone, and with it all that it knew of the session. */
-    #fail(error: NodeJS.ErrnoException): void {
-        if (error.code === REFUSED_CODE && this.#hasBegun) {
+    #fail(error: NodeJS.ErrnoException | MessageError): void {
+        if (error instanceof MessageError) {
+            this.#reset("the daemon of the server sent what can't be read");
+        }
+        else if (error.code === REFUSED_CODE && this.#hasBegun) {
             this.#reset("the daemon of the server has ended");
         }
         if (!this.#wasLost) {
--- a/src/transport/sessions/SessionHub.ts
+++ b/src/transport/sessions/SessionHub.ts
@@ -144,11 +144,25 @@
         try {
             await consumeFrames(connection, handle);
         }
+        catch (error) {
+            // The same message would come again on each connection of the session.
+            this.#forget(session);
+            throw error;
+        }
         finally {
             session?.detach(connection);
         }
     }
 
+    #forget(session: CallerSession | undefined): void {
+        for (const [id, other] of this.#callers) {
+            if (other === session) {
+                this.#callers.delete(id);
+                session.close();
+            }
+        }
+    }
+
     #begin(connection: FrameConnection, hello: SessionMessageOf<"hello">): CallerSession {
         const known = this.#callers.get(hello.sessionId);
         const session = known ?? new CallerSession(hello.member.id, this.#options);
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -21,8 +21,8 @@
 
 /** Time without any reachable daemon after which callers should go elsewhere. */
 const ISOLATED_MS = 1_500;
-/** Part of the time between SIGTERM and SIGKILL that a planned stop uses. */
-const STOP_SHARE = 0.93;
+/** Part of the time between SIGTERM and SIGKILL after which a planned stop ends what still runs; it ends in the last sixth. */
+const STOP_SHARE = 0.87;
 const MS_PER_SECOND = 1_000;
 
 /** What a daemon is given beside its settings. */
@@ -263,8 +263,8 @@
             return false;
         }
         const now = this.#effects.now();
-        const isAlone = this.#members.list().length <= 1 || this.#listReachable().length > 0;
-        this.#isolatedSince = isAlone ? undefined : this.#isolatedSince ?? now;
+        const isConnected = this.#members.list().length <= 1 || this.#listReachable().length > 0;
+        this.#isolatedSince = isConnected ? undefined : this.#isolatedSince ?? now;
         return this.#isolatedSince === undefined || now - this.#isolatedSince < ISOLATED_MS;
     }
 
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -51,10 +51,6 @@
         this.#statistics.delete(member.id);
     }
 
-    readStatistics(id: string): OwnerStatistics | undefined {
-        return this.#statistics.get(id);
-    }
-
     recordLoad(id: string, load: OwnerLoad): void {
         this.#statistics.get(id)?.recordLoad(load, this.#options.now());
     }
