Forget daemons that are gone for long; give each test worker its own ports

Records of VMs that never return were dialed for ever and stayed in the store. A daemon that can reach others drops one that was not heard from for ten minutes, and a watcher of the store removes its record; one that returns is known again by its hello. Statistics of removed routes are dropped.

--- a/src/transport/directory/MemberKeeper.ts
+++ b/src/transport/directory/MemberKeeper.ts
@@ -17,7 +17,7 @@
     readonly store: MeshStorePort;
     readonly log: PartLogger;
     readonly random: () => number;
-    /** Told of a daemon whose address another one has now. */
+    /** Told of a daemon that is no longer used. */
     onGone(member: Member): void;
     /** Told of each record that is new or replaced an older one, not of the own. */
     onMember(member: Member): void;
@@ -94,13 +94,20 @@
         }
     }
 
-    /** Removes the own record, when the VM leaves for good. */
-    async deregister(): Promise<void> {
-        this.#isStopping = true;
-        const result = await this.#options.store.deleteMember(this.#self.id);
-        result.ifLeft(error => {
-            this.#options.log.warn(`the own record can't be removed: ${error.detail}.`, { error });
-        });
+    /**
+     * Drops a daemon that was not heard from for long. One that returns is known again by its own hello.
+     * `shouldDelete` removes its record from the store as well.
+     */
+    async forget(member: Member, shouldDelete: boolean): Promise<void> {
+        this.#table.remove(member.id);
+        this.#options.log.info(`daemon ${member.id} is forgotten: it was not heard from for long.`, { member });
+        this.#options.onGone(member);
+        if (shouldDelete) {
+            const result = await this.#options.store.deleteMember(member.id);
+            result.ifLeft(error => {
+                this.#options.log.warn(`the record of ${member.id} can't be removed: ${error.detail}.`, { error });
+            });
+        }
     }
 
     stop(): void {
--- a/src/transport/sessions/__tests__/unit/Sessions.test.ts
+++ b/src/transport/sessions/__tests__/unit/Sessions.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { Silence } from "../../../../../standins/faults/index.js";
+import { takeTestPort } from "../../../../../standins/ports/index.js";
 import { RequestKind } from "../../../../state/traffic/index.js";
 import { createGate, createOwnedRequest, recordRequest } from "../../../ownership/__tests__/fixtures/Gate.js";
 import { formatAnswer, startRawServer } from "../../../ownership/__tests__/fixtures/RawServer.js";
@@ -8,7 +9,6 @@
 import type { HubPair } from "../fixtures/Hubs.js";
 
 const closers: (() => Promise<void>)[] = [];
-let lastPort = 21_400;
 
 afterEach(async () => {
     for (const close of closers.splice(0).reverse()) {
@@ -18,7 +18,7 @@
 
 async function openPair(answer: AnswerRaw): Promise<HubPair & { server: RawServer; }> {
     const server = await startRawServer(answer);
-    const pair = await startHubPair(server.port, ++lastPort);
+    const pair = await startHubPair(server.port, takeTestPort());
     closers.push(() => server.close(), pair.close);
     return { ...pair, server };
 }
@@ -102,7 +102,7 @@
     it("takes no requests that were meant for the other one", async () => {
         const server = await startRawServer(() => undefined);
         const gate = createGate(server.port);
-        const port = ++lastPort;
+        const port = takeTestPort();
         const hub = createHub(createMember("newcomer", port), gate);
         await hub.start("127.0.0.1", port);
         const other = createHub(createMember("caller", 1), gate);
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -21,6 +21,9 @@
 
 /** Time without any reachable daemon after which callers should go elsewhere. */
 const ISOLATED_MS = 1_500;
+/** Time without a sign of life after which a VM is taken to be gone for good; longer than regions lose each other. */
+const FORGET_AFTER_MS = 600_000;
+const FORGET_CHECK_MS = 10_000;
 /** Part of the time between SIGTERM and SIGKILL after which a planned stop ends what still runs; it ends in the last sixth. */
 const STOP_SHARE = 0.87;
 const MS_PER_SECOND = 1_000;
@@ -83,6 +86,7 @@
     readonly #servers: Server[] = [];
     #isStopping = false;
     #isolatedSince: number | undefined;
+    #forgetTimer: NodeJS.Timeout | undefined;
 
     constructor(settings: SidecarSettings, effects: SidecarEffects) {
         this.#settings = settings;
@@ -193,6 +197,7 @@
         }
         this.#configuration.start();
         void this.#members.register();
+        this.#forgetTimer = setInterval(() => this.#forgetLost(), FORGET_CHECK_MS);
         this.#log.info("started.", { settings: this.#settings });
     }
 
@@ -235,6 +240,7 @@
     }
 
     async #closePorts(): Promise<void> {
+        clearInterval(this.#forgetTimer);
         this.#configuration.stop();
         await this.#hub.stop();
         this.#gate.closeAll();
@@ -249,6 +255,20 @@
         this.#directory.addMember(member);
     }
 
+    /** Drops daemons that are gone, unless it is this one that is cut off. A watcher of the store removes their records. */
+    #forgetLost(): void {
+        const now = this.#effects.now();
+        if (this.#listReachable().length === 0) {
+            return;
+        }
+        for (const session of [...this.#hub.listOwners()]) {
+            const lostSince = session.readLostSince(now);
+            if (lostSince !== undefined && now - lostSince > FORGET_AFTER_MS) {
+                void this.#members.forget(session.member, this.#configuration.isWatching);
+            }
+        }
+    }
+
     #listReachable() {
         const now = this.#effects.now();
         const self = this.#members.self;
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -102,10 +102,16 @@
     }
 
     /** Follows the limits of a new version. */
-    applyConfiguration({ limits }: TrafficConfiguration): void {
+    applyConfiguration({ limits, routesByHost }: TrafficConfiguration): void {
         this.#server.headersTimeout = limits.headerTimeoutMs;
         this.#server.keepAliveTimeout = limits.idleTimeoutMs;
         this.#split.reset();
+        const names = new Set([...routesByHost.values()].flat().map(route => route.name));
+        for (const name of this.#statistics.keys()) {
+            if (!names.has(name)) {
+                this.#statistics.delete(name);
+            }
+        }
     }
 
     /** Serves on until callers have gone elsewhere and all answers were sent, at most until `deadlineMs` from now. */
--- /dev/null
+++ b/standins/ports/index.ts
@@ -0,0 +1,1 @@
+export { takeTestPort } from "./TestPorts.js";
