Confirm a server's health after a restart of its daemon, and recall it from other daemons

Cause: a daemon that restarted had forgotten which leaving it had acknowledged, and opened its gate for the first ready report, also for one that was delayed and older than the leaving. Until that report, up to 1.5 s, its server got no work although it ran on.

Change: after a restart a server gets work only once a health check has answered 200 under the registered id. Other daemons remember the server they were told of and name it in their hello, so the check needn't wait for a report.

--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -23,6 +23,9 @@
     readonly sequence: number;
 }
 
+/** What other daemons remember of a server, for its daemon when that starts again. */
+export type ServerIdentity = Pick<ServerReport, "address" | "port" | "serverId" | "service" | "slots" | "startedAt">;
+
 /** The server that is registered, and since when it may be slow. */
 export interface RegisteredServer extends ServerReport {
     readonly coldUntil: number;
@@ -41,18 +44,52 @@
 
 export class ServerRegistration {
     #server: RegisteredServer | undefined;
+    #isConfirmed: boolean;
     /** Start time of servers that left, by id; undefined values are kept for servers that tell none. */
     readonly #departed = new Map<string, number | undefined>();
     #unreachableUntil = 0;
     #failures = 0;
 
+    /**
+     * `isConfirmed` is false for a daemon that may have acknowledged the server's leaving before it
+     * restarted: a late report must not open the server until it has said itself that it serves.
+     */
+    constructor(isConfirmed = true) {
+        this.#isConfirmed = isConfirmed;
+    }
+
     get server(): RegisteredServer | undefined {
         return this.#server;
     }
 
     /** Whether the server may get new work now. */
     isOpen(now: number): boolean {
-        return this.#server?.phase === ServerPhase.Ready && now >= this.#unreachableUntil;
+        return this.#isConfirmed && this.#server?.phase === ServerPhase.Ready && now >= this.#unreachableUntil;
+    }
+
+    /** Whether a server would be open if it had confirmed that it serves. */
+    needsConfirmation(): boolean {
+        return !this.#isConfirmed && this.#server?.phase === ServerPhase.Ready;
+    }
+
+    /** The server with this id said itself that it serves and is not leaving. */
+    confirm(serverId: string): void {
+        this.#isConfirmed ||= this.#server?.serverId === serverId;
+    }
+
+    /** Takes in what another daemon remembers of the server, until the first report; it has to be confirmed. */
+    recall(identity: ServerIdentity, now: number): void {
+        if (this.#server === undefined && !this.#isConfirmed && !this.#departed.has(identity.serverId)) {
+            this.#server = {
+                ...identity,
+                coldLeftMs: 0,
+                coldUntil: now,
+                phase: ServerPhase.Ready,
+                reportedAt: now,
+                // Below all reports of this start.
+                sequence: 0,
+            };
+        }
     }
 
     /** Takes a report in; an outdated one changes nothing and is acknowledged all the same. */
--- a/src/coordination/registration/__tests__/unit/ServerRegistration.test.ts
+++ b/src/coordination/registration/__tests__/unit/ServerRegistration.test.ts
@@ -54,6 +54,41 @@
     });
 });
 
+describe("a daemon that restarted", () => {
+    const { address, port, serverId, service, slots, startedAt } = createReport();
+    const identity = { address, port, serverId, service, slots, startedAt };
+
+    it("opens for a report only after that server has confirmed that it serves", () => {
+        const registration = new ServerRegistration(false);
+        registration.accept(createReport(), 0);
+        expect(registration.isOpen(1)).toBe(false);
+        registration.confirm("i-2");
+        expect(registration.isOpen(1)).toBe(false);
+        registration.confirm("i-1");
+        expect(registration.isOpen(1)).toBe(true);
+    });
+
+    it("takes all reports of a server that it recalled, also the first of its start", () => {
+        const registration = new ServerRegistration(false);
+        registration.recall(identity, 0);
+        registration.confirm("i-1");
+        expect(registration.isOpen(1)).toBe(true);
+        expect(registration.accept(createReport({ phase: ServerPhase.Leaving }), 2)).toBe(ReportVerdict.Accepted);
+        expect(registration.isOpen(3)).toBe(false);
+    });
+
+    it("recalls no server that has reported its departure, and none instead of a report", () => {
+        const departed = new ServerRegistration(false);
+        departed.acceptDeparture("i-1", undefined);
+        departed.recall(identity, 0);
+        expect(departed.server).toBeUndefined();
+        const reported = new ServerRegistration(false);
+        reported.accept(createReport({ serverId: "i-2" }), 0);
+        reported.recall(identity, 1);
+        expect(reported.server?.serverId).toBe("i-2");
+    });
+});
+
 describe("a server that can't be reached", () => {
     it("is closed for a pause that grows and opens when it is reached", () => {
         const registration = new ServerRegistration();
--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -43,6 +43,14 @@
     readonly idleTimeoutMs: number | undefined;
 }
 
+/** What a server says of itself when its health is checked. */
+export interface HealthStatement {
+    /** Whether it serves and is not leaving. */
+    readonly isHealthy: boolean;
+    /** Id of the server that answers; undefined when the answer names none. */
+    readonly serverId: string | undefined;
+}
+
 export interface Dialect {
     readCaller(headers: IncomingHttpHeaders): CallerStatement;
     /** Whether a header, in lower case, is set by the system whatever the caller sent. */
@@ -51,6 +59,7 @@
     buildServerHeaders(instruction: ServerInstruction): string[];
     /** `headers` has lower-case names. */
     readServer(status: number, headers: ReadonlyMap<string, string>): ServerStatement;
+    readHealth(status: number, headers: IncomingHttpHeaders): HealthStatement;
     /** Headers that tell a caller when to come back. */
     buildReturnHeaders(returnAfterMs: number): string[];
 }
--- a/src/protocol/dialect/index.ts
+++ b/src/protocol/dialect/index.ts
@@ -1,1 +1,8 @@
-export type { CallerStatement, Dialect, ServerInstruction, ServerStatement, StatedLoad } from "./Dialect.js";
+export type {
+    CallerStatement,
+    Dialect,
+    HealthStatement,
+    ServerInstruction,
+    ServerStatement,
+    StatedLoad,
+} from "./Dialect.js";
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -4,6 +4,7 @@
  */
 import { Packr } from "msgpackr";
 import type { OwnerLoad } from "../../coordination/placement/index.js";
+import type { ServerIdentity } from "../../coordination/registration/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
 import { memberShape } from "../peer/index.js";
 import {
@@ -11,6 +12,7 @@
     createChoiceShape,
     createIntegerShape,
     createListShape,
+    createOptionalShape,
     createRecordShape,
     createTextShape,
     MessageError,
@@ -63,6 +65,16 @@
     coldLeftMs: numberShape,
 }) as unknown as Shape<OwnerLoad>;
 
+/** The server that the owner gives work to; undefined while there is none. */
+const serverIdentity = createOptionalShape(createRecordShape({
+    address: name,
+    port: integer,
+    serverId: name,
+    service: name,
+    slots: integer,
+    startedAt: createOptionalShape(numberShape),
+})) as unknown as Shape<ServerIdentity | undefined>;
+
 const ownedRequest = createRecordShape({
     requestId: text,
     method: name,
@@ -98,6 +110,8 @@
         target: name,
         member: memberShape,
         members: createListShape(memberShape, MEMBERS_LIMIT),
+        /** What the caller's side remembers of the owner's server, for an owner that has restarted. */
+        server: serverIdentity,
     },
     welcome: {
         ...condition,
@@ -106,11 +120,12 @@
         isResumed: booleanShape,
         members: createListShape(memberShape, MEMBERS_LIMIT),
         load,
+        server: serverIdentity,
     },
     ping: { ...condition, sentAt: numberShape },
     pong: { ...condition, sentAt: numberShape, load },
     acknowledge: { received: integer },
-    load: { load },
+    load: { load, server: serverIdentity },
     configurationRequest: {},
     /** Whole text of a version, as it is in the store. */
     configuration: { revision: integer, text: createTextShape(SESSION_FRAME_LIMIT_BYTES) },
--- a/src/transport/ownership/OwnerGate.ts
+++ b/src/transport/ownership/OwnerGate.ts
@@ -4,7 +4,7 @@
  */
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import { ReportVerdict, ServerPhase, ServerRegistration } from "../../coordination/registration/index.js";
-import type { RegisteredServer, ServerReport } from "../../coordination/registration/index.js";
+import type { RegisteredServer, ServerIdentity, ServerReport } from "../../coordination/registration/index.js";
 import type { SlotChanges } from "../../coordination/scheduling/index.js";
 import { SlotQueue, WorkEstimates } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
@@ -15,6 +15,8 @@
 import type { OwnedHandle, OwnedRequest, OwnerEvents } from "./OwnedRequest.js";
 import { CLOSED_RETRY_MS, SHORTEST_BUDGET_MS } from "./OwnershipConstants.js";
 import { isWellFormed } from "./RequestBytes.js";
+import { ServerConfirmation } from "./ServerConfirmation.js";
+import type { ConfirmationEffects } from "./ServerConfirmation.js";
 import { ServerConnections } from "./ServerConnections.js";
 
 /** Time between checks of queued requests when nothing else happens. */
@@ -25,12 +27,15 @@
     readonly log: PartLogger;
     /** Milliseconds; must not jump. */
     readonly now: () => number;
-    /** Told after the gate opened or closed. */
+    /** Told after the gate opened or closed, or another server runs beside it. */
     readonly onChange: (load: OwnerLoad) => void;
+    /** Given for a daemon that has restarted: its server has to confirm that it serves. */
+    readonly confirmation?: ConfirmationEffects | undefined;
 }
 
 export class OwnerGate {
-    readonly registration = new ServerRegistration();
+    readonly registration: ServerRegistration;
+    readonly #confirmation: ServerConfirmation | undefined;
     readonly #options: OwnerGateOptions;
     readonly #estimates = new WorkEstimates();
     readonly #queue: SlotQueue<GateEntry>;
@@ -42,6 +47,14 @@
 
     constructor(options: OwnerGateOptions) {
         this.#options = options;
+        this.registration = new ServerRegistration(options.confirmation === undefined);
+        this.#confirmation = options.confirmation === undefined
+            ? undefined
+            : new ServerConfirmation(
+                this.registration,
+                options.confirmation,
+                () => this.#closeQueueUnlessOpen(options.now()),
+            );
         this.#queue = new SlotQueue(() => this.registration.server?.slots ?? 0, this.#estimates);
         this.#connections = new ServerConnections(options.dialect, options.now);
     }
@@ -79,6 +92,28 @@
         };
     }
 
+    /** What other daemons should remember of the server; undefined when it gets no new work. */
+    readIdentity(): ServerIdentity | undefined {
+        const server = this.registration.server;
+        if (server === undefined || !this.#isOpen(this.#options.now())) {
+            return undefined;
+        }
+        const { address, port, serverId, service, slots, startedAt } = server;
+        return { address, port, serverId, service, slots, startedAt };
+    }
+
+    /** Takes in what another daemon remembers of the server, so that it need not report first. */
+    recall(identity: ServerIdentity): void {
+        if (this.registration.server === undefined) {
+            this.registration.recall(identity, this.#options.now());
+            if (this.registration.server !== undefined) {
+                this.#options.log.info(`server ${identity.serverId} is remembered by another daemon.`, { identity });
+                this.#connections.setTarget(identity.address, identity.port);
+                this.#confirmation?.begin();
+            }
+        }
+    }
+
     /** Takes a report of the server in; when it is leaving, nothing reaches it after this call. */
     acceptReport(report: ServerReport): void {
         const before = this.registration.server;
@@ -97,6 +132,10 @@
         }
         this.#connections.setTarget(report.address, report.port);
         this.#closeQueueUnlessOpen(now);
+        if (isOther && this.#wasOpen) {
+            this.#options.onChange(this.readLoad());
+        }
+        this.#confirmation?.begin();
     }
 
     /** The server says that it is gone; nothing reaches it after this call. */
@@ -114,6 +153,7 @@
 
     closeAll(): void {
         clearInterval(this.#queueTimer);
+        this.#confirmation?.stop();
         this.#connections.closeAll();
     }
 
@@ -157,8 +197,11 @@
         }
         if (!this.#isOpen(now)) {
             const isReady = server.phase === ServerPhase.Ready;
+            const unusable = this.registration.needsConfirmation()
+                ? "the server has not confirmed that it serves"
+                : "the server can't be reached";
             return {
-                detail: isReady ? "the server can't be reached" : `the server is ${server.phase}`,
+                detail: isReady ? unusable : `the server is ${server.phase}`,
                 reason: isReady ? RefusalReason.ServerUnreachable : RefusalReason.ServerLeaving,
             };
         }
--- a/src/transport/ownership/OwnershipConstants.ts
+++ b/src/transport/ownership/OwnershipConstants.ts
@@ -16,5 +16,10 @@
 export const SHORTEST_BUDGET_MS = 5;
 /** Pause named to callers when no server is open and nothing is known of its return. */
 export const CLOSED_RETRY_MS = 300;
+/** Time in which a server beside the daemon answers a health check, with the wait for a slot. */
+export const HEALTH_TIMEOUT_MS = 1_000;
+/** Pauses between health checks after a restart, with full jitter: a failed one is likely to fail again. */
+export const CONFIRMATION_BASE_MS = 100;
+export const CONFIRMATION_MAXIMUM_MS = 2_000;
 /** Longest line and header block that is accepted from a server. */
 export const ANSWER_HEADER_LIMIT_BYTES = 65_536;
--- /dev/null
+++ b/src/transport/ownership/ServerConfirmation.ts
@@ -0,0 +1,73 @@
+/**
+ * Asks a server whether it serves before it gets work from a daemon that has restarted. That daemon may
+ * have acknowledged the server's leaving in its former life, and what it hears may be late.
+ */
+import type { RegisteredServer, ServerRegistration } from "../../coordination/registration/index.js";
+import { generateBackoffDelays } from "../../coordination/retries/index.js";
+import type { HealthStatement } from "../../protocol/dialect/index.js";
+import type { Random } from "../../state/shared/index.js";
+import type { PartLogger } from "../logging/index.js";
+import { CONFIRMATION_BASE_MS, CONFIRMATION_MAXIMUM_MS } from "./OwnershipConstants.js";
+
+/** What the confirmation needs beside the registration. */
+export interface ConfirmationEffects {
+    readonly log: PartLogger;
+    readonly random: Random;
+    /** Path of the health check of a service; undefined while no configuration tells it. */
+    readHealthPath(service: string): string | undefined;
+    /** Asks the server; undefined when it gave no answer in time. */
+    checkHealth(server: RegisteredServer, path: string): Promise<HealthStatement | undefined>;
+}
+
+export class ServerConfirmation {
+    readonly #registration: ServerRegistration;
+    readonly #effects: ConfirmationEffects;
+    readonly #onConfirmed: () => void;
+    #isAsking = false;
+    #isStopped = false;
+
+    constructor(registration: ServerRegistration, effects: ConfirmationEffects, onConfirmed: () => void) {
+        this.#registration = registration;
+        this.#effects = effects;
+        this.#onConfirmed = onConfirmed;
+    }
+
+    /** Begins to ask, unless the server is confirmed or being asked. */
+    begin(): void {
+        if (!this.#isAsking && this.#registration.needsConfirmation()) {
+            this.#isAsking = true;
+            void this.#ask();
+        }
+    }
+
+    stop(): void {
+        this.#isStopped = true;
+    }
+
+    async #ask(): Promise<void> {
+        const delays = generateBackoffDelays(CONFIRMATION_BASE_MS, CONFIRMATION_MAXIMUM_MS, this.#effects.random);
+        while (!this.#isStopped && this.#registration.needsConfirmation()) {
+            await this.#askOnce();
+            if (this.#registration.needsConfirmation()) {
+                await new Promise(resolve => setTimeout(resolve, delays.next().value));
+            }
+        }
+        this.#isAsking = false;
+        if (!this.#isStopped) {
+            this.#onConfirmed();
+        }
+    }
+
+    async #askOnce(): Promise<void> {
+        const { server } = this.#registration;
+        const path = server === undefined ? undefined : this.#effects.readHealthPath(server.service);
+        if (server === undefined || path === undefined) {
+            return;
+        }
+        const health = await this.#effects.checkHealth(server, path);
+        if (health?.isHealthy === true && health.serverId !== undefined) {
+            this.#registration.confirm(health.serverId);
+        }
+        this.#effects.log.info(`health check of ${server.serverId} after a restart.`, { health, server });
+    }
+}
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -44,7 +44,18 @@
         const received = this.#channel.received;
         // Before anything else: the caller's side waits for this message.
         const id = this.#effects.readSelf().id;
-        const welcome = { id, isResumed, isWatching, kind: "welcome", load, members, received, revision } as const;
+        const server = this.#effects.readServer();
+        const welcome = {
+            id,
+            isResumed,
+            isWatching,
+            kind: "welcome",
+            load,
+            members,
+            received,
+            revision,
+            server,
+        } as const;
         this.#channel.noteReported();
         connection.send(encodeSessionMessage(welcome));
         return this.#channel.attach(connection, isResumed ? hello.received : 0);
@@ -60,7 +71,7 @@
 
     /** Tells the other daemon of a change of the load that it should not wait for. */
     sendLoad(): void {
-        this.#channel.send({ kind: "load", load: this.#effects.readLoad() });
+        this.#channel.send({ kind: "load", load: this.#effects.readLoad(), server: this.#effects.readServer() });
     }
 
     /** Takes a message in; one that is left over from an earlier connection is sent again over the present one. */
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -1,5 +1,6 @@
 /** Caller's side of a session: requests that this daemon places at the backend server of another one. */
 import type { OwnerLoad } from "../../coordination/placement/index.js";
+import type { ServerIdentity } from "../../coordination/registration/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import { MessageError } from "../../protocol/peer/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
@@ -63,6 +64,8 @@
     #redialTimer: NodeJS.Timeout | undefined;
     #delays: Generator<number, never>;
     #wasLost = true;
+    /** The owner's server when last told; the owner may have to be reminded after a restart. */
+    #server: ServerIdentity | undefined;
 
     constructor(member: Member, options: OwnerSessionOptions) {
         this.#member = member;
@@ -252,6 +255,7 @@
             member: this.#options.readSelf(),
             members: [...this.#options.listMembers()],
             received: this.#channel.received,
+            server: this.#server,
             sessionId: this.#sessionId,
             target: this.#member.id,
         }));
@@ -311,6 +315,7 @@
                 this.#options.onConfiguration(message);
                 return;
             case "load":
+                this.#server = message.server;
                 return;
             default:
                 this.#dispatch(message);
@@ -335,6 +340,8 @@
             this.#wasLost = false;
             this.#options.log.info(`connected to ${this.#member.id}.`, { isResumed: welcome.isResumed });
         }
+        // An owner that restarted knows less of its server than this side told it.
+        this.#server = welcome.server ?? (welcome.isResumed ? undefined : this.#server);
         this.#options.onMembers(welcome.members);
         this.#options.onLoad(this.#member.id, welcome.load);
         this.#options.onCondition({ ...welcome, id: this.#member.id });
--- a/src/transport/sessions/SessionHub.ts
+++ b/src/transport/sessions/SessionHub.ts
@@ -175,6 +175,9 @@
             session.close();
         }
         this.#options.onCondition({ ...hello, id: hello.member.id });
+        if (hello.server !== undefined) {
+            this.#options.onServerRecalled(hello.server);
+        }
         // The other daemon is up: a session that waits for its next attempt to connect need not wait.
         this.#owners.get(hello.member.id)?.redial();
         return session;
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -1,4 +1,5 @@
 import type { OwnerLoad } from "../../coordination/placement/index.js";
+import type { ServerIdentity } from "../../coordination/registration/index.js";
 import type { SessionMessageOf } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { PartLogger } from "../logging/index.js";
@@ -25,6 +26,10 @@
     listMembers(): readonly Member[];
     readCondition(): OwnCondition;
     readLoad(): OwnerLoad;
+    /** The own server that others should remember. */
+    readServer(): ServerIdentity | undefined;
+    /** What another daemon remembers of the own server. */
+    onServerRecalled(server: ServerIdentity): void;
     /** Records learnt from another daemon. */
     onMembers(members: readonly Member[]): void;
     onCondition(condition: PeerCondition): void;
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -28,6 +28,7 @@
         members: [],
         received,
         revision: 0,
+        server: undefined,
         sessionId: "s",
         target: "owner",
     } as const;
@@ -46,7 +47,9 @@
             random: () => 0.5,
             readCondition: () => ({ isWatching: false, revision: 0 }),
             readConfiguration: () => undefined,
+            onServerRecalled: () => undefined,
             readLoad: () => LOAD,
+            readServer: () => undefined,
             readSelf: () => createMember("owner", 2),
             submit: request => {
                 submitted.push(request.requestId);
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -10,7 +10,7 @@
 import { createAccessLog } from "../logging/index.js";
 import type { CreatePartLogger, PartLogger } from "../logging/index.js";
 import { combineRecorders, createRequestMetrics } from "../metrics/index.js";
-import { OwnerGate } from "../ownership/index.js";
+import { checkHealth, OwnerGate } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { SessionHub } from "../sessions/index.js";
 import { BUDGET_SHARE, CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
@@ -95,6 +95,12 @@
         this.#log = createPartLogger("daemon");
         const self = buildMember(settings, effects.readWallClock());
         this.#gate = new OwnerGate({
+            confirmation: settings.isFirstStart ? undefined : {
+                checkHealth: (server, path) => checkHealth(effects.dialect, server, path),
+                log: createPartLogger("gate"),
+                random,
+                readHealthPath: service => this.#configuration.configuration?.services.get(service)?.healthPath,
+            },
             dialect: effects.dialect,
             log: createPartLogger("gate"),
             now,
@@ -125,6 +131,11 @@
             onConfiguration: ({ revision, text }) => this.#configuration.adopt({ revision, text }, "another daemon"),
             onLoad: (id, load) => this.#directory.recordLoad(id, load),
             onMembers: members => this.#members.merge(members),
+            onServerRecalled: server => {
+                if (server.service === settings.service) {
+                    this.#gate.recall(server);
+                }
+            },
             onRoundTrip: (id, ms) => this.#directory.recordRoundTrip(id, ms),
             random,
             readCondition: () => ({
@@ -133,6 +144,7 @@
             }),
             readConfiguration: () => this.#configuration.text,
             readLoad: () => this.#gate.readLoad(),
+            readServer: () => this.#gate.readIdentity(),
             readSelf: () => this.#members.self,
             submit: (request, events) => this.#gate.submit(request, events),
         });
