Compare replays of the slot queue with the most that any scheduler could earn

The bound knows all arrivals and work times. It prices slot time in place of the limit of slots (Lagrangian relaxation), so it holds for any prices.

--- a/src/coordination/scheduling/__tests__/unit/SlotQueue.test.ts
+++ b/src/coordination/scheduling/__tests__/unit/SlotQueue.test.ts
@@ -2,6 +2,7 @@
 import { SlotQueue, WorkEstimates } from "../../index.js";
 import type { SlotRequest } from "../../index.js";
 import { buildLoad, replayInOrder, replaySlotQueue } from "../fixtures/LoadReplay.js";
+import { computeUpperBound } from "../fixtures/UpperBound.js";
 
 function createRequest(fields: Partial<SlotRequest> = {}): SlotRequest {
     return { deadlineAt: 1_200, isNested: false, priority: 2, route: "r", targetAt: 600, ...fields };
@@ -102,9 +103,12 @@
         const load = buildLoad(BURST);
         const before = replayInOrder(load, BURST.slots);
         const after = replaySlotQueue(load, BURST.slots);
+        const bound = computeUpperBound(load, () => BURST.slots);
         process.stdout.write(
-            `burst: benefit ${after.benefit.toFixed(0)} of ${after.owed}, in order ${before.benefit.toFixed(0)}\n`,
+            `burst: benefit ${after.benefit.toFixed(0)} of ${after.owed}, in order ${before.benefit.toFixed(0)}, `
+                + `at most ${bound.toFixed(0)}\n`,
         );
+        expect(after.benefit).toBeLessThanOrEqual(bound);
         expect(after.benefit).toBeGreaterThan(before.benefit);
         expect(after.longestRefusedWaitMs).toBeLessThan(1_500);
     });
@@ -131,14 +135,16 @@
         const load = buildLoad(LASTING_OVERLOAD);
         const before = replayInOrder(load, LASTING_OVERLOAD.slots);
         const after = replaySlotQueue(load, LASTING_OVERLOAD.slots);
+        const bound = computeUpperBound(load, () => LASTING_OVERLOAD.slots);
         process.stdout.write(
             `lasting overload: benefit ${after.benefit.toFixed(0)} of ${after.owed}, in order ${
                 before.benefit.toFixed(0)
-            }`
+            }, at most ${bound.toFixed(0)}`
                 + `; refused after ${after.meanRefusedWaitMs.toFixed(0)} ms, in order ${
                     before.meanRefusedWaitMs.toFixed(0)
                 }\n`,
         );
+        expect(after.benefit).toBeLessThanOrEqual(bound);
         expect(after.benefit).toBeGreaterThan(before.benefit);
         // An eighth of the target: up to this a wait before a refusal costs the caller nothing.
         expect(after.meanRefusedWaitMs).toBeLessThan(600 / 8);
