Log each placement of a request with what it was decided from

Cause: the line of a request said how it ended, but not where it had been placed and what was known there. Change: the line of a request that its first owner did not simply answer lists its placements with the owner's load, its age, the expected time and how each ended; all lines name the revision of the configuration.

--- a/src/coordination/placement/OwnerStatistics.ts
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -41,6 +41,11 @@
         return this.#load;
     }
 
+    /** When the load was reported. */
+    get loadAt(): number {
+        return this.#loadAt;
+    }
+
     /** Share of requests that the server did not fail, with more weight on recent ones. */
     get successShare(): number {
         return this.#successShare;
--- a/src/coordination/recording/RequestRecorder.ts
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -1,3 +1,19 @@
+/** One decision to place a request at an owner, with what it was decided from. */
+export interface PlacementRecord {
+    /** Id of the owner. */
+    readonly server: string;
+    /** Why the request was placed: `first`, or how the placement before it ended. */
+    readonly cause: string;
+    /** Expected time until the answer. */
+    readonly expectedMs: number;
+    /** Age of the owner's last report, and its load there; undefined when none was known. */
+    readonly loadAgeMs: number | undefined;
+    readonly running: number | undefined;
+    readonly queued: number | undefined;
+    /** How it ended; undefined when the request ended before. */
+    readonly end: string | undefined;
+}
+
 /** One finished request as the proxy saw it; the source of histograms, counters and the access log. */
 export interface RequestRecord {
     readonly requestId: string;
@@ -18,6 +34,10 @@
     readonly queuedMs: number;
     /** Why the request ended as it did, when it was not simply answered. */
     readonly detail?: string | undefined;
+    /** Revision of the configuration that routed the request. */
+    readonly revision?: number | undefined;
+    /** Where the request was placed, when it was not simply answered by the first owner. */
+    readonly placements?: readonly PlacementRecord[] | undefined;
 }
 
 /** Counted events: `refused`, `retried` or `ejected`, each with its reason. */
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -180,15 +180,16 @@
             return;
         }
         const body = await this.#bodies.read(request, configuration.limits.bodyBytes);
-        this.#forward(exchange, { arrivedAt, body, requestId, route, target });
+        this.#forward(exchange, { arrivedAt, body, requestId, revision: configuration.revision, route, target });
     }
 
     #forward(
         exchange: CallerExchange,
-        { arrivedAt, body, requestId, route, target }: {
+        { arrivedAt, body, requestId, revision, route, target }: {
             readonly arrivedAt: number;
             readonly body: BodyResult;
             readonly requestId: string;
+            readonly revision: number;
             readonly route: RoutePolicy;
             readonly target: string;
         },
@@ -225,6 +226,7 @@
             isNested: statement.parentId !== undefined && this.#options.isRunning(statement.parentId),
             method: request.method ?? "",
             requestId,
+            revision,
             route,
             service,
             statistics,
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -4,7 +4,7 @@
  */
 import type { RouteStatistics } from "../../coordination/placement/index.js";
 import { choosePlacement, computeReturnTime } from "../../coordination/placement/index.js";
-import type { OwnerLoad } from "../../coordination/placement/index.js";
+import type { OwnerLoad, Placement } from "../../coordination/placement/index.js";
 import type { RequestRecorder } from "../../coordination/recording/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import { Outcome, RefusalReason } from "../../protocol/request/index.js";
@@ -13,6 +13,7 @@
 import type { AnswerHead, OwnedHandle, OwnedRequest, OwnerRefusal } from "../ownership/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
+import { PlacementTrail } from "./PlacementTrail.js";
 import type { Owner, ServerDirectory } from "./ServerDirectory.js";
 import {
     MAXIMUM_OFFERS,
@@ -36,6 +37,8 @@
 /** Where a request goes and what limits hold for it. */
 export interface ForwardingPlan {
     readonly route: RoutePolicy;
+    /** Revision of the configuration that the route is of. */
+    readonly revision: number;
     readonly service: string;
     readonly requestId: string;
     readonly method: string;
@@ -83,6 +86,7 @@
     readonly #attempts = new Set<Attempt>();
     /** Owners that refused, or whose server failed or declined the request. */
     readonly #excluded = new Set<string>();
+    readonly #trail = new PlacementTrail();
     #offers = 0;
     /** Servers that the request may have reached. */
     #serversReached = 0;
@@ -121,17 +125,17 @@
         if (this.#isDone) {
             return;
         }
-        const owner = this.#chooseOwner(isRepeat);
-        if (owner === undefined) {
+        const placement = this.#choosePlacement(isRepeat);
+        if (placement === undefined) {
             if (this.#attempts.size === 0) {
                 this.#conclude();
             }
             return;
         }
-        this.#send(owner);
+        this.#send(placement, "first");
     }
 
-    #chooseOwner(isRepeat: boolean): Owner | undefined {
+    #choosePlacement(isRepeat: boolean): Placement<Owner> | undefined {
         const { directory, random } = this.#context;
         const { deadlineAt, route, service, statistics, targetAt } = this.#plan;
         const now = this.#context.now();
@@ -154,7 +158,7 @@
         if (isRepeat && !this.#mayRepeat()) {
             return undefined;
         }
-        return placement.candidate;
+        return placement;
     }
 
     /** Whether the request may reach one more server. */
@@ -164,7 +168,7 @@
             || this.#serversReached < route.maximumServers && this.#context.takeRepeat(service);
     }
 
-    #send(owner: Owner): void {
+    #send({ candidate: owner, latencyMs }: Placement<Owner>, cause: string): void {
         const now = this.#context.now();
         const attempt: Attempt = { handle: undefined, isEnded: false, isTaken: false, owner, sentAt: now };
         const {
@@ -195,6 +199,7 @@
             target,
             targetLeftMs: targetAt - now,
         };
+        this.#trail.recordPlacement(owner, cause, latencyMs, now);
         this.#offers++;
         this.#serversReached++;
         this.#excluded.add(owner.id);
@@ -215,7 +220,7 @@
             onAnswer: (head, body, load) => this.#takeAnswer(attempt, head, body, load),
             onCut: (detail, load) => {
                 const isStreaming = this.#streaming === attempt;
-                if (this.#end(attempt, load) && this.#isBegun(isStreaming, detail)) {
+                if (this.#end(attempt, load, detail) && this.#isBegun(isStreaming, detail)) {
                     this.#context.directory.recordFailure(attempt.owner);
                     this.#finish(
                         attempt.owner,
@@ -233,7 +238,7 @@
                 }
             },
             onDeclined: (detail, load) => {
-                if (this.#end(attempt, load)) {
+                if (this.#end(attempt, load, detail)) {
                     this.#context.directory.recordFailure(attempt.owner);
                     this.#refusals.push({
                         detail,
@@ -245,7 +250,10 @@
             },
             onEnd: load => {
                 const isStreaming = this.#streaming === attempt;
-                if (this.#end(attempt, load) && this.#isBegun(isStreaming, "the answer ended without a beginning")) {
+                if (
+                    this.#end(attempt, load, "answered")
+                    && this.#isBegun(isStreaming, "the answer ended without a beginning")
+                ) {
                     this.#recordSuccess(attempt, this.#streamedBytes);
                     this.#finish(attempt.owner, 200, Outcome.Answered, "", () => this.#exchange.sendEnd());
                 }
@@ -265,7 +273,7 @@
                 }
             },
             onUnknown: (detail, load) => {
-                if (this.#end(attempt, load)) {
+                if (this.#end(attempt, load, detail)) {
                     this.#mayHaveRun = true;
                     this.#context.directory.recordFailure(attempt.owner);
                     this.#placeAgainIfRepeatable(detail);
@@ -275,7 +283,7 @@
     }
 
     #takeAnswer(attempt: Attempt, head: AnswerHead, body: Uint8Array, load: OwnerLoad | undefined): void {
-        if (!this.#end(attempt, load)) {
+        if (!this.#end(attempt, load, `status ${head.status}`)) {
             return;
         }
         this.#queuedMs = head.queuedMs;
@@ -297,7 +305,7 @@
     }
 
     #takeRefusal(attempt: Attempt, refusal: OwnerRefusal, load: OwnerLoad | undefined): void {
-        if (!this.#end(attempt, load)) {
+        if (!this.#end(attempt, load, `${refusal.reason}: ${refusal.detail}`)) {
             return;
         }
         this.#serversReached--;
@@ -361,10 +369,10 @@
         if (this.#isDone) {
             return;
         }
-        const owner = this.#chooseOwner(this.#serversReached > 0);
-        if (owner !== undefined) {
+        const placement = this.#choosePlacement(this.#serversReached > 0);
+        if (placement !== undefined) {
             this.#context.recorder.count({ class: route.name, kind: "retried", reason, service });
-            this.#send(owner);
+            this.#send(placement, reason);
         }
         else if (before === 0) {
             this.#conclude();
@@ -391,10 +399,11 @@
     }
 
     /** Ends an attempt; false when it had ended before. */
-    #end(attempt: Attempt, load: OwnerLoad | undefined): boolean {
+    #end(attempt: Attempt, load: OwnerLoad | undefined, end: string): boolean {
         if (attempt.isEnded) {
             return false;
         }
+        this.#trail.recordEnd(attempt.owner.id, end);
         attempt.isEnded = true;
         this.#attempts.delete(attempt);
         attempt.owner.statistics.noteEnd();
@@ -521,8 +530,10 @@
             method,
             outcome,
             path: target,
+            placements: this.#trail.read(status < FIRST_SERVER_FAILURE && outcome === Outcome.Answered),
             queuedMs: this.#queuedMs,
             requestId,
+            revision: this.#plan.revision,
             route: route.name,
             server: owner?.id,
             service,
