Turn no caller away for the price of a large answer that would be in time

Cause: a large answer of another region cost more than any answer is worth, so its request was refused while servers had slots.

Change: the price decides between servers. It leads to a refusal only when the answer would probably be late, which keeps large answers off a link that is full.

--- a/src/coordination/placement/Placement.ts
+++ b/src/coordination/placement/Placement.ts
@@ -18,9 +18,14 @@
 /** Random part of a score, so that daemons with the same reports don't choose the same server. */
 const SCORE_NOISE = 0.005;
 const BYTES_PER_KILOBYTE = 1_000;
+/** Chance of an answer at all below which a request is turned away at once instead of being placed. */
+const LEAST_CHANCE = 0.1;
+/** Chance of being in time from which an answer is sent whatever its bytes cost. */
+const LIKELY_CHANCE = 0.5;
 /**
- * Price of a kilobyte against the value of one answer, by distance. Half of the users' prices of links:
- * a request that is turned away costs its caller more than the answer is worth.
+ * Price of a kilobyte against the value of one answer, by distance: half of the users' prices of links. It
+ * decides between servers. A caller is turned away for it only when its answer would probably be late, so
+ * that a link that is full of large answers, which delays all of them, gets no more.
  */
 const PRICE_PER_KILOBYTE = {
     [Distance.SameDomain]: 0,
@@ -41,7 +46,7 @@
     readonly latencyMs: number;
 }
 
-/** Returns the best candidate, or undefined when serving the request anywhere costs more than it is worth. */
+/** Returns the best candidate, or undefined when no server is likely to answer within the request's time. */
 export function choosePlacement<T extends PlacementCandidate>(
     candidates: Iterable<T>,
     query: PlacementQuery,
@@ -51,21 +56,23 @@
     let best: Placement<T> | undefined;
     for (const candidate of candidates) {
         const latencyMs = candidate.statistics.estimateLatency(query, now);
-        const score = computeScore(candidate.statistics, query, latencyMs, now) + random() * SCORE_NOISE;
-        if (score > 0 && (best === undefined || score > best.score)) {
+        const { inTime, served, value } = estimateResult(candidate.statistics, query, latencyMs, now);
+        const score = value + random() * SCORE_NOISE;
+        const isWorthwhile = served >= LEAST_CHANCE && (value > 0 || inTime >= LIKELY_CHANCE);
+        if (isWorthwhile && (best === undefined || score > best.score)) {
             best = { candidate, latencyMs, score };
         }
     }
     return best;
 }
 
-function computeScore(statistics: OwnerStatistics, query: PlacementQuery, latencyMs: number, now: number): number {
+function estimateResult(statistics: OwnerStatistics, query: PlacementQuery, latencyMs: number, now: number) {
     const spreadMs = statistics.estimateWork(query.route, now) * LATENCY_SPREAD;
     const inTime = computeChance(query.targetLeftMs - latencyMs, spreadMs);
     const served = computeChance(query.budgetLeftMs - latencyMs, spreadMs);
     const value = statistics.successShare * (served * LATE_VALUE + inTime * (1 - LATE_VALUE));
     const cost = query.bytes / BYTES_PER_KILOBYTE * PRICE_PER_KILOBYTE[statistics.distance];
-    return value - cost - latencyMs * VALUE_PER_MS;
+    return { inTime, served, value: value - cost - latencyMs * VALUE_PER_MS };
 }
 
 /** Chance that a limit is met which lies `marginMs` beyond the expected latency. */
