Let a daemon advertise another peer address than the one it listens on

Needed where other daemons reach it through a translated address or a proxy; the fault soak puts proxies between daemons in this way.

--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -334,7 +334,8 @@
 }
 
 function buildMember(settings: SidecarSettings, startedAt: number): Member {
-    const { failureDomain, id, peerAddress, region, serverAddress, service } = settings;
+    const { failureDomain, id, region, serverAddress, service } = settings;
+    const peerAddress = settings.advertisedPeerAddress ?? settings.peerAddress;
     return {
         address: peerAddress.host,
         failureDomain,
--- a/src/transport/sidecar/SidecarSettings.ts
+++ b/src/transport/sidecar/SidecarSettings.ts
@@ -8,6 +8,10 @@
 import { SettingsReader } from "../settings/index.js";
 
 export const SIDECAR_FLAGS = {
+    "advertised-peer-address": {
+        description: "ip:port under which other daemons reach this one, where it is not that of peer-address",
+        type: "string",
+    },
     "caller-address": { description: "ip:port for requests of callers on this VM", type: "string" },
     "failure-domain": { description: "failure domain of the VM", type: "string" },
     "first-start": {
@@ -42,6 +46,8 @@
     readonly service: string;
     readonly callerAddress: HostAndPort;
     readonly peerAddress: HostAndPort;
+    /** Under which other daemons reach this one; `peerAddress` when undefined. */
+    readonly advertisedPeerAddress: HostAndPort | undefined;
     readonly readyAddress: HostAndPort;
     readonly reportAddress: HostAndPort;
     readonly serverAddress: HostAndPort;
@@ -69,6 +75,7 @@
     const reader = new SettingsReader(flags, environment, defaults, () => "");
     reader.reportUnknownFlags(Object.keys(SIDECAR_FLAGS));
     const settings = {
+        advertisedPeerAddress: reader.readHostAndPort("advertised-peer-address"),
         callerAddress: reader.readRequiredHostAndPort("caller-address"),
         failureDomain: reader.readName("failure-domain"),
         graceMs: reader.readDuration("grace", LONGEST_MS),
