--- a/src/coordination/retries/index.ts
+++ b/src/coordination/retries/index.ts
@@ -1,5 +1,3 @@
 export { generateBackoffDelays } from "./Backoff.js";
 export { RetryBudget } from "./RetryBudget.js";
 export type { RetryBudgetSettings } from "./RetryBudget.js";
-export { computeDaemonBudget } from "./SharedBudget.js";
-export type { MeshBudget } from "./SharedBudget.js";
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,6 +1,6 @@
 /** Joins the parts of a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
-import { computeDaemonBudget, RetryBudget } from "../../coordination/retries/index.js";
+import { RetryBudget } from "../../coordination/retries/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import { MemberState } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
@@ -13,7 +13,7 @@
 import { checkHealth, OwnerGate } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { SessionHub } from "../sessions/index.js";
-import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
+import { BUDGET_SHARE, CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { renderMetrics } from "./MetricsText.js";
 import { openPlainPort } from "./PlainEndpoints.js";
 import type { AnswerCall } from "./PlainEndpoints.js";
@@ -26,6 +26,7 @@
 const FORGET_CHECK_MS = 10_000;
 /** Part of the time between SIGTERM and SIGKILL after which a planned stop ends what still runs; it ends in the last sixth. */
 const STOP_SHARE = 0.87;
+const MS_PER_SECOND = 1_000;
 
 /** What a daemon is given beside its settings. */
 export interface SidecarEffects {
@@ -184,7 +185,7 @@
             recorder: combineRecorders([this.#metrics, createAccessLog(requestLog)]),
             recordRequest: service => this.#getBudget(service).recordRequest(now()),
             selfId: settings.id,
-            takeRepeat: (service, isLastChance) => this.#takeRepeat(service, isLastChance),
+            takeRepeat: service => this.#takeRepeat(service),
         });
     }
 
@@ -308,11 +309,14 @@
         return budget;
     }
 
-    #takeRepeat(service: string, isLastChance: boolean): boolean {
-        const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = this.#settings;
-        const daemons = this.#members.list().length;
-        const budget = computeDaemonBudget({ ratio, slack, windowMs }, daemons, isLastChance);
-        const isTaken = this.#getBudget(service).takeRetry(budget, this.#effects.now());
+    /** The mesh's budget is shared by all daemons without talk: each uses its own requests' part and an equal part of the slack. */
+    #takeRepeat(service: string): boolean {
+        const { retryRatio, retrySlack, retryWindowMs } = this.#settings;
+        const daemons = Math.max(1, this.#members.list().length);
+        const isTaken = this.#getBudget(service).takeRetry({
+            budget: retryRatio * BUDGET_SHARE,
+            minimumPerSecond: retrySlack * BUDGET_SHARE / daemons / (retryWindowMs / MS_PER_SECOND),
+        }, this.#effects.now());
         if (!isTaken) {
             this.#metrics.count({ class: undefined, kind: "refused", reason: "repeat-budget", service });
         }
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -31,7 +31,7 @@
     readonly now: () => number;
     readonly random: () => number;
     /** Takes one repeat from the service's budget; false when it is spent. */
-    takeRepeat(service: string, isLastChance: boolean): boolean;
+    takeRepeat(service: string): boolean;
 }
 
 /** Where a request goes and what limits hold for it. */
@@ -47,8 +47,6 @@
     readonly body: Uint8Array;
     readonly callerService: string;
     readonly isNested: boolean;
-    /** Whether the caller waited after an earlier refusal and came back. */
-    readonly hasReturned: boolean;
     readonly arrivedAt: number;
     /** Time until which an answer is in time. */
     readonly targetAt: number;
@@ -165,10 +163,9 @@
 
     /** Whether the request may reach one more server. */
     #mayRepeat(): boolean {
-        const { hasReturned, isNested, route, service } = this.#plan;
+        const { route, service } = this.#plan;
         return this.#serversReached === 0
-            || this.#serversReached < route.maximumServers
-                && this.#context.takeRepeat(service, isNested || hasReturned);
+            || this.#serversReached < route.maximumServers && this.#context.takeRepeat(service);
     }
 
     #send({ candidate: owner, latencyMs }: Placement<Owner>, cause: string): void {
--- a/src/transport/traffic/TrafficConstants.ts
+++ b/src/transport/traffic/TrafficConstants.ts
@@ -14,8 +14,11 @@
 export const PARSER_HEADER_LIMIT_BYTES = 131_072;
 /** Highest share of a service's servers that may be ejected at a time. */
 export const EJECTION_MAXIMUM_SHARE = 0.5;
-/** Time that a caller has spent at least when it comes back after a refusal; callers that don't wait return sooner. */
-export const SHORTEST_ABSENCE_MS = 50;
+/**
+ * Part of the mesh's retry budget that one daemon uses. Budgets decay while the users' windows slide, and
+ * calls that a repeated request makes count as repeats as well.
+ */
+export const BUDGET_SHARE = 0.6;
 /** Limits before a version is in force. */
 export const INITIAL_HEADER_TIMEOUT_MS = 3_000;
 export const INITIAL_IDLE_TIMEOUT_MS = 15_000;
