Keep the order of bytes in the loopback proxy when its delay changes, and pass ends on

Cause: each part had a timer of its own, so a part could overtake one before it when the delay fell; a close dropped what was held. Found while writing the fault soak. One queue for each direction now.

--- a/standins/faults/LoopbackProxy.ts
+++ b/standins/faults/LoopbackProxy.ts
@@ -33,27 +33,46 @@
     let delayMs = 0;
     let connections = 0;
 
+    /** Bytes of one direction keep their order whatever the delay and silences do in between. */
     function pass(from: Socket, to: Socket, direction: Silence): void {
-        from.on("data", (data: Buffer) => {
-            const deliver = (): void => {
-                if (silence === direction || silence === Silence.Both) {
+        const parts: { readonly data: Buffer; readonly dueAt: number; }[] = [];
+        let isEnded = false;
+        const deliver = (): void => {
+            const isSilent = silence === direction || silence === Silence.Both;
+            for (let part = parts[0]; part !== undefined; part = parts[0]) {
+                const waitMs = part.dueAt - performance.now();
+                if (isSilent) {
                     held.push(deliver);
+                    return;
+                }
+                if (waitMs > 0) {
+                    setTimeout(deliver, waitMs);
+                    return;
                 }
-                else if (!to.destroyed) {
-                    to.write(data);
+                parts.shift();
+                if (!to.destroyed) {
+                    to.write(part.data);
                 }
-            };
-            if (delayMs > 0) {
-                setTimeout(deliver, delayMs);
             }
-            else {
+            if (isEnded && !isSilent) {
+                to.end();
+            }
+        };
+        from.on("data", (data: Buffer) => {
+            parts.push({ data, dueAt: performance.now() + delayMs });
+            if (parts.length === 1) {
+                deliver();
+            }
+        });
+        from.on("end", () => {
+            isEnded = true;
+            if (parts.length === 0) {
                 deliver();
             }
         });
-        from.on("error", () => to.destroy());
-        from.on("close", () => {
+        from.on("error", () => {
             if (silence === Silence.None) {
-                to.destroy();
+                to.resetAndDestroy();
             }
         });
     }
@@ -67,7 +86,7 @@
         const inner = connect({ host, noDelay: true, port: targetPort });
         const pair = { inner, outer };
         pairs.add(pair);
-        outer.on("close", () => pairs.delete(pair));
+        inner.on("close", () => pairs.delete(pair));
         pass(outer, inner, Silence.Forward);
         pass(inner, outer, Silence.Back);
     });
