--- a/src/console/cli/__tests__/unit/cli.test.ts
+++ b/src/console/cli/__tests__/unit/cli.test.ts
@@ -208,3 +208,26 @@
     await writeStatus(server, "erie", createSummary([{ daemons: 1, version: 0 }]));
     expect(await session.run(["status", "--wait", "--timeout", "1s"])).toContain(`\r${escape}K`);
 });
+
+test("explain tells the story of a request from several log files, and says when no line names it", async () => {
+    const format = (fields: object) => JSON.stringify({ daemon: "entry", time: "2026-12-04T10:00:00.000Z", ...fields });
+    const end = {
+        detail: "read ECONNRESET",
+        latencyMs: 9,
+        msg: "requests: POST /pay/ ended as unknown.",
+        queuedMs: 0,
+        requestId: "r-1",
+        revision: 17,
+        status: 502,
+    };
+    const files = {
+        "a.log": format({ msg: "configuration: version 4 is in force." }),
+        "b.log": `cut off{"\n${format(end)}`,
+    };
+    const session = createCliSession({});
+    const story = await session.run(["explain", "r-1", "--logs", "a.log,b.log"], files);
+    expect(story).toContain("entry configuration: version 4 is in force.");
+    expect(story).toContain("Status 502: read ECONNRESET");
+    expect(await session.run(["explain", "r-2", "--logs", "a.log,b.log"], files)).toContain("None of 2 log lines");
+    expect(session.readTranscript()).toContain("[exit code 0]");
+});
--- a/src/console/cli/commands/ExplainCommand.ts
+++ b/src/console/cli/commands/ExplainCommand.ts
@@ -1,7 +1,16 @@
 import type { SourceDocument } from "../../../state/document/index.js";
 import type { DaemonClient, ExplainedRequest } from "../../../transport/operators/index.js";
+import { collectStory, formatStory, parseLoggedLine } from "../../logs/index.js";
 import { createCommand } from "../CliCommand.js";
-import { createDaemonFailure, DAEMON_FLAGS, JSON_FLAG, openDaemon, STORE_FLAGS, withStore } from "../CliConnections.js";
+import {
+    createDaemonFailure,
+    DAEMON_FLAGS,
+    JSON_FLAG,
+    openDaemon,
+    readFile,
+    STORE_FLAGS,
+    withStore,
+} from "../CliConnections.js";
 import type { CliContext } from "../CliContext.js";
 import { writeResult } from "../CliContext.js";
 import { requireDocument } from "../CliVersions.js";
@@ -92,17 +101,39 @@
     return daemon;
 }
 
+/** Tells what became of the request with an id, from the logs of daemons. */
+async function explainFromLogs(requestId: string, files: string, isJson: boolean | undefined, context: CliContext) {
+    const texts = await Promise.all(files.split(",").map(file => readFile(context, file)));
+    const lines = texts.flatMap(text => text.split("\n").map(parseLoggedLine)).filter(line => line !== undefined);
+    const story = collectStory(lines, requestId);
+    if (story === undefined) {
+        throw new CommandFailure(
+            ExitCode.NotFound,
+            `None of ${lines.length} log lines names the request ${requestId}.`,
+        );
+    }
+    writeResult(context, isJson, story, formatStory(story));
+    return ExitCode.Success;
+}
+
 export const explainCommand = createCommand({
     name: "explain",
-    description: "Show where a daemon would send a request, or the requests of a route or service, and why.",
+    description: "Show where a daemon would send a request and why, or what logs tell of a request that has ended.",
     args: {
         target: {
-            description: "A request such as \"POST /deposits\", or the name of a route or service.",
+            description:
+                "A request such as \"POST /deposits\", the name of a route or service, or with --logs the id of"
+                + " a request.",
             required: true,
             type: "positional",
         },
         host: { description: "Host name of the request.", type: "string" },
         key: { description: "Idempotency key of the request.", type: "string" },
+        logs: {
+            description: "Log files of daemons, separated by commas; - is standard input.",
+            type: "string",
+            valueHint: "files",
+        },
         ...DAEMON_FLAGS,
         ...STORE_FLAGS,
         ...JSON_FLAG,
@@ -111,8 +142,12 @@
         "papayaturn explain \"POST /deposits\"",
         "papayaturn explain pay-deposit",
         "papayaturn explain service/ledger",
+        "papayaturn explain 9c41d07be2a35f68 --logs erie-a-1.log,erie-a-2.log",
     ],
     async run(args, context) {
+        if (args.logs !== undefined) {
+            return explainFromLogs(args.target, args.logs, args.json, context);
+        }
         const daemon = await requireDaemon(args, context);
         const request = parseRequest(args.target);
         const requests = request === undefined
--- /dev/null
+++ b/src/console/logs/RequestStory.ts
@@ -0,0 +1,115 @@
+/** Tells what became of one request from the log lines of several daemons. */
+
+/** One line of a daemon's log, as `transport/logging` writes it. */
+export interface LoggedLine {
+    /** ISO 8601. */
+    readonly time: string;
+    readonly daemon: string;
+    /** Part of the daemon and the sentence, as `gate: server i-1 is ready.` */
+    readonly msg: string;
+    readonly [field: string]: unknown;
+}
+
+/** Lines that explain a request, in the order of their time. */
+export interface RequestStory {
+    /** Lines that name the request. */
+    readonly own: readonly LoggedLine[];
+    /** Lines of the daemons that had part in it, from shortly before it came until its end. */
+    readonly around: readonly LoggedLine[];
+    /** Last change of the configuration on the daemon that took the request. */
+    readonly configuration: LoggedLine | undefined;
+}
+
+/** Time before a request in which a change of a server, a session or the store may explain its end. */
+const BEFORE_MS = 3_000;
+const PART_PATTERN = /^([a-z]+): /;
+/** Parts whose lines tell what a daemon believed. */
+const CONTEXT_PARTS: ReadonlySet<string> = new Set(["gate", "sessions", "members", "daemon", "configuration", "store"]);
+
+/** Parses a line; undefined for one that is no line of a daemon's log, for example one that was cut. */
+export function parseLoggedLine(text: string): LoggedLine | undefined {
+    try {
+        const fields: unknown = JSON.parse(text);
+        return typeof fields === "object" && fields !== null
+                && ["time", "daemon", "msg"].every(name => typeof (fields as LoggedLine)[name] === "string")
+            ? fields as LoggedLine
+            : undefined;
+    }
+    catch {
+        // The output of a process that ended may break off in a line, and others may write to the same stream.
+        return undefined;
+    }
+}
+
+/** Undefined when no line names the request. */
+export function collectStory(lines: readonly LoggedLine[], requestId: string): RequestStory | undefined {
+    const sorted = [...lines].sort((left, right) => Date.parse(left.time) - Date.parse(right.time));
+    const own = sorted.filter(line => line["requestId"] === requestId);
+    const end = own.at(-1);
+    if (end === undefined) {
+        return undefined;
+    }
+    const endsAt = Date.parse(end.time);
+    const beginsAt = endsAt - readNumber(end["latencyMs"]);
+    const daemons = new Set([...own.map(({ daemon }) => daemon), ...own.flatMap(listServers)]);
+    const isContext = (line: LoggedLine): boolean => CONTEXT_PARTS.has(PART_PATTERN.exec(line.msg)?.[1] ?? "");
+    const around = sorted.filter(line => {
+        const at = Date.parse(line.time);
+        const concerns = daemons.has(line.daemon) || [...daemons].some(daemon => line.msg.includes(`${daemon} `));
+        return isContext(line) && concerns && at >= beginsAt - BEFORE_MS && at <= endsAt;
+    });
+    const configuration = sorted.findLast(line =>
+        line.daemon === end.daemon && line.msg.startsWith("configuration: ") && Date.parse(line.time) <= endsAt
+    );
+    return { around, configuration, own };
+}
+
+/** One text line for each step, in the order of time. */
+export function formatStory(story: RequestStory): readonly string[] {
+    const lines = new Set([
+        ...story.configuration === undefined ? [] : [story.configuration],
+        ...story.around,
+        ...story.own,
+    ]);
+    return [...lines]
+        .sort((left, right) => Date.parse(left.time) - Date.parse(right.time))
+        .flatMap(line => [`${line.time} ${line.daemon} ${line.msg}${formatEnd(line)}`, ...formatPlacements(line)]);
+}
+
+function formatEnd(line: LoggedLine): string {
+    const { detail, latencyMs, queuedMs, revision, status } = line;
+    if (status === undefined) {
+        return "";
+    }
+    const because = typeof detail === "string" ? `: ${detail}` : "";
+    return ` Status ${String(status)}${because}; ${readNumber(latencyMs)} ms, ${
+        readNumber(queuedMs)
+    } ms of them waiting for a`
+        + ` slot; revision ${String(revision)}.`;
+}
+
+function formatPlacements(line: LoggedLine): readonly string[] {
+    const placements = Array.isArray(line["placements"])
+        ? line["placements"] as readonly Record<string, unknown>[]
+        : [];
+    return placements.map(({ cause, end, expectedMs, loadAgeMs, queued, running, server }) =>
+        `  placed at ${String(server)} (${String(cause)}): ${String(expectedMs)} ms expected, ${
+            String(running ?? "?")
+        } running `
+        + `and ${String(queued ?? "?")} waiting ${String(loadAgeMs ?? "?")} ms before; ${
+            String(end ?? "no end was seen")
+        }`
+    );
+}
+
+function listServers(line: LoggedLine): readonly string[] {
+    const placements = Array.isArray(line["placements"])
+        ? line["placements"] as readonly Record<string, unknown>[]
+        : [];
+    return [line["server"], ...placements.map(({ server }) => server)].filter(server => typeof server === "string");
+}
+
+/** Fields that are missing or of another type count as 0: the line itself is shown as well. */
+function readNumber(value: unknown): number {
+    return typeof value === "number" && Number.isFinite(value) ? value : 0;
+}
--- /dev/null
+++ b/src/console/logs/__tests__/unit/RequestStory.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from "vitest";
+import { collectStory, formatStory, parseLoggedLine } from "../../index.js";
+import type { LoggedLine } from "../../index.js";
+
+function createLine(second: number, daemon: string, msg: string, fields: Record<string, unknown> = {}): LoggedLine {
+    return { daemon, msg, time: `2026-12-04T10:00:${String(second).padStart(2, "0")}.000Z`, ...fields };
+}
+
+const END = createLine(20, "entry", "requests: POST /pay/ ended as unknown.", {
+    detail: "read ECONNRESET",
+    latencyMs: 900,
+    placements: [{
+        cause: "first",
+        end: "read ECONNRESET",
+        expectedMs: 40,
+        loadAgeMs: 12,
+        queued: 0,
+        running: 3,
+        server: "owner",
+    }],
+    queuedMs: 5,
+    requestId: "r-1",
+    revision: 17,
+    server: undefined,
+    status: 502,
+});
+
+const LINES = [
+    END,
+    createLine(2, "entry", "configuration: version 4 is in force.", { revision: 17 }),
+    createLine(1, "entry", "configuration: version 3 is in force.", { revision: 12 }),
+    createLine(10, "owner", "gate: server i-1 is ready."),
+    createLine(19, "owner", "gate: server can't be reached: connect ECONNREFUSED."),
+    createLine(19, "other", "gate: server i-7 is leaving."),
+    createLine(18, "entry", "sessions: owner can't be reached: read ECONNRESET."),
+    createLine(25, "owner", "gate: server i-2 is ready."),
+    createLine(19, "owner", "requests: GET /stock/ ended as answered.", { requestId: "r-2" }),
+];
+
+describe("the story of a request", () => {
+    it("has its own line, what the daemons in it believed shortly before, and the version in force", () => {
+        expect(formatStory(collectStory(LINES, "r-1") ?? { around: [], configuration: undefined, own: [] })).toEqual([
+            "2026-12-04T10:00:02.000Z entry configuration: version 4 is in force.",
+            "2026-12-04T10:00:18.000Z entry sessions: owner can't be reached: read ECONNRESET.",
+            "2026-12-04T10:00:19.000Z owner gate: server can't be reached: connect ECONNREFUSED.",
+            "2026-12-04T10:00:20.000Z entry requests: POST /pay/ ended as unknown. Status 502: read ECONNRESET; 900 ms, 5 ms of"
+            + " them waiting for a slot; revision 17.",
+            "  placed at owner (first): 40 ms expected, 3 running and 0 waiting 12 ms before; read ECONNRESET",
+        ]);
+    });
+
+    it("is undefined for an id that no line names", () => {
+        expect(collectStory(LINES, "r-9")).toBeUndefined();
+    });
+});
+
+describe("a line of a log", () => {
+    it("is left out when it was cut or is another program's", () => {
+        expect(parseLoggedLine(JSON.stringify(END))?.msg).toBe(END.msg);
+        for (const text of ["", "{\"daemon\":\"a\",\"ti", "[]", "null", "{\"msg\":1}", "Killed"]) {
+            expect(parseLoggedLine(text)).toBeUndefined();
+        }
+    });
+});
