--- a/scripts/ensure-installed.mjs
+++ b/scripts/ensure-installed.mjs
@@ -1,5 +1,5 @@
 // Installs the locked packages when node_modules does not hold exactly what the lock file names.
-// `npm ci` is not used: it fails where a registry lacks an optional package of another platform.
+// `npm ci` works as well; it is not used, since it removes node_modules that several checkouts may share.
 import { spawnSync } from "node:child_process";
 import { createHash } from "node:crypto";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
