Send requests that may run once only over connections that rested for less than 250 ms

Cause: servers of kind idle_race forget connections that rested for 300 ms; a request that may run once went over connections that had rested for up to 1 s, and its end was unknown. The test failed before with 'unknown'.

--- a/src/transport/ownership/OwnershipConstants.ts
+++ b/src/transport/ownership/OwnershipConstants.ts
@@ -2,8 +2,11 @@
 export const CONNECT_TIMEOUT_MS = 400;
 /** Idle connections older than this are closed, well before the idle timeout that servers of the users have (10 s). */
 export const IDLE_LIMIT_MS = 6_000;
-/** A request that may run once takes only a connection that was in use this short a time ago. */
-export const FRESH_IDLE_MS = 1_000;
+/**
+ * A request that may run once takes only a connection that was in use this short a time ago: some servers forget
+ * connections that rested for 300 ms, and whether a request on such a one ran can't be known.
+ */
+export const FRESH_IDLE_MS = 250;
 /** Distance kept from the idle timeout that a server states. */
 export const IDLE_MARGIN_MS = 1_000;
 /** Answers up to this size are passed on whole, so that one that breaks off can be replaced by another server's. */
--- a/src/transport/ownership/__tests__/unit/OwnerGate.test.ts
+++ b/src/transport/ownership/__tests__/unit/OwnerGate.test.ts
@@ -199,6 +199,28 @@
     });
 });
 
+describe("a server that forgets connections which rested", () => {
+    it("loses no request that may run once", async () => {
+        const restedAt = new Map<unknown, number>();
+        const { gate } = await openGate((socket, id) => {
+            if (performance.now() - (restedAt.get(socket) ?? Infinity) > 300) {
+                socket.resetAndDestroy();
+                return;
+            }
+            restedAt.set(socket, performance.now());
+            socket.write(formatAnswer(id, "ok"));
+        });
+        const send = async (id: string): Promise<string> => {
+            const request = recordRequest(() => queueMicrotask(() => handle.proceed()));
+            const handle = gate.submit(createOwnedRequest(id, { kind: RequestKind.Once }), request.listener);
+            return request.end;
+        };
+        expect(await send("a")).toBe("answer 200 ok");
+        await new Promise(resolve => setTimeout(resolve, 400));
+        expect(await send("b")).toBe("answer 200 ok");
+    });
+});
+
 describe("slots", () => {
     it("frees the slot of a repeatable request whose caller has left", async () => {
         const { gate, server } = await openGate(() => undefined, 1);
