Open a server whose health check lies after its ready reports have gone on for 6 s

Ready reports that go on for longer than one can be late show that it isn't leaving. The test failed before.

--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -38,6 +38,8 @@
 
 /** Left servers whose late reports are still recognized. */
 const REMEMBERED_DEPARTURES = 32;
+/** Longest delay of a report that is reckoned with; the users' pages speak of seconds. */
+const LATEST_REPORT_MS = 6_000;
 /** First pause before a server that could not be reached is tried again, doubled after each further failure. */
 const RETRY_BASE_MS = 250;
 const RETRY_MAXIMUM_MS = 2_000;
@@ -45,6 +47,8 @@
 export class ServerRegistration {
     #server: RegisteredServer | undefined;
     #isConfirmed: boolean;
+    /** First ready report of the present start, while it is not confirmed. */
+    #readySince: { readonly at: number; readonly sequence: number; } | undefined;
     /** Start time of servers that left, by id; undefined values are kept for servers that tell none. */
     readonly #departed = new Map<string, number | undefined>();
     #unreachableUntil = 0;
@@ -99,6 +103,7 @@
         }
         const isOther = this.#server?.serverId !== report.serverId || this.#server.startedAt !== report.startedAt;
         this.#server = { ...report, coldUntil: now + report.coldLeftMs, reportedAt: now };
+        this.#observeReady(report, isOther, now);
         if (isOther || this.#failures === 0) {
             this.#unreachableUntil = 0;
             this.#failures = 0;
@@ -141,6 +146,19 @@
         this.acceptDeparture(serverId, undefined);
     }
 
+    /** A server whose health check lies is confirmed by ready reports that go on after any late one has come. */
+    #observeReady({ phase, sequence }: ServerReport, isOther: boolean, now: number): void {
+        if (phase !== ServerPhase.Ready) {
+            this.#readySince = undefined;
+        }
+        else if (isOther || this.#readySince === undefined) {
+            this.#readySince = { at: now, sequence };
+        }
+        else if (now - this.#readySince.at >= LATEST_REPORT_MS && sequence > this.#readySince.sequence) {
+            this.#isConfirmed = true;
+        }
+    }
+
     #isOutdated(report: ServerReport): boolean {
         if (this.#departed.has(report.serverId)) {
             const departedStart = this.#departed.get(report.serverId);
--- a/src/coordination/registration/__tests__/unit/ServerRegistration.test.ts
+++ b/src/coordination/registration/__tests__/unit/ServerRegistration.test.ts
@@ -68,6 +68,26 @@
         expect(registration.isOpen(1)).toBe(true);
     });
 
+    it("opens for a server whose health check lies once its ready reports go on for longer than one can be late", () => {
+        const registration = new ServerRegistration(false);
+        for (let at = 0; at < 6_000; at += 1_500) {
+            registration.accept(createReport({ sequence: 10 + at / 1_500 }), at);
+            expect(registration.isOpen(at)).toBe(false);
+        }
+        registration.accept(createReport({ sequence: 14 }), 6_000);
+        expect(registration.isOpen(6_000)).toBe(true);
+    });
+
+    it("stays closed for late reports that come together, and begins anew for another server", () => {
+        const registration = new ServerRegistration(false);
+        registration.accept(createReport({ sequence: 3 }), 0);
+        registration.accept(createReport({ sequence: 3 }), 6_000);
+        expect(registration.isOpen(6_000)).toBe(false);
+        registration.accept(createReport({ sequence: 1, serverId: "i-2", startedAt: 200 }), 6_100);
+        registration.accept(createReport({ sequence: 2, serverId: "i-2", startedAt: 200 }), 6_200);
+        expect(registration.isOpen(6_200)).toBe(false);
+    });
+
     it("takes all reports of a server that it recalled, also the first of its start", () => {
         const registration = new ServerRegistration(false);
         registration.recall(identity, 0);
