Say in the log why a health check after a restart got no answer

Cause: a refused connection or a time-out became undefined, so the line said neither what failed nor whether the server gets work. Change: the check returns the reason, the line has it and the outcome. The test of the reason failed before, when there was none; decisions are the same.

--- a/src/transport/ownership/HealthCheck.ts
+++ b/src/transport/ownership/HealthCheck.ts
@@ -1,15 +1,17 @@
 /** One health check of the backend server beside the daemon, over a connection of its own. */
 import { request } from "node:http";
+import type { Either } from "purify-ts/Either";
+import { Left, Right } from "purify-ts/Either";
 import type { RegisteredServer } from "../../coordination/registration/index.js";
 import type { Dialect, HealthStatement } from "../../protocol/dialect/index.js";
 import { HEALTH_TIMEOUT_MS } from "./OwnershipConstants.js";
 
-/** Resolves with undefined when the server gives no answer in time or can't be reached. */
+/** Left tells why there is no answer: the server gave none in time, or can't be reached. */
 export function checkHealth(
     dialect: Dialect,
     server: RegisteredServer,
     path: string,
-): Promise<HealthStatement | undefined> {
+): Promise<Either<string, HealthStatement>> {
     return new Promise(resolve => {
         const call = request({
             agent: false,
@@ -19,11 +21,12 @@
             signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
         });
         call.once("response", response => {
+            // The head has told all that is asked; how the body ends doesn't matter.
             response.on("error", () => undefined);
             response.resume();
-            resolve(dialect.readHealth(response.statusCode ?? 0, response.headers));
+            resolve(Right(dialect.readHealth(response.statusCode ?? 0, response.headers)));
         });
-        call.on("error", () => resolve(undefined));
+        call.on("error", error => resolve(Left(error.message)));
         call.end();
     });
 }
--- a/src/transport/ownership/ServerConfirmation.ts
+++ b/src/transport/ownership/ServerConfirmation.ts
@@ -2,6 +2,7 @@
  * Asks a server whether it serves before it gets work from a daemon that has restarted. That daemon may
  * have acknowledged the server's leaving in its former life, and what it hears may be late.
  */
+import type { Either } from "purify-ts/Either";
 import type { RegisteredServer, ServerRegistration } from "../../coordination/registration/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type { HealthStatement } from "../../protocol/dialect/index.js";
@@ -15,8 +16,8 @@
     readonly random: Random;
     /** Path of the health check of a service; undefined while no configuration tells it. */
     readHealthPath(service: string): string | undefined;
-    /** Asks the server; undefined when it gave no answer in time. */
-    checkHealth(server: RegisteredServer, path: string): Promise<HealthStatement | undefined>;
+    /** Asks the server; Left tells why it gave no answer. */
+    checkHealth(server: RegisteredServer, path: string): Promise<Either<string, HealthStatement>>;
 }
 
 export class ServerConfirmation {
@@ -64,10 +65,22 @@
         if (server === undefined || path === undefined) {
             return;
         }
-        const health = await this.#effects.checkHealth(server, path);
-        if (health?.isHealthy === true && health.serverId !== undefined) {
-            this.#registration.confirm(health.serverId);
-        }
-        this.#effects.log.info(`health check of ${server.serverId} after a restart.`, { health, server });
+        const sentence = `health check of ${server.serverId} after a restart`;
+        (await this.#effects.checkHealth(server, path)).caseOf({
+            Left: reason => {
+                this.#effects.log.warn(`${sentence} got no answer: ${reason}.`, { path, server });
+            },
+            Right: health => {
+                if (health.isHealthy && health.serverId !== undefined) {
+                    this.#registration.confirm(health.serverId);
+                }
+                const isOpen = !this.#registration.needsConfirmation();
+                this.#effects.log.info(`${sentence}: it ${isOpen ? "gets work" : "gets no work yet"}.`, {
+                    health,
+                    path,
+                    server,
+                });
+            },
+        });
     }
 }
--- /dev/null
+++ b/src/transport/ownership/__tests__/unit/HealthCheck.test.ts
@@ -0,0 +1,41 @@
+import { afterEach, describe, expect, it } from "vitest";
+import { checkHealth } from "../../index.js";
+import { createReport, createTestDialect } from "../fixtures/Gate.js";
+import { startRawServer } from "../fixtures/RawServer.js";
+import type { RawServer, StatedHealth } from "../fixtures/RawServer.js";
+
+let server: RawServer | undefined;
+
+afterEach(async () => {
+    await server?.close();
+    server = undefined;
+});
+
+async function check(health: StatedHealth) {
+    server = await startRawServer(() => undefined, () => health);
+    return checkHealth(createTestDialect(), { ...createReport(server.port), coldUntil: 0, reportedAt: 0 }, "/healthz");
+}
+
+/** Guards against a health check whose failure leaves no reason for the log. */
+describe("a health check", () => {
+    it("tells what the server says of itself", async () => {
+        const health = await check({ headers: ["X-Server: server-1"], status: 200 });
+        expect(health.extract()).toEqual({ isHealthy: true, serverId: "server-1" });
+    });
+
+    it("tells that a server is not well", async () => {
+        expect((await check({ headers: [], status: 503 })).extract()).toEqual({
+            isHealthy: false,
+            serverId: undefined,
+        });
+    });
+
+    it("tells why there was no answer", async () => {
+        server = await startRawServer(() => undefined);
+        const registered = { ...createReport(server.port), coldUntil: 0, reportedAt: 0 };
+        await server.close();
+        const health = await checkHealth(createTestDialect(), registered, "/healthz");
+        expect(health.isLeft()).toBe(true);
+        expect(health.extract()).toContain("ECONNREFUSED");
+    });
+});
