--- a/src/console/logs/RequestStory.ts
+++ b/src/console/logs/RequestStory.ts
@@ -50,7 +50,8 @@
         return undefined;
     }
     const endsAt = Date.parse(end.time);
-    const beginsAt = endsAt - readNumber(end["latencyMs"]);
+    // A line without a latency is of a request that was refused or rejected as soon as it was read.
+    const beginsAt = typeof end["latencyMs"] === "number" ? endsAt - end["latencyMs"] : endsAt;
     const daemons = new Set([...own.map(({ daemon }) => daemon), ...own.flatMap(listServers)]);
     const isContext = (line: LoggedLine): boolean => CONTEXT_PARTS.has(PART_PATTERN.exec(line.msg)?.[1] ?? "");
     const around = sorted.filter(line => {
@@ -82,34 +83,29 @@
         return "";
     }
     const because = typeof detail === "string" ? `: ${detail}` : "";
-    return ` Status ${String(status)}${because}; ${readNumber(latencyMs)} ms, ${
-        readNumber(queuedMs)
-    } ms of them waiting for a`
-        + ` slot; revision ${String(revision)}.`;
+    const times = `${formatField(latencyMs)} ms, ${formatField(queuedMs)} ms of them waiting for a slot`;
+    return ` Status ${formatField(status)}${because}; ${times}; revision ${formatField(revision)}.`;
 }
 
 function formatPlacements(line: LoggedLine): readonly string[] {
-    const placements = Array.isArray(line["placements"])
-        ? line["placements"] as readonly Record<string, unknown>[]
-        : [];
-    return placements.map(({ cause, end, expectedMs, loadAgeMs, queued, running, server }) =>
-        `  placed at ${String(server)} (${String(cause)}): ${String(expectedMs)} ms expected, ${
-            String(running ?? "?")
-        } running `
-        + `and ${String(queued ?? "?")} waiting ${String(loadAgeMs ?? "?")} ms before; ${
-            String(end ?? "no end was seen")
-        }`
-    );
+    return readPlacements(line).map(({ cause, end, expectedMs, loadAgeMs, queued, running, server }) => {
+        const load = `${formatField(running)} running and ${formatField(queued)} waiting`;
+        return `  placed at ${formatField(server)} (${formatField(cause)}): ${
+            formatField(expectedMs)
+        } ms expected, ${load} `
+            + `${formatField(loadAgeMs)} ms before; ${String(end ?? "no end was seen")}`;
+    });
 }
 
 function listServers(line: LoggedLine): readonly string[] {
-    const placements = Array.isArray(line["placements"])
-        ? line["placements"] as readonly Record<string, unknown>[]
-        : [];
-    return [line["server"], ...placements.map(({ server }) => server)].filter(server => typeof server === "string");
+    return [line["server"], ...readPlacements(line).map(({ server }) => server)]
+        .filter(server => typeof server === "string");
+}
+
+function readPlacements(line: LoggedLine): readonly Record<string, unknown>[] {
+    return Array.isArray(line["placements"]) ? line["placements"] as readonly Record<string, unknown>[] : [];
 }
 
-/** Fields that are missing or of another type count as 0: the line itself is shown as well. */
-function readNumber(value: unknown): number {
-    return typeof value === "number" && Number.isFinite(value) ? value : 0;
+function formatField(value: unknown): string {
+    return value === undefined ? "?" : String(value);
 }
--- a/src/console/logs/__tests__/unit/RequestStory.test.ts
+++ b/src/console/logs/__tests__/unit/RequestStory.test.ts
@@ -49,6 +49,14 @@
         ]);
     });
 
+    it("shows what a line doesn't tell as unknown, not as zero", () => {
+        const line = createLine(5, "entry", "requests: GET /a/ ended as not-run.", { requestId: "r-3", status: 503 });
+        expect(formatStory(collectStory([line], "r-3") ?? { around: [], configuration: undefined, own: [] })).toEqual([
+            "2026-12-04T10:00:05.000Z entry requests: GET /a/ ended as not-run. Status 503; ? ms, ? ms of them waiting for a"
+            + " slot; revision ?.",
+        ]);
+    });
+
     it("is undefined for an id that no line names", () => {
         expect(collectStory(LINES, "r-9")).toBeUndefined();
     });
