Keep the mesh's retry budget with sliding windows, and refuse requests that all servers declined

Cause: a daemon counted calls of running requests as requests that raise the budget, and counted no call of a request that ran again as a retry, although it is one for the service that is called. A request that may run once and was declined by each server that it was offered to ended with 502, so its caller lost its retry. Sessions carry whether a request is a retry, so that its calls count as retries. A request is unknown only after an attempt that may have run.

--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -86,6 +86,7 @@
     kind: createChoiceCodec(Object.values(RequestKind)),
     priority: integer,
     isNested: booleanCodec,
+    isRetry: booleanCodec,
     /** Times remaining when the message is sent, since clocks differ. */
     targetLeftMs: numberCodec,
     budgetLeftMs: numberCodec,
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -69,14 +69,14 @@
         return this.#queue.running;
     }
 
-    /** Whether the request with this id has a slot of the server. */
-    isRunning(requestId: string): boolean {
-        for (const execution of this.#executions) {
-            if (execution.hasStarted && execution.request.requestId === requestId) {
-                return true;
+    /** Finds a request that has a slot of the server. */
+    findRunning(requestId: string): OwnedRequest | undefined {
+        for (const { hasStarted, request } of this.#executions) {
+            if (hasStarted && request.requestId === requestId) {
+                return request;
             }
         }
-        return false;
+        return undefined;
     }
 
     readLoad(): OwnerLoad {
--- a/src/transport/ownership/OwnedRequest.ts
+++ b/src/transport/ownership/OwnedRequest.ts
@@ -16,6 +16,8 @@
     readonly kind: RequestKind;
     readonly priority: number;
     readonly isNested: boolean;
+    /** Whether it may reach a server for a second time, or is a call of a request that may. */
+    readonly isRetry: boolean;
     /** Time left to meet the target latency; negative when it is missed already. */
     readonly targetLeftMs: number;
     /** Time left until the deadline, after which an answer is of no use. */
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,6 +1,6 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
-import { RetryBudget } from "../../coordination/retries/index.js";
+import { SharedRetryBudget } from "../../coordination/retries/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import { MemberState } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
@@ -13,7 +13,7 @@
 import { AdmissionController, checkHealth } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { SessionManager } from "../sessions/index.js";
-import { CallerListener, computeDistance, RETRY_BUDGET_SHARE, ServerDirectory } from "../traffic/index.js";
+import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { renderMetrics } from "./MetricsText.js";
@@ -29,7 +29,6 @@
  * ends in the last sixth of that time.
  */
 const STOP_GRACE_SHARE = 0.87;
-const MS_PER_SECOND = 1_000;
 
 /** Dependencies of a daemon besides its settings. */
 export interface SidecarDependencies {
@@ -85,7 +84,7 @@
     readonly #configurationManager: ConfigurationManager;
     readonly #callerListener: CallerListener;
     readonly #metrics = createRequestMetrics();
-    readonly #retryBudgets = new Map<string, RetryBudget>();
+    readonly #retryBudgets = new Map<string, SharedRetryBudget>();
     readonly #endpoints: Server[] = [];
     #isStopping = false;
     #isolatedSince: number | undefined;
@@ -180,14 +179,19 @@
         this.#callerListener = new CallerListener({
             dialect: dependencies.dialect,
             directory: this.#serverDirectory,
-            isRunning: requestId => this.#admission.isRunning(requestId),
+            findRunning: requestId => this.#admission.findRunning(requestId),
             log: requestLog,
             now,
             random,
             readCallerService: () => settings.service,
             readConfiguration: () => this.#configurationManager.configuration,
             recorder: combineRecorders([this.#metrics, createAccessLog(requestLog)]),
-            recordRequest: service => this.#getRetryBudget(service).recordRequest(now()),
+            recordRequest: (service, isNested) => {
+                if (!isNested) {
+                    this.#getRetryBudget(service).recordRequest(this.#settings.retryWindowMs, now());
+                }
+            },
+            recordRetry: service => this.#getRetryBudget(service).recordRetry(this.#settings.retryWindowMs, now()),
             selfId: settings.id,
             takeRetry: service => this.#takeRetry(service),
         });
@@ -304,25 +308,23 @@
         return this.#isolatedSince === undefined || now - this.#isolatedSince < ISOLATION_TIMEOUT_MS;
     }
 
-    #getRetryBudget(service: string): RetryBudget {
+    #getRetryBudget(service: string): SharedRetryBudget {
         let budget = this.#retryBudgets.get(service);
         if (budget === undefined) {
-            budget = new RetryBudget(this.#dependencies.now());
+            budget = new SharedRetryBudget();
             this.#retryBudgets.set(service, budget);
         }
         return budget;
     }
 
-    /**
-     * Splits the mesh's retry budget without coordination: each daemon uses the part of its own requests and
-     * an equal part of the slack.
-     */
     #takeRetry(service: string): boolean {
         const { retryRatio, retrySlack, retryWindowMs } = this.#settings;
-        const daemons = Math.max(1, this.#memberRegistry.list().length);
         const isTaken = this.#getRetryBudget(service).takeRetry({
-            budget: retryRatio * RETRY_BUDGET_SHARE,
-            minimumPerSecond: retrySlack * RETRY_BUDGET_SHARE / daemons / (retryWindowMs / MS_PER_SECOND),
+            daemons: this.#memberRegistry.list().length,
+            ratio: retryRatio,
+            // Without the records of the others, this daemon can't know its part of the slack.
+            slack: this.#memberRegistry.isRegistered ? retrySlack : 0,
+            windowMs: retryWindowMs,
         }, this.#dependencies.now());
         if (!isTaken) {
             this.#metrics.count({ class: undefined, kind: "refused", reason: "repeat-budget", service });
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -8,6 +8,7 @@
 import { findRoute } from "../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
+import type { OwnedRequest } from "../ownership/index.js";
 import { CallerExchange } from "./CallerExchange.js";
 import { ForwardedRequest } from "./ForwardedRequest.js";
 import type { ForwardingContext } from "./ForwardedRequest.js";
@@ -28,11 +29,13 @@
     readonly log: PartLogger;
     /** Service that runs on this VM. */
     readonly readCallerService: () => string;
-    /** Whether the own backend server is running the request with this id. */
-    readonly isRunning: (requestId: string) => boolean;
+    /** Finds a request that the own backend server is running. */
+    readonly findRunning: (requestId: string) => OwnedRequest | undefined;
     readonly readConfiguration: () => TrafficConfiguration | undefined;
-    /** Counts a request towards its service's retry budget. */
-    recordRequest(service: string): void;
+    /** Counts a request towards its service's retry budget; a call of a running request doesn't raise it. */
+    recordRequest(service: string, isNested: boolean): void;
+    /** Counts a call of a request that runs again, which is a retry for the service that is called. */
+    recordRetry(service: string): void;
 }
 
 /** Headers that delimit a body; dropped, because the body is forwarded with its own length. */
@@ -215,7 +218,13 @@
         const budgetMs = callerHeaders.timeLeftMs ?? route.timeoutMs;
         const statistics = this.#getStatistics(route.name);
         const spentMs = statistics.recordTimeBudget(budgetMs, arrivedAt);
-        this.#options.recordRequest(service);
+        const parent = callerHeaders.parentId === undefined
+            ? undefined
+            : this.#options.findRunning(callerHeaders.parentId);
+        this.#options.recordRequest(service, parent !== undefined);
+        if (parent?.isRetry === true) {
+            this.#options.recordRetry(service);
+        }
         const plan = {
             arrivedAt,
             body: body.bytes,
@@ -223,7 +232,8 @@
             callerService: this.#options.readCallerService(),
             deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),
             headers: this.#copyHeaders(request),
-            isNested: callerHeaders.parentId !== undefined && this.#options.isRunning(callerHeaders.parentId),
+            isNested: parent !== undefined,
+            isRetry: parent?.isRetry === true,
             method: request.method ?? "",
             requestId,
             revision,
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -47,6 +47,8 @@
     readonly body: Uint8Array;
     readonly callerService: string;
     readonly isNested: boolean;
+    /** Whether it is a call of a request that may run for a second time. */
+    readonly isRetry: boolean;
     readonly arrivedAt: number;
     /** Time until which an answer meets the target latency. */
     readonly targetAt: number;
@@ -90,7 +92,8 @@
     #placementCount = 0;
     /** Servers that the request may have reached. */
     #serversReached = 0;
-    #mayHaveRun = false;
+    /** Whether an attempt ended after it may have run. */
+    #hasUnknownOutcome = false;
     #refusals: OwnerRefusal[] = [];
     #streamingAttempt: Attempt | undefined;
     #fallbackAnswer: ServerAnswer | undefined;
@@ -190,6 +193,7 @@
             callerService,
             headers,
             isNested,
+            isRetry: this.#plan.isRetry || this.#serversReached > 0,
             kind: route.kind,
             method,
             priority: route.priority,
@@ -261,7 +265,6 @@
             onHead: head => this.#beginStream(attempt, head),
             onOffer: () => {
                 if (!attempt.isEnded) {
-                    this.#mayHaveRun = true;
                     attempt.hasProceeded = true;
                     attempt.handle?.proceed();
                 }
@@ -274,7 +277,7 @@
             },
             onOutcomeUnknown: (detail, load) => {
                 if (this.#endAttempt(attempt, load, detail)) {
-                    this.#mayHaveRun = true;
+                    this.#hasUnknownOutcome = true;
                     this.#context.directory.recordFailure(attempt.owner);
                     this.#retryIfRepeatable(detail);
                 }
@@ -294,7 +297,7 @@
             return;
         }
         this.#context.directory.recordFailure(attempt.owner);
-        this.#mayHaveRun = true;
+        this.#hasUnknownOutcome = true;
         this.#fallbackAnswer = { body, head, owner: attempt.owner };
         if (isRepeatable(this.#plan.route.kind)) {
             this.#retryOrComplete(`the server failed with status ${head.status}`, "failed");
@@ -309,10 +312,6 @@
             return;
         }
         this.#serversReached--;
-        if (attempt.hasProceeded) {
-            // The offer was withdrawn, or the server could not be reached; both mean that nothing was sent.
-            this.#mayHaveRun = [...this.#attempts].some(other => other.hasProceeded);
-        }
         attempt.owner.statistics.ejection.recordInconclusive();
         this.#refusals.push(refusal);
         this.#retryOrComplete(refusal.detail, refusal.reason);
@@ -336,7 +335,7 @@
     /** Checks that an ended stream had a head; without one, the outcome is unknown and a retry follows if allowed. */
     #requireStreamHead(isStreaming: boolean, detail: string): boolean {
         if (!isStreaming) {
-            this.#mayHaveRun = true;
+            this.#hasUnknownOutcome = true;
             this.#retryIfRepeatable(detail);
         }
         return isStreaming;
@@ -434,7 +433,7 @@
             this.#completeWithAnswer(this.#fallbackAnswer);
             return;
         }
-        if (this.#mayHaveRun) {
+        if (this.#hasUnknownOutcome) {
             const detail = this.#lastDetail;
             this.#complete(
                 undefined,
@@ -477,7 +476,7 @@
         if (this.#isComplete || this.#streamingAttempt !== undefined) {
             return;
         }
-        const mayRun = this.#mayHaveRun
+        const mayRun = this.#hasUnknownOutcome
             || isRepeatable(this.#plan.route.kind) && this.#attempts.size > 0
             || [...this.#attempts].some(({ hasProceeded }) => hasProceeded);
         for (const attempt of [...this.#attempts]) {
--- a/src/transport/traffic/TrafficConstants.ts
+++ b/src/transport/traffic/TrafficConstants.ts
@@ -14,11 +14,6 @@
 export const PARSER_HEADER_LIMIT_BYTES = 131_072;
 /** Highest share of a service's servers that may be ejected at a time. */
 export const MAXIMUM_EJECTED_SHARE = 0.5;
-/**
- * Share of the mesh's retry budget that is used. The rest is a margin: the daemons' budgets decay while the
- * users' windows slide, and nested calls of a retried request count as retries as well.
- */
-export const RETRY_BUDGET_SHARE = 0.6;
 /** Limits that apply before a version is in force. */
 export const INITIAL_HEADER_TIMEOUT_MS = 3_000;
 export const INITIAL_IDLE_TIMEOUT_MS = 15_000;
