Keep sessions with neighbours and a subset of servers instead of with each daemon

Cause: each daemon opened a session to each other one and pinged it, and each handshake carried all member records; sessions, pings and bytes grew with the square of the fleet, handshakes with its cube. Records spread by gossip, repaired by digests. Versions are announced to neighbours and sent compressed. Two or three daemons of a region watch the store, known to the others by reports that pings pass on. A daemon that stops says so by its record. Ways considered: a tree of relays for records (a dead relay delays its branch), all records in each ping (bytes grow with the fleet), a session on each first request (its handshake delays the request).

--- a/src/coordination/distribution/__tests__/unit/StoreWatchers.test.ts
+++ b/src/coordination/distribution/__tests__/unit/StoreWatchers.test.ts
@@ -1,27 +1,64 @@
 import { describe, expect, it } from "vitest";
-import { shouldWatchStore } from "../../index.js";
+import { StoreWatchers } from "../../index.js";
+import { WATCH_REPORT_VALIDITY_MS, WATCHERS_PER_REGION, WATCHERS_PER_SMALL_REGION } from "../../StoreWatchers.js";
 
-const region = Array.from({ length: 10 }, (_value, index) => ({ id: `daemon-${index}` }));
+const LONGEST_TAKEOVER_MS = 2_500;
 
-function listWatchers(reachable: readonly { readonly id: string; }[], isOtherWatching: boolean): string[] {
-    return reachable.map(({ id }) => id).filter(selfId => shouldWatchStore({ isOtherWatching, reachable, selfId }));
+function createRegion(size: number): readonly string[] {
+    return Array.from({ length: size }, (_value, index) => `daemon-${index}`);
+}
+
+/** Daemons of a region that exchange all their reports every `stepMs`; those that are down neither watch nor report. */
+function createWatchedRegion(ids: readonly string[]) {
+    const daemons = new Map(ids.map(id => {
+        const watchers = new StoreWatchers(id);
+        watchers.setRegion(ids);
+        return [id, watchers];
+    }));
+    let now = 0;
+    const run = (durationMs: number, isDown: (id: string) => boolean = () => false, stepMs = 250): string[] => {
+        let watching: string[] = [];
+        for (const endAt = now + durationMs; now < endAt; now += stepMs) {
+            const live = [...daemons].filter(([id]) => !isDown(id));
+            watching = live.filter(([, watchers]) => watchers.shouldWatch(now)).map(([id]) => id);
+            watching.forEach(id => daemons.get(id)?.recordOwnWatch(now));
+            const reports = live.flatMap(([, watchers]) => watchers.listReports(now));
+            live.forEach(([, watchers]) => watchers.recordReports(reports, now));
+        }
+        return watching;
+    };
+    return { run };
 }
 
 // Guards against a region without a store watch, and against one store watch for each daemon.
 describe("store watchers", () => {
-    it("are one daemon of a region while a watch works", () => {
-        expect(listWatchers(region, true).length).toBe(1);
+    it("are a few daemons of a region, whatever its size", () => {
+        expect(createWatchedRegion(createRegion(6)).run(10_000).length).toBe(WATCHERS_PER_SMALL_REGION);
+        expect(createWatchedRegion(createRegion(100)).run(10_000).length).toBe(WATCHERS_PER_REGION);
+        expect(createWatchedRegion(createRegion(800)).run(4_000, undefined, 1_000).length).toBe(WATCHERS_PER_REGION);
+    });
+
+    it("are replaced by others when all of them are down, within the age of their last reports", () => {
+        const region = createWatchedRegion(createRegion(100));
+        const first = region.run(10_000);
+        const next = region.run(WATCH_REPORT_VALIDITY_MS + LONGEST_TAKEOVER_MS, id => first.includes(id));
+        expect(next.length).toBe(WATCHERS_PER_REGION);
+        expect(next.filter(id => first.includes(id))).toEqual([]);
     });
 
-    it("are the next-ranked daemon when the first is unreachable", () => {
-        const [first] = listWatchers(region, true);
-        const rest = region.filter(({ id }) => id !== first);
-        expect(listWatchers(rest, true).length).toBe(1);
-        expect(listWatchers(rest, true)).not.toEqual([first]);
+    it("are the first ones again after their return, and the others stop", () => {
+        const region = createWatchedRegion(createRegion(100));
+        const first = region.run(10_000);
+        region.run(10_000, id => first.includes(id));
+        expect(region.run(3_000)).toEqual(first);
     });
 
     it("are all daemons that know of no other working watch", () => {
-        expect(listWatchers(region, false).length).toBe(region.length);
-        expect(shouldWatchStore({ isOtherWatching: false, reachable: [], selfId: "alone" })).toBe(true);
+        const alone = createRegion(10).map(id => new StoreWatchers(id));
+        alone.forEach(watchers => {
+            watchers.setRegion(createRegion(10));
+            watchers.shouldWatch(0);
+        });
+        expect(alone.filter(watchers => watchers.shouldWatch(LONGEST_TAKEOVER_MS)).length).toBe(10);
     });
 });
--- a/src/coordination/distribution/index.ts
+++ b/src/coordination/distribution/index.ts
@@ -1,9 +1,10 @@
 export { findMissingDependencies } from "./Dependencies.js";
 export { computeBackoffDelay, selectIntervals } from "./Intervals.js";
 export type { DistributionIntervals } from "./Intervals.js";
+export { selectNeighbours } from "./Neighbours.js";
 export { computeReleasableVersion, isHeldByDomain, UNWITNESSED_RELEASE_TIMEOUT_MS } from "./Release.js";
-export { shouldWatchStore } from "./StoreWatchers.js";
-export type { WatcherQuery } from "./StoreWatchers.js";
+export { StoreWatchers } from "./StoreWatchers.js";
+export type { WatchReport } from "./StoreWatchers.js";
 export { computeTreePosition, listDomainRelays, listRegions, TREE_FANOUT, UNJOINED_POSITION } from "./Tree.js";
 export type { TreePosition } from "./Tree.js";
 export {
--- a/src/coordination/placement/index.ts
+++ b/src/coordination/placement/index.ts
@@ -5,3 +5,5 @@
 export type { OwnerLoad, PlacementQuery } from "./PlacementTypes.js";
 export { computeRetryAfter } from "./RetryAfter.js";
 export { RouteStatistics } from "./RouteStatistics.js";
+export { MAXIMUM_EXTRA_SERVERS, selectSubset } from "./Subset.js";
+export type { ServersByDistance, SubsetQuery } from "./Subset.js";
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -5,6 +5,7 @@
 import { Packr } from "msgpackr";
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { ServerIdentity } from "../../coordination/registration/index.js";
+import { DIGEST_BUCKETS } from "../../state/members/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
 import { memberCodec } from "../peer/index.js";
 import {
@@ -27,6 +28,8 @@
 const HEADERS_LIMIT = 131_072;
 const HEADER_TEXT_LIMIT = 131_072;
 const MEMBERS_LIMIT = 4_096;
+const DOMAINS_LIMIT = 1_024;
+const WATCHES_LIMIT = 16;
 
 const name = createTextCodec(256);
 const text = createTextCodec(HEADER_TEXT_LIMIT);
@@ -93,14 +96,21 @@
     callerService: name,
 });
 
+/** What each daemon says of its beliefs. */
+const statusFields = {
+    /** Revision of the configuration in force; 0 when none is. */
+    revision: integer,
+    /** Watches of the store in the sender's region that are known to work. */
+    watches: createListCodec(createRecordCodec({ id: name, ageMs: numberCodec }), WATCHES_LIMIT),
+    /** Digest of all member records; equal when both daemons hold the same ones. */
+    membersDigest: integer,
+};
+
 /** Fields that each peer sends about itself in handshake and keepalive messages. */
 const keepaliveFields = {
+    ...statusFields,
     /** Sequenced frames received so far. */
     received: integer,
-    /** Revision of the configuration in force; 0 when none is. */
-    revision: integer,
-    /** Whether the daemon has a working watch of the store. */
-    isWatching: booleanCodec,
 };
 
 const MESSAGE_FIELDS = {
@@ -110,7 +120,6 @@
         /** Intended daemon; another one may have taken over its address. */
         target: name,
         member: memberCodec,
-        members: createListCodec(memberCodec, MEMBERS_LIMIT),
         /** Owner's server as the caller's side remembers it, for an owner that has restarted. */
         server: serverIdentity,
     },
@@ -119,7 +128,7 @@
         id: name,
         /** False when the owner has no state of the session, for example after a restart. */
         isResumed: booleanCodec,
-        members: createListCodec(memberCodec, MEMBERS_LIMIT),
+        member: memberCodec,
         load,
         server: serverIdentity,
     },
@@ -127,9 +136,21 @@
     pong: { ...keepaliveFields, sentAt: numberCodec, load },
     acknowledge: { received: integer },
     load: { load, server: serverIdentity },
+    /** Sent at once after a change, without waiting for the next ping. */
+    status: statusFields,
     configurationRequest: {},
-    /** Complete text of a version, as it is in the store. */
-    configuration: { revision: integer, text: createTextCodec(SESSION_FRAME_LIMIT_BYTES) },
+    /** Complete text of a version, as it is in the store, compressed. */
+    configuration: { revision: integer, compressedText: bytesCodec },
+    /** Digests of the sender's records, one for each failure domain, after the digests of all records differed. */
+    memberDigests: { domains: createListCodec(createRecordCodec({ domain: name, hash: integer }), DOMAINS_LIMIT) },
+    /** Digests of the records of a failure domain, one for each bucket of ids. */
+    memberBuckets: { domain: name, hashes: createListCodec(integer, DIGEST_BUCKETS) },
+    /** Records that are new or differ; the receiver answers with its own records of the wanted buckets. */
+    members: {
+        records: createListCodec(memberCodec, MEMBERS_LIMIT),
+        domain: name,
+        wantedBuckets: createListCodec(integer, DIGEST_BUCKETS),
+    },
     request: { stream: integer, request: ownedRequest },
     /** A request that may run only once has a slot; the caller's side answers `proceed` or `cancel`. */
     offer: { stream: integer },
@@ -180,6 +201,20 @@
 const MESSAGE_KINDS = Object.keys(MESSAGE_FIELDS) as SessionMessageKind[];
 const MESSAGE_CODECS = MESSAGE_KINDS.map(kind => createRecordCodec(MESSAGE_FIELDS[kind]) as FieldCodec<unknown>);
 
+/** Messages between two daemons that concern neither a request nor the session itself. */
+export type GossipMessage = Extract<SessionMessage, { readonly kind: GossipKind; }>;
+
+const GOSSIP_KIND_LIST = [
+    "configuration",
+    "configurationRequest",
+    "memberBuckets",
+    "memberDigests",
+    "members",
+    "status",
+] as const;
+type GossipKind = (typeof GOSSIP_KIND_LIST)[number];
+const GOSSIP_KINDS: ReadonlySet<SessionMessageKind> = new Set(GOSSIP_KIND_LIST);
+
 /** Kinds that are not sent again after a connection loss, since the next message of the kind replaces them. */
 const UNSEQUENCED_KINDS: ReadonlySet<SessionMessageKind> = new Set([
     "hello",
@@ -188,10 +223,13 @@
     "pong",
     "acknowledge",
     "load",
-    "configurationRequest",
-    "configuration",
+    ...GOSSIP_KIND_LIST,
 ]);
 
+export function isGossip(message: SessionMessage): message is GossipMessage {
+    return GOSSIP_KINDS.has(message.kind);
+}
+
 export function isSequenced(kind: SessionMessageKind): boolean {
     return !UNSEQUENCED_KINDS.has(kind);
 }
--- a/src/state/members/MemberTable.ts
+++ b/src/state/members/MemberTable.ts
@@ -107,6 +107,16 @@
         return toDigest(this.serviceDigest);
     }
 
+    /** Digest of all records, the combination of those of the failure domains. */
+    getDigest(): number {
+        const combined: DigestWords = { high: 0, low: 0 };
+        for (const { digest } of this.domains.values()) {
+            combined.high = (combined.high ^ digest.high) >>> 0;
+            combined.low = (combined.low ^ digest.low) >>> 0;
+        }
+        return toDigest(combined);
+    }
+
     listDigests(): readonly DomainDigest[] {
         return [...this.domains.values()].map(domain => ({ domain: domain.name, hash: toDigest(domain.digest) }));
     }
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -3,8 +3,10 @@
  * watchers, and from other daemons. The revision in force never decreases.
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { Either } from "purify-ts/Either";
-import { shouldWatchStore } from "../../coordination/distribution/index.js";
+import type { WatchReport } from "../../coordination/distribution/index.js";
+import { StoreWatchers } from "../../coordination/distribution/index.js";
 import { Distance } from "../../coordination/placement/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type { ConfigurationReadResult, ConfigurationText, MeshStorePort, StoreError } from "../../state/store/index.js";
@@ -15,7 +17,7 @@
     FETCH_DELAY_MS,
     FETCH_RETRY_MS,
     OWN_WATCH_DELAY_MS,
-    STATUS_VALIDITY_MS,
+    REGISTRATION_TIMEOUT_MS,
     STORE_RETRY_BASE_MS,
     STORE_RETRY_MAXIMUM_MS,
     WATCH_WAIT_MS,
@@ -39,18 +41,30 @@
     readonly now: () => number;
     readonly random: () => number;
     listReachable(): readonly ReachablePeer[];
+    /** Whether the records of the other daemons were read, so that the watchers among them are known. */
+    isRegistered(): boolean;
+    isSameRegion(id: string): boolean;
     /** Asks another daemon for its version. */
     requestConfiguration(id: string): void;
     onChange(configuration: TrafficConfiguration): void;
 }
 
-interface ReceivedStatus extends PeerStatus {
-    readonly heardAt: number;
+/** A version as it is sent to another daemon. */
+export interface CompressedConfiguration {
+    readonly revision: number;
+    readonly compressedText: Uint8Array;
 }
 
+/** Limit of the text of a version, above the platform's limit for an object. */
+const MAXIMUM_TEXT_BYTES = 16 * 1_048_576;
+
 export class ConfigurationManager {
     readonly #options: ConfigurationManagerOptions;
-    readonly #peerStatuses = new Map<string, ReceivedStatus>();
+    /** Revisions of other daemons by their ids. */
+    readonly #peerRevisions = new Map<string, number>();
+    readonly #watchers: StoreWatchers;
+    readonly #startedAt: number;
+    #compressed: CompressedConfiguration | undefined;
     #text: ConfigurationText | undefined;
     #configuration: TrafficConfiguration | undefined;
     #position: number | undefined;
@@ -63,6 +77,8 @@
 
     constructor(options: ConfigurationManagerOptions) {
         this.#options = options;
+        this.#watchers = new StoreWatchers(options.selfId);
+        this.#startedAt = options.now();
     }
 
     get configuration(): TrafficConfiguration | undefined {
@@ -74,6 +90,44 @@
         return this.#text;
     }
 
+    /** Working watches of the store in this daemon's region. */
+    listWatches(): readonly WatchReport[] {
+        return this.#watchers.listReports(this.#options.now());
+    }
+
+    /** Version in force, compressed for other daemons; undefined while there is none. */
+    readCompressed(): CompressedConfiguration | undefined {
+        if (this.#text !== undefined && this.#compressed?.revision !== this.#text.revision) {
+            this.#compressed = {
+                compressedText: deflateRawSync(this.#text.text),
+                revision: this.#text.revision,
+            };
+        }
+        return this.#compressed;
+    }
+
+    /** Puts in force what another daemon has sent, if it is newer. */
+    applyCompressed({ compressedText, revision }: CompressedConfiguration, source: string): void {
+        if (revision <= (this.#text?.revision ?? 0)) {
+            return;
+        }
+        try {
+            const text = inflateRawSync(compressedText, { maxOutputLength: MAXIMUM_TEXT_BYTES }).toString("utf8");
+            this.applyVersion({ revision, text }, source);
+        }
+        catch (error) {
+            this.#options.log.error(`version from ${source} can't be read: ${(error as Error).message}.`, {
+                revision,
+                source,
+            });
+        }
+    }
+
+    /** Sets the daemons of this region. */
+    setRegion(ids: readonly string[]): void {
+        this.#watchers.setRegion(ids);
+    }
+
     get isWatching(): boolean {
         return this.#isWatching;
     }
@@ -90,9 +144,14 @@
 
     /** Records the status of another daemon; one that has a newer version may be asked for it. */
     recordStatus(status: PeerStatus): void {
-        this.#peerStatuses.set(status.id, { ...status, heardAt: this.#options.now() });
+        const now = this.#options.now();
+        this.#peerRevisions.set(status.id, status.revision);
+        if (this.#options.isSameRegion(status.id)) {
+            this.#watchers.recordReports(status.watches, now);
+        }
         if (status.revision > (this.#text?.revision ?? 0)) {
-            this.#behindSince ??= this.#options.now();
+            this.#behindSince ??= now;
+            this.#fetchIfBehind();
         }
     }
 
@@ -128,9 +187,8 @@
         const { random, store } = this.#options;
         let delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
         while (!this.#isStopping) {
-            if (this.#configuration !== undefined && !this.#shouldWatch()) {
-                this.#isWatching = false;
-                this.#position = undefined;
+            if (!this.#shouldWatch()) {
+                this.#stopWatching();
                 await sleep(WATCHER_CHECK_INTERVAL_MS);
                 continue;
             }
@@ -158,6 +216,7 @@
     #handleReading({ configuration, position }: ConfigurationReadResult): void {
         this.#position = position;
         this.#isWatching = true;
+        this.#watchers.recordOwnWatch(this.#options.now());
         if (this.#isStoreUnreachable) {
             this.#isStoreUnreachable = false;
             this.#options.log.info("the store answers again.");
@@ -168,21 +227,23 @@
     }
 
     #handleStoreError(error: StoreError): void {
-        this.#isWatching = false;
-        this.#position = undefined;
+        this.#stopWatching();
         if (!this.#isStoreUnreachable) {
             this.#isStoreUnreachable = true;
             this.#options.log.warn(`the store can't be watched: ${error.detail}.`, { error });
         }
     }
 
+    #stopWatching(): void {
+        this.#isWatching = false;
+        this.#position = undefined;
+        this.#watchers.removeReport(this.#options.selfId);
+    }
+
     #shouldWatch(): boolean {
         const now = this.#options.now();
-        const isOtherWatching = [...this.#peerStatuses.values()].some(
-            status => status.isWatching && now - status.heardAt <= STATUS_VALIDITY_MS,
-        );
-        const reachable = this.#options.listReachable().filter(({ distance }) => distance !== Distance.OtherRegion);
-        return shouldWatchStore({ isOtherWatching, reachable, selfId: this.#options.selfId });
+        const isRegionKnown = this.#options.isRegistered() || now - this.#startedAt > REGISTRATION_TIMEOUT_MS;
+        return isRegionKnown && this.#watchers.shouldWatch(now);
     }
 
     /** Asks the nearest daemon that has a newer version, if the version has not arrived from elsewhere in time. */
@@ -195,7 +256,7 @@
         const revision = this.#text?.revision ?? 0;
         const peer = this.#options.listReachable()
             .filter(({ distance, id }) =>
-                (this.#peerStatuses.get(id)?.revision ?? 0) > revision && waitedMs >= FETCH_DELAY_MS[distance]
+                (this.#peerRevisions.get(id) ?? 0) > revision && waitedMs >= FETCH_DELAY_MS[distance]
             )
             .sort((left, right) => left.distance - right.distance)[0];
         if (peer !== undefined) {
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -7,11 +7,16 @@
 export const STORE_RETRY_MAXIMUM_MS = 1_000;
 /** Interval of the checks whether this daemon should watch the store. */
 export const WATCHER_CHECK_INTERVAL_MS = 100;
-/** Time for which the status of another daemon is valid. */
-export const STATUS_VALIDITY_MS = 2_000;
+/** Wait for the records of the others, which name those that watch the store, before the store is read without them. */
+export const REGISTRATION_TIMEOUT_MS = 4_000;
 /** Time for the own watch to deliver a version that another daemon already has. */
 export const OWN_WATCH_DELAY_MS = 300;
 /** Delay before a version is requested from a daemon, by its distance; a nearer one usually has it by then. */
 export const FETCH_DELAY_MS = [0, 100, 400] as const;
 /** Delay before the same version is requested again. */
 export const FETCH_RETRY_MS = 400;
+/** Time in which new records are gathered before they are passed on. */
+export const RECORD_BATCH_DELAY_MS = 50;
+/** Shortest time between two exchanges of digests that a daemon begins. */
+export const DIGEST_EXCHANGE_INTERVAL_MS = 1_000;
+export const MAXIMUM_DOMAINS_PER_EXCHANGE = 4;
--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
-import { MemberTable } from "../../state/members/index.js";
+import { isPresent, MemberState, MemberTable } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort, StoreError } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
@@ -14,18 +14,24 @@
     readonly self: Member;
     /** Whether the whole mesh starts for the first time, so that the store can't hold a record of this daemon. */
     readonly isFirstStart: boolean;
+    /** Wait after the own record is written at the first start, in which the other daemons write theirs. */
+    readonly firstListingDelayMs: number;
     readonly store: MeshStorePort;
     readonly log: PartLogger;
     readonly random: () => number;
-    /** Called with a daemon that was removed. */
+    /** Called with a daemon that is gone. */
     onMemberRemoved(member: Member): void;
+    /** Called with a daemon whose planned stop has begun; it still answers what it has accepted. */
+    onMemberLeft(member: Member): void;
     /** Called with each record that is new or replaced an older one, except the own one. */
     onMemberUpdated(member: Member): void;
 }
 
 export class MemberRegistry {
     readonly #options: MemberRegistryOptions;
-    readonly #table = new MemberTable();
+    /** All records, the own one included. */
+    readonly table = new MemberTable();
+    readonly #idsByAddress = new Map<string, string>();
     #self: Member;
     #isRegistered = false;
     #isStopping = false;
@@ -33,6 +39,7 @@
     constructor(options: MemberRegistryOptions) {
         this.#options = options;
         this.#self = options.self;
+        this.#addRecord(options.self);
     }
 
     get self(): Member {
@@ -44,32 +51,30 @@
         return this.#isRegistered;
     }
 
-    /** All records, the own one included. */
+    /** Records of the daemons that have not left, the own one included. */
     list(): readonly Member[] {
-        return [this.#self, ...this.#table.listAll()];
+        return [...this.table.listAll()].filter(isPresent);
     }
 
     get(id: string): Member | undefined {
-        return this.#table.get(id);
+        return this.table.get(id);
     }
 
-    /** Merges records that were read from the store or received from other daemons. */
-    merge(members: readonly Member[]): void {
-        for (const member of members) {
+    /** Merges records that were read from the store or received from other daemons; returns those that were new. */
+    merge(members: readonly Member[]): readonly Member[] {
+        return members.flatMap(member => {
             if (member.id === this.#self.id) {
-                this.#raiseIncarnation(member);
+                return this.#refute(member) ? [this.#self] : [];
             }
-            else if (!this.#isSuperseded(member) && this.#table.merge(member)) {
-                this.#removeMembersAtSameAddress(member);
-                this.#options.log.info(
-                    `daemon ${member.id} of ${member.server?.service ?? "no service"} is known.`,
-                    {
-                        member,
-                    },
-                );
-                this.#options.onMemberUpdated(member);
-            }
-        }
+            return this.#accept(member) ? [member] : [];
+        });
+    }
+
+    /** Marks the own record as left, so that the other daemons open no sessions to this one; returns the record. */
+    leave(): Member {
+        this.#self = { ...this.#self, revision: this.#self.revision + 1, state: MemberState.Left };
+        this.#addRecord(this.#self);
+        return this.#self;
     }
 
     /** Registers this daemon and reads the records of the others, with retries until both are done. */
@@ -81,7 +86,10 @@
         while (!this.#isStopping && !this.#isRegistered) {
             const error = await (mayBeStored || isWritten ? this.#readMembers(isWritten) : this.#writeSelf());
             if (error === undefined) {
-                isWritten ||= !mayBeStored;
+                if (!isWritten && !mayBeStored) {
+                    isWritten = true;
+                    await sleep(this.#options.isFirstStart ? this.#options.firstListingDelayMs : 0);
+                }
                 mayBeStored = false;
                 if (isStoreUnreachable) {
                     isStoreUnreachable = false;
@@ -102,7 +110,7 @@
      * `shouldDelete` removes its record from the store as well.
      */
     async remove(member: Member, shouldDelete: boolean): Promise<void> {
-        this.#table.remove(member.id);
+        this.#removeRecord(member);
         this.#options.log.info(`daemon ${member.id} was removed: it has been unreachable for long.`, { member });
         this.#options.onMemberRemoved(member);
         if (shouldDelete) {
@@ -135,32 +143,75 @@
         return result.caseOf<StoreError | undefined>({ Left: error => error, Right: () => undefined });
     }
 
-    /** Whether a daemon that started later has the record's address. */
-    #isSuperseded(member: Member): boolean {
-        return this.list().some(other =>
-            other.id !== member.id && isSameAddress(other, member) && other.incarnation > member.incarnation
-        );
+    /** Merges the record of another daemon; false when it is not new. */
+    #accept(member: Member): boolean {
+        const holder = this.#findHolder(member);
+        const isHeldByOther = holder !== undefined && holder.id !== member.id;
+        if (isHeldByOther && holder.incarnation > member.incarnation || !this.#addRecord(member)) {
+            return false;
+        }
+        if (isHeldByOther) {
+            // The address passed from a VM that is gone to another one.
+            this.#removeRecord(holder);
+            this.#options.log.info(`daemon ${holder.id} is gone: ${member.id} has its address.`, { member: holder });
+            this.#options.onMemberRemoved(holder);
+        }
+        if (isPresent(member)) {
+            this.#options.log.info(`daemon ${member.id} of ${member.server?.service ?? "no service"} is known.`, {
+                member,
+            });
+            this.#options.onMemberUpdated(member);
+        }
+        else {
+            this.#options.log.info(`daemon ${member.id} has left.`, { member });
+            this.#options.onMemberLeft(member);
+        }
+        return true;
     }
 
-    /** Removes other daemons at the same address, which passed from a VM that is gone to another one. */
-    #removeMembersAtSameAddress(member: Member): void {
-        for (const other of [...this.#table.listAll()]) {
-            if (other.id !== member.id && isSameAddress(other, member)) {
-                this.#table.remove(other.id);
-                this.#options.log.info(`daemon ${other.id} is gone: ${member.id} has its address.`, { member: other });
-                this.#options.onMemberRemoved(other);
-            }
+    /**
+     * Raises the own incarnation above a record of an earlier run, which is higher after the clock was set back, or
+     * says that this daemon has left. Returns whether it did.
+     */
+    #refute(record: Member): boolean {
+        const isLater = record.incarnation > this.#self.incarnation
+            || record.incarnation === this.#self.incarnation && record.revision > this.#self.revision;
+        if (isLater) {
+            this.#self = { ...this.#self, incarnation: record.incarnation + 1 };
+            this.#addRecord(this.#self);
         }
+        return isLater;
     }
 
-    /** Raises the own incarnation above an earlier run's, which may be higher after the clock was set back. */
-    #raiseIncarnation(record: Member): void {
-        if (record.incarnation > this.#self.incarnation) {
-            this.#self = { ...this.#self, incarnation: record.incarnation + 1 };
+    #findHolder(member: Member): Member | undefined {
+        const id = this.#idsByAddress.get(formatAddress(member));
+        return id === undefined ? undefined : this.table.get(id);
+    }
+
+    #addRecord(member: Member): boolean {
+        const previous = this.table.get(member.id);
+        if (!this.table.merge(member)) {
+            return false;
+        }
+        if (previous !== undefined && this.#idsByAddress.get(formatAddress(previous)) === member.id) {
+            this.#idsByAddress.delete(formatAddress(previous));
+        }
+        this.#idsByAddress.set(formatAddress(member), member.id);
+        return true;
+    }
+
+    #removeRecord(member: Member): void {
+        this.table.remove(member.id);
+        if (this.#idsByAddress.get(formatAddress(member)) === member.id) {
+            this.#idsByAddress.delete(formatAddress(member));
         }
     }
 }
 
+function formatAddress({ address, peerPort }: Member): string {
+    return `${address}:${peerPort}`;
+}
+
 function isSameAddress(left: Member, right: Member): boolean {
     return left.address === right.address && left.peerPort === right.peerPort;
 }
--- a/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
@@ -26,8 +26,10 @@
 function createRegistry(self: Member, store: MeshStorePort, isFirstStart = false) {
     const changes: string[] = [];
     const registry = new MemberRegistry({
+        firstListingDelayMs: 0,
         isFirstStart,
         log: createSilentLogger(),
+        onMemberLeft: member => changes.push(`left ${member.id}`),
         onMemberRemoved: member => changes.push(`gone ${member.id}`),
         onMemberUpdated: member => changes.push(member.id),
         random: () => 0.1,
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -1,8 +1,9 @@
 /** Owner's side of a session: requests that another daemon places at this daemon's backend server. */
 import type { FrameConnection } from "../../protocol/peer/index.js";
-import { encodeSessionMessage, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
-import type { SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
+import { encodeSessionMessage, isGossip, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
+import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { RequestEvents, RequestHandle } from "../ownership/index.js";
+import { handleGossip } from "./HandleGossip.js";
 import type { SessionDependencies } from "./SessionTypes.js";
 
 interface Stream {
@@ -38,22 +39,19 @@
         this.#connection?.close();
         this.#connection = connection;
         this.#disconnectedAt = undefined;
-        const { isWatching, revision } = this.#dependencies.readStatus();
         const load = this.#dependencies.readLoad();
-        const members = [...this.#dependencies.listMembers()];
         const received = this.#channel.received;
         // The welcome has to be the first message: the caller's side waits for it.
         const id = this.#dependencies.readSelf().id;
         const server = this.#dependencies.readServerIdentity();
         const welcome = {
+            ...this.#dependencies.readStatus(),
             id,
             isResumed,
-            isWatching,
             kind: "welcome",
             load,
-            members,
+            member: this.#dependencies.readSelf(),
             received,
-            revision,
             server,
         } as const;
         this.#channel.markReceivedReported();
@@ -69,6 +67,11 @@
         }
     }
 
+    /** Sends a message that is lost when the connection is. */
+    sendGossip(message: GossipMessage): void {
+        this.#channel.send(message);
+    }
+
     /** Sends the load at once, without waiting for the next ping. */
     sendLoad(): void {
         this.#channel.send({
@@ -86,6 +89,10 @@
         if (isSequenced(message.kind)) {
             this.#channel.recordReceived(bytes);
         }
+        if (isGossip(message)) {
+            handleGossip(this.peerId, message, this.#dependencies);
+            return;
+        }
         switch (message.kind) {
             case "ping":
                 this.#answerPing(message);
@@ -93,9 +100,6 @@
             case "acknowledge":
                 this.#acknowledge(message.received);
                 return;
-            case "configurationRequest":
-                this.#sendConfiguration();
-                return;
             case "request":
                 this.#submit(message);
                 return;
@@ -130,7 +134,7 @@
 
     #answerPing(message: SessionMessageOf<"ping">): void {
         this.#acknowledge(message.received);
-        this.#dependencies.onStatus({ id: this.peerId, isWatching: message.isWatching, revision: message.revision });
+        this.#dependencies.onStatus({ ...message, id: this.peerId });
         this.#channel.send({
             ...this.#dependencies.readStatus(),
             kind: "pong",
@@ -160,13 +164,6 @@
         }
     }
 
-    #sendConfiguration(): void {
-        const configuration = this.#dependencies.readConfiguration();
-        if (configuration !== undefined) {
-            this.#channel.send({ kind: "configuration", ...configuration });
-        }
-    }
-
     #submit(message: SessionMessageOf<"request">): void {
         const stream: Stream = { handle: undefined, isEnded: false, isPaused: false };
         this.#streams.set(message.stream, stream);
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -5,13 +5,14 @@
 import { MessageError } from "../../protocol/peer/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
-import { encodeSessionMessage, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
-import type { SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
+import { encodeSessionMessage, isGossip, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
+import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
 import { isRepeatable } from "../../state/traffic/index.js";
 import type { OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { consumeFrames } from "./ConsumeFrames.js";
+import { handleGossip } from "./HandleGossip.js";
 import {
     DISCONNECTED_OWNER_TIMEOUT_MS,
     HANDSHAKE_TIMEOUT_MS,
@@ -180,8 +181,9 @@
         this.#channel.markReceivedReported();
     }
 
-    requestConfiguration(): void {
-        this.#channel.send({ kind: "configurationRequest" });
+    /** Sends a message that is lost when the connection is. */
+    sendGossip(message: GossipMessage): void {
+        this.#channel.send(message);
     }
 
     /** Closes the session for good and fails all requests on it. */
@@ -253,7 +255,6 @@
             ...this.#options.readStatus(),
             kind: "hello",
             member: this.#options.readSelf(),
-            members: [...this.#options.listMembers()],
             received: this.#channel.received,
             server: this.#server,
             sessionId: this.#sessionId,
@@ -299,6 +300,10 @@
         if (isSequenced(message.kind)) {
             this.#channel.recordReceived(bytes);
         }
+        if (isGossip(message)) {
+            handleGossip(this.#member.id, message, this.#options);
+            return;
+        }
         if ("load" in message) {
             this.#options.onLoad(this.#member.id, message.load);
         }
@@ -311,9 +316,6 @@
             case "acknowledge":
                 this.#acknowledge(message.received);
                 return;
-            case "configuration":
-                this.#options.onConfiguration(message);
-                return;
             case "load":
                 this.#server = message.server;
                 return;
@@ -342,7 +344,7 @@
         }
         // A restarted owner may not know its server yet; the identity sent in the hello still applies.
         this.#server = welcome.server ?? (welcome.isResumed ? undefined : this.#server);
-        this.#options.onMembers(welcome.members);
+        this.#options.onMembers([welcome.member]);
         this.#options.onLoad(this.#member.id, welcome.load);
         this.#options.onStatus({ ...welcome, id: this.#member.id });
         for (const pending of this.#pending.values()) {
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -1,7 +1,7 @@
 /** All sessions of a daemon: with the owners of other servers, and with the daemons that use its own server. */
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
-import type { SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
+import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { PeerListener, PeerNetwork } from "../peer/index.js";
 import { CallerSession } from "./CallerSession.js";
@@ -66,9 +66,9 @@
         }
     }
 
-    /** Closes the session with a daemon that is gone. */
-    disconnect(id: string): void {
-        this.#ownerSessions.get(id)?.close("the daemon is gone");
+    /** Closes the session with a daemon. */
+    disconnect(id: string, detail: string): void {
+        this.#ownerSessions.get(id)?.close(detail);
         this.#ownerSessions.delete(id);
     }
 
@@ -87,12 +87,34 @@
         }
     }
 
-    /** Sends the status to the other daemons at once, for example after a new version is in force. */
-    announceStatus(): void {
-        const now = this.#options.now();
+    /** Sends a message to another daemon over a session of either side; it is lost when there is none. */
+    sendGossip(id: string, message: GossipMessage): void {
+        const session = this.#ownerSessions.get(id);
+        if (session?.isUsable(this.#options.now()) === true) {
+            session.sendGossip(message);
+            return;
+        }
+        for (const callerSession of this.#callerSessions.values()) {
+            if (callerSession.peerId === id) {
+                callerSession.sendGossip(message);
+            }
+        }
+    }
+
+    /** Lists the daemons with a connection, whichever side has opened it. */
+    listConnected(now: number): ReadonlySet<string> {
+        const ids = new Set<string>();
         for (const session of this.#ownerSessions.values()) {
-            session.sendPing(now);
+            if (session.isUsable(now)) {
+                ids.add(session.member.id);
+            }
+        }
+        for (const session of this.#callerSessions.values()) {
+            if (session.disconnectedAt === undefined) {
+                ids.add(session.peerId);
+            }
         }
+        return ids;
     }
 
     async stop(): Promise<void> {
@@ -136,7 +158,7 @@
                 session.handle(connection, message, bytes);
             }
             else if (message.kind === "hello") {
-                this.#options.onMembers([message.member, ...message.members]);
+                this.#options.onMembers([message.member]);
                 if (message.target === this.#options.readSelf().id) {
                     session = this.#openSession(connection, message);
                 }
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -1,6 +1,7 @@
+import type { WatchReport } from "../../coordination/distribution/index.js";
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { ServerIdentity } from "../../coordination/registration/index.js";
-import type { SessionMessageOf } from "../../protocol/session/index.js";
+import type { GossipMessage } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
@@ -8,7 +9,10 @@
 /** Status that a daemon sends with each ping and pong. */
 export interface LocalStatus {
     readonly revision: number;
-    readonly isWatching: boolean;
+    /** Working watches of the store in the daemon's region. */
+    readonly watches: readonly WatchReport[];
+    /** Digest of all member records that the daemon holds. */
+    readonly membersDigest: number;
 }
 
 /** Status received from another daemon. */
@@ -23,7 +27,6 @@
     readonly now: () => number;
     readonly random: () => number;
     readSelf(): Member;
-    listMembers(): readonly Member[];
     readStatus(): LocalStatus;
     readLoad(): OwnerLoad;
     /** Identity of the own server, which other daemons remember for it. */
@@ -33,10 +36,8 @@
     /** Called with the member records of another daemon. */
     onMembers(members: readonly Member[]): void;
     onStatus(status: PeerStatus): void;
-    /** Called with the configuration text of another daemon. */
-    onConfiguration(message: SessionMessageOf<"configuration">): void;
-    /** Version in force as text, for another daemon; undefined when there is none. */
-    readConfiguration(): Omit<SessionMessageOf<"configuration">, "kind"> | undefined;
+    /** Called with a message that concerns neither a request nor the session. */
+    onGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void;
     /** Submits a request of another daemon to the own server. */
     submit(request: OwnedRequest, events: RequestEvents): RequestHandle;
 }
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -22,15 +22,15 @@
 
 function createHello(received: number) {
     return {
-        isWatching: false,
         kind: "hello",
         member: createMember("caller", 1),
-        members: [],
+        membersDigest: 0,
         received,
         revision: 0,
         server: undefined,
         sessionId: "s",
         target: "owner",
+        watches: [],
     } as const;
 }
 
@@ -39,15 +39,13 @@
     it("submits a request once when it arrives over both connections", () => {
         const submitted: string[] = [];
         const session = new CallerSession("caller", {
-            listMembers: () => [],
             log: createSilentLogger(),
             now: () => 0,
             onStatus: () => undefined,
-            onConfiguration: () => undefined,
+            onGossip: () => undefined,
             onMembers: () => undefined,
             random: () => 0.5,
-            readStatus: () => ({ isWatching: false, revision: 0 }),
-            readConfiguration: () => undefined,
+            readStatus: () => ({ membersDigest: 0, revision: 0, watches: [] }),
             onServerIdentity: () => undefined,
             readLoad: () => LOAD,
             readServerIdentity: () => undefined,
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -2,10 +2,11 @@
 import type { Server } from "node:http";
 import { SharedRetryBudget } from "../../coordination/retries/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
+import type { GossipMessage } from "../../protocol/session/index.js";
 import { MemberState } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort } from "../../state/store/index.js";
-import { ConfigurationManager, MemberRegistry } from "../directory/index.js";
+import { ConfigurationManager, MemberGossip, MemberRegistry } from "../directory/index.js";
 import type { DecodeConfiguration } from "../directory/index.js";
 import { createAccessLog } from "../logging/index.js";
 import type { CreatePartLogger, PartLogger } from "../logging/index.js";
@@ -13,10 +14,12 @@
 import { AdmissionController, checkHealth } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { SessionManager } from "../sessions/index.js";
+import type { LocalStatus } from "../sessions/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { renderMetrics } from "./MetricsText.js";
+import { SessionSelector } from "./SessionSelector.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 
 /** Time without any reachable daemon after which this one is not ready, so that callers go elsewhere. */
@@ -24,6 +27,10 @@
 /** Time after which an unreachable daemon is taken to be gone for good; longer than partitions between regions. */
 const MEMBER_REMOVAL_DELAY_MS = 600_000;
 const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
+/** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
+const SESSION_UPDATE_INTERVAL_MS = 250;
+/** Number of services up to which sessions are opened before the first request. */
+const MAXIMUM_PREPARED_SERVICES = 16;
 /**
  * Share of the time between SIGTERM and SIGKILL after which a planned stop ends running requests. The stop
  * ends in the last sixth of that time.
@@ -80,6 +87,8 @@
     readonly #admission: AdmissionController;
     readonly #sessions: SessionManager;
     readonly #memberRegistry: MemberRegistry;
+    readonly #memberGossip: MemberGossip;
+    readonly #sessionSelector: SessionSelector;
     readonly #serverDirectory: ServerDirectory;
     readonly #configurationManager: ConfigurationManager;
     readonly #callerListener: CallerListener;
@@ -89,6 +98,8 @@
     #isStopping = false;
     #isolatedSince: number | undefined;
     #removalTimer: NodeJS.Timeout | undefined;
+    #sessionTimer: NodeJS.Timeout | undefined;
+    readonly #usedServices = new Set<string>();
 
     constructor(settings: SidecarSettings, dependencies: SidecarDependencies) {
         this.#settings = settings;
@@ -112,10 +123,12 @@
             },
         });
         this.#memberRegistry = new MemberRegistry({
+            firstListingDelayMs: settings.firstListingDelayMs,
             isFirstStart: settings.isFirstStart,
             log: createPartLogger("members"),
+            onMemberLeft: member => this.#serverDirectory.removeMember(member),
             onMemberRemoved: member => {
-                this.#sessions.disconnect(member.id);
+                this.#sessions.disconnect(member.id, "the daemon is gone");
                 this.#serverDirectory.removeMember(member);
             },
             onMemberUpdated: member => this.#addMember(member),
@@ -125,15 +138,16 @@
         });
         this.#sessions = new SessionManager({
             createSessionId: dependencies.createSessionId,
-            listMembers: () => this.#memberRegistry.list(),
             log: createPartLogger("sessions"),
             network: dependencies.network,
             now,
-            onStatus: status => this.#configurationManager.recordStatus(status),
-            onConfiguration: ({ revision, text }) =>
-                this.#configurationManager.applyVersion({ revision, text }, "another daemon"),
+            onStatus: status => {
+                this.#configurationManager.recordStatus(status);
+                this.#memberGossip.compareDigest(status.id, status.membersDigest);
+            },
+            onGossip: (id, message) => this.#handleGossip(id, message),
             onLoad: (id, load) => this.#serverDirectory.recordLoad(id, load),
-            onMembers: members => this.#memberRegistry.merge(members),
+            onMembers: members => this.#memberGossip.announce(this.#memberRegistry.merge(members)),
             onServerIdentity: server => {
                 if (server.service === settings.service) {
                     this.#admission.restoreServer(server);
@@ -141,16 +155,28 @@
             },
             onRoundTrip: (id, ms) => this.#serverDirectory.recordRoundTrip(id, ms),
             random,
-            readStatus: () => ({
-                isWatching: this.#configurationManager.isWatching,
-                revision: this.#configurationManager.text?.revision ?? 0,
-            }),
-            readConfiguration: () => this.#configurationManager.text,
+            readStatus: () => this.#readStatus(),
             readLoad: () => this.#admission.readLoad(),
             readServerIdentity: () => this.#admission.readServerIdentity(),
             readSelf: () => this.#memberRegistry.self,
             submit: (request, events) => this.#admission.submit(request, events),
         });
+        this.#memberGossip = new MemberGossip({
+            listReceivers: () => this.#sessionSelector.neighbours,
+            log: createPartLogger("members"),
+            merge: members => this.#memberRegistry.merge(members),
+            now,
+            send: (id, message) => this.#sessions.sendGossip(id, message),
+            table: this.#memberRegistry.table,
+        });
+        this.#sessionSelector = new SessionSelector({
+            listServices: () => this.#listServices(),
+            log: createPartLogger("sessions"),
+            now,
+            readSelf: () => this.#memberRegistry.self,
+            sessions: this.#sessions,
+            table: this.#memberRegistry.table,
+        });
         const requestLog = createPartLogger("requests");
         this.#serverDirectory = new ServerDirectory({
             admission: this.#admission,
@@ -169,10 +195,12 @@
             now,
             onChange: configuration => {
                 this.#callerListener.applyConfiguration(configuration);
-                this.#sessions.announceStatus();
+                this.#announceStatus();
             },
+            isRegistered: () => this.#memberRegistry.isRegistered,
+            isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
-            requestConfiguration: id => this.#sessions.getOwnerSession(id)?.requestConfiguration(),
+            requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
             selfId: settings.id,
             store: dependencies.store,
         });
@@ -187,6 +215,7 @@
             readConfiguration: () => this.#configurationManager.configuration,
             recorder: combineRecorders([this.#metrics, createAccessLog(requestLog)]),
             recordRequest: (service, isNested) => {
+                this.#usedServices.add(service);
                 if (!isNested) {
                     this.#getRetryBudget(service).recordRequest(this.#settings.retryWindowMs, now());
                 }
@@ -194,6 +223,7 @@
             recordRetry: service => this.#getRetryBudget(service).recordRetry(this.#settings.retryWindowMs, now()),
             selfId: settings.id,
             takeRetry: service => this.#takeRetry(service),
+            widen: service => this.#sessionSelector.widen(service),
         });
     }
 
@@ -218,6 +248,7 @@
         this.#configurationManager.start();
         void this.#memberRegistry.register();
         this.#removalTimer = setInterval(() => this.#removeUnreachableMembers(), MEMBER_REMOVAL_INTERVAL_MS);
+        this.#sessionTimer = setInterval(() => this.#updateSessions(), SESSION_UPDATE_INTERVAL_MS);
         this.#log.info("started.", { settings: this.#settings });
     }
 
@@ -227,6 +258,8 @@
         const longestMs = this.#settings.graceMs * STOP_GRACE_SHARE;
         this.#admission.beginStop();
         this.#memberRegistry.stop();
+        this.#memberGossip.announce([this.#memberRegistry.leave()]);
+        this.#memberGossip.flush();
         await this.#callerListener.drain(longestMs);
         while (this.#admission.pendingRequests > 0 && this.#dependencies.now() - begin < longestMs) {
             await new Promise(resolve => setTimeout(resolve, 20));
@@ -261,6 +294,8 @@
 
     async #closePorts(): Promise<void> {
         clearInterval(this.#removalTimer);
+        clearInterval(this.#sessionTimer);
+        this.#memberGossip.stop();
         this.#configurationManager.stop();
         await this.#sessions.stop();
         this.#admission.closeAll();
@@ -271,10 +306,66 @@
     }
 
     #addMember(member: Member): void {
-        this.#sessions.connect(member);
+        if (this.#sessions.getOwnerSession(member.id) !== undefined) {
+            this.#sessions.connect(member);
+        }
         this.#serverDirectory.addMember(member);
     }
 
+    #readStatus(): LocalStatus {
+        return {
+            membersDigest: this.#memberRegistry.table.getDigest(),
+            revision: this.#configurationManager.text?.revision ?? 0,
+            watches: this.#configurationManager.listWatches(),
+        };
+    }
+
+    /** Sends the status to the neighbours and the daemons of the own failure domain, for example after a new version. */
+    #announceStatus(): void {
+        const { failureDomain } = this.#memberRegistry.self;
+        const status = { kind: "status", ...this.#readStatus() } as const;
+        for (const id of this.#sessions.listConnected(this.#dependencies.now())) {
+            if (
+                this.#sessionSelector.neighbours.has(id)
+                || this.#memberRegistry.get(id)?.failureDomain === failureDomain
+            ) {
+                this.#sessions.sendGossip(id, status);
+            }
+        }
+    }
+
+    #handleGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void {
+        switch (message.kind) {
+            case "configuration":
+                this.#configurationManager.applyCompressed(message, id);
+                return;
+            case "configurationRequest": {
+                const configuration = this.#configurationManager.readCompressed();
+                if (configuration !== undefined) {
+                    this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" });
+                }
+                return;
+            }
+            default:
+                this.#memberGossip.handle(id, message);
+        }
+    }
+
+    /** Services for which sessions are kept: all while they are few, or those of the callers' requests. */
+    #listServices(): Iterable<string> {
+        const services = this.#configurationManager.configuration?.services;
+        return services !== undefined && services.size <= MAXIMUM_PREPARED_SERVICES
+            ? services.keys()
+            : this.#usedServices;
+    }
+
+    #updateSessions(): void {
+        this.#sessionSelector.update(this.#dependencies.now());
+        const { region } = this.#memberRegistry.self;
+        const ids = this.#memberRegistry.list().filter(member => member.region === region).map(({ id }) => id);
+        this.#configurationManager.setRegion(ids);
+    }
+
     /** Removes daemons that are gone, unless this one is isolated. A watcher of the store removes their records. */
     #removeUnreachableMembers(): void {
         const now = this.#dependencies.now();
@@ -290,11 +381,11 @@
     }
 
     #listReachable() {
-        const now = this.#dependencies.now();
         const self = this.#memberRegistry.self;
-        return [...this.#sessions.listOwnerSessions()]
-            .filter(session => session.isUsable(now))
-            .map(({ member }) => ({ distance: computeDistance(self, member), id: member.id }));
+        return [...this.#sessions.listConnected(this.#dependencies.now())].flatMap(id => {
+            const member = this.#memberRegistry.get(id);
+            return member === undefined ? [] : [{ distance: computeDistance(self, member), id }];
+        });
     }
 
     /** Ready when requests can be routed and another daemon can be reached. */
@@ -340,7 +431,9 @@
             { name: "server_open", read: () => Number(load().isOpen) },
             { name: "configuration_revision", read: () => this.#configurationManager.text?.revision ?? 0 },
             { name: "members", read: () => this.#memberRegistry.list().length },
-            { name: "members_reachable", read: () => this.#listReachable().length },
+            { name: "members_connected", read: () => this.#listReachable().length },
+            { name: "sessions_open", read: () => [...this.#sessions.listOwnerSessions()].length },
+            { name: "neighbours", read: () => this.#sessionSelector.neighbours.size },
             { name: "log_lines_dropped_total", read: this.#dependencies.readDroppedLines },
         ]);
     }
--- a/src/transport/sidecar/SidecarSettings.ts
+++ b/src/transport/sidecar/SidecarSettings.ts
@@ -14,6 +14,11 @@
     },
     "caller-address": { description: "ip:port for requests of callers on this VM", type: "string" },
     "failure-domain": { description: "failure domain of the VM", type: "string" },
+    "first-listing-delay": {
+        default: "2s",
+        description: "time at the first start of the whole mesh in which all daemons write their records",
+        type: "string",
+    },
     "first-start": {
         default: "false",
         description: "whether the whole mesh starts for the first time",
@@ -54,6 +59,7 @@
     readonly metricsAddress: HostAndPort | undefined;
     readonly storeUrl: string;
     readonly isFirstStart: boolean;
+    readonly firstListingDelayMs: number;
     readonly graceMs: number;
     readonly retryRatio: number;
     readonly retrySlack: number;
@@ -78,6 +84,7 @@
         advertisedPeerAddress: reader.readHostAndPort("advertised-peer-address"),
         callerAddress: reader.readRequiredHostAndPort("caller-address"),
         failureDomain: reader.readName("failure-domain"),
+        firstListingDelayMs: reader.readDuration("first-listing-delay", MAXIMUM_DURATION_MS),
         graceMs: reader.readDuration("grace", MAXIMUM_DURATION_MS),
         id: reader.readName("id"),
         isFirstStart: reader.readChoice("first-start", ["true", "false"]) === "true",
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -32,6 +32,8 @@
     readonly random: () => number;
     /** Takes one retry from the service's budget; false when the budget is exhausted. */
     takeRetry(service: string): boolean;
+    /** Called when the known servers of a service can't serve a request in time. */
+    widen(service: string): void;
 }
 
 /** Destination and limits of one request. */
@@ -155,6 +157,9 @@
         };
         const placement = selectPlacement(directory.listCandidates(service, this.#excluded, now), query, now, random)
             ?? selectPlacement(directory.listIncludingEjected(service, this.#excluded, now), query, now, random);
+        if (placement === undefined || placement.latencyMs > query.targetLeftMs) {
+            this.#context.widen(service);
+        }
         if (placement === undefined) {
             return undefined;
         }
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -82,7 +82,9 @@
     /** Counts a failure of a server and ejects it if it is an outlier and not too many others are ejected. */
     recordFailure(owner: Owner): void {
         const now = this.#options.now();
-        const all = [...this.#ownersByService.get(owner.service)?.values() ?? []];
+        const all = [...this.#ownersByService.get(owner.service)?.values() ?? []].filter(other =>
+            other === owner || this.#isAvailable(other, now)
+        );
         const ejected = all.filter(({ statistics }) => statistics.ejection.isEjected(now)).length;
         if (owner.statistics.recordFailure((ejected + 1) / all.length <= MAXIMUM_EJECTED_SHARE, now)) {
             this.#options.onEject(owner.id, owner.service);
@@ -92,8 +94,10 @@
     /** Time until the first server of the service is expected to have a free slot. */
     estimateSlotWait(service: string): number | undefined {
         let earliest: number | undefined;
-        for (const { statistics: { load } } of this.#ownersByService.get(service)?.values() ?? []) {
-            if (load?.isOpen === true) {
+        const now = this.#options.now();
+        for (const owner of this.#ownersByService.get(service)?.values() ?? []) {
+            const { load } = owner.statistics;
+            if (load !== undefined && this.#isAvailable(owner, now)) {
                 earliest = Math.min(earliest ?? Infinity, load.waits.inTimeMs);
             }
         }
