--- a/src/coordination/retries/__tests__/unit/SharedRetryBudget.test.ts
+++ b/src/coordination/retries/__tests__/unit/SharedRetryBudget.test.ts
@@ -27,7 +27,7 @@
 }
 
 /** Plays the load and returns the times of all requests and of all retries that were allowed. */
-function playLoad({ daemons, rates, restarts, seed, skew, wanted }: LoadPlan): Arrivals {
+function generateLoad({ daemons, rates, restarts, seed, skew, wanted }: LoadPlan): Arrivals {
     const random = createSeededRandom(seed);
     const budgets = Array.from({ length: daemons }, () => new SharedRetryBudget());
     const requests: number[] = [];
@@ -85,12 +85,12 @@
             skew: fc.double({ max: 1, min: 0, noNaN: true }),
             wanted: fc.integer({ max: 3, min: 1 }),
         });
-        fc.assert(fc.property(plan, load => computeHighestUse(playLoad(load)) <= 1), { numRuns: 60, seed: 22 });
+        fc.assert(fc.property(plan, load => computeHighestUse(generateLoad(load)) <= 1), { numRuns: 60, seed: 22 });
     });
 
     it("allows more than half of the limits when servers shed everything at a steady load", () => {
         const load = { daemons: 12, rates: [300], restarts: 0, seed: 5, skew: 0, wanted: 2 };
-        expect(computeHighestUse(playLoad(load))).toBeGreaterThan(0.5);
+        expect(computeHighestUse(generateLoad(load))).toBeGreaterThan(0.5);
     });
 
     it("counts calls of requests that run again, which it can't prevent", () => {
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -7,7 +7,7 @@
 import type { Either } from "purify-ts/Either";
 import type { WatchReport } from "../../coordination/distribution/index.js";
 import { StoreWatchers } from "../../coordination/distribution/index.js";
-import { Distance } from "../../coordination/placement/index.js";
+import type { Distance } from "../../coordination/placement/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type { ConfigurationReadResult, ConfigurationText, MeshStorePort, StoreError } from "../../state/store/index.js";
 import type { TrafficConfiguration } from "../../state/traffic/index.js";
--- a/src/transport/sidecar/SessionSelector.ts
+++ b/src/transport/sidecar/SessionSelector.ts
@@ -172,12 +172,12 @@
             }
         }
         this.#serversByService = new Map(
-            [...members].map(([service, list]) => [service, groupByDistance(self, service, list)]),
+            [...members].map(([service, list]) => [service, sortByDistance(self, service, list)]),
         );
     }
 }
 
-function groupByDistance(self: Member, service: string, members: readonly Member[]): ServersByDistance {
+function sortByDistance(self: Member, service: string, members: readonly Member[]): ServersByDistance {
     const ranked = rankByRendezvousHash(service, members);
     const listAt = (distance: Distance) =>
         ranked.filter(member => computeDistance(self, member) === distance).map(({ id }) => id);
