Bound what a faulty server sends in place of an answer, and take no answer without an id on a used connection

Found by tests from outside: on a connection in use again, a late failure without an id became the next request's answer, and one that says that it was not run was taken as proof; interim answers, answers to other requests, chunk extensions, trailers and bodies of declined requests without end were read until the request's time was over, chunk extensions into memory. Change: an answer without an id is accepted only as the first on its connection. Framing is limited to 64 KB and eight bytes for each byte of a body, bodies of other answers to 1 MB, the body of a declined request to 64 KB.

--- a/src/transport/ownership/OwnershipConstants.ts
+++ b/src/transport/ownership/OwnershipConstants.ts
@@ -26,3 +26,12 @@
 export const CONFIRMATION_MAXIMUM_MS = 2_000;
 /** Largest header block that is accepted from a server, including the status line. */
 export const ANSWER_HEADER_LIMIT_BYTES = 65_536;
+/**
+ * Bytes of heads, interim answers, chunk sizes, extensions and trailers that are accepted for each byte of a body,
+ * besides `ANSWER_HEADER_LIMIT_BYTES`. A chunk of one byte has five bytes of framing.
+ */
+export const FRAMING_BYTES_PER_BODY_BYTE = 8;
+/** Body bytes of answers to other requests that are dropped while a request waits for its own answer. */
+export const FOREIGN_BODY_LIMIT_BYTES = 1_048_576;
+/** Body bytes after which the rest of an answer that says that the request was not run is no longer read. */
+export const DECLINED_BODY_LIMIT_BYTES = 65_536;
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -9,6 +9,7 @@
 import {
     ANSWER_GRACE_MS,
     CLOSED_RETRY_AFTER_MS,
+    DECLINED_BODY_LIMIT_BYTES,
     MAXIMUM_BUFFERED_ANSWER_BYTES,
     MINIMUM_BUDGET_MS,
     OFFER_TIMEOUT_MS,
@@ -176,7 +177,16 @@
     }
 
     #handleData(body: Uint8Array): void {
-        if (this.#answerKind === "declined" || this.#head === undefined) {
+        if (this.#head === undefined) {
+            return;
+        }
+        if (this.#answerKind === "declined") {
+            this.#bufferedBytes += body.length;
+            if (this.#bufferedBytes > DECLINED_BODY_LIMIT_BYTES) {
+                const connection = this.#connection;
+                this.#failAfterSend("the server declined, with a body that was not read to its end");
+                connection?.destroy();
+            }
             return;
         }
         if (this.#isHeadForwarded) {
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -1,12 +1,18 @@
 /**
  * One connection to the backend server. Bytes that belong to no request in flight, and answers that
- * name another request, are dropped and never passed on.
+ * name another request, are dropped and never passed on. A server that sends too many of them, or too many bytes
+ * that are no body, loses the connection.
  */
 import { HTTPParser } from "http-parser-js";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
-import { ANSWER_HEADER_LIMIT_BYTES, CONNECT_TIMEOUT_MS } from "./OwnershipConstants.js";
+import {
+    ANSWER_HEADER_LIMIT_BYTES,
+    CONNECT_TIMEOUT_MS,
+    FOREIGN_BODY_LIMIT_BYTES,
+    FRAMING_BYTES_PER_BODY_BYTE,
+} from "./OwnershipConstants.js";
 
 HTTPParser.encoding = "latin1";
 type AnswerParser = InstanceType<typeof HTTPParser>;
@@ -53,6 +59,12 @@
     #isClosed = false;
     #isReusable = true;
     #isInterim = false;
+    /** Number of requests that were sent before the present one. */
+    #earlierExchanges = -1;
+    /** Bytes since the present request was sent: all, and those of bodies of its own answer and of others. */
+    #receivedBytes = 0;
+    #ownBodyBytes = 0;
+    #foreignBodyBytes = 0;
     #idleTimeoutMs = Infinity;
     #idleSince = 0;
 
@@ -105,6 +117,10 @@
     /** Sends one request; the connection must be idle. */
     send(requestId: string, isHead: boolean, bytes: Uint8Array, events: ExchangeEvents): void {
         this.#exchange = { bytes, events, isHead, isOwnAnswer: false, isSent: false, requestId };
+        this.#earlierExchanges++;
+        this.#receivedBytes = 0;
+        this.#ownBodyBytes = 0;
+        this.#foreignBodyBytes = 0;
         if (this.#isClosed) {
             this.#failExchange("the connection is closed");
         }
@@ -141,8 +157,12 @@
         parser.onHeadersComplete = (head: ParsedHead) => this.#handleHead(head);
         parser.onBody = (chunk: Buffer, offset: number, length: number) => {
             if (this.#exchange?.isOwnAnswer === true) {
+                this.#ownBodyBytes += length;
                 this.#exchange.events.onData(chunk.subarray(offset, offset + length));
             }
+            else {
+                this.#foreignBodyBytes += length;
+            }
         };
         parser.onMessageComplete = () => this.#completeAnswer();
         return parser;
@@ -154,9 +174,11 @@
             this.#socket.destroy();
             return;
         }
+        this.#receivedBytes += chunk.length;
         const result = this.#parser.execute(chunk);
-        if (result instanceof Error) {
-            this.#failExchange(`the answer is malformed: ${result.message}`);
+        const fault = result instanceof Error ? `the answer is malformed: ${result.message}` : this.#findExcess();
+        if (fault !== undefined) {
+            this.#failExchange(fault);
             this.#socket.destroy();
         }
         else if (this.#exchange === undefined && !this.#isReusable) {
@@ -164,6 +186,19 @@
         }
     }
 
+    /** Describes bytes that the server sends without end in place of an answer; undefined within the limits. */
+    #findExcess(): string | undefined {
+        const bodyBytes = this.#ownBodyBytes + this.#foreignBodyBytes;
+        const framingLimit = ANSWER_HEADER_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * bodyBytes;
+        const framingBytes = this.#receivedBytes - bodyBytes;
+        if (framingBytes > framingLimit) {
+            return `${framingBytes} bytes of the answer are no body, above the limit of ${framingLimit}`;
+        }
+        return this.#foreignBodyBytes > FOREIGN_BODY_LIMIT_BYTES
+            ? `${this.#foreignBodyBytes} bytes belong to other requests, above the limit of ${FOREIGN_BODY_LIMIT_BYTES}`
+            : undefined;
+    }
+
     #handleHead(head: ParsedHead): number | undefined {
         this.#isInterim = head.statusCode < FIRST_FINAL_STATUS;
         if (this.#isInterim) {
@@ -176,8 +211,10 @@
         }
         const statement = this.#dialect.parseServerHeaders(head.statusCode, toHeaderMap(head.headers));
         this.#isReusable &&= head.shouldKeepAlive;
-        if (statement.requestId === undefined && head.statusCode < FIRST_FAILURE_STATUS) {
-            this.#failExchange("a successful answer names no request");
+        // Without an id, a failure may be the late second answer to an earlier request.
+        const mayBelongToOther = head.statusCode < FIRST_FAILURE_STATUS || this.#earlierExchanges > 0;
+        if (statement.requestId === undefined && mayBelongToOther) {
+            this.#failExchange(`an answer with status ${head.statusCode} names no request`);
             this.#socket.destroy();
             return undefined;
         }
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -59,7 +59,10 @@
         if (session === undefined) {
             this.#ownerSessions.set(
                 member.id,
-                new OwnerSession(member, { ...this.#options, readPingIntervalMs: id => this.#computePingIntervalMs(id) }),
+                new OwnerSession(member, {
+                    ...this.#options,
+                    readPingIntervalMs: id => this.#computePingIntervalMs(id),
+                }),
             );
         }
         else if (
