--- a/src/binaries/ProcessExit.ts
+++ b/src/binaries/ProcessExit.ts
@@ -6,6 +6,7 @@
 const FORCED_EXIT_CODE = 1;
 /** Exit code after an uncaught error; EX_SOFTWARE of sysexits.h. */
 const UNCAUGHT_EXIT_CODE = 70;
+const UNCAUGHT_WINDOW_MS = 60_000;
 
 /** Logs an error of a part with structured fields. */
 export type LogFatal = (part: string, sentence: string, fields: LogFields) => void;
@@ -16,12 +17,20 @@
     return /\/src\/[a-z]+\/([a-z]+)\//.exec(stack)?.[1] ?? "daemon";
 }
 
-/** Logs an uncaught error or unhandled rejection and exits with `UNCAUGHT_EXIT_CODE`. */
-export function handleUncaughtErrors(logFatal: LogFatal): void {
+/**
+ * Logs an uncaught error or unhandled rejection, and exits with `UNCAUGHT_EXIT_CODE` after more than `tolerated` of
+ * them within `UNCAUGHT_WINDOW_MS`. A process that serves many callers outlives an error of one of their requests.
+ */
+export function handleUncaughtErrors(logFatal: LogFatal, tolerated = 0): void {
+    let times: number[] = [];
     const onError = (error: unknown): void => {
+        const now = performance.now();
+        times = [...times.filter(time => now - time < UNCAUGHT_WINDOW_MS), now];
         const detail = error instanceof Error ? error.message : String(error);
-        logFatal(derivePartName(error), `uncaught error: ${detail}.`, { err: error });
-        process.exit(UNCAUGHT_EXIT_CODE);
+        logFatal(derivePartName(error), `uncaught error: ${detail}.`, { count: times.length, err: error, tolerated });
+        if (times.length > tolerated) {
+            process.exit(UNCAUGHT_EXIT_CODE);
+        }
     };
     process.on("uncaughtException", onError);
     process.on("unhandledRejection", onError);
--- a/src/protocol/request/index.ts
+++ b/src/protocol/request/index.ts
@@ -6,6 +6,7 @@
     copyTrailers,
     parseDeadlineMs,
 } from "./HeaderForwarding.js";
+export { isValidHeaderList } from "./HeaderSyntax.js";
 export {
     LEASE_MESSAGE_MAXIMUM_BYTES,
     LEASE_RENEWAL_PATH,
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -7,6 +7,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
+import { isValidHeaderList } from "../../protocol/request/index.js";
 import {
     ANSWER_HEADER_LIMIT_BYTES,
     CONNECT_TIMEOUT_MS,
@@ -221,6 +222,11 @@
         if (statement.requestId !== undefined && statement.requestId !== exchange.requestId) {
             return undefined;
         }
+        if (!isValidHeaderList(head.headers)) {
+            this.#failExchange("the head of the answer has a malformed header");
+            this.#socket.destroy();
+            return undefined;
+        }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
         exchange.isOwnAnswer = true;
         exchange.events.onHead(head.statusCode, head.headers, statement);
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -1,8 +1,12 @@
 /** One request of a caller and the answer that is sent to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Outcome } from "../../protocol/request/index.js";
+import { isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import type { AnswerHead } from "../ownership/index.js";
 
+const BAD_GATEWAY_STATUS = 502;
+/** Statuses of final answers that can be written. */
+const MINIMUM_STATUS = 200;
+const MAXIMUM_STATUS = 999;
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 export class CallerExchange {
@@ -42,6 +46,9 @@
         if (this.#isEnded) {
             return;
         }
+        if (this.#rejectMalformedHead(head)) {
+            return;
+        }
         this.#isEnded = true;
         const headers = [...head.headers];
         if (head.isCloseDelimited) {
@@ -62,6 +69,9 @@
         if (this.#isEnded) {
             return;
         }
+        if (this.#rejectMalformedHead(head)) {
+            return;
+        }
         if (head.isCloseDelimited) {
             this.#writeCloseDelimited(head);
         }
@@ -106,6 +116,16 @@
         this.response.end(sentence);
     }
 
+    /** Answers in place of a head that can't be written, which another daemon has passed on. */
+    #rejectMalformedHead(head: AnswerHead): boolean {
+        const isMalformed = head.status < MINIMUM_STATUS || head.status > MAXIMUM_STATUS
+            || !isValidHeaderList(head.headers);
+        if (isMalformed) {
+            this.sendDaemonAnswer(BAD_GATEWAY_STATUS, Outcome.Unknown, "the head of the answer is malformed");
+        }
+        return isMalformed;
+    }
+
     /** Sends the answer without a length as well: a length would make a truncated answer look complete. */
     #writeCloseDelimited(head: AnswerHead): void {
         this.response.useChunkedEncodingByDefault = false;
