--- a/src/coordination/placement/Subset.ts
+++ b/src/coordination/placement/Subset.ts
@@ -10,9 +10,9 @@
 
 /** Servers that a daemon uses of one service, by distance. */
 export const SUBSET_SIZES = {
-    [Distance.SameDomain]: 8,
-    [Distance.SameRegion]: 4,
-    [Distance.OtherRegion]: 2,
+    [Distance.SameDomain]: 6,
+    [Distance.SameRegion]: 3,
+    [Distance.OtherRegion]: 1,
 } as const;
 /** Servers that a daemon uses of a service at least, whatever their distance. */
 const MINIMUM_SUBSET_SIZE = 6;
--- a/src/transport/peer/WebSocketNetwork.ts
+++ b/src/transport/peer/WebSocketNetwork.ts
@@ -64,7 +64,12 @@
     options: SocketOptions,
 ): Promise<FrameConnection> {
     const host = address.includes(":") ? `[${address}]` : address;
-    const socket = new WebSocket(`ws://${host}:${port}`, { ...options, handshakeTimeout });
+    const socket = new WebSocket(`ws://${host}:${port}`, {
+        ...options,
+        // Masking protects proxies between browsers and servers; a zero mask, with which frames are not copied, is valid.
+        generateMask: () => undefined,
+        handshakeTimeout,
+    });
     const connection = wrapSocket(socket);
     await new Promise<void>((resolve, reject) => {
         socket.once("open", resolve);
