--- a/src/transport/sessions/SessionConstants.ts
+++ b/src/transport/sessions/SessionConstants.ts
@@ -5,12 +5,14 @@
 /** Backoff before reconnecting, doubled after each failure, with full jitter. */
 export const RECONNECT_BASE_MS = 60;
 export const RECONNECT_MAXIMUM_MS = 1_000;
-/** Ping interval of a daemon with few sessions; it grows with their number. */
+/** Ping interval of a daemon with few sessions, whose pings keep the load reports fresh; it grows with their number. */
 export const MINIMUM_PING_INTERVAL_MS = 500;
+/** Number of sessions up to which all are pinged at `MINIMUM_PING_INTERVAL_MS`. */
+export const FEW_SESSIONS = 14;
 export const MAXIMUM_PING_INTERVAL_MS = 3_000;
 /** Longest ping interval on sessions with neighbours, over which the reports of working watches are passed on. */
 export const NEIGHBOUR_PING_INTERVAL_MS = 1_500;
-/** Highest rate of pings over all sessions of a daemon, until the interval reaches its maximum. */
+/** Highest rate of pings over all sessions of a daemon with more than a few, until the interval reaches its maximum. */
 export const MAXIMUM_PINGS_PER_SECOND = 12;
 /** Silence after which a session with requests in flight is pinged, whatever its interval. */
 export const PENDING_PING_INTERVAL_MS = 500;
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -8,6 +8,7 @@
 import { consumeFrames } from "./ConsumeFrames.js";
 import { OwnerSession } from "./OwnerSession.js";
 import {
+    FEW_SESSIONS,
     MAXIMUM_PING_INTERVAL_MS,
     MAXIMUM_PINGS_PER_SECOND,
     MINIMUM_PING_INTERVAL_MS,
@@ -135,6 +136,9 @@
     }
 
     #computePingIntervalMs(id: string): number {
+        if (this.#ownerSessions.size <= FEW_SESSIONS) {
+            return MINIMUM_PING_INTERVAL_MS;
+        }
         return Math.min(
             this.#options.isNeighbour(id) ? NEIGHBOUR_PING_INTERVAL_MS : MAXIMUM_PING_INTERVAL_MS,
             Math.max(MINIMUM_PING_INTERVAL_MS, this.#ownerSessions.size * MS_PER_SECOND / MAXIMUM_PINGS_PER_SECOND),
