--- a/src/state/members/MemberTable.ts
+++ b/src/state/members/MemberTable.ts
@@ -32,7 +32,7 @@
     private readonly services = new Set<string>();
     private readonly digest: DigestWords = { high: 0, low: 0 };
     private readonly serviceDigest: DigestWords = { high: 0, low: 0 };
-    /** Incremented whenever the ranking of a failure domain may have changed; invalidates caches. */
+    /** Incremented whenever the ranking of a failure domain or the service of a member has changed; invalidates caches. */
     rankingGeneration = 0;
 
     get(id: string): Member | undefined {
@@ -66,7 +66,9 @@
         this.records.set(member.id, member);
         this.toggleInDigests(member);
         const domain = this.ensureDomain(member);
-        if (existing === undefined || isPresent(existing) !== isPresent(member) || !domain.ids.has(member.id)) {
+        const isSelectedDifferently = existing === undefined || isPresent(existing) !== isPresent(member)
+            || existing.server?.service !== member.server?.service;
+        if (isSelectedDifferently || !domain.ids.has(member.id)) {
             domain.ids.add(member.id);
             this.resetRanking(domain);
         }
--- a/src/transport/directory/__tests__/unit/MemberGossip.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberGossip.test.ts
@@ -150,6 +150,17 @@
         expect(countKnowing(network, isListed)).toBe(0);
     });
 
+    it("of a VM that runs another service now are selected for that service", () => {
+        const { registry } = createStartedNetwork(4, 0, 9).daemons.get("daemon-1") as GossipDaemon;
+        const before = registry.table.rankingGeneration;
+        const record = createDaemonRecord(2);
+        registry.merge([{ ...record, incarnation: 2 }]);
+        expect(registry.table.rankingGeneration).toBe(before);
+        const server = { address: "127.0.0.1", connections: 0, port: 1, service: "workroom", slots: 0 };
+        registry.merge([{ ...record, incarnation: 3, server }]);
+        expect(registry.table.rankingGeneration).toBeGreaterThan(before);
+    });
+
     it("of a daemon that returns after its stop are listed again, also when its clock was set back", async () => {
         const network = createStartedNetwork(40, 0, 9);
         const leaving = network.daemons.get("daemon-7") as GossipDaemon;
