Tell the region at once when a watch of the store has failed

Change: a watch that fails is reported as failed; the newest state of a watch counts, and the daemons of the region pass it on at once. Test: the takeover within a second fails without the change.

--- a/src/coordination/distribution/StoreWatchers.ts
+++ b/src/coordination/distribution/StoreWatchers.ts
@@ -22,16 +22,27 @@
 
 const WATCHER_KEY = "configuration watcher";
 
-/** A working watch of a daemon of the same region. */
+/** Highest number of failed watches that are passed on. */
+const MAXIMUM_FAILURE_REPORTS = 8;
+
+/** State of the watch of a daemon of the same region. */
 export interface WatchReport {
     readonly id: string;
-    /** Time since the watch was last known to work, in milliseconds. */
+    /** Whether the watch worked, or failed, at the time that the age tells. */
+    readonly isWorking: boolean;
+    /** Time since the watch was last known to work, or since it failed, in milliseconds. */
     readonly ageMs: number;
 }
 
+interface WatchState {
+    readonly at: number;
+    readonly isWorking: boolean;
+}
+
 export class StoreWatchers {
     readonly #selfId: string;
-    readonly #confirmedAt = new Map<string, number>();
+    /** The newest state that is known of each watch. */
+    readonly #states = new Map<string, WatchState>();
     readonly #hashes = new Map<string, number>();
     #rank = 0;
     #regionIds: readonly string[] = [];
@@ -49,35 +60,52 @@
         this.#rank = ids.filter(id => id !== this.#selfId && this.#compareIds(id, this.#selfId) < 0).length;
     }
 
-    /** Merges reports that another daemon of the region passed on. */
-    recordReports(reports: readonly WatchReport[], now: number): void {
-        for (const { ageMs, id } of reports) {
+    /** Merges reports that another daemon of the region passed on; returns whether one says that a watch has failed. */
+    recordReports(reports: readonly WatchReport[], now: number): boolean {
+        let hasFailure = false;
+        for (const { ageMs, id, isWorking } of reports) {
             if (id !== this.#selfId) {
-                this.#confirm(id, now - Math.max(0, ageMs));
+                const wasWorking = this.#states.get(id)?.isWorking === true;
+                const isNew = this.#record(id, { at: now - Math.max(0, ageMs), isWorking });
+                hasFailure ||= isNew && wasWorking && !isWorking;
             }
         }
+        return hasFailure;
     }
 
     /** Records that the own watch works. */
     recordOwnWatch(now: number): void {
-        this.#confirm(this.#selfId, now);
+        this.#record(this.#selfId, { at: now, isWorking: true });
+    }
+
+    /** Records that the own watch has failed; returns whether it worked before. */
+    recordOwnFailure(now: number): boolean {
+        const wasWorking = this.#states.get(this.#selfId)?.isWorking === true;
+        if (wasWorking) {
+            this.#record(this.#selfId, { at: now, isWorking: false });
+        }
+        return wasWorking;
     }
 
-    /** Forgets a watch, for example after the daemon became unreachable. */
-    removeReport(id: string): void {
-        this.#confirmedAt.delete(id);
+    /** Forgets the own watch, which has ended because others watch. */
+    removeOwnWatch(): void {
+        this.#states.delete(this.#selfId);
     }
 
-    /** Lists the working watches to pass on, the first by rank. */
+    /** Lists the watches to pass on: the first working ones by rank, and those that have failed lately. */
     listReports(now: number): readonly WatchReport[] {
-        return this.#listFresh(now)
-            .slice(0, this.#countWanted())
-            .map(id => ({ ageMs: now - (this.#confirmedAt.get(id) ?? now), id }));
+        const working = this.#listFresh(now, true).slice(0, this.#countWanted());
+        return [...working, ...this.#listFresh(now, false).slice(0, MAXIMUM_FAILURE_REPORTS)].flatMap(id => {
+            const state = this.#states.get(id);
+            return state === undefined ? [] : [{ ageMs: now - state.at, id, isWorking: state.isWorking }];
+        });
     }
 
     /** Whether this daemon should watch the store. */
     shouldWatch(now: number): boolean {
-        const before = this.#listFresh(now).filter(id => id !== this.#selfId && this.#compareIds(id, this.#selfId) < 0);
+        const before = this.#listFresh(now, true).filter(id =>
+            id !== this.#selfId && this.#compareIds(id, this.#selfId) < 0
+        );
         if (before.length >= this.#countWanted()) {
             this.#missingSince = undefined;
             return false;
@@ -86,10 +114,13 @@
         return now - this.#missingSince >= this.#computeTakeoverDelay();
     }
 
-    #confirm(id: string, at: number): void {
-        if (at > (this.#confirmedAt.get(id) ?? -Infinity)) {
-            this.#confirmedAt.set(id, at);
+    /** Keeps the newer of two states; returns whether the given one is. */
+    #record(id: string, state: WatchState): boolean {
+        const isNew = state.at > (this.#states.get(id)?.at ?? -Infinity);
+        if (isNew) {
+            this.#states.set(id, state);
         }
+        return isNew;
     }
 
     #countWanted(): number {
@@ -101,13 +132,14 @@
         return Math.min(MAXIMUM_TAKEOVER_DELAY_MS, late * TAKEOVER_DELAY_PER_RANK_MS);
     }
 
-    #listFresh(now: number): readonly string[] {
-        for (const [id, at] of this.#confirmedAt) {
+    #listFresh(now: number, isWorking: boolean): readonly string[] {
+        for (const [id, { at }] of this.#states) {
             if (now - at > WATCH_REPORT_VALIDITY_MS) {
-                this.#confirmedAt.delete(id);
+                this.#states.delete(id);
             }
         }
-        return [...this.#confirmedAt.keys()].sort((left, right) => this.#compareIds(left, right));
+        const ids = [...this.#states].filter(([, state]) => state.isWorking === isWorking).map(([id]) => id);
+        return ids.sort((left, right) => this.#compareIds(left, right));
     }
 
     #compareIds(left: string, right: string): number {
--- a/src/coordination/distribution/__tests__/unit/StoreWatchers.test.ts
+++ b/src/coordination/distribution/__tests__/unit/StoreWatchers.test.ts
@@ -16,18 +16,25 @@
         return [id, watchers];
     }));
     let now = 0;
+    const failing = new Set<string>();
+    const failWatches = (ids: readonly string[]): void => {
+        for (const id of ids) {
+            failing.add(id);
+            daemons.get(id)?.recordOwnFailure(now);
+        }
+    };
     const run = (durationMs: number, isDown: (id: string) => boolean = () => false, stepMs = 250): string[] => {
         let watching: string[] = [];
         for (const endAt = now + durationMs; now < endAt; now += stepMs) {
             const live = [...daemons].filter(([id]) => !isDown(id));
             watching = live.filter(([, watchers]) => watchers.shouldWatch(now)).map(([id]) => id);
-            watching.forEach(id => daemons.get(id)?.recordOwnWatch(now));
+            watching.filter(id => !failing.has(id)).forEach(id => daemons.get(id)?.recordOwnWatch(now));
             const reports = live.flatMap(([, watchers]) => watchers.listReports(now));
             live.forEach(([, watchers]) => watchers.recordReports(reports, now));
         }
         return watching;
     };
-    return { run };
+    return { failWatches, run };
 }
 
 // Guards against a region without a store watch, and against one store watch for each daemon.
@@ -46,6 +53,15 @@
         expect(next.filter(id => first.includes(id))).toEqual([]);
     });
 
+    it("are replaced within a second when the store turns all of them away", () => {
+        // Guards against a version that comes in force seconds late, as on a hunted day: the reports had to grow old.
+        const region = createWatchedRegion(createRegion(6));
+        const first = region.run(10_000);
+        region.failWatches(first);
+        const next = region.run(1_000, () => false, 50).filter(id => !first.includes(id));
+        expect(next.length).toBeGreaterThanOrEqual(1);
+    });
+
     it("are the first ones again after their return, and the others stop", () => {
         const region = createWatchedRegion(createRegion(100));
         const first = region.run(10_000);
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -100,8 +100,11 @@
 const statusFields = {
     /** Revision of the configuration in force; 0 when none is. */
     revision: integer,
-    /** Watches of the store in the sender's region that are known to work. */
-    watches: createListCodec(createRecordCodec({ id: name, ageMs: numberCodec }), WATCHES_LIMIT),
+    /** Watches of the store in the sender's region that are known to work, or to have failed lately. */
+    watches: createListCodec(
+        createRecordCodec({ id: name, isWorking: booleanCodec, ageMs: numberCodec }),
+        WATCHES_LIMIT,
+    ),
     /** Digest of all member records; equal when both daemons hold the same ones. */
     membersDigest: integer,
 };
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -44,6 +44,8 @@
     /** Whether the records of the other daemons were read, so that the watchers among them are known. */
     isRegistered(): boolean;
     isSameRegion(id: string): boolean;
+    /** Called when a watch of this region has failed, which the other daemons should know at once. */
+    onWatchFailed(): void;
     /** Asks another daemon for its version. */
     requestConfiguration(id: string): void;
     onChange(configuration: TrafficConfiguration): void;
@@ -147,7 +149,9 @@
         const now = this.#options.now();
         this.#peerRevisions.set(status.id, status.revision);
         if (this.#options.isSameRegion(status.id)) {
-            this.#watchers.recordReports(status.watches, now);
+            if (this.#watchers.recordReports(status.watches, now)) {
+                this.#options.onWatchFailed();
+            }
         }
         if (status.revision > (this.#text?.revision ?? 0)) {
             this.#behindSince ??= now;
@@ -227,7 +231,11 @@
     }
 
     #handleStoreError(error: StoreError): void {
-        this.#stopWatching();
+        this.#isWatching = false;
+        this.#position = undefined;
+        if (this.#watchers.recordOwnFailure(this.#options.now())) {
+            this.#options.onWatchFailed();
+        }
         if (!this.#isStoreUnreachable) {
             this.#isStoreUnreachable = true;
             this.#options.log.warn(`the store can't be watched: ${error.detail}.`, { error });
@@ -237,7 +245,7 @@
     #stopWatching(): void {
         this.#isWatching = false;
         this.#position = undefined;
-        this.#watchers.removeReport(this.#options.selfId);
+        this.#watchers.removeOwnWatch();
     }
 
     #shouldWatch(): boolean {
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -201,6 +201,7 @@
                 this.#announceStatus();
             },
             isRegistered: () => this.#memberRegistry.isRegistered,
+            onWatchFailed: () => this.#announceStatus(),
             isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
