--- a/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
+++ b/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
@@ -77,7 +77,7 @@
 
     it("cut at each byte between two segments, never becomes the answer of the next request", async () => {
         const copy = formatAnswer("a", "copy");
-        for (let cut = 1; cut < copy.length; cut += 3) {
+        for (let cut = 1; cut < copy.length; cut++) {
             const { admission } = await openAdmission((socket, id, count) => {
                 if (count === 1) {
                     socket.write(formatAnswer(id, "first"));
@@ -117,7 +117,7 @@
         ["in chunks, by a reset", chunked, (socket: Socket) => socket.resetAndDestroy()],
     ])("%s, is unknown at each byte", async (_name, format, end) => {
         const length = format("a").length;
-        for (let cut = 1; cut < length; cut += 2) {
+        for (let cut = 1; cut < length; cut++) {
             const { admission } = await openAdmission((socket, id) => {
                 socket.write(format(id).slice(0, cut), () => setTimeout(() => end(socket), 2));
             });
@@ -148,7 +148,7 @@
     ];
 
     it.each(cases)(
-        "%s end the request and the connection long before its time, within 2 MB",
+        "%s end the request and the connection long before its time, with at most 10 MB written",
         async (_name, format, part) => {
             let readWritten = () => 0;
             const { admission, server } = await openAdmission((socket, id) => {
@@ -164,7 +164,7 @@
             expect(performance.now() - startedAt).toBeLessThan(3_000);
             await expect.poll(() => server.connections.every(({ destroyed }) => destroyed)).toBe(true);
             // What the kernel has buffered counts as written.
-            expect(readWritten()).toBeLessThan(2 * 1_048_576 + 8 * 1_048_576);
+            expect(readWritten()).toBeLessThan(10 * 1_048_576);
         },
     );
 
