Show why a version or a cancellation comes late: copies sent, full connections, late timers

The logs could not tell a lack of processor time from full links or a fault of logic. Now each copy of a version that goes to another daemon has a line, as have requests that another daemon cancels (with their age) and timers over 0.5 s late; a version in force tells its size and how long another daemon was known to be ahead. Gauges for the same. No decision changes.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -48,6 +48,7 @@
     onWatchFailed(): void;
     /** Asks another daemon for its version. */
     requestConfiguration(id: string): void;
+    sendConfiguration(id: string, configuration: CompressedConfiguration): void;
     onChange(configuration: TrafficConfiguration): void;
 }
 
@@ -76,6 +77,8 @@
     #requestedAt = -Infinity;
     #checkTimer: NodeJS.Timeout | undefined;
     #isStoreUnreachable = false;
+    #sentCopies = 0;
+    #sentBytes = 0;
 
     constructor(options: ConfigurationManagerOptions) {
         this.#options = options;
@@ -108,6 +111,27 @@
         return this.#compressed;
     }
 
+    /** Copies of versions sent to other daemons since the start, and their compressed size. */
+    get sentCopies(): { readonly count: number; readonly bytes: number; } {
+        return { bytes: this.#sentBytes, count: this.#sentCopies };
+    }
+
+    /** Sends the version in force to a daemon that has asked for it. */
+    answerRequest(id: string): void {
+        const configuration = this.readCompressed();
+        if (configuration === undefined) {
+            return;
+        }
+        this.#sentCopies++;
+        this.#sentBytes += configuration.compressedText.length;
+        this.#options.log.info(`sent revision ${configuration.revision} to ${id}.`, {
+            bytes: configuration.compressedText.length,
+            peer: id,
+            revision: configuration.revision,
+        });
+        this.#options.sendConfiguration(id, configuration);
+    }
+
     /** Puts in force what another daemon has sent, if it is newer. */
     applyCompressed({ compressedText, revision }: CompressedConfiguration, source: string): void {
         if (revision <= (this.#text?.revision ?? 0)) {
@@ -176,9 +200,15 @@
             Right: configuration => {
                 this.#text = text;
                 this.#configuration = configuration;
+                const behindMs = this.#behindSince === undefined
+                    ? undefined
+                    : Math.round(this.#options.now() - this.#behindSince);
                 this.#behindSince = undefined;
                 this.#options.log.info(`version ${configuration.version} is in force.`, {
                     before,
+                    // Since another daemon was known to have a newer version.
+                    behindMs,
+                    characters: text.text.length,
                     revision: text.revision,
                     source,
                 });
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -7,6 +7,8 @@
 import type { SessionDependencies } from "./SessionTypes.js";
 
 interface Stream {
+    readonly requestId: string;
+    readonly receivedAt: number;
     handle: RequestHandle | undefined;
     isPaused: boolean;
     /** Whether the request was cancelled or its last event was sent. */
@@ -34,6 +36,10 @@
         return this.#streams.size;
     }
 
+    get bufferedBytes(): number {
+        return this.#connection?.getBufferedBytes() ?? 0;
+    }
+
     /** Continues over a new connection; false when the message counts of the two sides are inconsistent. */
     attach(connection: FrameConnection, hello: SessionMessageOf<"hello">, isResumed: boolean): boolean {
         this.#connection?.close();
@@ -165,7 +171,13 @@
     }
 
     #submit(message: SessionMessageOf<"request">): void {
-        const stream: Stream = { handle: undefined, isEnded: false, isPaused: false };
+        const stream: Stream = {
+            handle: undefined,
+            isEnded: false,
+            isPaused: false,
+            receivedAt: this.#dependencies.now(),
+            requestId: message.request.requestId,
+        };
         this.#streams.set(message.stream, stream);
         const handle = this.#dependencies.submit(message.request, this.#buildEvents(message.stream, stream));
         if (!stream.isEnded) {
@@ -178,6 +190,11 @@
         if (stream !== undefined) {
             stream.isEnded = true;
             this.#streams.delete(id);
+            this.#dependencies.log.info(`${this.peerId} has cancelled a request.`, {
+                ageMs: Math.round(this.#dependencies.now() - stream.receivedAt),
+                peer: this.peerId,
+                requestId: stream.requestId,
+            });
             stream.handle?.cancel();
         }
     }
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -89,6 +89,10 @@
         return this.#pending.size;
     }
 
+    get bufferedBytes(): number {
+        return this.#connection?.getBufferedBytes() ?? 0;
+    }
+
     /** Whether the owner responds, so that requests placed now are expected to reach it. */
     isUsable(now: number): boolean {
         return this.#connection !== undefined && !this.#isSilent(now);
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -87,6 +87,15 @@
         return this.#ownerSessions.values();
     }
 
+    /** Bytes that wait in the connections of all sessions, since a link or the other daemon is slow. */
+    countBufferedBytes(): number {
+        let bytes = 0;
+        for (const session of [...this.#ownerSessions.values(), ...this.#callerSessions.values()]) {
+            bytes += session.bufferedBytes;
+        }
+        return bytes;
+    }
+
     /** Sends the load to the daemons that use the own server, without waiting for their next pings. */
     announceLoad(): void {
         for (const session of this.#callerSessions.values()) {
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -29,6 +29,9 @@
 const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
 /** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
 const SESSION_UPDATE_INTERVAL_MS = 250;
+/** Lateness of that check from which the log says that the daemon lacked processor time. */
+const REPORTED_DELAY_MS = 500;
+const MS_PER_SECOND = 1_000;
 /** Number of services up to which sessions are opened before the first request. */
 const MAXIMUM_PREPARED_SERVICES = 16;
 /**
@@ -99,6 +102,9 @@
     #isolatedSince: number | undefined;
     #removalTimer: NodeJS.Timeout | undefined;
     #sessionTimer: NodeJS.Timeout | undefined;
+    #updatedAt = 0;
+    /** Longest delay of a timer since the metrics were last read. */
+    #longestDelayMs = 0;
     readonly #usedServices = new Set<string>();
     /** Generation of the member table for which the configuration knows the daemons of the region. */
     #regionGeneration = -1;
@@ -205,6 +211,8 @@
             isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
+            sendConfiguration: (id, configuration) =>
+                this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" }),
             selfId: settings.id,
             store: dependencies.store,
         });
@@ -252,7 +260,11 @@
         this.#configurationManager.start();
         void this.#memberRegistry.register();
         this.#removalTimer = setInterval(() => this.#removeUnreachableMembers(), MEMBER_REMOVAL_INTERVAL_MS);
-        this.#sessionTimer = setInterval(() => this.#updateSessions(), SESSION_UPDATE_INTERVAL_MS);
+        this.#updatedAt = this.#dependencies.now();
+        this.#sessionTimer = setInterval(() => {
+            this.#recordDelay(this.#dependencies.now());
+            this.#updateSessions();
+        }, SESSION_UPDATE_INTERVAL_MS);
         this.#log.info("started.", { settings: this.#settings });
     }
 
@@ -343,13 +355,9 @@
             case "configuration":
                 this.#configurationManager.applyCompressed(message, id);
                 return;
-            case "configurationRequest": {
-                const configuration = this.#configurationManager.readCompressed();
-                if (configuration !== undefined) {
-                    this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" });
-                }
+            case "configurationRequest":
+                this.#configurationManager.answerRequest(id);
                 return;
-            }
             default:
                 this.#memberGossip.handle(id, message);
         }
@@ -363,6 +371,22 @@
             : this.#usedServices;
     }
 
+    /** Records how late the present run of the session timer is, which shows a lack of processor time. */
+    #recordDelay(now: number): void {
+        const delayMs = now - this.#updatedAt - SESSION_UPDATE_INTERVAL_MS;
+        this.#updatedAt = now;
+        this.#longestDelayMs = Math.max(this.#longestDelayMs, delayMs);
+        if (delayMs > REPORTED_DELAY_MS) {
+            this.#log.warn(`timers were ${Math.round(delayMs)} ms late.`, { delayMs: Math.round(delayMs) });
+        }
+    }
+
+    #readLongestDelay(): number {
+        const delayMs = this.#longestDelayMs;
+        this.#longestDelayMs = 0;
+        return delayMs;
+    }
+
     #updateSessions(): void {
         this.#sessionSelector.update(this.#dependencies.now());
         const { self, table } = this.#memberRegistry;
@@ -437,9 +461,19 @@
             { name: "server_queued", read: () => load().queued },
             { name: "server_open", read: () => Number(load().isOpen) },
             { name: "configuration_revision", read: () => this.#configurationManager.text?.revision ?? 0 },
+            {
+                name: "configuration_copies_sent_total",
+                read: () => this.#configurationManager.sentCopies.count,
+            },
+            {
+                name: "configuration_copy_bytes_sent_total",
+                read: () => this.#configurationManager.sentCopies.bytes,
+            },
+            { name: "longest_timer_delay_seconds", read: () => this.#readLongestDelay() / MS_PER_SECOND },
             { name: "members", read: () => this.#memberRegistry.list().length },
             { name: "members_connected", read: () => this.#listReachable().length },
             { name: "sessions_open", read: () => [...this.#sessions.listOwnerSessions()].length },
+            { name: "session_buffered_bytes", read: () => this.#sessions.countBufferedBytes() },
             { name: "neighbours", read: () => this.#sessionSelector.neighbours.size },
             { name: "log_lines_dropped_total", read: this.#dependencies.readDroppedLines },
         ]);
