Bound the copies of a version that one daemon sends at once

Callers saw requests run after they had left, and versions late, on deployments whose VMs have links of 6 to 8 Mbit/s: copies of a version fill the link of the daemon that is asked first, and answers and cancellations wait behind them on the same link. All daemons that learn of a version at once ask the same one, the first of the list, and get their copies at once.

Now a daemon sends copies for at most half of such a link (75 KB at once, 375 bytes a millisecond) and ignores further requests; the others choose at random among the nearest that have the version, whose number grows with each copy.

Evidence: VersionSpread.test.ts plays the spread over links of 8.4 Mbit/s.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -14,6 +14,8 @@
 import type { PartLogger } from "../logging/index.js";
 import type { PeerStatus } from "../sessions/index.js";
 import {
+    COPY_BURST_BYTES,
+    COPY_BYTES_PER_MS,
     FETCH_DELAY_MS,
     FETCH_RETRY_MS,
     OWN_WATCH_DELAY_MS,
@@ -79,6 +81,8 @@
     #isStoreUnreachable = false;
     #sentCopies = 0;
     #sentBytes = 0;
+    #copyAllowance = COPY_BURST_BYTES;
+    #copyAllowanceAt = 0;
 
     constructor(options: ConfigurationManagerOptions) {
         this.#options = options;
@@ -116,10 +120,13 @@
         return { bytes: this.#sentBytes, count: this.#sentCopies };
     }
 
-    /** Sends the version in force to a daemon that has asked for it. */
+    /**
+     * Sends the version in force to a daemon that has asked for it. After many copies at once the request is ignored, so
+     * that the copies don't occupy this daemon's link; the other daemon asks another one that has the version by then.
+     */
     answerRequest(id: string): void {
         const configuration = this.readCompressed();
-        if (configuration === undefined) {
+        if (configuration === undefined || !this.#takeCopyBytes(configuration.compressedText.length)) {
             return;
         }
         this.#sentCopies++;
@@ -284,7 +291,20 @@
         return isRegionKnown && this.#watchers.shouldWatch(now);
     }
 
-    /** Asks the nearest daemon that has a newer version, if the version has not arrived from elsewhere in time. */
+    /** Takes the bytes of a copy from the allowance; false while earlier copies have used it up. */
+    #takeCopyBytes(bytes: number): boolean {
+        const now = this.#options.now();
+        const refilled = this.#copyAllowance + (now - this.#copyAllowanceAt) * COPY_BYTES_PER_MS;
+        this.#copyAllowance = Math.min(COPY_BURST_BYTES, refilled);
+        this.#copyAllowanceAt = now;
+        if (this.#copyAllowance <= 0) {
+            return false;
+        }
+        this.#copyAllowance -= bytes;
+        return true;
+    }
+
+    /** Asks one of the nearest daemons that have a newer version, if the version has not arrived from elsewhere in time. */
     #fetchIfBehind(): void {
         const now = this.#options.now();
         if (this.#behindSince === undefined || now - this.#requestedAt < FETCH_RETRY_MS) {
@@ -292,11 +312,12 @@
         }
         const waitedMs = now - this.#behindSince - (this.#isWatching ? OWN_WATCH_DELAY_MS : 0);
         const revision = this.#text?.revision ?? 0;
-        const peer = this.#options.listReachable()
-            .filter(({ distance, id }) =>
-                (this.#peerRevisions.get(id) ?? 0) > revision && waitedMs >= FETCH_DELAY_MS[distance]
-            )
-            .sort((left, right) => left.distance - right.distance)[0];
+        const peers = this.#options.listReachable().filter(({ distance, id }) =>
+            (this.#peerRevisions.get(id) ?? 0) > revision && waitedMs >= FETCH_DELAY_MS[distance]
+        );
+        const nearest = Math.min(...peers.map(({ distance }) => distance));
+        const candidates = peers.filter(({ distance }) => distance === nearest);
+        const peer = candidates[Math.floor(this.#options.random() * candidates.length)];
         if (peer !== undefined) {
             this.#requestedAt = now;
             this.#options.requestConfiguration(peer.id);
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -14,7 +14,10 @@
 /** Delay before a version is requested from a daemon, by its distance; a nearer one usually has it by then. */
 export const FETCH_DELAY_MS = [0, 100, 400] as const;
 /** Delay before the same version is requested again. */
-export const FETCH_RETRY_MS = 400;
+export const FETCH_RETRY_MS = 300;
+/** Rate and burst of the copies of versions that a daemon sends: about half of the link of the weakest VMs. */
+export const COPY_BYTES_PER_MS = 375;
+export const COPY_BURST_BYTES = 75_000;
 /** Time in which new records are gathered before they are passed on. */
 export const RECORD_BATCH_DELAY_MS = 50;
 /** Shortest time between two exchanges of digests that a daemon begins. */
--- /dev/null
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -0,0 +1,158 @@
+import { Right } from "purify-ts/Either";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { selectNeighbours } from "../../../../coordination/distribution/index.js";
+import { encodeSessionMessage } from "../../../../protocol/session/index.js";
+import type { SessionMessage } from "../../../../protocol/session/index.js";
+import type { Member } from "../../../../state/members/index.js";
+import { MemberTable } from "../../../../state/members/index.js";
+import { createSeededRandom } from "../../../../state/shared/index.js";
+import type { MeshStorePort } from "../../../../state/store/index.js";
+import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
+import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { createMember } from "../../../sessions/__tests__/fixtures/SessionManagers.js";
+import { computeDistance } from "../../../traffic/index.js";
+import { ConfigurationManager } from "../../index.js";
+
+const DOMAINS = ["erie-a", "erie-b", "superior-a", "superior-b"] as const;
+/** Link of a weak VM, 8.4 Mbit/s. */
+const LINK_BYTES_PER_MS = 1_050;
+const LATENCY_MS = { "other-region": 12, "same-region": 0.9 } as const;
+/** Time in which each daemon has to use a version. */
+const DEADLINE_MS = 3_000;
+/** Time in which a cancellation, which waits behind the copies on the same link, has to reach a server. */
+const CANCELLATION_DEADLINE_MS = 500;
+
+beforeEach(() => {
+    vi.useFakeTimers({ toFake: ["setInterval", "clearInterval", "setTimeout", "clearTimeout", "performance"] });
+});
+
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+function createDaemonRecord(index: number): Member {
+    const failureDomain = DOMAINS[index % DOMAINS.length] as string;
+    return { ...createMember(`daemon-${index}`, 7_000), failureDomain, region: failureDomain.slice(0, -2) };
+}
+
+/** Text of a version with random names, which compresses like a real one. */
+function generateText(routes: number): string {
+    const random = createSeededRandom(routes);
+    const generateName = () => Math.floor(random() * 36 ** 7).toString(36);
+    const paths = Array.from({ length: routes }, () => ({
+        Attempts: 3,
+        Kind: "idempotent",
+        Name: `r-${generateName()}`,
+        PathPrefix: `/${generateName()}/${generateName()}/`,
+        Priority: 2,
+        Service: "ledger",
+        TargetLatencyS: 0.8,
+        TimeoutS: 1.5,
+    }));
+    return JSON.stringify(paths);
+}
+
+interface SpreadNetwork {
+    /** Puts a version in force at the daemons that watch the store. */
+    publish(revision: number, text: string): void;
+    countUsing(revision: number): number;
+    /** Longest time for which a message has waited until its link had sent it. */
+    readLongestWait(): number;
+    stop(): void;
+}
+
+/**
+ * Daemons whose links take one message after the other. Each has sessions with its neighbours and with all daemons of
+ * its failure domain, which is the worst case: all of them learn of a version, and may ask for it, at once.
+ */
+function createNetwork(size: number): SpreadNetwork {
+    const members = Array.from({ length: size }, (_value, index) => createDaemonRecord(index));
+    const table = new MemberTable();
+    members.forEach(member => table.merge(member));
+    const sessions = new Map(members.map(({ failureDomain, id }) => [id, new Set(table.listRankedIds(failureDomain))]));
+    for (const member of members) {
+        for (const id of selectNeighbours(table, member, () => false)) {
+            sessions.get(member.id)?.add(id);
+            sessions.get(id)?.add(member.id);
+        }
+        sessions.get(member.id)?.delete(member.id);
+    }
+    const linkFreeAt = new Map<string, number>();
+    let longestWaitMs = 0;
+    const send = (from: Member, to: string, message: SessionMessage): void => {
+        const now = performance.now();
+        const departedAt = Math.max(now, linkFreeAt.get(from.id) ?? 0)
+            + encodeSessionMessage(message).length / LINK_BYTES_PER_MS;
+        linkFreeAt.set(from.id, departedAt);
+        longestWaitMs = Math.max(longestWaitMs, departedAt - now);
+        const latencyMs = LATENCY_MS[table.get(to)?.region === from.region ? "same-region" : "other-region"];
+        setTimeout(() => deliver(from.id, to, message), departedAt + latencyMs - now);
+    };
+    const deliver = (from: string, to: string, message: SessionMessage): void => {
+        const manager = managers.get(to);
+        switch (message.kind) {
+            case "status":
+                manager?.recordStatus({ ...message, id: from });
+                return;
+            case "configurationRequest":
+                manager?.answerRequest(from);
+                return;
+            case "configuration":
+                manager?.applyCompressed(message, from);
+        }
+    };
+    const managers = new Map(members.map(member => [member.id, createManager(member)]));
+    function createManager(self: Member): ConfigurationManager {
+        const peers = [...sessions.get(self.id) ?? []];
+        return new ConfigurationManager({
+            decode: ({ revision }) => Right({ revision, version: revision } as TrafficConfiguration),
+            isRegistered: () => true,
+            isSameRegion: id => table.get(id)?.region === self.region,
+            listReachable: () => peers.map(id => ({ distance: computeDistance(self, table.get(id) as Member), id })),
+            log: createSilentLogger(),
+            now: () => performance.now(),
+            onChange: ({ revision }) => {
+                for (const id of peers) {
+                    send(self, id, { kind: "status", membersDigest: 0, revision, watches: [] });
+                }
+            },
+            onWatchFailed: () => undefined,
+            random: createSeededRandom(members.indexOf(self)),
+            requestConfiguration: id => send(self, id, { kind: "configurationRequest" }),
+            selfId: self.id,
+            sendConfiguration: (id, configuration) => send(self, id, { ...configuration, kind: "configuration" }),
+            store: { readConfiguration: () => new Promise(() => undefined) } as unknown as MeshStorePort,
+        });
+    }
+    managers.forEach(manager => manager.start());
+    return {
+        countUsing: revision => [...managers.values()].filter(({ text }) => text?.revision === revision).length,
+        readLongestWait: () => longestWaitMs,
+        publish: (revision, text) => {
+            for (const region of ["erie", "superior"]) {
+                const watcher = members.find(member => member.region === region);
+                managers.get(watcher?.id ?? "")?.applyVersion({ revision, text }, "store");
+            }
+        },
+        stop: () => managers.forEach(manager => manager.stop()),
+    };
+}
+
+/** Guards against a few slow links that carry the copies for all others, so that versions and cancellations are late. */
+describe("a version of the configuration", () => {
+    it.each([
+        [86, 1_120],
+        [86, 2_520],
+        [195, 1_120],
+    ])(
+        "reaches all %i daemons in time and occupies no link for long, with %i routes and one watcher a region",
+        async (size, routes) => {
+            const network = createNetwork(size);
+            network.publish(1, generateText(routes));
+            await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+            expect(network.countUsing(1)).toBe(size);
+            expect(network.readLongestWait()).toBeLessThan(CANCELLATION_DEADLINE_MS);
+            network.stop();
+        },
+    );
+});
