Keep to the limit of requests a second that a server names

Every request passes the daemon beside the server, so that daemon keeps the limit for all: a token bucket starts requests at the stated rate, whatever slots are free. The wait for a start counts in the queue's predictions, so what can't be served in time is refused at once with a time to return; loads that go to other daemons carry the limit, so they place elsewhere. Other daemons remember the limit with the server's identity and return it to a daemon that has restarted. An answer that names no limit, or another start of the server, ends it.

--- a/src/coordination/placement/OwnerStatistics.ts
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -12,6 +12,7 @@
 const COLD_START_FACTOR = 2;
 /** Slots assumed without a current load report. */
 const DEFAULT_SLOTS = 8;
+const MS_PER_SECOND = 1_000;
 /** Round-trip times assumed before the first measurement, by distance. */
 const DEFAULT_ROUND_TRIP_MS = {
     [Distance.SameDomain]: 1,
@@ -110,12 +111,29 @@
         return now < coldUntil ? workMs * COLD_START_FACTOR : workMs;
     }
 
+    /** Expected wait at a server that starts requests at a limited rate, however many slots are free. */
+    #estimateLimitedWait(
+        load: OwnerLoad,
+        limitPerSecond: number,
+        tier: keyof SlotWaitEstimates,
+        now: number,
+    ): number {
+        const startIntervalMs = Math.max(MS_PER_SECOND / limitPerSecond, load.workMs / Math.max(1, load.slots));
+        return Math.max(
+            0,
+            load.waits[tier] + this.#sentSinceReport * startIntervalMs - (now - this.#loadReceivedAt),
+        );
+    }
+
     #estimateWait(tier: keyof SlotWaitEstimates, now: number): number {
         const load = this.#load;
         if (load === undefined || now - this.#loadReceivedAt > LOAD_REPORT_MAXIMUM_AGE_MS) {
             return Math.max(0, this.#inFlight + 1 - DEFAULT_SLOTS) * this.#workTimes.meanMs / DEFAULT_SLOTS;
         }
         const slots = Math.max(1, load.slots);
+        if (load.limitPerSecond !== undefined) {
+            return this.#estimateLimitedWait(load, load.limitPerSecond, tier, now);
+        }
         const reportedBacklog = load.running + load.queued;
         const backlog = Math.max(reportedBacklog + this.#sentSinceReport, this.#inFlight);
         if (backlog < slots) {
--- a/src/coordination/placement/PlacementTypes.ts
+++ b/src/coordination/placement/PlacementTypes.ts
@@ -17,6 +17,8 @@
     readonly workMs: number;
     /** Remaining time of the server's cold start. */
     readonly coldLeftMs: number;
+    /** Requests a second that the server takes from all daemons together; undefined when it names no limit. */
+    readonly limitPerSecond?: number | undefined;
 }
 
 /** Properties of a request that determine its placement. */
--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -24,7 +24,12 @@
 }
 
 /** Identity of a server that other daemons keep, so that its daemon can restore it after a restart. */
-export type ServerIdentity = Pick<ServerReport, "address" | "port" | "serverId" | "service" | "slots" | "startedAt">;
+export interface ServerIdentity
+    extends Pick<ServerReport, "address" | "port" | "serverId" | "service" | "slots" | "startedAt">
+{
+    /** Requests a second that the server has last said that it takes; undefined when it named no limit. */
+    readonly limitPerSecond?: number | undefined;
+}
 
 /** Last accepted report of the registered server. */
 export interface RegisteredServer extends ServerReport {
@@ -83,16 +88,21 @@
     }
 
     /** Restores a server that another daemon remembers, unless a report came first; it needs confirmation. */
-    restore(identity: ServerIdentity, now: number): void {
-        if (this.#server === undefined && !this.#isConfirmed && !this.#departed.has(identity.serverId)) {
+    restore({ address, port, serverId, service, slots, startedAt }: ServerIdentity, now: number): void {
+        if (this.#server === undefined && !this.#isConfirmed && !this.#departed.has(serverId)) {
             this.#server = {
-                ...identity,
+                address,
                 coldLeftMs: 0,
                 coldUntil: now,
                 phase: ServerPhase.Ready,
+                port,
                 reportedAt: now,
                 // Lower than the sequence of any report since this start.
                 sequence: 0,
+                serverId,
+                service,
+                slots,
+                startedAt,
             };
         }
     }
--- a/src/coordination/scheduling/SlotQueue.ts
+++ b/src/coordination/scheduling/SlotQueue.ts
@@ -2,9 +2,10 @@
  * Decides which request gets the next slot of a backend server, and which requests are refused.
  *
  * Load pattern: bursts and sustained overload, with requests of different priority and nested calls, for
- * which a request that holds a slot of another server is waiting.
+ * which a request that holds a slot of another server is waiting. A server may also limit the requests a second.
  */
 import { OfferedLoad } from "./OfferedLoad.js";
+import { RateLimit } from "./RateLimit.js";
 import type { WorkTimeEstimator } from "./WorkTimeEstimator.js";
 
 /** A request for a slot. Times are milliseconds on the clock of `now`. */
@@ -56,6 +57,8 @@
 /** Minimum share of the slots that is assumed to serve late requests, so that their estimated wait stays finite. */
 const MINIMUM_LATE_SHARE = 0.02;
 
+const MS_PER_SECOND = 1_000;
+
 /** Service order: a lower tier is served first. */
 const Tier = { Nested: 0, InTime: 1, Late: 2 } as const;
 type Tier = (typeof Tier)[keyof typeof Tier];
@@ -63,15 +66,17 @@
 export class SlotQueue<T extends SlotRequest> {
     readonly #readSlots: () => number;
     readonly #estimates: WorkTimeEstimator;
+    readonly #rateLimit: RateLimit;
     /** Load of the requests that are served before late ones. */
     readonly #offeredLoad = new OfferedLoad();
     #entries: QueueEntry<T>[] = [];
     #running = 0;
     #nextSequence = 0;
 
-    constructor(readSlots: () => number, estimates: WorkTimeEstimator) {
+    constructor(readSlots: () => number, estimates: WorkTimeEstimator, rateLimit = new RateLimit()) {
         this.#readSlots = readSlots;
         this.#estimates = estimates;
+        this.#rateLimit = rateLimit;
     }
 
     get running(): number {
@@ -106,7 +111,7 @@
         return this.dispatch(now);
     }
 
-    /** Starts queued requests in service order while slots are free, and refuses those that would miss their deadline. */
+    /** Starts queued requests in service order while slots are free and the rate limit allows it, and refuses those that would miss their deadline. */
     dispatch(now: number): SlotChanges<T> {
         if (this.#entries.length === 0) {
             return { started: [], refused: [] };
@@ -132,7 +137,7 @@
             if (now + waitMs + workMs * DEADLINE_WORK_FACTOR > request.deadlineAt) {
                 refused.push(request);
             }
-            else if (this.#running < slots) {
+            else if (this.#running < slots && this.#rateLimit.take(now)) {
                 this.#running++;
                 started.push(request);
             }
@@ -165,19 +170,28 @@
 
     #estimateWait(tier: Tier, workAhead: number, now: number): number {
         const slots = Math.max(1, this.#readSlots());
-        if (this.#running < slots) {
+        const limitDelayMs = this.#rateLimit.estimateDelay(now);
+        if (this.#running < slots && limitDelayMs === 0) {
             return 0;
         }
-        const nextFreeMs = this.#estimates.meanMs / (slots + 1);
+        const busySlots = this.#computeUsableSlots(slots);
+        const slotDelayMs = this.#running < slots ? 0 : this.#estimates.meanMs / (slots + 1);
+        const nextFreeMs = Math.max(slotDelayMs, limitDelayMs);
         // Requests that arrive later and can still meet their target are served before a late one.
         const availableSlots = tier === Tier.Late
-            ? Math.max(slots * MINIMUM_LATE_SHARE, slots - this.#offeredLoad.getBusySlots(now))
-            : slots;
+            ? Math.max(busySlots * MINIMUM_LATE_SHARE, busySlots - this.#offeredLoad.getBusySlots(now))
+            : busySlots;
         return tier === Tier.Late
-            ? (nextFreeMs * slots + workAhead) / availableSlots
+            ? (nextFreeMs * busySlots + workAhead) / availableSlots
             : nextFreeMs + workAhead / availableSlots;
     }
 
+    /** Number of slots, which need not be whole, that requests keep busy on average when they start at the limit. */
+    #computeUsableSlots(slots: number): number {
+        const { perSecond } = this.#rateLimit;
+        return perSecond === undefined ? slots : Math.min(slots, perSecond * this.#estimates.meanMs / MS_PER_SECOND);
+    }
+
     /** Sorts by tier, then priority, then the nearest target or, for late requests, the nearest deadline. */
     #sortByServiceOrder(now: number): QueueEntry<T>[] {
         const tiers = new Map(
--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -39,6 +39,8 @@
     /** Whether another server than the intended one has answered. */
     readonly isMisdirected: boolean;
     readonly load: ServerLoad | undefined;
+    /** Requests a second that the server takes from all daemons together; undefined when it names no limit. */
+    readonly limitPerSecond: number | undefined;
     /** Idle timeout of the server's connections; undefined when the headers don't state it. */
     readonly idleTimeoutMs: number | undefined;
 }
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -66,6 +66,7 @@
     waits: createRecordCodec({ nestedMs: numberCodec, inTimeMs: numberCodec, lateMs: numberCodec }),
     workMs: numberCodec,
     coldLeftMs: numberCodec,
+    limitPerSecond: createOptionalCodec(numberCodec),
 }) as unknown as FieldCodec<OwnerLoad>;
 
 /** The owner's server; undefined while there is none. */
@@ -76,6 +77,7 @@
     service: name,
     slots: integer,
     startedAt: createOptionalCodec(numberCodec),
+    limitPerSecond: createOptionalCodec(numberCodec),
 })) as unknown as FieldCodec<ServerIdentity | undefined>;
 
 const ownedRequest = createRecordCodec({
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -7,8 +7,8 @@
 import { ReportResult, ServerPhase, ServerRegistration } from "../../coordination/registration/index.js";
 import type { RegisteredServer, ServerIdentity, ServerReport } from "../../coordination/registration/index.js";
 import type { SlotChanges } from "../../coordination/scheduling/index.js";
-import { SlotQueue, WorkTimeEstimator } from "../../coordination/scheduling/index.js";
-import type { Dialect } from "../../protocol/dialect/index.js";
+import { RateLimit, SlotQueue, WorkTimeEstimator } from "../../coordination/scheduling/index.js";
+import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
@@ -39,12 +39,15 @@
     readonly #confirmation: ServerConfirmation | undefined;
     readonly #options: AdmissionControllerOptions;
     readonly #workTimeEstimator = new WorkTimeEstimator();
+    readonly #rateLimit = new RateLimit();
     readonly #queue: SlotQueue<RequestExecution>;
     readonly #connectionPool: ServerConnectionPool;
     readonly #executions = new Set<RequestExecution>();
     #isStopping = false;
     #queueTimer: NodeJS.Timeout | undefined;
     #wasOpen = false;
+    /** Whether the registered server has answered since this daemon knows it, and so has told its limit. */
+    #hasAnswered = false;
 
     constructor(options: AdmissionControllerOptions) {
         this.#options = options;
@@ -56,7 +59,11 @@
                 options.confirmation,
                 () => this.#refuseQueuedUnlessOpen(options.now()),
             );
-        this.#queue = new SlotQueue(() => this.registration.server?.slots ?? 0, this.#workTimeEstimator);
+        this.#queue = new SlotQueue(
+            () => this.registration.server?.slots ?? 0,
+            this.#workTimeEstimator,
+            this.#rateLimit,
+        );
         this.#connectionPool = new ServerConnectionPool(options.dialect, options.now);
     }
 
@@ -85,6 +92,7 @@
         return {
             coldLeftMs: Math.max(0, (server?.coldUntil ?? 0) - now),
             isOpen: this.#isOpen(now),
+            limitPerSecond: this.#rateLimit.perSecond,
             queued: this.#queue.queued,
             running: this.#queue.running,
             slots: server?.slots ?? 0,
@@ -93,14 +101,17 @@
         };
     }
 
-    /** Identity of the server for other daemons to remember; undefined when it gets no new requests. */
+    /**
+     * Identity of the server for other daemons to remember, also while this daemon stops; undefined when the server can't
+     * get new requests.
+     */
     readServerIdentity(): ServerIdentity | undefined {
         const server = this.registration.server;
-        if (server === undefined || !this.#isOpen(this.#options.now())) {
+        if (server === undefined || !this.registration.isOpen(this.#options.now())) {
             return undefined;
         }
         const { address, port, serverId, service, slots, startedAt } = server;
-        return { address, port, serverId, service, slots, startedAt };
+        return { address, limitPerSecond: this.#rateLimit.perSecond, port, serverId, service, slots, startedAt };
     }
 
     /** Restores the server from the identity that another daemon remembers, so that it need not report first. */
@@ -115,6 +126,10 @@
                 this.#confirmation?.start();
             }
         }
+        const { server } = this.registration;
+        if (!this.#hasAnswered && server !== undefined && isSameStart(server, identity)) {
+            this.#applyLimit(server, identity.limitPerSecond);
+        }
     }
 
     /** Applies a report of the server; when it is leaving, no request reaches it after this call. */
@@ -125,8 +140,10 @@
             this.#options.log.info("dropped an outdated report of a server.", { report, registered: previous });
             return;
         }
-        const isOther = previous?.serverId !== report.serverId || previous.startedAt !== report.startedAt;
+        const isOther = previous === undefined || !isSameStart(previous, report);
         if (isOther) {
+            this.#hasAnswered = false;
+            this.#rateLimit.update(undefined, now);
             this.#workTimeEstimator.reset();
             this.#connectionPool.closeIdle();
         }
@@ -168,6 +185,7 @@
             dialect: this.#options.dialect,
             now: this.#options.now,
             onExecutionEnd: (ended, hadSlot) => this.#releaseExecution(ended, hadSlot),
+            onStatement: (server, statement) => this.#recordStatement(server, statement),
             onServerUnreachable: detail => this.#recordUnreachable(detail),
             onServerReached: () => this.registration.markReachable(),
             onServerReplaced: () => this.#recordReplaced(),
@@ -224,8 +242,10 @@
         for (const { request: execution, refusal } of changes.refused) {
             this.#executions.delete(execution);
             const reason = refusal.reason === "overloaded" ? RefusalReason.Overloaded : RefusalReason.Deadline;
+            const { perSecond } = this.#rateLimit;
             const detail = `${this.#queue.running} running and ${this.#queue.queued} waiting for `
-                + `${this.registration.server?.slots ?? 0} slots`;
+                + `${this.registration.server?.slots ?? 0} slots`
+                + (perSecond === undefined ? "" : `, at most ${perSecond} requests a second`);
             execution.refuse({ detail, reason, retryAfterMs: refusal.retryAfterMs });
         }
         for (const execution of changes.started) {
@@ -268,6 +288,33 @@
         this.#refuseQueuedUnlessOpen(now);
     }
 
+    /** Follows what the registered server says of itself in an answer. */
+    #recordStatement(server: RegisteredServer, { limitPerSecond }: ServerAnswerHeaders): void {
+        const current = this.registration.server;
+        if (current === undefined || !isSameStart(current, server)) {
+            return;
+        }
+        this.#hasAnswered = true;
+        this.#applyLimit(current, limitPerSecond);
+    }
+
+    #applyLimit(server: RegisteredServer, limitPerSecond: number | undefined): void {
+        const before = this.#rateLimit.perSecond;
+        const now = this.#options.now();
+        this.#rateLimit.update(limitPerSecond, now);
+        if (before === undefined && limitPerSecond !== undefined) {
+            this.#options.log.warn(`server ${server.serverId} takes ${limitPerSecond} requests a second at most.`, {
+                limitPerSecond,
+                server,
+            });
+            this.#options.onChange(this.readLoad());
+        }
+        else if (before !== undefined && limitPerSecond === undefined) {
+            this.#options.log.info(`server ${server.serverId} no longer names a limit.`, { before, server });
+            this.#options.onChange(this.readLoad());
+        }
+    }
+
     #recordReplaced(): void {
         const server = this.registration.server;
         if (server !== undefined) {
@@ -306,3 +353,11 @@
         }
     }
 }
+
+/** Whether two records are of the same start of the same server. */
+function isSameStart(
+    left: Pick<ServerIdentity, "serverId" | "startedAt">,
+    right: Pick<ServerIdentity, "serverId" | "startedAt">,
+): boolean {
+    return left.serverId === right.serverId && left.startedAt === right.startedAt;
+}
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -29,6 +29,8 @@
     recordUnfinished(route: string, workMs: number): void;
     onServerUnreachable(detail: string): void;
     onServerReached(): void;
+    /** Called with what a server says of itself in an answer. */
+    onStatement(server: RegisteredServer, statement: ServerAnswerHeaders): void;
     /** Called when another server answers at the address. */
     onServerReplaced(): void;
     /** `hadSlot` tells whether a slot has to be released. */
@@ -47,6 +49,8 @@
     readonly deadlineAt: number;
     #phase: number = Phase.Waiting;
     #connection: ServerConnection | undefined;
+    /** Server to which the request was sent. */
+    #server: RegisteredServer | undefined;
     #timer: NodeJS.Timeout | undefined;
     #startedAt = 0;
     #head: AnswerHead | undefined;
@@ -144,6 +148,7 @@
         this.#phase = Phase.Running;
         this.#startedAt = now;
         this.#connection = connection;
+        this.#server = server;
         this.#timer = setTimeout(() => this.#handleTimeout(), Math.max(0, timeLeftMs) + ANSWER_GRACE_MS);
         const { callerService, method, requestId } = this.request;
         const instruction = { callerService, serverId: server.serverId, timeLeftMs };
@@ -164,6 +169,9 @@
         if (statement.isMisdirected) {
             this.context.onServerReplaced();
         }
+        else if (this.#server !== undefined) {
+            this.context.onStatement(this.#server, statement);
+        }
         this.#answerKind = statement.isNotRun || statement.isMisdirected ? "declined" : "answer";
         const workMs = this.context.now() - this.#startedAt;
         const headers = copyAnswerHeaders(rawHeaders, findHeader(rawHeaders, "connection"));
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -330,7 +330,7 @@
             return;
         }
         if ("load" in message) {
-            this.#options.onLoad(this.#member.id, message.load);
+            this.#recordLoad(message.load);
         }
         switch (message.kind) {
             case "pong":
@@ -349,6 +349,14 @@
         }
     }
 
+    #recordLoad(load: OwnerLoad): void {
+        const server = this.#server;
+        if (server !== undefined && server.limitPerSecond !== load.limitPerSecond) {
+            this.#server = { ...server, limitPerSecond: load.limitPerSecond };
+        }
+        this.#options.onLoad(this.#member.id, load);
+    }
+
     #completeHandshake(connection: FrameConnection, welcome: SessionMessageOf<"welcome">): void {
         if (this.#isEstablished && !welcome.isResumed) {
             // The owner has created a new session under the same id.
--- a/src/transport/sidecar/MetricsText.ts
+++ b/src/transport/sidecar/MetricsText.ts
@@ -36,7 +36,11 @@
         );
     }
     for (const gauge of gauges) {
-        lines.push(`papayaturn_${gauge.name} ${gauge.read()}`);
+        lines.push(`papayaturn_${gauge.name} ${formatValue(gauge.read())}`);
     }
     return `${lines.join("\n")}\n`;
 }
+
+function formatValue(value: number): string {
+    return value === Infinity ? "+Inf" : String(value);
+}
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -460,6 +460,7 @@
             { name: "server_running", read: () => load().running },
             { name: "server_queued", read: () => load().queued },
             { name: "server_open", read: () => Number(load().isOpen) },
+            { name: "server_limit_per_second", read: () => load().limitPerSecond ?? Infinity },
             { name: "configuration_revision", read: () => this.#configurationManager.text?.revision ?? 0 },
             {
                 name: "configuration_copies_sent_total",
