Close a server for new requests when it says in an answer that it is leaving

A server that leaves says so in all its answers, also before or without a report. A daemon passed such an answer on and sent the next request there. Now the gate closes at the head of such an answer: queued requests are placed elsewhere, offers are withdrawn, running ones end, and late ready reports of that start are outdated. The statement of a server that had the address before changes nothing.

The tests fail without the rule: a queued request was answered by the leaving server.

--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -138,6 +138,18 @@
         }
     }
 
+    /**
+     * Records that the registered server has said in an answer that it is leaving; late ready reports of this start are
+     * outdated from then on. Returns whether that was not known.
+     */
+    markLeaving(): boolean {
+        if (this.#server?.phase !== ServerPhase.Ready) {
+            return false;
+        }
+        this.#server = { ...this.#server, phase: ServerPhase.Leaving };
+        return true;
+    }
+
     /** Closes the server for an exponentially growing backoff after a failure to reach it. */
     markUnreachable(now: number): void {
         if (now < this.#unreachableUntil) {
--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -41,6 +41,8 @@
     readonly load: ServerLoad | undefined;
     /** Requests a second that the server takes from all daemons together; undefined when it names no limit. */
     readonly limitPerSecond: number | undefined;
+    /** Whether the server says that it is leaving and should get no new requests. */
+    readonly isLeaving: boolean;
     /** Idle timeout of the server's connections; undefined when the headers don't state it. */
     readonly idleTimeoutMs: number | undefined;
 }
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -289,13 +289,19 @@
     }
 
     /** Follows what the registered server says of itself in an answer. */
-    #recordStatement(server: RegisteredServer, { limitPerSecond }: ServerAnswerHeaders): void {
+    #recordStatement(server: RegisteredServer, { isLeaving, limitPerSecond }: ServerAnswerHeaders): void {
         const current = this.registration.server;
         if (current === undefined || !isSameStart(current, server)) {
             return;
         }
         this.#hasAnswered = true;
         this.#applyLimit(current, limitPerSecond);
+        if (isLeaving && this.registration.markLeaving()) {
+            this.#options.log.info(`server ${current.serverId} says in an answer that it is leaving.`, {
+                server: current,
+            });
+            this.#refuseQueuedUnlessOpen(this.#options.now());
+        }
     }
 
     #applyLimit(server: RegisteredServer, limitPerSecond: number | undefined): void {
--- a/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
+++ b/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
@@ -196,6 +196,39 @@
         await expect.poll(() => server.requests.length).toBe(1);
     });
 
+    it("gets no request after it said in an answer that it leaves, not even one that was queued", async () => {
+        const { admission, server } = await openAdmission(
+            (socket, id) => socket.write(formatAnswer(id, "ok", ["x-leaving: 1"])),
+            1,
+        );
+        const running = recordRequest();
+        const waiting = recordRequest();
+        const later = recordRequest();
+        admission.submit(createOwnedRequest("a"), running.listener);
+        admission.submit(createOwnedRequest("b"), waiting.listener);
+        expect(await running.end).toBe("answer 200 ok");
+        // Sent before the answer, and delayed.
+        admission.acceptReport(createReport(server.port, { sequence: 2 }));
+        admission.submit(createOwnedRequest("c"), later.listener);
+        expect(await waiting.end).toBe("refused server-leaving");
+        expect(await later.end).toBe("refused server-leaving");
+        expect(server.requests.length).toBe(1);
+    });
+
+    it("is not closed by the statement of a server that had its address before", async () => {
+        let answerFirst: () => void = () => undefined;
+        const { admission, server } = await openAdmission((socket, id) => {
+            answerFirst = () => socket.write(formatAnswer(id, "ok", ["x-leaving: 1", "x-limit: 1"]));
+        });
+        const running = recordRequest();
+        admission.submit(createOwnedRequest("a"), running.listener);
+        await expect.poll(() => server.requests.length).toBe(1);
+        admission.acceptReport(createReport(server.port, { sequence: 1, serverId: "server-2", startedAt: 2_000 }));
+        answerFirst();
+        await running.end;
+        expect(admission.readLoad()).toMatchObject({ isOpen: true, limitPerSecond: undefined });
+    });
+
     it("is not opened again by a late report of its start, but by a report of a later start", async () => {
         const { admission, server } = await openAdmission(() => undefined);
         admission.acceptDeparture("server-1", undefined);
