Keep large answers within a share of the VM's link

Slots were free, so every download was started, and all answers waited on the links.

The daemon beside a server knows its link's rate (PAPAYATURN_LINK_RATE) and the mean size of each route's answers. Answers from 16 KB take at most 0.8 of the link: one that would be late for it is refused at once with the time at which the link is free, and small ones don't wait. Loads carry the link's rate and wait, so that other daemons place downloads where it is free.

--- a/src/coordination/placement/OwnerStatistics.ts
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -1,5 +1,5 @@
 import { OutlierEjection } from "../balancing/index.js";
-import { WorkTimeEstimator } from "../scheduling/index.js";
+import { LARGE_ANSWER_BYTES, WorkTimeEstimator } from "../scheduling/index.js";
 import type { SlotWaitEstimates } from "../scheduling/index.js";
 import { Distance } from "./PlacementTypes.js";
 import type { OwnerLoad, PlacementQuery } from "./PlacementTypes.js";
@@ -96,15 +96,23 @@
     }
 
     /** Expected latency of a request that is sent now. */
-    estimateLatency({ isNested, route, targetLeftMs }: PlacementQuery, now: number): number {
+    estimateLatency({ bytes, isNested, route, targetLeftMs }: PlacementQuery, now: number): number {
         const roundTripMs = this.#roundTripMs ?? DEFAULT_ROUND_TRIP_MS[this.distance];
-        const baseLatencyMs = roundTripMs + this.estimateWorkTime(route, now);
+        const baseLatencyMs = roundTripMs + this.estimateWorkTime(route, now) + this.#estimateLinkTime(bytes, now);
         const inTimeLatencyMs = baseLatencyMs + this.#estimateWait(isNested ? "nestedMs" : "inTimeMs", now);
         return isNested || inTimeLatencyMs <= targetLeftMs
             ? inTimeLatencyMs
             : baseLatencyMs + this.#estimateWait("lateMs", now);
     }
 
+    /** Time that an answer takes to pass the link of the server's VM, with the wait for it. */
+    #estimateLinkTime(bytes: number, now: number): number {
+        const link = this.#load?.link;
+        return link === undefined || bytes < LARGE_ANSWER_BYTES
+            ? 0
+            : Math.max(0, link.waitMs - (now - this.#loadReceivedAt)) + bytes / link.bytesPerMs;
+    }
+
     estimateWorkTime(route: string, now: number): number {
         const workMs = this.#workTimes.estimate(route);
         const coldUntil = this.#loadReceivedAt + (this.#load?.coldLeftMs ?? 0);
--- a/src/coordination/placement/PlacementTypes.ts
+++ b/src/coordination/placement/PlacementTypes.ts
@@ -19,6 +19,14 @@
     readonly coldLeftMs: number;
     /** Requests a second that the server takes from all daemons together; undefined when it names no limit. */
     readonly limitPerSecond?: number | undefined;
+    /** The link of the server's VM, for large answers; undefined when it is no bottleneck. */
+    readonly link?: LinkLoad | undefined;
+}
+
+export interface LinkLoad {
+    readonly bytesPerMs: number;
+    /** Expected wait of a large answer for the link, in milliseconds. */
+    readonly waitMs: number;
 }
 
 /** Properties of a request that determine its placement. */
--- /dev/null
+++ b/src/coordination/scheduling/LinkBudget.ts
@@ -0,0 +1,45 @@
+/**
+ * Keeps the large answers of a backend server within a share of its VM's link.
+ *
+ * Load pattern: downloads that need more than the link of a weak VM carries. Without a budget all of them are late, and so
+ * is every small answer and message that shares the link.
+ */
+
+/** Share of the link for large answers; the rest is for small answers, and for messages of the mesh. */
+const LINK_SHARE = 0.8;
+/** Time for which the link may be taken ahead, so that it is never idle while answers are being worked on. */
+const MAXIMUM_AHEAD_MS = 250;
+const NOTICEABLE_MS = 1;
+/** Size from which an answer counts as large. */
+export const LARGE_ANSWER_BYTES = 16_384;
+
+export class LinkBudget {
+    /** Bytes of large answers for each millisecond. */
+    readonly bytesPerMs: number;
+    /** Time at which the link will have carried all answers that were admitted. */
+    #freeAt = -Infinity;
+
+    constructor(linkBytesPerMs = Infinity) {
+        this.bytesPerMs = linkBytesPerMs * LINK_SHARE;
+    }
+
+    /** Whether a large answer takes a noticeable time; otherwise other daemons need not know of the link. */
+    get isBottleneck(): boolean {
+        return this.computeDuration(LARGE_ANSWER_BYTES) >= NOTICEABLE_MS;
+    }
+
+    /** Takes the link for an answer; `estimateDelay` has to be 0. Answers that are not large take nothing. */
+    take(answerBytes: number, now: number): void {
+        this.#freeAt = Math.max(now, this.#freeAt) + this.computeDuration(answerBytes);
+    }
+
+    /** Time until a request with an answer of this size may start, in milliseconds. */
+    estimateDelay(answerBytes: number, now: number): number {
+        return answerBytes < LARGE_ANSWER_BYTES ? 0 : Math.max(0, this.#freeAt - now - MAXIMUM_AHEAD_MS);
+    }
+
+    /** Time for which the link is taken by an answer, in milliseconds. */
+    computeDuration(answerBytes: number): number {
+        return answerBytes < LARGE_ANSWER_BYTES ? 0 : answerBytes / this.bytesPerMs;
+    }
+}
--- a/src/coordination/scheduling/SlotQueue.ts
+++ b/src/coordination/scheduling/SlotQueue.ts
@@ -4,6 +4,7 @@
  * Load pattern: bursts and sustained overload, with requests of different priority and nested calls, for
  * which a request that holds a slot of another server is waiting. A server may also limit the requests a second.
  */
+import { LARGE_ANSWER_BYTES, LinkBudget } from "./LinkBudget.js";
 import { OfferedLoad } from "./OfferedLoad.js";
 import { RateLimit } from "./RateLimit.js";
 import type { WorkTimeEstimator } from "./WorkTimeEstimator.js";
@@ -20,6 +21,8 @@
     readonly targetAt: number;
     /** Time after which an answer is useless to the caller. */
     readonly deadlineAt: number;
+    /** Expected size of the answer. */
+    readonly answerBytes?: number;
 }
 
 export interface SlotRefusal {
@@ -67,16 +70,23 @@
     readonly #readSlots: () => number;
     readonly #estimates: WorkTimeEstimator;
     readonly #rateLimit: RateLimit;
+    readonly #link: LinkBudget;
     /** Load of the requests that are served before late ones. */
     readonly #offeredLoad = new OfferedLoad();
     #entries: QueueEntry<T>[] = [];
     #running = 0;
     #nextSequence = 0;
 
-    constructor(readSlots: () => number, estimates: WorkTimeEstimator, rateLimit = new RateLimit()) {
+    constructor(
+        readSlots: () => number,
+        estimates: WorkTimeEstimator,
+        rateLimit = new RateLimit(),
+        link = new LinkBudget(),
+    ) {
         this.#readSlots = readSlots;
         this.#estimates = estimates;
         this.#rateLimit = rateLimit;
+        this.#link = link;
     }
 
     get running(): number {
@@ -122,34 +132,63 @@
         const remaining: QueueEntry<T>[] = [];
         // Work queued ahead of the next request, in slot-milliseconds.
         let workAhead = 0;
+        // Time for which the link will be taken by queued answers ahead of the next request.
+        let linkAheadMs = 0;
         for (const entry of this.#sortByServiceOrder(now)) {
             const { request } = entry;
+            const answerBytes = request.answerBytes ?? 0;
+            const linkMs = this.#link.computeDuration(answerBytes);
+            const linkDelayMs = this.#link.estimateDelay(answerBytes, now);
+            const linkWaitMs = linkMs > 0 ? linkDelayMs + linkAheadMs : 0;
             const workMs = this.#estimates.estimate(request.route);
             const tier = this.#classifyTier(request, now, entry.isAdmittedInTime);
-            let waitMs = this.#estimateWait(tier, workAhead, now);
+            let waitMs = Math.max(linkWaitMs, this.#estimateWait(tier, workAhead, now));
             if (tier === Tier.InTime && !entry.isAdmittedInTime) {
-                entry.isAdmittedInTime = now + waitMs + workMs * ADMISSION_WORK_FACTOR <= request.targetAt;
+                entry.isAdmittedInTime = now + waitMs + workMs * ADMISSION_WORK_FACTOR + linkMs
+                    <= request.targetAt;
                 if (!entry.isAdmittedInTime) {
                     // It would get its slot too late for the target, so requests in time are served before it.
-                    waitMs = this.#estimateWait(Tier.Late, workAhead, now);
+                    waitMs = Math.max(linkWaitMs, this.#estimateWait(Tier.Late, workAhead, now));
                 }
             }
-            if (now + waitMs + workMs * DEADLINE_WORK_FACTOR > request.deadlineAt) {
+            // A late answer would take as much of the link as one in time.
+            const isTooLateForLink = linkWaitMs > 0 && !entry.isAdmittedInTime;
+            if (
+                isTooLateForLink || now + waitMs + workMs * DEADLINE_WORK_FACTOR + linkMs > request.deadlineAt
+            ) {
                 refused.push(request);
             }
-            else if (this.#running < slots && this.#rateLimit.take(now)) {
+            else if (this.#running < slots && linkDelayMs === 0 && this.#rateLimit.take(now)) {
+                this.#link.take(answerBytes, now);
                 this.#running++;
                 started.push(request);
             }
             else {
                 workAhead += workMs;
+                linkAheadMs += linkMs;
                 remaining.push(entry);
             }
         }
         this.#entries = remaining;
-        const retryAfterMs = refused.length > 0 ? this.estimateWaits(now).inTimeMs : 0;
-        const reason = this.#running >= slots ? "overloaded" : "deadline";
-        return { started, refused: refused.map(request => ({ request, refusal: { reason, retryAfterMs } })) };
+        return { started, refused: refused.map(request => ({ request, refusal: this.#buildRefusal(request, now) })) };
+    }
+
+    #buildRefusal({ answerBytes = 0 }: T, now: number): SlotRefusal {
+        const linkWaitMs = this.#link.computeDuration(answerBytes) > 0 ? this.estimateLinkWait(now) : 0;
+        const isOverloaded = linkWaitMs > 0 || this.#running >= Math.max(0, this.#readSlots());
+        return {
+            reason: isOverloaded ? "overloaded" : "deadline",
+            retryAfterMs: Math.max(linkWaitMs, this.estimateWaits(now).inTimeMs),
+        };
+    }
+
+    /** Expected wait of a large answer for the link. */
+    estimateLinkWait(now: number): number {
+        const queuedMs = this.#entries.reduce(
+            (sum, { request }) => sum + this.#link.computeDuration(request.answerBytes ?? 0),
+            0,
+        );
+        return this.#link.estimateDelay(LARGE_ANSWER_BYTES, now) + queuedMs;
     }
 
     /** Expected waits for a slot of a request that arrives now. */
--- /dev/null
+++ b/src/coordination/scheduling/__tests__/unit/LinkBudget.test.ts
@@ -0,0 +1,121 @@
+import { describe, expect, it } from "vitest";
+import { createSeededRandom } from "../../../../state/shared/index.js";
+import { LinkBudget, SlotQueue, WorkTimeEstimator } from "../../index.js";
+import type { SlotRequest } from "../../index.js";
+
+/** Link of a weak VM, 8.4 Mbit/s. */
+const LINK_BYTES_PER_MS = 1_050;
+const LENGTH_MS = 20_000;
+const STEP_MS = 5;
+const WORK_MS = 290;
+const KINDS = [
+    { answerBytes: 90_000, deadlineMs: 3_000, perSecond: 14, route: "download", targetMs: 1_200 },
+    { answerBytes: 5_000, deadlineMs: 2_500, perSecond: 6, route: "report", targetMs: 1_000 },
+] as const;
+
+interface LinkRequest extends SlotRequest {
+    readonly answerBytes: number;
+}
+
+/** Share of the requests that were answered in time, by route. */
+interface LinkOutcome {
+    readonly inTime: Readonly<Record<string, number>>;
+    readonly refused: number;
+    readonly failed: number;
+}
+
+/** Replays a load whose answers pass a link one after the other, as they leave the server. */
+function replayLink(link: LinkBudget): LinkOutcome {
+    const random = createSeededRandom(5);
+    const estimates = new WorkTimeEstimator();
+    const queue = new SlotQueue<LinkRequest>(() => 18, estimates, undefined, link);
+    const asked = new Map<string, number>();
+    const inTime = new Map<string, number>();
+    let running: { readonly request: LinkRequest; readonly endsAt: number; }[] = [];
+    let linkFreeAt = 0;
+    let refused = 0;
+    let failed = 0;
+    const addTo = (counts: Map<string, number>, route: string) => counts.set(route, (counts.get(route) ?? 0) + 1);
+    for (let now = 0; now < LENGTH_MS; now += STEP_MS) {
+        const apply = (changes: ReturnType<typeof queue.dispatch>): void => {
+            refused += changes.refused.length;
+            for (const request of changes.started) {
+                running.push({ endsAt: now + WORK_MS * (0.5 + random()), request });
+            }
+        };
+        for (const { answerBytes, deadlineMs, perSecond, route, targetMs } of KINDS) {
+            if (random() < perSecond * STEP_MS / 1_000) {
+                addTo(asked, route);
+                apply(queue.enqueue({
+                    answerBytes,
+                    deadlineAt: now + deadlineMs,
+                    isNested: false,
+                    priority: 2,
+                    route,
+                    targetAt: now + targetMs,
+                }, now));
+            }
+        }
+        for (const { request } of running.filter(({ endsAt }) => endsAt <= now)) {
+            estimates.record(request.route, WORK_MS);
+            linkFreeAt = Math.max(now, linkFreeAt) + request.answerBytes / LINK_BYTES_PER_MS;
+            if (linkFreeAt <= request.targetAt) {
+                addTo(inTime, request.route);
+            }
+            failed += Number(linkFreeAt > request.deadlineAt);
+            apply(queue.releaseSlot(now));
+        }
+        running = running.filter(({ endsAt }) => endsAt > now);
+        apply(queue.dispatch(now));
+    }
+    return {
+        failed,
+        inTime: Object.fromEntries([...asked].map(([route, count]) => [route, (inTime.get(route) ?? 0) / count])),
+        refused,
+    };
+}
+
+/** Guards against small answers that are late, and downloads that run in vain, since downloads overfill a link. */
+describe("a server whose downloads need more than its VM's link carries", () => {
+    it("answers small requests in time, and as many downloads as the link carries", () => {
+        const { failed, inTime, refused } = replayLink(new LinkBudget(LINK_BYTES_PER_MS));
+        expect(inTime["report"]).toBeGreaterThan(0.95);
+        expect(inTime["download"]).toBeGreaterThan(0.55);
+        expect(failed).toBe(0);
+        expect(refused).toBeGreaterThan(0);
+    });
+
+    it("answers hardly anything in time without the budget, which shows that the load overfills the link", () => {
+        const { failed, inTime } = replayLink(new LinkBudget());
+        expect(inTime["report"]).toBeLessThan(0.5);
+        expect(failed).toBeGreaterThan(10);
+    });
+});
+
+describe("link budget", () => {
+    it("refuses a download at once with the time at which the link is free, though slots are free", () => {
+        const link = new LinkBudget(100);
+        const queue = new SlotQueue<SlotRequest>(() => 18, new WorkTimeEstimator(), undefined, link);
+        link.take(200_000, 0);
+        const request = { deadlineAt: 3_000, isNested: false, priority: 2, route: "r", targetAt: 1_200 };
+        const [refused] = queue.enqueue({ ...request, answerBytes: 90_000 }, 0).refused;
+        expect(refused?.refusal).toEqual({ reason: "overloaded", retryAfterMs: 2_250 });
+        expect(queue.enqueue({ ...request, answerBytes: 2_000 }, 0).started.length).toBe(1);
+    });
+
+    it("doesn't hold back small answers while large ones have taken the link", () => {
+        const link = new LinkBudget(100);
+        link.take(1_000_000, 0);
+        expect(link.estimateDelay(1_000, 0)).toBe(0);
+        expect(link.estimateDelay(90_000, 0)).toBeGreaterThan(10_000);
+    });
+
+    it("holds nothing back on a fast link", () => {
+        const link = new LinkBudget(125_000);
+        expect(link.isBottleneck).toBe(false);
+        for (let count = 0; count < 100; count++) {
+            expect(link.estimateDelay(90_000, 0)).toBe(0);
+            link.take(90_000, 0);
+        }
+    });
+});
--- a/src/coordination/scheduling/index.ts
+++ b/src/coordination/scheduling/index.ts
@@ -1,3 +1,5 @@
+export { AnswerSizeEstimator } from "./AnswerSizeEstimator.js";
+export { LARGE_ANSWER_BYTES, LinkBudget } from "./LinkBudget.js";
 export { RateLimit } from "./RateLimit.js";
 export { SlotQueue } from "./SlotQueue.js";
 export type { SlotChanges, SlotRefusal, SlotRequest, SlotWaitEstimates } from "./SlotQueue.js";
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -67,6 +67,7 @@
     workMs: numberCodec,
     coldLeftMs: numberCodec,
     limitPerSecond: createOptionalCodec(numberCodec),
+    link: createOptionalCodec(createRecordCodec({ bytesPerMs: numberCodec, waitMs: numberCodec })),
 }) as unknown as FieldCodec<OwnerLoad>;
 
 /** The owner's server; undefined while there is none. */
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -7,7 +7,13 @@
 import { ReportResult, ServerPhase, ServerRegistration } from "../../coordination/registration/index.js";
 import type { RegisteredServer, ServerIdentity, ServerReport } from "../../coordination/registration/index.js";
 import type { SlotChanges } from "../../coordination/scheduling/index.js";
-import { RateLimit, SlotQueue, WorkTimeEstimator } from "../../coordination/scheduling/index.js";
+import {
+    AnswerSizeEstimator,
+    LinkBudget,
+    RateLimit,
+    SlotQueue,
+    WorkTimeEstimator,
+} from "../../coordination/scheduling/index.js";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
@@ -28,6 +34,8 @@
     readonly log: PartLogger;
     /** Monotonic clock, in milliseconds. */
     readonly now: () => number;
+    /** Rate of the VM's link; undefined when large answers need no budget. */
+    readonly linkBytesPerMs?: number | undefined;
     /** Called after admission has opened or closed, or another server has reported. */
     readonly onChange: (load: OwnerLoad) => void;
     /** Set for a daemon that has restarted: its server has to confirm that it serves. */
@@ -40,6 +48,8 @@
     readonly #options: AdmissionControllerOptions;
     readonly #workTimeEstimator = new WorkTimeEstimator();
     readonly #rateLimit = new RateLimit();
+    readonly #answerSizes = new AnswerSizeEstimator();
+    readonly #link: LinkBudget;
     readonly #queue: SlotQueue<RequestExecution>;
     readonly #connectionPool: ServerConnectionPool;
     readonly #executions = new Set<RequestExecution>();
@@ -59,10 +69,12 @@
                 options.confirmation,
                 () => this.#refuseQueuedUnlessOpen(options.now()),
             );
+        this.#link = new LinkBudget(options.linkBytesPerMs);
         this.#queue = new SlotQueue(
             () => this.registration.server?.slots ?? 0,
             this.#workTimeEstimator,
             this.#rateLimit,
+            this.#link,
         );
         this.#connectionPool = new ServerConnectionPool(options.dialect, options.now);
     }
@@ -93,6 +105,9 @@
             coldLeftMs: Math.max(0, (server?.coldUntil ?? 0) - now),
             isOpen: this.#isOpen(now),
             limitPerSecond: this.#rateLimit.perSecond,
+            link: this.#link.isBottleneck
+                ? { bytesPerMs: this.#link.bytesPerMs, waitMs: this.#queue.estimateLinkWait(now) }
+                : undefined,
             queued: this.#queue.queued,
             running: this.#queue.running,
             slots: server?.slots ?? 0,
@@ -191,9 +206,10 @@
             onServerReplaced: () => this.#recordReplaced(),
             readLoad: () => this.readLoad(),
             readServer: () => this.registration.server,
+            recordAnswerSize: (route, bytes) => this.#answerSizes.record(route, bytes),
             recordUnfinished: (route, workMs) => this.#workTimeEstimator.recordUnfinished(route, workMs),
             recordWork: (route, workMs) => this.#workTimeEstimator.record(route, workMs),
-        });
+        }, this.#answerSizes.estimate(request.route));
         const refusal = this.#findRefusal(request, now);
         if (refusal !== undefined) {
             events.onRefused({ ...refusal, retryAfterMs: CLOSED_RETRY_AFTER_MS }, this.readLoad());
@@ -242,10 +258,7 @@
         for (const { request: execution, refusal } of changes.refused) {
             this.#executions.delete(execution);
             const reason = refusal.reason === "overloaded" ? RefusalReason.Overloaded : RefusalReason.Deadline;
-            const { perSecond } = this.#rateLimit;
-            const detail = `${this.#queue.running} running and ${this.#queue.queued} waiting for `
-                + `${this.registration.server?.slots ?? 0} slots`
-                + (perSecond === undefined ? "" : `, at most ${perSecond} requests a second`);
+            const detail = this.#describeLoad();
             execution.refuse({ detail, reason, retryAfterMs: refusal.retryAfterMs });
         }
         for (const execution of changes.started) {
@@ -253,6 +266,16 @@
         }
     }
 
+    /** Describes what keeps requests from starting, for the answers of those that are refused. */
+    #describeLoad(): string {
+        const slots = this.registration.server?.slots ?? 0;
+        const { perSecond } = this.#rateLimit;
+        const linkWaitMs = this.#link.isBottleneck ? this.#queue.estimateLinkWait(this.#options.now()) : 0;
+        return `${this.#queue.running} running and ${this.#queue.queued} waiting for ${slots} slots`
+            + (perSecond === undefined ? "" : `, at most ${perSecond} requests a second`)
+            + (linkWaitMs > 0 ? `, large answers wait ${Math.ceil(linkWaitMs)} ms for the link` : "");
+    }
+
     #releaseExecution(execution: RequestExecution, hadSlot: boolean): void {
         this.#executions.delete(execution);
         const now = this.#options.now();
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -25,6 +25,8 @@
     readServer(): RegisteredServer | undefined;
     readLoad(): OwnerLoad;
     recordWork(route: string, workMs: number): void;
+    /** Records the size of a complete answer. */
+    recordAnswerSize(route: string, bytes: number): void;
     /** Records a request that was abandoned after it had run for this time. */
     recordUnfinished(route: string, workMs: number): void;
     onServerUnreachable(detail: string): void;
@@ -57,6 +59,7 @@
     #isHeadForwarded = false;
     #bufferedParts: Uint8Array[] = [];
     #bufferedBytes = 0;
+    #receivedBytes = 0;
     #answerKind: "answer" | "declined" = "answer";
 
     constructor(
@@ -64,6 +67,7 @@
         private readonly events: RequestEvents,
         private readonly arrivedAt: number,
         private readonly context: ExecutionContext,
+        readonly answerBytes: number,
     ) {
         this.route = request.route;
         this.priority = request.priority;
@@ -197,6 +201,7 @@
             }
             return;
         }
+        this.#receivedBytes += body.length;
         if (this.#isHeadForwarded) {
             this.events.onData(body);
             return;
@@ -224,9 +229,11 @@
             this.events.onDeclined(`the server declined with status ${status}`, load);
         }
         else if (this.#isHeadForwarded) {
+            this.context.recordAnswerSize(this.request.route, this.#receivedBytes);
             this.events.onEnd(load);
         }
         else {
+            this.context.recordAnswerSize(this.request.route, this.#receivedBytes);
             this.events.onAnswer(this.#head, Buffer.concat(this.#bufferedParts), load);
         }
     }
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -32,6 +32,8 @@
 /** Lateness of that check from which the log says that the daemon lacked processor time. */
 const REPORTED_DELAY_MS = 500;
 const MS_PER_SECOND = 1_000;
+/** Bytes a millisecond in one Mbit/s. */
+const BYTES_PER_MS_AND_MEGABIT = 125;
 /** Number of services up to which sessions are opened before the first request. */
 const MAXIMUM_PREPARED_SERVICES = 16;
 /**
@@ -123,6 +125,7 @@
                 readHealthPath: service => this.#configurationManager.configuration?.services.get(service)?.healthPath,
             },
             dialect: dependencies.dialect,
+            linkBytesPerMs: settings.linkMegabitsPerSecond * BYTES_PER_MS_AND_MEGABIT,
             log: createPartLogger("gate"),
             now,
             onChange: load => {
@@ -460,6 +463,7 @@
             { name: "server_running", read: () => load().running },
             { name: "server_queued", read: () => load().queued },
             { name: "server_open", read: () => Number(load().isOpen) },
+            { name: "server_link_wait_seconds", read: () => (load().link?.waitMs ?? 0) / MS_PER_SECOND },
             { name: "server_limit_per_second", read: () => load().limitPerSecond ?? Infinity },
             { name: "configuration_revision", read: () => this.#configurationManager.text?.revision ?? 0 },
             {
--- a/src/transport/sidecar/SidecarSettings.ts
+++ b/src/transport/sidecar/SidecarSettings.ts
@@ -26,6 +26,7 @@
     },
     "grace": { default: "6s", description: "time between SIGTERM and SIGKILL", type: "string" },
     "id": { description: "unique name of this daemon", type: "string" },
+    "link-rate": { default: "1000", description: "rate of the VM's link in Mbit/s", type: "string" },
     "log-level": { default: "info", description: LOG_LEVELS.join(", "), type: "string" },
     "metrics-address": { description: "ip:port for metrics", type: "string" },
     "peer-address": { description: "ip:port for other daemons", type: "string" },
@@ -61,6 +62,7 @@
     readonly isFirstStart: boolean;
     readonly firstListingDelayMs: number;
     readonly graceMs: number;
+    readonly linkMegabitsPerSecond: number;
     readonly retryRatio: number;
     readonly retrySlack: number;
     readonly retryWindowMs: number;
@@ -68,6 +70,8 @@
 }
 
 const MAXIMUM_DURATION_MS = 3_600_000;
+const MINIMUM_LINK_RATE = 0.01;
+const MAXIMUM_LINK_RATE = 1_000_000;
 const MAXIMUM_RETRY_SLACK = 1_000_000;
 
 /** Reads settings from flags, then the environment, then defaults, and collects every fault. */
@@ -88,6 +92,7 @@
         graceMs: reader.readDuration("grace", MAXIMUM_DURATION_MS),
         id: reader.readName("id"),
         isFirstStart: reader.readChoice("first-start", ["true", "false"]) === "true",
+        linkMegabitsPerSecond: reader.readNumber("link-rate", MINIMUM_LINK_RATE, MAXIMUM_LINK_RATE),
         logLevel: reader.readChoice("log-level", LOG_LEVELS) ?? "info",
         metricsAddress: reader.readHostAndPort("metrics-address"),
         peerAddress: reader.readRequiredHostAndPort("peer-address"),
