Let late downloads wait for a slot while the link is free, and assume a size for the first ones

Two faults of the link budget, found by reading it again. A late download that waited for a slot behind another one was refused at once for the link, also on a fast link: the wait for the link only counts now when it is longer than that for a slot, and a link on which a large answer takes under 1 ms has no budget. And before the first answers of a route all its downloads were started, since their size was taken as 0; a download is taken as 64 KB until then.

LinkBudget.test.ts failed before on both links: one of two waiting downloads refused.

--- a/src/coordination/scheduling/AnswerSizeEstimator.ts
+++ b/src/coordination/scheduling/AnswerSizeEstimator.ts
@@ -5,9 +5,9 @@
 export class AnswerSizeEstimator {
     readonly #byRoute = new Map<string, number>();
 
-    /** Expected size in bytes; 0 before the first answer of the route. */
-    estimate(route: string): number {
-        return this.#byRoute.get(route) ?? 0;
+    /** Expected size in bytes; `initialBytes` before the first answer of the route. */
+    estimate(route: string, initialBytes: number): number {
+        return this.#byRoute.get(route) ?? initialBytes;
     }
 
     record(route: string, bytes: number): void {
--- a/src/coordination/scheduling/LinkBudget.ts
+++ b/src/coordination/scheduling/LinkBudget.ts
@@ -9,23 +9,24 @@
 const LINK_SHARE = 0.8;
 /** Time for which the link may be taken ahead, so that it is never idle while answers are being worked on. */
 const MAXIMUM_AHEAD_MS = 250;
+/** Time on the link that a large answer has to take at least for the link to have a budget. */
 const NOTICEABLE_MS = 1;
 /** Size from which an answer counts as large. */
 export const LARGE_ANSWER_BYTES = 16_384;
 
 export class LinkBudget {
-    /** Bytes of large answers for each millisecond. */
+    /** Bytes of large answers for each millisecond; infinite on a fast link, which needs no budget. */
     readonly bytesPerMs: number;
     /** Time at which the link will have carried all answers that were admitted. */
     #freeAt = -Infinity;
 
     constructor(linkBytesPerMs = Infinity) {
-        this.bytesPerMs = linkBytesPerMs * LINK_SHARE;
+        const bytesPerMs = linkBytesPerMs * LINK_SHARE;
+        this.bytesPerMs = LARGE_ANSWER_BYTES / bytesPerMs < NOTICEABLE_MS ? Infinity : bytesPerMs;
     }
 
-    /** Whether a large answer takes a noticeable time; otherwise other daemons need not know of the link. */
     get isBottleneck(): boolean {
-        return this.computeDuration(LARGE_ANSWER_BYTES) >= NOTICEABLE_MS;
+        return Number.isFinite(this.bytesPerMs);
     }
 
     /** Takes the link for an answer; `estimateDelay` has to be 0. Answers that are not large take nothing. */
--- a/src/coordination/scheduling/SlotQueue.ts
+++ b/src/coordination/scheduling/SlotQueue.ts
@@ -142,7 +142,8 @@
             const linkWaitMs = linkMs > 0 ? linkDelayMs + linkAheadMs : 0;
             const workMs = this.#estimates.estimate(request.route);
             const tier = this.#classifyTier(request, now, entry.isAdmittedInTime);
-            let waitMs = Math.max(linkWaitMs, this.#estimateWait(tier, workAhead, now));
+            const slotWaitMs = this.#estimateWait(tier, workAhead, now);
+            let waitMs = Math.max(linkWaitMs, slotWaitMs);
             if (tier === Tier.InTime && !entry.isAdmittedInTime) {
                 entry.isAdmittedInTime = now + waitMs + workMs * ADMISSION_WORK_FACTOR + linkMs
                     <= request.targetAt;
@@ -152,7 +153,7 @@
                 }
             }
             // A late answer would take as much of the link as one in time.
-            const isTooLateForLink = linkWaitMs > 0 && !entry.isAdmittedInTime;
+            const isTooLateForLink = linkWaitMs > slotWaitMs && !entry.isAdmittedInTime;
             if (
                 isTooLateForLink || now + waitMs + workMs * DEADLINE_WORK_FACTOR + linkMs > request.deadlineAt
             ) {
--- a/src/coordination/scheduling/__tests__/unit/LinkBudget.test.ts
+++ b/src/coordination/scheduling/__tests__/unit/LinkBudget.test.ts
@@ -103,6 +103,19 @@
         expect(queue.enqueue({ ...request, answerBytes: 2_000 }, 0).started.length).toBe(1);
     });
 
+    it.each([
+        ["a fast link", 125_000],
+        ["a weak link that is free", LINK_BYTES_PER_MS],
+    ])("lets a late download wait for a slot behind another one on %s", (_name, linkBytesPerMs) => {
+        const link = new LinkBudget(linkBytesPerMs);
+        const queue = new SlotQueue<SlotRequest>(() => 1, new WorkTimeEstimator(), undefined, link);
+        const request = { answerBytes: 90_000, deadlineAt: 3_000, isNested: false, priority: 2, route: "r" };
+        queue.enqueue({ ...request, targetAt: 1_200 }, 0);
+        queue.enqueue({ ...request, targetAt: 1_200 }, 0);
+        const { refused } = queue.enqueue({ ...request, targetAt: 100 }, 0);
+        expect([refused.length, queue.queued]).toEqual([0, 2]);
+    });
+
     it("doesn't hold back small answers while large ones have taken the link", () => {
         const link = new LinkBudget(100);
         link.take(1_000_000, 0);
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -29,6 +29,9 @@
 /** Interval at which queued requests are checked between other events. */
 const QUEUE_CHECK_INTERVAL_MS = 25;
 
+/** Size assumed for a download before the first answer of its route, so that a start doesn't fill the link. */
+const INITIAL_DOWNLOAD_BYTES = 65_536;
+
 export interface AdmissionControllerOptions {
     readonly dialect: Dialect;
     readonly log: PartLogger;
@@ -195,21 +198,30 @@
     /** Starts, queues or refuses a request; all results are reported as events, possibly before this returns. */
     submit(request: OwnedRequest, events: RequestEvents): RequestHandle {
         const now = this.#options.now();
-        const execution = new RequestExecution(request, events, now, {
-            acquireConnection: isFresh => this.#connectionPool.acquire(isFresh),
-            dialect: this.#options.dialect,
-            now: this.#options.now,
-            onExecutionEnd: (ended, hadSlot) => this.#releaseExecution(ended, hadSlot),
-            onStatement: (server, statement) => this.#recordStatement(server, statement),
-            onServerUnreachable: detail => this.#recordUnreachable(detail),
-            onServerReached: () => this.registration.markReachable(),
-            onServerReplaced: () => this.#recordReplaced(),
-            readLoad: () => this.readLoad(),
-            readServer: () => this.registration.server,
-            recordAnswerSize: (route, bytes) => this.#answerSizes.record(route, bytes),
-            recordUnfinished: (route, workMs) => this.#workTimeEstimator.recordUnfinished(route, workMs),
-            recordWork: (route, workMs) => this.#workTimeEstimator.record(route, workMs),
-        }, this.#answerSizes.estimate(request.route));
+        const execution = new RequestExecution(
+            request,
+            events,
+            now,
+            {
+                acquireConnection: isFresh => this.#connectionPool.acquire(isFresh),
+                dialect: this.#options.dialect,
+                now: this.#options.now,
+                onExecutionEnd: (ended, hadSlot) => this.#releaseExecution(ended, hadSlot),
+                onStatement: (server, statement) => this.#recordStatement(server, statement),
+                onServerUnreachable: detail => this.#recordUnreachable(detail),
+                onServerReached: () => this.registration.markReachable(),
+                onServerReplaced: () => this.#recordReplaced(),
+                readLoad: () => this.readLoad(),
+                readServer: () => this.registration.server,
+                recordAnswerSize: (route, bytes) => this.#answerSizes.record(route, bytes),
+                recordUnfinished: (route, workMs) => this.#workTimeEstimator.recordUnfinished(route, workMs),
+                recordWork: (route, workMs) => this.#workTimeEstimator.record(route, workMs),
+            },
+            this.#answerSizes.estimate(
+                request.route,
+                request.kind === RequestKind.Download ? INITIAL_DOWNLOAD_BYTES : 0,
+            ),
+        );
         const refusal = this.#findRefusal(request, now);
         if (refusal !== undefined) {
             events.onRefused({ ...refusal, retryAfterMs: CLOSED_RETRY_AFTER_MS }, this.readLoad());
