--- a/src/coordination/scheduling/LinkBudget.ts
+++ b/src/coordination/scheduling/LinkBudget.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps the large answers of a backend server within a share of its VM's link.
  *
- * Load pattern: downloads that need more than the link of a weak VM carries. Without a budget all of them are late, and so
- * is every small answer and message that shares the link.
+ * Load pattern: downloads that need more than the link of a weak VM carries. Without a budget all of them are late, and
+ * so is every small answer and message that shares the link.
  */
 
 /** Share of the link for large answers; the rest is for small answers, and for messages of the mesh. */
--- a/src/coordination/scheduling/SlotQueue.ts
+++ b/src/coordination/scheduling/SlotQueue.ts
@@ -2,7 +2,8 @@
  * Decides which request gets the next slot of a backend server, and which requests are refused.
  *
  * Load pattern: bursts and sustained overload, with requests of different priority and nested calls, for
- * which a request that holds a slot of another server is waiting. A server may also limit the requests a second.
+ * which a request that holds a slot of another server is waiting. A server may also limit the requests a second, and the
+ * link of its VM the large answers.
  */
 import { LARGE_ANSWER_BYTES, LinkBudget } from "./LinkBudget.js";
 import { OfferedLoad } from "./OfferedLoad.js";
@@ -21,7 +22,7 @@
     readonly targetAt: number;
     /** Time after which an answer is useless to the caller. */
     readonly deadlineAt: number;
-    /** Expected size of the answer. */
+    /** Expected size of the answer; 0 if omitted. */
     readonly answerBytes?: number;
 }
 
@@ -121,7 +122,10 @@
         return this.dispatch(now);
     }
 
-    /** Starts queued requests in service order while slots are free and the rate limit allows it, and refuses those that would miss their deadline. */
+    /**
+     * Starts queued requests in service order while slots are free and the limits of the server and its link allow it, and
+     * refuses those that would miss their deadline.
+     */
     dispatch(now: number): SlotChanges<T> {
         if (this.#entries.length === 0) {
             return { started: [], refused: [] };
@@ -226,7 +230,7 @@
             : nextFreeMs + workAhead / availableSlots;
     }
 
-    /** Number of slots, which need not be whole, that requests keep busy on average when they start at the limit. */
+    /** Mean number of slots that requests keep busy when they start at the rate limit. */
     #computeUsableSlots(slots: number): number {
         const { perSecond } = this.#rateLimit;
         return perSecond === undefined ? slots : Math.min(slots, perSecond * this.#estimates.meanMs / MS_PER_SECOND);
