Cancel the call of the server stand-in's test only once it has arrived

Its 50 ms began before the request was sent, and a process that gets no processor time for that long gives up a call that the server has never seen; with the process blocked for 80 ms it fails each time in the same way. It now waits until the server works on the call, cancels it, and expects the same figures.

--- a/standins/backend/__tests__/unit/BackendServer.test.ts
+++ b/standins/backend/__tests__/unit/BackendServer.test.ts
@@ -54,7 +54,12 @@
     const server = await startServer({ serviceTimeMs: 10_000 });
     const late = await fetch(server.url, { headers: { "papayaturn-deadline-ms": "20" } });
     expect(late.status).toBe(504);
-    await expect(fetch(server.url, { signal: AbortSignal.timeout(50) })).rejects.toThrow();
+    const controller = new AbortController();
+    const call = fetch(server.url, { signal: controller.signal });
+    // A call that is cancelled before it has arrived would be no work to end.
+    await expect.poll(() => server.readStatistics().inFlight).toBe(1);
+    controller.abort();
+    await expect(call).rejects.toThrow();
     await expect.poll(() => server.readStatistics()).toMatchObject({ cancelled: 1, deadlineExceeded: 1, inFlight: 0 });
 });
 
