Refuse headers whose names are no tokens, on every port and in answers

On arm64, Node.js's parser accepts names with a space ("x-a : b") and hands them on; on both kinds of processor it accepts an empty name. The bundled parser of servers' answers dropped blanks before a colon, skipped lines that are no header, and took a chunk size that is no number as the last chunk, so that a garbled answer could look whole.

All listeners for bytes from outside now check names and values and answer 400: callers, reports, readiness and metrics, the daemon's own interface, control and console. A caller whose head can't be parsed gets 400 as well, unless an answer is under way on its connection. Servers' answers are parsed by what RFC 9112 allows: field lines, lengths, chunk sizes.

Not run on x86-64.

--- a/src/console/web/ConsoleServer.ts
+++ b/src/console/web/ConsoleServer.ts
@@ -6,6 +6,7 @@
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import { FastifyAdapter } from "@nestjs/platform-fastify";
 import type { FastifyInstance } from "fastify";
+import { registerHeaderCheck } from "../../transport/control/index.js";
 import type { WriteLog } from "../../transport/logging/index.js";
 import { createSessionManager, registerAccessHooks } from "./access/index.js";
 import type { ConsoleContext } from "./controllers/index.js";
@@ -86,6 +87,7 @@
     const server = adapter.getInstance();
     const sessions = createSessionManager(token);
     await registerSecurityHeaders(server as unknown as FastifyInstance);
+    registerHeaderCheck(server as unknown as FastifyInstance);
     registerAccessHooks(server as unknown as FastifyInstance, {
         answerEndedSession: reply => sendPage(reply, ENDED_SESSION_STATUS, renderEndedSessionPage()),
         hosts,
--- a/src/protocol/request/HeaderSyntax.ts
+++ b/src/protocol/request/HeaderSyntax.ts
@@ -1,6 +1,9 @@
 import { validateHeaderName, validateHeaderValue } from "node:http";
 
-/** Whether all names and values can be written in a head; `headers` holds them alternately. */
+/**
+ * Whether all names are tokens of RFC 9110 and no value has a control character; `headers` holds them alternately.
+ * Node.js's own parser accepts an empty name everywhere, and names with a space on arm64.
+ */
 export function isValidHeaderList(headers: readonly string[]): boolean {
     try {
         for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/src/transport/control/ControlInterface.ts
+++ b/src/transport/control/ControlInterface.ts
@@ -7,6 +7,7 @@
 import { isIP } from "node:net";
 import type { ServerStateTracker } from "../../coordination/renewal/index.js";
 import { AnnounceBody, ExplainQuery, LeavingBody, RenewBody, StatusQuery } from "./ControlMessages.js";
+import { registerHeaderCheck } from "./HeaderCheck.js";
 import { TokenBucket } from "./TokenBucket.js";
 
 const BODY_LIMIT_BYTES = 16 * 1024;
@@ -135,6 +136,7 @@
         forceCloseConnections: true,
     });
     registerErrorHandlers(app);
+    registerHeaderCheck(app);
     registerServerRoutes(app, options);
     registerOperatorRoutes(app, options);
     app.get("/v1/health", (_request, reply) => {
--- /dev/null
+++ b/src/transport/ownership/AnswerParser.ts
@@ -0,0 +1,66 @@
+/** Parser of servers' answers that takes nothing but what RFC 9112 allows, so that no fault changes a body's length. */
+import { HTTPParser } from "http-parser-js";
+
+HTTPParser.encoding = "latin1";
+
+export type AnswerParser = InstanceType<typeof HTTPParser>;
+
+/** Parts of the parser that its types declare private. */
+interface ParserState {
+    BODY_CHUNKHEAD: () => void;
+    readonly consumeLine: () => string | undefined;
+    body_bytes: number | null;
+    state: string;
+}
+
+const FIELD_PATTERN = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*(.*?)[ \t]*$/;
+/** A line that continues the value of the one before it. */
+const CONTINUATION_PATTERN = /^[ \t]+(.*?)[ \t]*$/;
+const LENGTH_PATTERN = /^\d+$/;
+const CHUNK_SIZE_PATTERN = /^([0-9A-Fa-f]{1,12})[ \t]*(;.*)?$/;
+const HEXADECIMAL = 16;
+const FRAMING_PATTERNS: ReadonlyMap<string, RegExp> = new Map([
+    ["content-length", LENGTH_PATTERN],
+    ["transfer-encoding", /^chunked$/i],
+]);
+
+/** Creates a parser; `execute` returns an error for a malformed answer. */
+export function createAnswerParser(maximumHeadBytes: number): AnswerParser {
+    const parser = new HTTPParser(HTTPParser.RESPONSE);
+    parser.maxHeaderSize = maximumHeadBytes;
+    parser.parseHeader = appendField;
+    const state = parser as unknown as ParserState;
+    state.BODY_CHUNKHEAD = () => parseChunkHead(state);
+    return parser;
+}
+
+function appendField(line: string, headers: string[]): void {
+    const continuation = headers.length === 0 ? null : CONTINUATION_PATTERN.exec(line);
+    if (continuation !== null) {
+        headers.push(`${headers.pop() ?? ""} ${continuation[1] ?? ""}`);
+    }
+    else {
+        const [, name, value] = FIELD_PATTERN.exec(line) ?? [];
+        if (name === undefined || value === undefined || line.includes("\r")) {
+            throw new Error("a line of the head is no header field");
+        }
+        headers.push(name, value);
+    }
+    const [name = "", value = ""] = headers.slice(-2);
+    if (FRAMING_PATTERNS.get(name.toLowerCase())?.test(value) === false) {
+        throw new Error(`${name} has the value "${value}"`);
+    }
+}
+
+function parseChunkHead(state: ParserState): void {
+    const line = state.consumeLine();
+    if (line === undefined) {
+        return;
+    }
+    const size = CHUNK_SIZE_PATTERN.exec(line)?.[1];
+    if (size === undefined) {
+        throw new Error("the size of a chunk is no number");
+    }
+    state.body_bytes = Number.parseInt(size, HEXADECIMAL);
+    state.state = state.body_bytes === 0 ? "BODY_CHUNKTRAILERS" : "BODY_CHUNK";
+}
--- a/src/transport/ownership/HealthCheck.ts
+++ b/src/transport/ownership/HealthCheck.ts
@@ -4,6 +4,7 @@
 import { Left, Right } from "purify-ts/Either";
 import type { RegisteredServer } from "../../coordination/registration/index.js";
 import type { Dialect, HealthAnswer } from "../../protocol/dialect/index.js";
+import { isValidHeaderList } from "../../protocol/request/index.js";
 import { HEALTH_CHECK_TIMEOUT_MS } from "./OwnershipConstants.js";
 
 /** Left holds the reason for a missing answer: a timeout or a connection error. */
@@ -24,6 +25,10 @@
             // The head holds the whole result, so errors within the body are ignored.
             response.on("error", () => undefined);
             response.resume();
+            if (!isValidHeaderList(response.rawHeaders)) {
+                resolve(Left("the head of the answer has a malformed header"));
+                return;
+            }
             resolve(Right(dialect.parseHealthAnswer(response.statusCode ?? 0, response.headers)));
         });
         call.on("error", error => resolve(Left(error.message)));
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -3,11 +3,12 @@
  * name another request, are dropped and never passed on. A server that sends too many of them, or too many bytes
  * that are no body, loses the connection.
  */
-import { HTTPParser } from "http-parser-js";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
+import { createAnswerParser } from "./AnswerParser.js";
+import type { AnswerParser } from "./AnswerParser.js";
 import {
     ANSWER_HEADER_LIMIT_BYTES,
     CONNECT_TIMEOUT_MS,
@@ -15,9 +16,6 @@
     FRAMING_BYTES_PER_BODY_BYTE,
 } from "./OwnershipConstants.js";
 
-HTTPParser.encoding = "latin1";
-type AnswerParser = InstanceType<typeof HTTPParser>;
-
 /** Events of one request on a connection. Exactly one of `onEnd`, `onNotSent` and `onBroken` is called last. */
 export interface ExchangeEvents {
     onHead(status: number, headers: readonly string[], statement: ServerAnswerHeaders): void;
@@ -153,8 +151,7 @@
     }
 
     #createParser(): AnswerParser {
-        const parser = new HTTPParser(HTTPParser.RESPONSE);
-        parser.maxHeaderSize = ANSWER_HEADER_LIMIT_BYTES;
+        const parser = createAnswerParser(ANSWER_HEADER_LIMIT_BYTES);
         parser.onHeadersComplete = (head: ParsedHead) => this.#handleHead(head);
         parser.onBody = (chunk: Buffer, offset: number, length: number) => {
             if (this.#exchange?.isOwnAnswer === true) {
@@ -210,6 +207,11 @@
             this.#isReusable = false;
             return undefined;
         }
+        if (!isValidHeaderList(head.headers)) {
+            this.#failExchange("the head of the answer has a malformed header");
+            this.#socket.destroy();
+            return undefined;
+        }
         const statement = this.#dialect.parseServerHeaders(head.statusCode, toHeaderMap(head.headers));
         this.#isReusable &&= head.shouldKeepAlive;
         // Without an id, a failure may be the late second answer to an earlier request.
@@ -222,11 +224,6 @@
         if (statement.requestId !== undefined && statement.requestId !== exchange.requestId) {
             return undefined;
         }
-        if (!isValidHeaderList(head.headers)) {
-            this.#failExchange("the head of the answer has a malformed header");
-            this.#socket.destroy();
-            return undefined;
-        }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
         exchange.isOwnAnswer = true;
         exchange.events.onHead(head.statusCode, head.headers, statement);
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { LoadBalancer } from "../../coordination/balancing/index.js";
 import { HeldLeases } from "../../coordination/leases/index.js";
-import { deriveRelayToken, RefusalReason } from "../../protocol/request/index.js";
+import { deriveRelayToken, isValidHeaderList, RefusalReason } from "../../protocol/request/index.js";
 import type { LoadReport } from "../../protocol/request/index.js";
 import type { MemberState } from "../../state/members/index.js";
 import { handleCallerRequest } from "./CallerRequestHandler.js";
@@ -156,6 +156,10 @@
     server.maxHeadersCount = 0;
     const createListener =
         (expectsContinue: boolean) => (request: Parameters<RequestHandler>[0], response: ServerResponse) => {
+            if (!isValidHeaderList(request.rawHeaders)) {
+                request.socket.end(formatParseRefusal(RefusalReason.BadRequest));
+                return;
+            }
             const closed = new Promise<void>(resolve => response.once("close", resolve));
             const done = handle(request, response, expectsContinue).catch((error: unknown) => {
                 options.log("warn", "proxy: request failed with an internal error.", { error: String(error) });
--- a/src/transport/sidecar/HttpEndpoint.ts
+++ b/src/transport/sidecar/HttpEndpoint.ts
@@ -1,6 +1,7 @@
 /** HTTP endpoints besides the callers' port: readiness, reports of the backend server, metrics. */
 import { createServer } from "node:http";
 import type { Server } from "node:http";
+import { isValidHeaderList } from "../../protocol/request/index.js";
 import type { HostAndPort } from "../settings/index.js";
 
 /** A request with its whole body. */
@@ -20,11 +21,16 @@
 
 /** Far above the size of a report, which has a few hundred bytes. */
 const BODY_LIMIT_BYTES = 65_536;
+const BAD_REQUEST_STATUS = 400;
 const TOO_LARGE_STATUS = 413;
 
 /** Opens a port that answers each request once its body is complete. Rejects when the port can't be bound. */
 export function openEndpoint({ host, port }: HostAndPort, handle: EndpointHandler): Promise<Server> {
     const server = createServer((request, response) => {
+        if (!isValidHeaderList(request.rawHeaders)) {
+            response.writeHead(BAD_REQUEST_STATUS, { "connection": "close", "content-length": 0 }).end();
+            return;
+        }
         const chunks: Buffer[] = [];
         let length = 0;
         request.on("data", (chunk: Buffer) => {
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -1,10 +1,10 @@
 /** HTTP listener for callers on this VM: reads requests, finds their routes and forwards them. */
-import { createServer } from "node:http";
+import { createServer, STATUS_CODES } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { RouteStatistics } from "../../coordination/placement/index.js";
 import { WeightedRoundRobin } from "../../coordination/routing/index.js";
-import { copyRequestHeaders, Outcome } from "../../protocol/request/index.js";
+import { copyRequestHeaders, isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import { findRoute } from "../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
@@ -45,6 +45,9 @@
 const TOO_LARGE_STATUS = 413;
 const HEADERS_TOO_LARGE_STATUS = 431;
 const UNAVAILABLE_STATUS = 503;
+/** How Node.js marks errors of its parser. */
+const PARSE_ERROR_PREFIX = "HPE_";
+const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
 /** Size of the separator `: ` and the line end of a header field. */
 const FIELD_OVERHEAD_BYTES = 4;
 
@@ -54,6 +57,8 @@
     readonly #bodyReader = new RequestBodyReader();
     readonly #roundRobin = new WeightedRoundRobin();
     readonly #statisticsByRoute = new Map<string, RouteStatistics>();
+    /** Connections with a request whose answer is not complete; a refusal of later bytes would mix with it. */
+    readonly #busySockets = new WeakSet<Socket>();
     #openRequests = 0;
     #lastRequestAt = 0;
     #drainStartedAt: number | undefined;
@@ -72,7 +77,11 @@
             response.sendDate = false;
             this.#openRequests++;
             this.#lastRequestAt = options.now();
-            response.once("close", () => this.#openRequests--);
+            this.#busySockets.add(request.socket);
+            response.once("close", () => {
+                this.#openRequests--;
+                this.#busySockets.delete(request.socket);
+            });
             void this.#handleRequest(request, response).catch((error: unknown) => {
                 options.log.error("request failed with an internal error.", { err: error });
                 response.destroy();
@@ -85,7 +94,14 @@
         });
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
             options.log.info(`closed the connection of a caller: ${error.message}.`, { code: error.code });
-            socket.destroy();
+            if (
+                error.code?.startsWith(PARSE_ERROR_PREFIX) === true && socket.writable && !this.#busySockets.has(socket)
+            ) {
+                socket.end(formatParseRefusal(error.code));
+            }
+            else {
+                socket.destroy();
+            }
         });
     }
 
@@ -151,6 +167,11 @@
             response,
             () => this.#drainStartedAt !== undefined || !request.complete,
         );
+        if (!isValidHeaderList(request.rawHeaders)) {
+            response.shouldKeepAlive = false;
+            this.#reject(exchange, undefined, BAD_REQUEST_STATUS, "the name or the value of a header is malformed");
+            return;
+        }
         const configuration = this.#options.readConfiguration();
         const requestId = this.#options.dialect.parseCallerHeaders(request.headers).requestId;
         if (configuration === undefined) {
@@ -281,6 +302,11 @@
     }
 }
 
+function formatParseRefusal(code: string): string {
+    const status = code === HEADER_OVERFLOW_CODE ? HEADERS_TOO_LARGE_STATUS : BAD_REQUEST_STATUS;
+    return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`;
+}
+
 function countHeaderBytes({ method, rawHeaders, url }: IncomingMessage): number {
     return rawHeaders.reduce((sum, text) => sum + text.length, 0) + rawHeaders.length / 2 * FIELD_OVERHEAD_BYTES
         + (method?.length ?? 0) + (url?.length ?? 0);
