Log requests for versions, watches that begin or end, and late round trips

A daemon now says when it asks for a version, when it ignores such a request, when it begins or leaves the watch of the store, and when a ping was answered later than 0.5 s (at most one line a second). Two new metrics: papayaturn_longest_round_trip_seconds, papayaturn_configuration_requests_ignored_total.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -81,6 +81,7 @@
     #isStoreUnreachable = false;
     #sentCopies = 0;
     #sentBytes = 0;
+    #ignoredRequests = 0;
     #copyAllowance = COPY_BURST_BYTES;
     #copyAllowanceAt = 0;
 
@@ -120,13 +121,26 @@
         return { bytes: this.#sentBytes, count: this.#sentCopies };
     }
 
+    /** Requests for versions that were ignored since the start, because copies had used up their share of the link. */
+    get ignoredRequests(): number {
+        return this.#ignoredRequests;
+    }
+
     /**
      * Sends the version in force to a daemon that has asked for it. After many copies at once the request is ignored, so
      * that the copies don't occupy this daemon's link; the other daemon asks another one that has the version by then.
      */
     answerRequest(id: string): void {
         const configuration = this.readCompressed();
-        if (configuration === undefined || !this.#takeCopyBytes(configuration.compressedText.length)) {
+        if (configuration === undefined) {
+            return;
+        }
+        if (!this.#takeCopyBytes(configuration.compressedText.length)) {
+            this.#ignoredRequests++;
+            this.#options.log.info(`ignored a request of ${id}: copies have used up their share of the link.`, {
+                peer: id,
+                revision: configuration.revision,
+            });
             return;
         }
         this.#sentCopies++;
@@ -256,6 +270,9 @@
 
     #handleReading({ configuration, position }: ConfigurationReadResult): void {
         this.#position = position;
+        if (!this.#isWatching) {
+            this.#options.log.info("watches the store.", { position });
+        }
         this.#isWatching = true;
         this.#watchers.recordOwnWatch(this.#options.now());
         if (this.#isStoreUnreachable) {
@@ -280,6 +297,9 @@
     }
 
     #stopWatching(): void {
+        if (this.#isWatching) {
+            this.#options.log.info("leaves the store to other watchers of the region.");
+        }
         this.#isWatching = false;
         this.#position = undefined;
         this.#watchers.removeOwnWatch();
@@ -320,6 +340,12 @@
         const peer = candidates[Math.floor(this.#options.random() * candidates.length)];
         if (peer !== undefined) {
             this.#requestedAt = now;
+            this.#options.log.info(`asked ${peer.id} for its version.`, {
+                behindMs: Math.round(now - this.#behindSince),
+                peer: peer.id,
+                revision,
+                wanted: this.#peerRevisions.get(peer.id),
+            });
             this.#options.requestConfiguration(peer.id);
         }
     }
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -29,8 +29,10 @@
 const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
 /** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
 const SESSION_UPDATE_INTERVAL_MS = 250;
-/** Lateness of that check from which the log says that the daemon lacked processor time. */
+/** Lateness of that check from which the log says that the daemon lacked processor time; also for round trips. */
 const REPORTED_DELAY_MS = 500;
+/** Shortest time between two lines on late round trips. */
+const ROUND_TRIP_REPORT_INTERVAL_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /** Bytes a millisecond in one Mbit/s. */
 const BYTES_PER_MS_AND_MEGABIT = 125;
@@ -107,6 +109,9 @@
     #updatedAt = 0;
     /** Longest delay of a timer since the metrics were last read. */
     #longestDelayMs = 0;
+    /** Longest round trip of a ping since the metrics were last read. */
+    #longestRoundTripMs = 0;
+    #roundTripReportedAt = -Infinity;
     readonly #usedServices = new Set<string>();
     /** Generation of the member table for which the configuration knows the daemons of the region. */
     #regionGeneration = -1;
@@ -165,7 +170,10 @@
                     this.#admission.restoreServer(server);
                 }
             },
-            onRoundTrip: (id, ms) => this.#serverDirectory.recordRoundTrip(id, ms),
+            onRoundTrip: (id, ms) => {
+                this.#recordRoundTrip(id, ms);
+                this.#serverDirectory.recordRoundTrip(id, ms);
+            },
             random,
             readStatus: () => this.#readStatus(),
             readLoad: () => this.#admission.readLoad(),
@@ -384,6 +392,27 @@
         }
     }
 
+    /** Records the round trip of a ping; one that is late while timers are on time shows a full link. */
+    #recordRoundTrip(id: string, ms: number): void {
+        this.#longestRoundTripMs = Math.max(this.#longestRoundTripMs, ms);
+        const now = this.#dependencies.now();
+        if (ms > REPORTED_DELAY_MS && now - this.#roundTripReportedAt > ROUND_TRIP_REPORT_INTERVAL_MS) {
+            this.#roundTripReportedAt = now;
+            this.#log.warn(`a ping of ${id} was answered after ${Math.round(ms)} ms.`, {
+                bufferedBytes: this.#sessions.countBufferedBytes(),
+                longestTimerDelayMs: Math.round(this.#longestDelayMs),
+                peer: id,
+                roundTripMs: Math.round(ms),
+            });
+        }
+    }
+
+    #readLongestRoundTrip(): number {
+        const roundTripMs = this.#longestRoundTripMs;
+        this.#longestRoundTripMs = 0;
+        return roundTripMs;
+    }
+
     #readLongestDelay(): number {
         const delayMs = this.#longestDelayMs;
         this.#longestDelayMs = 0;
@@ -474,6 +503,8 @@
                 name: "configuration_copy_bytes_sent_total",
                 read: () => this.#configurationManager.sentCopies.bytes,
             },
+            { name: "configuration_requests_ignored_total", read: () => this.#configurationManager.ignoredRequests },
+            { name: "longest_round_trip_seconds", read: () => this.#readLongestRoundTrip() / MS_PER_SECOND },
             { name: "longest_timer_delay_seconds", read: () => this.#readLongestDelay() / MS_PER_SECOND },
             { name: "members", read: () => this.#memberRegistry.list().length },
             { name: "members_connected", read: () => this.#listReachable().length },
