Send large answers at the rate of the VM's link, so that messages don't wait behind them

What callers saw: requests handled by a version 3.1 s older than the one in force (CONFIG), on VMs with links of 5.88 Mbit/s, and a tenth of the small requests not served.

Cause: the uplinks of VMs beside servers of downloads were full. The budget admitted 0.8 of the link for answers of the own server, by their expected size; answers passed on to the own callers and copies of versions came on top, and several answers that were ready at once went out at once. A request for a version, a status and a ping waited behind.

The budget counts all of them and corrects sizes. This works since the queue that remains in the link is shorter than one part of an answer.

--- a/src/coordination/scheduling/LinkBudget.ts
+++ b/src/coordination/scheduling/LinkBudget.ts
@@ -34,6 +34,22 @@
         this.#freeAt = Math.max(now, this.#freeAt) + this.computeDuration(answerBytes);
     }
 
+    /**
+     * Takes the link for what was sent over it besides answers of the own server: answers of other servers that were
+     * passed on to callers of this VM, and copies of versions. Small ones take nothing.
+     */
+    record(bytes: number, now: number): void {
+        this.take(bytes, now);
+    }
+
+    /** Takes or gives back the difference once the size of an answer is known that was expected to have another one. */
+    correct(expectedBytes: number, answerBytes: number, now: number): void {
+        const differenceMs = this.computeDuration(answerBytes) - this.computeDuration(expectedBytes);
+        if (differenceMs !== 0) {
+            this.#freeAt = Math.max(now, this.#freeAt) + differenceMs;
+        }
+    }
+
     /** Time until a request with an answer of this size may start, in milliseconds. */
     estimateDelay(answerBytes: number, now: number): number {
         return answerBytes < LARGE_ANSWER_BYTES ? 0 : Math.max(0, this.#freeAt - now - MAXIMUM_AHEAD_MS);
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -91,6 +91,11 @@
         return this.#queue.running;
     }
 
+    /** Records what this VM's link carries besides answers of the own server, such as answers for the own callers. */
+    recordLinkUse(bytes: number): void {
+        this.#link.record(bytes, this.#options.now());
+    }
+
     /** Finds a request that has a slot of the server. */
     findRunning(requestId: string): OwnedRequest | undefined {
         for (const { hasStarted, request } of this.#executions) {
@@ -213,7 +218,10 @@
                 onServerReplaced: () => this.#recordReplaced(),
                 readLoad: () => this.readLoad(),
                 readServer: () => this.registration.server,
-                recordAnswerSize: (route, bytes) => this.#answerSizes.record(route, bytes),
+                recordAnswerSize: (route, expectedBytes, bytes) => {
+                    this.#answerSizes.record(route, bytes);
+                    this.#link.correct(expectedBytes, bytes, this.#options.now());
+                },
                 recordUnfinished: (route, workMs) => this.#workTimeEstimator.recordUnfinished(route, workMs),
                 recordWork: (route, workMs) => this.#workTimeEstimator.record(route, workMs),
             },
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -26,7 +26,7 @@
     readLoad(): OwnerLoad;
     recordWork(route: string, workMs: number): void;
     /** Records the size of a complete answer. */
-    recordAnswerSize(route: string, bytes: number): void;
+    recordAnswerSize(route: string, expectedBytes: number, bytes: number): void;
     /** Records a request that was abandoned after it had run for this time. */
     recordUnfinished(route: string, workMs: number): void;
     onServerUnreachable(detail: string): void;
@@ -229,11 +229,11 @@
             this.events.onDeclined(`the server declined with status ${status}`, load);
         }
         else if (this.#isHeadForwarded) {
-            this.context.recordAnswerSize(this.request.route, this.#receivedBytes);
+            this.context.recordAnswerSize(this.request.route, this.answerBytes, this.#receivedBytes);
             this.events.onEnd(load);
         }
         else {
-            this.context.recordAnswerSize(this.request.route, this.#receivedBytes);
+            this.context.recordAnswerSize(this.request.route, this.answerBytes, this.#receivedBytes);
             this.events.onAnswer(this.#head, Buffer.concat(this.#bufferedParts), load);
         }
     }
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -11,6 +11,8 @@
     readonly receivedAt: number;
     handle: RequestHandle | undefined;
     isPaused: boolean;
+    /** Parts of its answer that wait for the link. */
+    waitingParts: number;
     /** Whether the request was cancelled or its last event was sent. */
     isEnded: boolean;
 }
@@ -162,14 +164,19 @@
         }
         if (!wasWritable && this.#channel.isWritable) {
             for (const stream of this.#streams.values()) {
-                if (stream.isPaused) {
-                    stream.isPaused = false;
-                    stream.handle?.resume();
-                }
+                this.#resumeStream(stream);
             }
         }
     }
 
+    /** Lets the server go on with an answer, unless parts of it still wait for the link or the channel. */
+    #resumeStream(stream: Stream): void {
+        if (stream.isPaused && stream.waitingParts === 0 && this.#channel.isWritable) {
+            stream.isPaused = false;
+            stream.handle?.resume();
+        }
+    }
+
     #submit(message: SessionMessageOf<"request">): void {
         const stream: Stream = {
             handle: undefined,
@@ -177,6 +184,7 @@
             isPaused: false,
             receivedAt: this.#dependencies.now(),
             requestId: message.request.requestId,
+            waitingParts: 0,
         };
         this.#streams.set(message.stream, stream);
         const handle = this.#dependencies.submit(message.request, this.#buildEvents(message.stream, stream));
@@ -210,19 +218,35 @@
             stream.isEnded = true;
             this.#streams.delete(id);
         };
-        const readLoad = this.#dependencies.readLoad;
+        const { readLoad, uplink } = this.#dependencies;
+        const isWanted = (): boolean => !stream.isEnded;
+        const pauseIfWaiting = (): void => {
+            if (!stream.isEnded && (stream.waitingParts > 0 || !this.#channel.isWritable)) {
+                stream.isPaused = true;
+                stream.handle?.pause();
+            }
+        };
+        const sendPart = (bytes: number, sendNow: () => void): void => {
+            stream.waitingParts++;
+            uplink.sendPart(bytes, () => {
+                stream.waitingParts--;
+                sendNow();
+                this.#resumeStream(stream);
+            }, isWanted);
+            pauseIfWaiting();
+        };
         return {
-            onAnswer: (head, body, load = readLoad()) => end({ ...head, body, kind: "answer", load, stream: id }),
-            onAnswerAborted: (detail, load = readLoad()) => end({ detail, kind: "answerCut", load, stream: id }),
-            onData: body => {
-                send({ body, kind: "answerData", stream: id });
-                if (!this.#channel.isWritable) {
-                    stream.isPaused = true;
-                    stream.handle?.pause();
-                }
-            },
+            onAnswer: (head, body, load = readLoad()) =>
+                uplink.sendAnswer(
+                    body.length,
+                    () => end({ ...head, body, kind: "answer", load, stream: id }),
+                    isWanted,
+                ),
+            onAnswerAborted: (detail, load = readLoad()) =>
+                sendPart(0, () => end({ detail, kind: "answerCut", load, stream: id })),
+            onData: body => sendPart(body.length, () => send({ body, kind: "answerData", stream: id })),
             onDeclined: (detail, load = readLoad()) => end({ detail, kind: "declined", load, stream: id }),
-            onEnd: (load = readLoad()) => end({ kind: "answerEnd", load, stream: id }),
+            onEnd: (load = readLoad()) => sendPart(0, () => end({ kind: "answerEnd", load, stream: id })),
             onHead: head => send({ ...head, kind: "answerHead", stream: id }),
             onOffer: () => send({ kind: "offer", stream: id }),
             onRefused: (refusal, load = readLoad()) => end({ ...refusal, kind: "refused", load, stream: id }),
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -5,6 +5,7 @@
 import type { Member } from "../../state/members/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
+import type { UplinkSender } from "../uplink/index.js";
 
 /** Status that a daemon sends with each ping and pong. */
 export interface LocalStatus {
@@ -38,6 +39,8 @@
     onStatus(status: PeerStatus): void;
     /** Called with a message that concerns neither a request nor the session. */
     onGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void;
+    /** Sends large answers at the rate that the link allows. */
+    readonly uplink: UplinkSender;
     /** Submits a request of another daemon to the own server. */
     submit(request: OwnedRequest, events: RequestEvents): RequestHandle;
 }
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -3,6 +3,7 @@
 import type { FrameConnection } from "../../../../protocol/peer/index.js";
 import type { SessionMessage } from "../../../../protocol/session/index.js";
 import { createOwnedRequest, createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { UplinkSender } from "../../../uplink/index.js";
 import { CallerSession } from "../../CallerSession.js";
 import { createMember } from "../fixtures/SessionManagers.js";
 
@@ -50,6 +51,7 @@
             readLoad: () => LOAD,
             readServerIdentity: () => undefined,
             readSelf: () => createMember("owner", 2),
+            uplink: new UplinkSender(undefined, () => performance.now()),
             submit: request => {
                 submitted.push(request.requestId);
                 return {
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,6 +1,7 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
 import { SharedRetryBudget } from "../../coordination/retries/index.js";
+import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
 import { MemberState } from "../../state/members/index.js";
@@ -16,6 +17,7 @@
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
+import { UplinkSender } from "../uplink/index.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { renderMetrics } from "./MetricsText.js";
@@ -99,6 +101,7 @@
     readonly #serverDirectory: ServerDirectory;
     readonly #configurationManager: ConfigurationManager;
     readonly #callerListener: CallerListener;
+    readonly #uplink: UplinkSender;
     readonly #metrics = createRequestMetrics();
     readonly #retryBudgets = new Map<string, SharedRetryBudget>();
     readonly #endpoints: Server[] = [];
@@ -120,6 +123,11 @@
         this.#settings = settings;
         this.#dependencies = dependencies;
         const { createPartLogger, now, random } = dependencies;
+        const linkBytesPerMs = settings.linkMegabitsPerSecond * BYTES_PER_MS_AND_MEGABIT;
+        this.#uplink = new UplinkSender(
+            new LinkBudget(linkBytesPerMs).isBottleneck ? new LinkPacer(linkBytesPerMs) : undefined,
+            now,
+        );
         this.#log = createPartLogger("daemon");
         const self = buildMember(settings, dependencies.readWallClock());
         this.#admission = new AdmissionController({
@@ -130,7 +138,7 @@
                 readHealthPath: service => this.#configurationManager.configuration?.services.get(service)?.healthPath,
             },
             dialect: dependencies.dialect,
-            linkBytesPerMs: settings.linkMegabitsPerSecond * BYTES_PER_MS_AND_MEGABIT,
+            linkBytesPerMs,
             log: createPartLogger("gate"),
             now,
             onChange: load => {
@@ -180,6 +188,7 @@
             readServerIdentity: () => this.#admission.readServerIdentity(),
             readSelf: () => this.#memberRegistry.self,
             submit: (request, events) => this.#admission.submit(request, events),
+            uplink: this.#uplink,
         });
         this.#memberGossip = new MemberGossip({
             listReceivers: () => this.#sessionSelector.neighbours,
@@ -222,8 +231,11 @@
             isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
-            sendConfiguration: (id, configuration) =>
-                this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" }),
+            sendConfiguration: (id, configuration) => {
+                this.#uplink.recordSent(configuration.compressedText.length);
+                this.#admission.recordLinkUse(configuration.compressedText.length);
+                this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" });
+            },
             selfId: settings.id,
             store: dependencies.store,
         });
@@ -245,7 +257,9 @@
             },
             recordRetry: service => this.#getRetryBudget(service).recordRetry(this.#settings.retryWindowMs, now()),
             selfId: settings.id,
+            recordRelayedAnswer: bytes => this.#admission.recordLinkUse(bytes),
             takeRetry: service => this.#takeRetry(service),
+            uplink: this.#uplink,
             widen: service => this.#sessionSelector.widen(service),
         });
     }
@@ -288,7 +302,8 @@
         this.#memberGossip.announce([this.#memberRegistry.leave()]);
         this.#memberGossip.flush();
         await this.#callerListener.drain(longestMs);
-        while (this.#admission.pendingRequests > 0 && this.#dependencies.now() - begin < longestMs) {
+        const isBusy = (): boolean => this.#admission.pendingRequests > 0 || !this.#uplink.isIdle;
+        while (isBusy() && this.#dependencies.now() - begin < longestMs) {
             await new Promise(resolve => setTimeout(resolve, 20));
         }
         await this.#closePorts();
@@ -323,6 +338,7 @@
         clearInterval(this.#removalTimer);
         clearInterval(this.#sessionTimer);
         this.#memberGossip.stop();
+        this.#uplink.stop();
         this.#configurationManager.stop();
         await this.#sessions.stop();
         this.#admission.closeAll();
@@ -510,6 +526,7 @@
             { name: "members_connected", read: () => this.#listReachable().length },
             { name: "sessions_open", read: () => [...this.#sessions.listOwnerSessions()].length },
             { name: "session_buffered_bytes", read: () => this.#sessions.countBufferedBytes() },
+            { name: "uplink_waiting_bytes", read: () => this.#uplink.waitingBytes },
             { name: "neighbours", read: () => this.#sessionSelector.neighbours.size },
             { name: "log_lines_dropped_total", read: this.#dependencies.readDroppedLines },
         ]);
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import type { AnswerHead } from "../ownership/index.js";
+import type { UplinkSender } from "../uplink/index.js";
 
 const BAD_GATEWAY_STATUS = 502;
 /** Statuses of final answers that can be written. */
@@ -16,12 +17,16 @@
     onDrain: (() => void) | undefined;
     #isEnded = false;
     #isDisconnected = false;
+    readonly #isWanted = (): boolean => !this.response.destroyed;
+    /** Parts of a streamed answer that wait for the link. */
+    #waitingParts = 0;
 
     constructor(
         readonly request: IncomingMessage,
         private readonly response: ServerResponse,
         /** Whether the connection is to be closed after the answer. */
         private readonly shouldClose: () => boolean,
+        private readonly uplink: UplinkSender,
     ) {
         response.on("close", () => {
             if (!response.writableFinished) {
@@ -30,7 +35,7 @@
                 this.onDisconnect?.();
             }
         });
-        response.on("drain", () => this.onDrain?.());
+        response.on("drain", () => this.#handleDrain());
     }
 
     get isEnded(): boolean {
@@ -53,7 +58,7 @@
         const headers = [...head.headers];
         if (head.isCloseDelimited) {
             this.#writeCloseDelimited(head);
-            this.response.end(body);
+            this.uplink.sendAnswer(body.length, () => this.response.end(body), this.#isWanted);
             return;
         }
         const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
@@ -61,7 +66,8 @@
             headers.push("content-length", String(body.length));
         }
         this.#writeHead(head.status, headers);
-        this.response.end(isBodiless ? undefined : body);
+        const sent = isBodiless ? undefined : body;
+        this.uplink.sendAnswer(sent?.length ?? 0, () => this.response.end(sent), this.#isWanted);
     }
 
     /** Sends the head of a streamed answer. */
@@ -82,13 +88,28 @@
 
     /** Sends data of a streamed answer; false when no more should be sent until `onDrain`. */
     sendData(body: Uint8Array): boolean {
-        return this.#isEnded || this.response.write(body);
+        if (this.#isEnded) {
+            return true;
+        }
+        let hasWaited = false;
+        this.#waitingParts++;
+        this.uplink.sendPart(body.length, () => {
+            this.#waitingParts--;
+            if (!this.response.destroyed) {
+                this.response.write(body);
+            }
+            if (hasWaited) {
+                this.#handleDrain();
+            }
+        }, this.#isWanted);
+        hasWaited = this.#waitingParts > 0;
+        return !hasWaited && !this.response.writableNeedDrain;
     }
 
     sendEnd(): void {
         if (!this.#isEnded) {
             this.#isEnded = true;
-            this.response.end();
+            this.uplink.sendPart(0, () => this.response.end());
         }
     }
 
@@ -116,6 +137,12 @@
         this.response.end(sentence);
     }
 
+    #handleDrain(): void {
+        if (this.#waitingParts === 0 && !this.response.writableNeedDrain) {
+            this.onDrain?.();
+        }
+    }
+
     /** Answers in place of a head that can't be written, which another daemon has passed on. */
     #rejectMalformedHead(head: AnswerHead): boolean {
         const isMalformed = head.status < MINIMUM_STATUS || head.status > MAXIMUM_STATUS
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -9,6 +9,7 @@
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest } from "../ownership/index.js";
+import type { UplinkSender } from "../uplink/index.js";
 import { CallerExchange } from "./CallerExchange.js";
 import { ForwardedRequest } from "./ForwardedRequest.js";
 import type { ForwardingContext } from "./ForwardedRequest.js";
@@ -27,6 +28,8 @@
 
 export interface CallerListenerOptions extends ForwardingContext {
     readonly log: PartLogger;
+    /** Sends large answers at the rate that the link allows. */
+    readonly uplink: UplinkSender;
     /** Service that runs on this VM. */
     readonly readCallerService: () => string;
     /** Finds a request that the own backend server is running. */
@@ -166,6 +169,7 @@
             request,
             response,
             () => this.#drainStartedAt !== undefined || !request.complete,
+            this.#options.uplink,
         );
         if (!isValidHeaderList(request.rawHeaders)) {
             response.shouldKeepAlive = false;
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -32,6 +32,8 @@
     readonly random: () => number;
     /** Takes one retry from the service's budget; false when the budget is exhausted. */
     takeRetry(service: string): boolean;
+    /** Called with the size of an answer that came from another daemon. */
+    recordRelayedAnswer(bytes: number): void;
     /** Called when the known servers of a service can't serve a request in time. */
     widen(service: string): void;
 }
@@ -347,6 +349,9 @@
     }
 
     #recordSuccess(attempt: Attempt, bytes: number): void {
+        if (attempt.owner.id !== this.#context.selfId) {
+            this.#context.recordRelayedAnswer(bytes);
+        }
         this.#plan.statistics.recordAnswer(this.#context.now() - attempt.sentAt, bytes);
     }
 
--- /dev/null
+++ b/src/transport/uplink/UplinkSender.ts
@@ -0,0 +1,91 @@
+/** Sends the parts of large answers in the order of their arrival, at the rate that the VM's link allows. */
+import { LARGE_ANSWER_BYTES, LinkPacer } from "../../coordination/scheduling/index.js";
+
+interface WaitingPart {
+    readonly bytes: number;
+    readonly send: () => void;
+    /** Whether its receiver still waits for it; otherwise it takes nothing of the link. */
+    readonly isWanted: () => boolean;
+}
+
+const isAlwaysWanted = (): boolean => true;
+
+export class UplinkSender {
+    readonly #pacer: LinkPacer | undefined;
+    readonly #now: () => number;
+    readonly #waiting: WaitingPart[] = [];
+    #waitingBytes = 0;
+    #timer: NodeJS.Timeout | undefined;
+
+    /** Without a pacer, for a fast link, all parts are sent at once. */
+    constructor(pacer: LinkPacer | undefined, now: () => number) {
+        this.#pacer = pacer;
+        this.#now = now;
+    }
+
+    /** Bytes of parts that wait. */
+    get waitingBytes(): number {
+        return this.#waitingBytes;
+    }
+
+    get isIdle(): boolean {
+        return this.#waiting.length === 0;
+    }
+
+    /** Sends a small answer at once, and a large one after those before it. */
+    sendAnswer(bytes: number, send: () => void, isWanted = isAlwaysWanted): void {
+        if (bytes < LARGE_ANSWER_BYTES) {
+            send();
+        }
+        else {
+            this.sendPart(bytes, send, isWanted);
+        }
+    }
+
+    /** Sends a part of a large answer after the parts before it; its end is a part without bytes. */
+    sendPart(bytes: number, send: () => void, isWanted = isAlwaysWanted): void {
+        if (this.#pacer === undefined || this.isIdle && this.#pacer.take(bytes, this.#now())) {
+            send();
+            return;
+        }
+        this.#waiting.push({ bytes, isWanted, send });
+        this.#waitingBytes += bytes;
+        this.#schedule();
+    }
+
+    /** Records bytes that don't wait for the link but occupy it, such as copies of versions. */
+    recordSent(bytes: number): void {
+        this.#pacer?.charge(bytes, this.#now());
+    }
+
+    stop(): void {
+        clearTimeout(this.#timer);
+        this.#timer = undefined;
+        this.#waiting.length = 0;
+        this.#waitingBytes = 0;
+    }
+
+    #schedule(): void {
+        const delayMs = this.#pacer?.estimateDelay(this.#now()) ?? 0;
+        this.#timer ??= setTimeout(() => {
+            this.#timer = undefined;
+            this.#sendWaiting();
+        }, delayMs);
+    }
+
+    #sendWaiting(): void {
+        for (;;) {
+            const part = this.#waiting[0];
+            if (part === undefined) {
+                return;
+            }
+            if (part.isWanted() && this.#pacer?.take(part.bytes, this.#now()) === false) {
+                this.#schedule();
+                return;
+            }
+            this.#waiting.shift();
+            this.#waitingBytes -= part.bytes;
+            part.send();
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/uplink/index.ts
@@ -0,0 +1,1 @@
+export { UplinkSender } from "./UplinkSender.js";
