--- a/src/transport/uplink/UplinkSender.ts
+++ b/src/transport/uplink/UplinkSender.ts
@@ -1,5 +1,6 @@
 /** Sends the parts of large answers in the order of their arrival, at the rate that the VM's link allows. */
-import { LARGE_ANSWER_BYTES, LinkPacer } from "../../coordination/scheduling/index.js";
+import type { LinkPacer } from "../../coordination/scheduling/index.js";
+import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
 
 interface WaitingPart {
     readonly bytes: number;
