Order versions by the operator's number, and restore what a store's copy lacks

Cause: versions were ordered by the store's revisions, which the restored store gives out once more; a version with a revision that isn't higher was dropped without a line. Class: an order that another system can take back.

Versions are now ordered by the operator's number, also between daemons, so an older version in the copy doesn't come back and a daemon that starts meanwhile takes the newer one from the others. The position of a watch has the store's era; an answer of another era begins a new listing, since the revision of the watch may be another change's. The daemons that watch the store write the records of their region that the copy lacks. New lines say so.

Daemons before and after this change can't be mixed in one mesh: the status has another field.

--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -101,8 +101,8 @@
 
 /** What each daemon says of its beliefs. */
 const statusFields = {
-    /** Revision of the configuration in force; 0 when none is. */
-    revision: integer,
+    /** Number of the version in force; undefined when none is. */
+    version: createOptionalCodec(integer),
     /** Watches of the store in the sender's region that are known to work, or to have failed lately. */
     watches: createListCodec(
         createRecordCodec({ id: name, isWorking: booleanCodec, ageMs: numberCodec }),
@@ -146,7 +146,7 @@
     status: statusFields,
     configurationRequest: {},
     /** Complete text of a version, as it is in the store, compressed. */
-    configuration: { revision: integer, compressedText: bytesCodec },
+    configuration: { version: integer, revision: integer, compressedText: bytesCodec },
     /** Digests of the sender's records, one for each failure domain, after the digests of all records differed. */
     memberDigests: { domains: createListCodec(createRecordCodec({ domain: name, hash: integer }), DOMAINS_LIMIT) },
     /** Digests of the records of a failure domain, one for each bucket of ids. */
--- a/src/state/store/MeshStorePort.ts
+++ b/src/state/store/MeshStorePort.ts
@@ -1,28 +1,43 @@
 import type { Member } from "../members/index.js";
 import type { StoreResult } from "./StorePort.js";
 
-/** Text of a configuration version and its position in the store's order of changes. */
+/** Text of a configuration version. */
 export interface ConfigurationText {
+    /** The operator's number, which orders the versions; undefined if the text has none. */
+    readonly version: number | undefined;
+    /** Revision of the store that holds the text. A store that was restored from a copy gives out revisions once more. */
     readonly revision: number;
     readonly text: string;
 }
 
+/** Position in the changes of the store. */
+export interface StorePosition {
+    /** How many times the store was restored from a copy; positions of different eras can't be compared. */
+    readonly era: number;
+    readonly revision: number;
+}
+
 /** Result of reading or watching the configuration. */
 export interface ConfigurationReadResult {
     /** Undefined if there is none, or no newer one. */
     readonly configuration: ConfigurationText | undefined;
     /** Position from which the next watch continues. */
-    readonly position: number;
+    readonly position: StorePosition;
 }
 
 /** Store operations of a daemon on a platform whose operator writes the configuration to the store. */
 export interface MeshStorePort {
     readConfiguration(): StoreResult<ConfigurationReadResult>;
-    /** Waits at most `waitMs` for a version after `position`; refused as `history` if the store no longer knows it. */
-    watchConfiguration(position: number, waitMs: number): StoreResult<ConfigurationReadResult>;
+    /**
+     * Waits at most `waitMs` for a version after `position`; refused as `history` if the store no longer knows it, or was
+     * restored from a copy since.
+     */
+    watchConfiguration(position: StorePosition, waitMs: number): StoreResult<ConfigurationReadResult>;
     /** Lists the records of all daemons; malformed entries are skipped. */
     listMembers(): StoreResult<readonly Member[]>;
     /** Creates or replaces the record of this daemon. */
     writeMember(member: Member): StoreResult<void>;
     deleteMember(id: string): StoreResult<void>;
+    /** Era that the last answer named; undefined before the first one. */
+    readEra(): number | undefined;
 }
--- a/src/state/traffic/TrafficConfiguration.ts
+++ b/src/state/traffic/TrafficConfiguration.ts
@@ -48,11 +48,11 @@
     readonly idleTimeoutMs: number;
 }
 
-/** One version of the configuration. Immutable; a daemon replaces it only by one with a higher revision. */
+/** One version of the configuration. Immutable; a daemon replaces it only by one with a higher number. */
 export interface TrafficConfiguration {
-    /** Position in the store's order of changes; orders the versions. */
+    /** Revision of the store that holds the version. */
     readonly revision: number;
-    /** Version number assigned by the operator. */
+    /** Number assigned by the operator, higher with each version; orders the versions. */
     readonly version: number;
     /** Routes by lower-case host, the longest prefix first. */
     readonly routesByHost: ReadonlyMap<string, readonly RoutePolicy[]>;
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps the newest configuration version: from a watch of the store if this daemon is one of the
- * watchers, and from other daemons. The revision in force never decreases.
+ * watchers, and from other daemons. The version in force never decreases, whatever the store's revisions do.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
@@ -9,7 +9,13 @@
 import { StoreWatchers } from "../../coordination/distribution/index.js";
 import type { Distance } from "../../coordination/placement/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
-import type { ConfigurationReadResult, ConfigurationText, MeshStorePort, StoreError } from "../../state/store/index.js";
+import type {
+    ConfigurationReadResult,
+    ConfigurationText,
+    MeshStorePort,
+    StoreError,
+    StorePosition,
+} from "../../state/store/index.js";
 import type { TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { PeerStatus } from "../sessions/index.js";
@@ -46,6 +52,8 @@
     /** Whether the records of the other daemons were read, so that the watchers among them are known. */
     isRegistered(): boolean;
     isSameRegion(id: string): boolean;
+    /** Called with the era of the store after each reading. */
+    onStoreRead(era: number): void;
     /** Called when a watch of this region has failed, which the other daemons should know at once. */
     onWatchFailed(): void;
     /** Asks another daemon for its version. */
@@ -56,6 +64,7 @@
 
 /** A version as it is sent to another daemon. */
 export interface CompressedConfiguration {
+    readonly version: number;
     readonly revision: number;
     readonly compressedText: Uint8Array;
 }
@@ -65,14 +74,16 @@
 
 export class ConfigurationManager {
     readonly #options: ConfigurationManagerOptions;
-    /** Revisions of other daemons by their ids. */
-    readonly #peerRevisions = new Map<string, number>();
+    /** Versions in force at other daemons by their ids. */
+    readonly #peerVersions = new Map<string, number>();
     readonly #watchers: StoreWatchers;
     readonly #startedAt: number;
     #compressed: CompressedConfiguration | undefined;
     #text: ConfigurationText | undefined;
     #configuration: TrafficConfiguration | undefined;
-    #position: number | undefined;
+    #position: StorePosition | undefined;
+    /** Position of the last version from the store that was not put in force, which is logged once. */
+    #droppedPosition: StorePosition | undefined;
     #isWatching = false;
     #isStopping = false;
     #behindSince: number | undefined;
@@ -107,10 +118,12 @@
 
     /** Version in force, compressed for other daemons; undefined while there is none. */
     readCompressed(): CompressedConfiguration | undefined {
-        if (this.#text !== undefined && this.#compressed?.revision !== this.#text.revision) {
+        const version = this.#configuration?.version;
+        if (this.#text !== undefined && version !== undefined && this.#compressed?.version !== version) {
             this.#compressed = {
                 compressedText: deflateRawSync(this.#text.text),
                 revision: this.#text.revision,
+                version,
             };
         }
         return this.#compressed;
@@ -139,33 +152,35 @@
             this.#ignoredRequests++;
             this.#options.log.info(`ignored a request of ${id}: copies have used up their share of the link.`, {
                 peer: id,
-                revision: configuration.revision,
+                version: configuration.version,
             });
             return;
         }
         this.#sentCopies++;
         this.#sentBytes += configuration.compressedText.length;
-        this.#options.log.info(`sent revision ${configuration.revision} to ${id}.`, {
+        this.#options.log.info(`sent version ${configuration.version} to ${id}.`, {
             bytes: configuration.compressedText.length,
             peer: id,
             revision: configuration.revision,
+            version: configuration.version,
         });
         this.#options.sendConfiguration(id, configuration);
     }
 
     /** Puts in force what another daemon has sent, if it is newer. */
-    applyCompressed({ compressedText, revision }: CompressedConfiguration, source: string): void {
-        if (revision <= (this.#text?.revision ?? 0)) {
+    applyCompressed({ compressedText, revision, version }: CompressedConfiguration, source: string): void {
+        if (!this.#isNewer(version)) {
             return;
         }
         try {
             const text = inflateRawSync(compressedText, { maxOutputLength: MAXIMUM_TEXT_BYTES }).toString("utf8");
-            this.applyVersion({ revision, text }, source);
+            this.applyVersion({ revision, text, version }, source);
         }
         catch (error) {
             this.#options.log.error(`version from ${source} can't be read: ${(error as Error).message}.`, {
                 revision,
                 source,
+                version,
             });
         }
     }
@@ -192,22 +207,28 @@
     /** Records the status of another daemon; one that has a newer version may be asked for it. */
     recordStatus(status: PeerStatus): void {
         const now = this.#options.now();
-        this.#peerRevisions.set(status.id, status.revision);
+        if (status.version !== undefined) {
+            this.#peerVersions.set(status.id, status.version);
+        }
         if (this.#options.isSameRegion(status.id)) {
             if (this.#watchers.recordReports(status.watches, now)) {
                 this.#options.onWatchFailed();
             }
         }
-        if (status.revision > (this.#text?.revision ?? 0)) {
+        if (status.version !== undefined && this.#isNewer(status.version)) {
             this.#behindSince ??= now;
             this.#fetchIfBehind();
         }
     }
 
+    #isNewer(version: number): boolean {
+        return this.#configuration === undefined || version > this.#configuration.version;
+    }
+
     /** Puts a version in force if it is newer than the present one and can be decoded. */
     applyVersion(text: ConfigurationText, source: string): void {
-        const before = this.#text?.revision;
-        if (before !== undefined && text.revision <= before) {
+        const before = this.#configuration?.version;
+        if (text.version !== undefined && !this.#isNewer(text.version)) {
             return;
         }
         this.#options.decode(text).caseOf({
@@ -219,6 +240,9 @@
                 });
             },
             Right: configuration => {
+                if (!this.#isNewer(configuration.version)) {
+                    return;
+                }
                 this.#text = text;
                 this.#configuration = configuration;
                 const behindMs = this.#behindSince === undefined
@@ -270,8 +294,9 @@
 
     #handleReading({ configuration, position }: ConfigurationReadResult): void {
         this.#position = position;
+        this.#options.onStoreRead(position.era);
         if (!this.#isWatching) {
-            this.#options.log.info("watches the store.", { position });
+            this.#options.log.info("watches the store.", { ...position });
         }
         this.#isWatching = true;
         this.#watchers.recordOwnWatch(this.#options.now());
@@ -280,10 +305,31 @@
             this.#options.log.info("the store answers again.");
         }
         if (configuration !== undefined) {
+            this.#reportDropped(configuration, position);
             this.applyVersion(configuration, "store");
         }
     }
 
+    /** Logs that the store holds another version than the one in force and no newer one, once for each position. */
+    #reportDropped({ revision, text, version }: ConfigurationText, position: StorePosition): void {
+        const inForce = this.#configuration?.version;
+        const dropped = this.#droppedPosition;
+        const isReported = dropped?.era === position.era && dropped.revision === revision;
+        if (
+            isReported || version === undefined || inForce === undefined || this.#isNewer(version)
+            || version === inForce && text === this.#text?.text
+        ) {
+            return;
+        }
+        this.#droppedPosition = { era: position.era, revision };
+        this.#options.log.warn(
+            version < inForce
+                ? `the store holds version ${version}; version ${inForce}, which is newer, stays in force.`
+                : `the store holds another text of version ${version}, which is not put in force.`,
+            { era: position.era, inForce, revision, version },
+        );
+    }
+
     #handleStoreError(error: StoreError): void {
         this.#isWatching = false;
         this.#position = undefined;
@@ -331,10 +377,10 @@
             return;
         }
         const waitedMs = now - this.#behindSince - (this.#isWatching ? OWN_WATCH_DELAY_MS : 0);
-        const revision = this.#text?.revision ?? 0;
-        const peers = this.#options.listReachable().filter(({ distance, id }) =>
-            (this.#peerRevisions.get(id) ?? 0) > revision && waitedMs >= FETCH_DELAY_MS[distance]
-        );
+        const peers = this.#options.listReachable().filter(({ distance, id }) => {
+            const version = this.#peerVersions.get(id);
+            return version !== undefined && this.#isNewer(version) && waitedMs >= FETCH_DELAY_MS[distance];
+        });
         const nearest = Math.min(...peers.map(({ distance }) => distance));
         const candidates = peers.filter(({ distance }) => distance === nearest);
         const peer = candidates[Math.floor(this.#options.random() * candidates.length)];
@@ -343,8 +389,8 @@
             this.#options.log.info(`asked ${peer.id} for its version.`, {
                 behindMs: Math.round(now - this.#behindSince),
                 peer: peer.id,
-                revision,
-                wanted: this.#peerRevisions.get(peer.id),
+                version: this.#configuration?.version,
+                wanted: this.#peerVersions.get(peer.id),
             });
             this.#options.requestConfiguration(peer.id);
         }
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -18,6 +18,8 @@
 /** Rate and burst of the copies of versions that a daemon sends: about half of the link of the weakest VMs. */
 export const COPY_BYTES_PER_MS = 375;
 export const COPY_BURST_BYTES = 75_000;
+/** Time over which the watchers of a region begin to write records that a restored store lacks. */
+export const RESTORE_SPREAD_MS = 1_000;
 /** Time in which new records are gathered before they are passed on. */
 export const RECORD_BATCH_DELAY_MS = 50;
 /** Shortest time between two exchanges of digests that a daemon begins. */
--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -8,7 +8,7 @@
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort, StoreError } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
-import { STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
+import { RESTORE_SPREAD_MS, STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
 
 export interface MemberRegistryOptions {
     readonly self: Member;
@@ -35,6 +35,9 @@
     #self: Member;
     #isRegistered = false;
     #isStopping = false;
+    /** Era of the store in which the records were last read or restored. */
+    #era: number | undefined;
+    #isRestoring = false;
 
     constructor(options: MemberRegistryOptions) {
         this.#options = options;
@@ -83,14 +86,21 @@
         let isWritten = false;
         let mayBeStored = !this.#options.isFirstStart;
         let isStoreUnreachable = false;
+        let writtenEra: number | undefined;
         while (!this.#isStopping && !this.#isRegistered) {
             const error = await (mayBeStored || isWritten ? this.#readMembers(isWritten) : this.#writeSelf());
             if (error === undefined) {
                 if (!isWritten && !mayBeStored) {
                     isWritten = true;
+                    writtenEra = this.#options.store.readEra();
                     await sleep(this.#options.isFirstStart ? this.#options.firstListingDelayMs : 0);
                 }
                 mayBeStored = false;
+                if (this.#isRegistered && isWritten && this.#era !== writtenEra) {
+                    // The store was restored from a copy that may lack the record.
+                    this.#isRegistered = false;
+                    isWritten = false;
+                }
                 if (isStoreUnreachable) {
                     isStoreUnreachable = false;
                     this.#options.log.info("the store answers again.");
@@ -125,12 +135,63 @@
         this.#isStopping = true;
     }
 
+    /**
+     * Called by a daemon that watches the store, with the era that it named. After the store was restored from a copy, the
+     * records of the region that the copy lacks are written once more: their daemons may not read the store.
+     */
+    async recordEra(era: number): Promise<void> {
+        if (!this.#isRegistered || this.#isRestoring || this.#era === undefined || era === this.#era) {
+            return;
+        }
+        this.#options.log.warn("the store was restored from a copy.", { before: this.#era, era });
+        this.#isRestoring = true;
+        this.#era = era;
+        // The watchers of a region begin at different times, so that the later ones find the records written.
+        await sleep(this.#options.random() * RESTORE_SPREAD_MS);
+        await this.#restoreRecords();
+        this.#isRestoring = false;
+    }
+
+    async #restoreRecords(): Promise<void> {
+        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, this.#options.random);
+        const { log, store } = this.#options;
+        let restored = 0;
+        while (!this.#isStopping) {
+            const listing = await store.listMembers();
+            const missing = listing.map(stored => this.#listMissing(stored));
+            let error: StoreError | undefined = missing.isLeft() ? missing.extract() as StoreError : undefined;
+            for (const member of missing.orDefault([])) {
+                if (error === undefined) {
+                    const written = await store.writeMember(member);
+                    error = written.isLeft() ? written.extract() as StoreError : undefined;
+                    restored += Number(error === undefined);
+                }
+            }
+            if (error === undefined) {
+                log.info(`wrote ${restored} records that the store's copy lacked.`, { era: this.#era, restored });
+                return;
+            }
+            log.warn(`records can't be restored: ${error.detail}.`, { error });
+            await sleep(delays.next().value);
+        }
+    }
+
+    /** Lists the present daemons of the own region whose records are not stored, or only those of another address. */
+    #listMissing(stored: readonly Member[]): readonly Member[] {
+        const storedById = new Map(stored.map(member => [member.id, member]));
+        return this.list().filter(member => {
+            const other = storedById.get(member.id);
+            return member.region === this.#self.region && (other === undefined || !isSameLocation(other, member));
+        });
+    }
+
     async #readMembers(isWritten: boolean): Promise<StoreError | undefined> {
         const result = await this.#options.store.listMembers();
         return result.caseOf<StoreError | undefined>({
             Left: error => error,
             Right: members => {
                 const own = members.find(({ id }) => id === this.#self.id);
+                this.#era = this.#options.store.readEra();
                 this.#isRegistered = isWritten || own !== undefined && isSameLocation(own, this.#self);
                 this.merge(members);
                 return undefined;
--- a/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
@@ -16,6 +16,7 @@
         return Promise.resolve(failures-- > 0 ? Left(UNREACHABLE) : Right(run()));
     };
     const store = {
+        readEra: () => 0,
         deleteMember: (id: string) => attempt(`delete ${id}`, () => void records.delete(id)),
         listMembers: () => attempt("list", () => [...records.values()]),
         writeMember: (member: Member) => attempt("write", () => void records.set(member.id, member)),
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -54,8 +54,8 @@
 
 interface SpreadNetwork {
     /** Puts a version in force at the daemons that watch the store. */
-    publish(revision: number, text: string): void;
-    countUsing(revision: number): number;
+    publish(version: number, text: string): void;
+    countUsing(version: number): number;
     /** Longest time for which a message has waited until its link had sent it. */
     readLongestWait(): number;
     stop(): void;
@@ -105,17 +105,18 @@
     function createManager(self: Member): ConfigurationManager {
         const peers = [...sessions.get(self.id) ?? []];
         return new ConfigurationManager({
-            decode: ({ revision }) => Right({ revision, version: revision } as TrafficConfiguration),
+            decode: ({ revision, version }) => Right({ revision, version } as TrafficConfiguration),
             isRegistered: () => true,
             isSameRegion: id => table.get(id)?.region === self.region,
             listReachable: () => peers.map(id => ({ distance: computeDistance(self, table.get(id) as Member), id })),
             log: createSilentLogger(),
             now: () => performance.now(),
-            onChange: ({ revision }) => {
+            onChange: ({ version }) => {
                 for (const id of peers) {
-                    send(self, id, { kind: "status", membersDigest: 0, revision, watches: [] });
+                    send(self, id, { kind: "status", membersDigest: 0, version, watches: [] });
                 }
             },
+            onStoreRead: () => undefined,
             onWatchFailed: () => undefined,
             random: createSeededRandom(members.indexOf(self)),
             requestConfiguration: id => send(self, id, { kind: "configurationRequest" }),
@@ -126,12 +127,12 @@
     }
     managers.forEach(manager => manager.start());
     return {
-        countUsing: revision => [...managers.values()].filter(({ text }) => text?.revision === revision).length,
+        countUsing: version => [...managers.values()].filter(({ text }) => text?.version === version).length,
         readLongestWait: () => longestWaitMs,
-        publish: (revision, text) => {
+        publish: (version, text) => {
             for (const region of ["erie", "superior"]) {
                 const watcher = members.find(member => member.region === region);
-                managers.get(watcher?.id ?? "")?.applyVersion({ revision, text }, "store");
+                managers.get(watcher?.id ?? "")?.applyVersion({ revision: version, text, version }, "store");
             }
         },
         stop: () => managers.forEach(manager => manager.stop()),
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -9,7 +9,8 @@
 
 /** Status that a daemon sends with each ping and pong. */
 export interface LocalStatus {
-    readonly revision: number;
+    /** Version in force; undefined when there is none. */
+    readonly version: number | undefined;
     /** Working watches of the store in the daemon's region. */
     readonly watches: readonly WatchReport[];
     /** Digest of all member records that the daemon holds. */
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -227,6 +227,7 @@
                 this.#announceStatus();
             },
             isRegistered: () => this.#memberRegistry.isRegistered,
+            onStoreRead: era => void this.#memberRegistry.recordEra(era),
             onWatchFailed: () => this.#announceStatus(),
             isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
@@ -358,7 +359,7 @@
     #readStatus(): LocalStatus {
         return {
             membersDigest: this.#memberRegistry.table.getDigest(),
-            revision: this.#configurationManager.text?.revision ?? 0,
+            version: this.#configurationManager.configuration?.version,
             watches: this.#configurationManager.listWatches(),
         };
     }
@@ -510,6 +511,7 @@
             { name: "server_open", read: () => Number(load().isOpen) },
             { name: "server_link_wait_seconds", read: () => (load().link?.waitMs ?? 0) / MS_PER_SECOND },
             { name: "server_limit_per_second", read: () => load().limitPerSecond ?? Infinity },
+            { name: "configuration_version", read: () => this.#configurationManager.configuration?.version ?? NaN },
             { name: "configuration_revision", read: () => this.#configurationManager.text?.revision ?? 0 },
             {
                 name: "configuration_copies_sent_total",
