Refuse requests that a planned stop would break off, and don't run them

A request is now taken only while 1.5 times its target latency, or its timeout, fits before the end of the stop, when its head and when its body have arrived; others get 503, which is true: they have not run.

--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -20,6 +20,7 @@
     DRAIN_ACCEPT_MS,
     DRAIN_CHECK_INTERVAL_MS,
     DRAIN_IDLE_MS,
+    DRAIN_TARGET_FACTOR,
     INITIAL_HEADER_TIMEOUT_MS,
     INITIAL_IDLE_TIMEOUT_MS,
     MINIMUM_DRAIN_MS,
@@ -65,6 +66,8 @@
     #openRequests = 0;
     #lastRequestAt = 0;
     #drainStartedAt: number | undefined;
+    /** End of a planned stop, at which running requests are broken off. */
+    #drainEndsAt = Infinity;
 
     constructor(options: CallerListenerOptions) {
         this.#options = options;
@@ -140,6 +143,7 @@
     async drain(timeoutMs: number): Promise<void> {
         const startedAt = this.#options.now();
         this.#drainStartedAt = startedAt;
+        this.#drainEndsAt = startedAt + timeoutMs;
         for (;;) {
             await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_INTERVAL_MS));
             const now = this.#options.now();
@@ -158,9 +162,12 @@
         this.#server.closeAllConnections();
     }
 
-    /** Whether new requests are refused because the planned stop is near its end. */
-    #isRefusingRequests(now: number): boolean {
-        return this.#drainStartedAt !== undefined && now - this.#drainStartedAt > DRAIN_ACCEPT_MS;
+    /** Whether a request that arrives now is refused since a planned stop might end before it. */
+    #isRefusing(route: RoutePolicy, now: number): boolean {
+        return this.#drainStartedAt !== undefined && (
+            now - this.#drainStartedAt > DRAIN_ACCEPT_MS
+            || now + Math.min(route.targetLatencyMs * DRAIN_TARGET_FACTOR, route.timeoutMs) > this.#drainEndsAt
+        );
     }
 
     async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -182,10 +189,6 @@
             this.#refuse(exchange, requestId, "no configuration is in force on this daemon yet");
             return;
         }
-        if (this.#isRefusingRequests(arrivedAt)) {
-            this.#refuse(exchange, requestId, "this daemon is stopping");
-            return;
-        }
         if (requestId === undefined) {
             this.#reject(exchange, requestId, BAD_REQUEST_STATUS, "the request has no id");
             return;
@@ -207,7 +210,16 @@
             );
             return;
         }
+        if (this.#isRefusing(route, arrivedAt)) {
+            this.#refuse(exchange, requestId, "this daemon is stopping");
+            return;
+        }
         const body = await this.#bodyReader.read(request, configuration.limits.bodyBytes);
+        if (body.kind === "body" && this.#isRefusing(route, this.#options.now())) {
+            this.#bodyReader.release(body.bytes);
+            this.#refuse(exchange, requestId, "this daemon is stopping");
+            return;
+        }
         this.#forward(exchange, { arrivedAt, body, requestId, revision: configuration.revision, route, target });
     }
 
--- a/src/transport/traffic/TrafficConstants.ts
+++ b/src/transport/traffic/TrafficConstants.ts
@@ -19,6 +19,8 @@
 export const INITIAL_IDLE_TIMEOUT_MS = 15_000;
 /** Time after the beginning of a planned stop in which new requests are still served: callers notice the stop late. */
 export const DRAIN_ACCEPT_MS = 3_000;
+/** Time that a request may need in a planned stop, in target latencies; most take less than one. */
+export const DRAIN_TARGET_FACTOR = 1.5;
 /** Time without requests after which a stopping daemon is taken to have no callers left. */
 export const DRAIN_IDLE_MS = 600;
 export const DRAIN_CHECK_INTERVAL_MS = 50;
