Keep a repeated refusal from answering a request with the same id, and test cut heads

A faulty server writes an earlier refusal once more on a kept connection: copies with another id, or without one, were never taken. One with the same id was, when a caller sent its request again under its id: the new test got 'declined' for a request that ran.

A server stops in the middle of its answer's head and closes: nothing found. The new tests cut heads with a length, in chunks, without a length and after an interim head, at each byte, by a close and a reset, on new and kept connections; all are unknown.

--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -208,7 +208,7 @@
             events,
             now,
             {
-                acquireConnection: isFresh => this.#connectionPool.acquire(isFresh),
+                acquireConnection: (requestId, isFresh) => this.#connectionPool.acquire(requestId, isFresh),
                 dialect: this.#options.dialect,
                 now: this.#options.now,
                 onExecutionEnd: (ended, hadSlot) => this.#releaseExecution(ended, hadSlot),
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -21,7 +21,7 @@
 export interface ExecutionContext {
     readonly dialect: Dialect;
     readonly now: () => number;
-    acquireConnection(isFresh: boolean): ServerConnection | undefined;
+    acquireConnection(requestId: string, isFresh: boolean): ServerConnection | undefined;
     readServer(): RegisteredServer | undefined;
     readLoad(): OwnerLoad;
     recordWork(route: string, workMs: number): void;
@@ -144,7 +144,8 @@
             this.#failBeforeSend(RefusalReason.Deadline, "no time is left");
             return;
         }
-        const connection = this.context.acquireConnection(this.request.kind === RequestKind.AtMostOnce);
+        const isFresh = this.request.kind === RequestKind.AtMostOnce;
+        const connection = this.context.acquireConnection(this.request.requestId, isFresh);
         if (server === undefined || connection === undefined) {
             this.#failBeforeSend(RefusalReason.NoServer, "no server is registered");
             return;
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -14,6 +14,7 @@
     CONNECT_TIMEOUT_MS,
     FOREIGN_BODY_LIMIT_BYTES,
     FRAMING_BYTES_PER_BODY_BYTE,
+    MAXIMUM_DECLINED_IDS,
 } from "./OwnershipConstants.js";
 
 /** Events of one request on a connection. Exactly one of `onEnd`, `onNotSent` and `onBroken` is called last. */
@@ -64,6 +65,8 @@
     #receivedBytes = 0;
     #ownBodyBytes = 0;
     #foreignBodyBytes = 0;
+    /** Ids of the requests that the server has declined here; a faulty one may write a refusal once more. */
+    readonly #declinedIds = new Set<string>();
     #idleTimeoutMs = Infinity;
     #idleSince = 0;
 
@@ -109,6 +112,11 @@
         return this.#isClosed;
     }
 
+    /** Whether a second copy of an earlier refusal would look like the answer to this request. */
+    hasDeclined(requestId: string): boolean {
+        return this.#declinedIds.has(requestId);
+    }
+
     markIdle(now: number): void {
         this.#idleSince = now;
     }
@@ -224,6 +232,10 @@
         if (statement.requestId !== undefined && statement.requestId !== exchange.requestId) {
             return undefined;
         }
+        if (statement.isNotRun || statement.isMisdirected) {
+            this.#declinedIds.add(exchange.requestId);
+            this.#isReusable &&= this.#declinedIds.size < MAXIMUM_DECLINED_IDS;
+        }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
         exchange.isOwnAnswer = true;
         exchange.events.onHead(head.statusCode, head.headers, statement);
--- a/src/transport/ownership/ServerConnectionPool.ts
+++ b/src/transport/ownership/ServerConnectionPool.ts
@@ -28,13 +28,17 @@
         }
     }
 
-    /** Returns an idle or new connection. `isFresh` excludes idle ones that the server may have closed meanwhile. */
-    acquire(isFresh: boolean): ServerConnection | undefined {
+    /**
+     * Returns an idle or new connection for a request. `isFresh` excludes idle ones that the server may have closed
+     * meanwhile.
+     */
+    acquire(requestId: string, isFresh: boolean): ServerConnection | undefined {
         const now = this.#now();
         this.#closeExpired(now);
-        const last = this.#idle.at(-1);
+        const index = this.#idle.findLastIndex(connection => !connection.hasDeclined(requestId));
+        const last = this.#idle[index];
         if (last !== undefined && (!isFresh || now - last.idleSince <= MAXIMUM_FRESH_IDLE_MS)) {
-            this.#idle.pop();
+            this.#idle.splice(index, 1);
             return last;
         }
         if (this.#target === undefined) {
--- a/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
+++ b/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
@@ -75,6 +75,24 @@
         },
     );
 
+    it("a refusal, never becomes the proof that a request with the same id was not run", async () => {
+        const refuse = (id: string) => `HTTP/1.1 503 -\r\nRequest-Id: ${id}\r\nX-Not-Run: 1\r\n${NO_BODY}`;
+        const { admission } = await openAdmission((socket, id, count) => {
+            // The second connection has no earlier refusal.
+            const copies = count === 1 ? "" : (refused.has(socket) ? refuse(id) : "");
+            refused.add(socket);
+            socket.write(copies + (count === 1 ? refuse(id) : formatAnswer(id, "second")));
+        });
+        const refused = new Set<Socket>();
+        const first = recordRequest();
+        admission.submit(createOwnedRequest("a"), first.listener);
+        expect(await first.end).toBe("declined");
+        await expectIdle();
+        const second = recordRequest();
+        admission.submit(createOwnedRequest("a"), second.listener);
+        expect(["answer 200 second", "unknown"]).toContain(await second.end);
+    });
+
     it("cut at each byte between two segments, never becomes the answer of the next request", async () => {
         const copy = formatAnswer("a", "copy");
         for (let cut = 1; cut < copy.length; cut++) {
@@ -128,6 +146,50 @@
     });
 });
 
+/** Guards against an empty answer, framed as a whole one, in place of an answer whose head was cut. */
+describe("an answer whose head is cut", () => {
+    const head = (id: string, fields: string): string => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${fields}\r\n`;
+    const heads = [
+        ["with a length", (id: string) => head(id, "Content-Length: 7\r\n")],
+        ["in chunks", (id: string) => head(id, "Transfer-Encoding: chunked\r\n")],
+        ["that ends with its connection", (id: string) => head(id, "Connection: close\r\n")],
+        ["after an interim head", (id: string) => `HTTP/1.1 102 -\r\n\r\n${head(id, "Content-Length: 7\r\n")}`],
+    ] as const;
+    const ends = [
+        ["a clean close", (socket: Socket) => socket.end()],
+        ["a reset", (socket: Socket) => socket.resetAndDestroy()],
+    ] as const;
+    const cases = heads.flatMap(([name, format]) =>
+        ends.flatMap(([end, close]) =>
+            ["new", "kept"].map(connection => [name, end, connection, format, close] as const)
+        )
+    );
+
+    it.each(cases)(
+        "%s, by %s, on a %s connection, is unknown at each byte",
+        async (_name, _end, connection, format, close) => {
+            for (let cut = 0; cut < format("a").length; cut++) {
+                const { admission } = await openAdmission((socket, id) => {
+                    if (id === "first") {
+                        socket.write(formatAnswer(id, "ok"));
+                        return;
+                    }
+                    socket.write(format(id).slice(0, cut), () => setTimeout(() => close(socket), 1));
+                });
+                if (connection === "kept") {
+                    const first = recordRequest();
+                    admission.submit(createOwnedRequest("first"), first.listener);
+                    await first.end;
+                    await expectIdle();
+                }
+                const request = recordRequest();
+                admission.submit(createOwnedRequest("a"), request.listener);
+                expect(await request.end, `cut at ${cut}`).toBe("unknown");
+            }
+        },
+    );
+});
+
 /** Guards against memory and processor time that a server takes with bytes that never become an answer. */
 describe("bytes without end", () => {
     const head = (id: string, fields: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${fields}`;
