Pause before reading again a store that refuses each watch

A daemon whose watch gets 410 lists the configuration and watches again at once. The first 410 after a watch that worked is still followed by a listing without a pause.

Records are restored only for a later era, and the link budget has one method less that did the same as another.

--- a/src/coordination/scheduling/LinkBudget.ts
+++ b/src/coordination/scheduling/LinkBudget.ts
@@ -29,17 +29,12 @@
         return Number.isFinite(this.bytesPerMs);
     }
 
-    /** Takes the link for an answer; `estimateDelay` has to be 0. Answers that are not large take nothing. */
-    take(answerBytes: number, now: number): void {
-        this.#freeAt = Math.max(now, this.#freeAt) + this.computeDuration(answerBytes);
-    }
-
     /**
-     * Takes the link for what was sent over it besides answers of the own server: answers of other servers that were
-     * passed on to callers of this VM, and copies of versions. Small ones take nothing.
+     * Takes the link for an answer of the own server, for which `estimateDelay` has to be 0, or for what was sent over it
+     * besides: answers of other servers to callers of this VM, and copies of versions. What isn't large takes nothing.
      */
-    record(bytes: number, now: number): void {
-        this.take(bytes, now);
+    take(answerBytes: number, now: number): void {
+        this.#freeAt = Math.max(now, this.#freeAt) + this.computeDuration(answerBytes);
     }
 
     /** Takes or gives back the difference once the size of an answer is known that was expected to have another one. */
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -265,6 +265,7 @@
     async #watchStore(): Promise<void> {
         const { random, store } = this.#options;
         let delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
+        let hasLostHistory = false;
         while (!this.#isStopping) {
             if (!this.#shouldWatch()) {
                 this.#stopWatching();
@@ -278,10 +279,19 @@
             const pauseMs = reading.caseOf({
                 Left: error => {
                     this.#handleStoreError(error);
-                    return error.kind === "refused" && error.reason === "history" ? 0 : delays.next().value;
+                    const isHistoryLost = error.kind === "refused" && error.reason === "history";
+                    // A store that refuses each watch is not read without a pause.
+                    const isFirst = !hasLostHistory;
+                    hasLostHistory ||= isHistoryLost;
+                    return isHistoryLost && isFirst ? 0 : delays.next().value;
                 },
                 Right: value => {
-                    delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
+                    if (position !== undefined) {
+                        hasLostHistory = false;
+                    }
+                    if (!hasLostHistory) {
+                        delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
+                    }
                     this.#handleReading(value);
                     return 0;
                 },
--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -140,7 +140,7 @@
      * records of the region that the copy lacks are written once more: their daemons may not read the store.
      */
     async recordEra(era: number): Promise<void> {
-        if (!this.#isRegistered || this.#isRestoring || this.#era === undefined || era === this.#era) {
+        if (!this.#isRegistered || this.#isRestoring || this.#era === undefined || era <= this.#era) {
             return;
         }
         this.#options.log.warn("the store was restored from a copy.", { before: this.#era, era });
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -93,7 +93,7 @@
 
     /** Records what this VM's link carries besides answers of the own server, such as answers for the own callers. */
     recordLinkUse(bytes: number): void {
-        this.#link.record(bytes, this.#options.now());
+        this.#link.take(bytes, this.#options.now());
     }
 
     /** Finds a request that has a slot of the server. */
