--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -18,6 +18,7 @@
 import type { LocalStatus } from "../sessions/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { UplinkSender } from "../uplink/index.js";
+import { DelayMonitor } from "./DelayMonitor.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { renderMetrics } from "./MetricsText.js";
@@ -31,10 +32,6 @@
 const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
 /** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
 const SESSION_UPDATE_INTERVAL_MS = 250;
-/** Lateness of that check from which the log says that the daemon lacked processor time; also for round trips. */
-const REPORTED_DELAY_MS = 500;
-/** Shortest time between two lines on late round trips. */
-const ROUND_TRIP_REPORT_INTERVAL_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /** Bytes a millisecond in one Mbit/s. */
 const BYTES_PER_MS_AND_MEGABIT = 125;
@@ -102,6 +99,7 @@
     readonly #configurationManager: ConfigurationManager;
     readonly #callerListener: CallerListener;
     readonly #uplink: UplinkSender;
+    readonly #delays: DelayMonitor;
     readonly #metrics = createRequestMetrics();
     readonly #retryBudgets = new Map<string, SharedRetryBudget>();
     readonly #endpoints: Server[] = [];
@@ -110,11 +108,6 @@
     #removalTimer: NodeJS.Timeout | undefined;
     #sessionTimer: NodeJS.Timeout | undefined;
     #updatedAt = 0;
-    /** Longest delay of a timer since the metrics were last read. */
-    #longestDelayMs = 0;
-    /** Longest round trip of a ping since the metrics were last read. */
-    #longestRoundTripMs = 0;
-    #roundTripReportedAt = -Infinity;
     readonly #usedServices = new Set<string>();
     /** Generation of the member table for which the configuration knows the daemons of the region. */
     #regionGeneration = -1;
@@ -129,6 +122,7 @@
             now,
         );
         this.#log = createPartLogger("daemon");
+        this.#delays = new DelayMonitor(this.#log, () => this.#sessions.countBufferedBytes());
         const self = buildMember(settings, dependencies.readWallClock());
         this.#admission = new AdmissionController({
             confirmation: settings.isFirstStart ? undefined : {
@@ -179,7 +173,7 @@
                 }
             },
             onRoundTrip: (id, ms) => {
-                this.#recordRoundTrip(id, ms);
+                this.#delays.recordRoundTrip(id, ms, now());
                 this.#serverDirectory.recordRoundTrip(id, ms);
             },
             random,
@@ -288,7 +282,9 @@
         this.#removalTimer = setInterval(() => this.#removeUnreachableMembers(), MEMBER_REMOVAL_INTERVAL_MS);
         this.#updatedAt = this.#dependencies.now();
         this.#sessionTimer = setInterval(() => {
-            this.#recordDelay(this.#dependencies.now());
+            const now = this.#dependencies.now();
+            this.#delays.recordTimer(now - this.#updatedAt - SESSION_UPDATE_INTERVAL_MS);
+            this.#updatedAt = now;
             this.#updateSessions();
         }, SESSION_UPDATE_INTERVAL_MS);
         this.#log.info("started.", { settings: this.#settings });
@@ -399,43 +395,6 @@
             : this.#usedServices;
     }
 
-    /** Records how late the present run of the session timer is, which shows a lack of processor time. */
-    #recordDelay(now: number): void {
-        const delayMs = now - this.#updatedAt - SESSION_UPDATE_INTERVAL_MS;
-        this.#updatedAt = now;
-        this.#longestDelayMs = Math.max(this.#longestDelayMs, delayMs);
-        if (delayMs > REPORTED_DELAY_MS) {
-            this.#log.warn(`timers were ${Math.round(delayMs)} ms late.`, { delayMs: Math.round(delayMs) });
-        }
-    }
-
-    /** Records the round trip of a ping; one that is late while timers are on time shows a full link. */
-    #recordRoundTrip(id: string, ms: number): void {
-        this.#longestRoundTripMs = Math.max(this.#longestRoundTripMs, ms);
-        const now = this.#dependencies.now();
-        if (ms > REPORTED_DELAY_MS && now - this.#roundTripReportedAt > ROUND_TRIP_REPORT_INTERVAL_MS) {
-            this.#roundTripReportedAt = now;
-            this.#log.warn(`a ping of ${id} was answered after ${Math.round(ms)} ms.`, {
-                bufferedBytes: this.#sessions.countBufferedBytes(),
-                longestTimerDelayMs: Math.round(this.#longestDelayMs),
-                peer: id,
-                roundTripMs: Math.round(ms),
-            });
-        }
-    }
-
-    #readLongestRoundTrip(): number {
-        const roundTripMs = this.#longestRoundTripMs;
-        this.#longestRoundTripMs = 0;
-        return roundTripMs;
-    }
-
-    #readLongestDelay(): number {
-        const delayMs = this.#longestDelayMs;
-        this.#longestDelayMs = 0;
-        return delayMs;
-    }
-
     #updateSessions(): void {
         this.#sessionSelector.update(this.#dependencies.now());
         const { self, table } = this.#memberRegistry;
@@ -522,8 +481,8 @@
                 read: () => this.#configurationManager.sentCopies.bytes,
             },
             { name: "configuration_requests_ignored_total", read: () => this.#configurationManager.ignoredRequests },
-            { name: "longest_round_trip_seconds", read: () => this.#readLongestRoundTrip() / MS_PER_SECOND },
-            { name: "longest_timer_delay_seconds", read: () => this.#readLongestDelay() / MS_PER_SECOND },
+            { name: "longest_round_trip_seconds", read: () => this.#delays.takeLongestRoundTrip() / MS_PER_SECOND },
+            { name: "longest_timer_delay_seconds", read: () => this.#delays.takeLongestDelay() / MS_PER_SECOND },
             { name: "members", read: () => this.#memberRegistry.list().length },
             { name: "members_connected", read: () => this.#listReachable().length },
             { name: "sessions_open", read: () => [...this.#sessions.listOwnerSessions()].length },
