--- a/src/state/members/MemberMerge.ts
+++ b/src/state/members/MemberMerge.ts
@@ -20,3 +20,10 @@
 export function isPresent(member: Member): boolean {
     return member.state !== MemberState.Left && member.state !== MemberState.Dead;
 }
+
+/** Returns whether two records agree in all fields that don't belong to a single run. */
+export function isSameLocation(left: Member, right: Member): boolean {
+    return left.address === right.address && left.peerPort === right.peerPort
+        && left.failureDomain === right.failureDomain && left.region === right.region
+        && left.server?.service === right.server?.service && left.server?.port === right.server?.port;
+}
--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -4,11 +4,12 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
-import { isPresent, MemberState, MemberTable } from "../../state/members/index.js";
+import { isPresent, isSameLocation, MemberState, MemberTable } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort, StoreError } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
-import { RESTORE_SPREAD_MS, STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
+import { STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
+import { RecordRestorer } from "./RecordRestorer.js";
 
 export interface MemberRegistryOptions {
     readonly self: Member;
@@ -37,11 +38,17 @@
     #isStopping = false;
     /** Era of the store in which the records were last read or restored. */
     #era: number | undefined;
-    #isRestoring = false;
+    readonly #restorer: RecordRestorer;
 
     constructor(options: MemberRegistryOptions) {
         this.#options = options;
         this.#self = options.self;
+        this.#restorer = new RecordRestorer({
+            listRegion: () => this.list().filter(({ region }) => region === this.#self.region),
+            log: options.log,
+            random: options.random,
+            store: options.store,
+        });
         this.#addRecord(options.self);
     }
 
@@ -133,56 +140,17 @@
 
     stop(): void {
         this.#isStopping = true;
+        this.#restorer.stop();
     }
 
-    /**
-     * Called by a daemon that watches the store, with the era that it named. After the store was restored from a copy, the
-     * records of the region that the copy lacks are written once more: their daemons may not read the store.
-     */
+    /** Called by a daemon that watches the store, with the era that it named; restores records in a later one. */
     async recordEra(era: number): Promise<void> {
-        if (!this.#isRegistered || this.#isRestoring || this.#era === undefined || era <= this.#era) {
+        if (!this.#isRegistered || this.#restorer.isRestoring || this.#era === undefined || era <= this.#era) {
             return;
         }
         this.#options.log.warn("the store was restored from a copy.", { before: this.#era, era });
-        this.#isRestoring = true;
         this.#era = era;
-        // The watchers of a region begin at different times, so that the later ones find the records written.
-        await sleep(this.#options.random() * RESTORE_SPREAD_MS);
-        await this.#restoreRecords();
-        this.#isRestoring = false;
-    }
-
-    async #restoreRecords(): Promise<void> {
-        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, this.#options.random);
-        const { log, store } = this.#options;
-        let restored = 0;
-        while (!this.#isStopping) {
-            const listing = await store.listMembers();
-            const missing = listing.map(stored => this.#listMissing(stored));
-            let error: StoreError | undefined = missing.isLeft() ? missing.extract() as StoreError : undefined;
-            for (const member of missing.orDefault([])) {
-                if (error === undefined) {
-                    const written = await store.writeMember(member);
-                    error = written.isLeft() ? written.extract() as StoreError : undefined;
-                    restored += Number(error === undefined);
-                }
-            }
-            if (error === undefined) {
-                log.info(`wrote ${restored} records that the store's copy lacked.`, { era: this.#era, restored });
-                return;
-            }
-            log.warn(`records can't be restored: ${error.detail}.`, { error });
-            await sleep(delays.next().value);
-        }
-    }
-
-    /** Lists the present daemons of the own region whose records are not stored, or only those of another address. */
-    #listMissing(stored: readonly Member[]): readonly Member[] {
-        const storedById = new Map(stored.map(member => [member.id, member]));
-        return this.list().filter(member => {
-            const other = storedById.get(member.id);
-            return member.region === this.#self.region && (other === undefined || !isSameLocation(other, member));
-        });
+        await this.#restorer.restore(era);
     }
 
     async #readMembers(isWritten: boolean): Promise<StoreError | undefined> {
@@ -272,13 +240,3 @@
 function formatAddress({ address, peerPort }: Member): string {
     return `${address}:${peerPort}`;
 }
-
-function isSameAddress(left: Member, right: Member): boolean {
-    return left.address === right.address && left.peerPort === right.peerPort;
-}
-
-/** Whether two records agree in all fields that don't belong to a single run. */
-function isSameLocation(left: Member, right: Member): boolean {
-    return isSameAddress(left, right) && left.failureDomain === right.failureDomain && left.region === right.region
-        && left.server?.service === right.server?.service && left.server?.port === right.server?.port;
-}
