--- a/src/console/logs/RequestTimeline.ts
+++ b/src/console/logs/RequestTimeline.ts
@@ -96,13 +96,14 @@
 }
 
 function formatOutcome(line: LogLine): string {
-    const { detail, latencyMs, queuedMs, revision, status } = line;
+    const { detail, latencyMs, queuedMs, revision, status, version } = line;
     if (status === undefined) {
         return "";
     }
     const because = typeof detail === "string" ? `: ${detail}` : "";
     const times = `${formatField(latencyMs)} ms, ${formatField(queuedMs)} ms of them waiting for a slot`;
-    return ` Status ${formatField(status)}${because}; ${times}; revision ${formatField(revision)}.`;
+    const decidedBy = version === undefined ? "" : `version ${formatField(version)}, `;
+    return ` Status ${formatField(status)}${because}; ${times}; ${decidedBy}revision ${formatField(revision)}.`;
 }
 
 function formatPlacements(line: LogLine): readonly string[] {
--- a/src/console/logs/__tests__/unit/RequestTimeline.test.ts
+++ b/src/console/logs/__tests__/unit/RequestTimeline.test.ts
@@ -23,6 +23,7 @@
     revision: 17,
     server: undefined,
     status: 502,
+    version: 4,
 });
 
 const LINES = [
@@ -48,7 +49,7 @@
                 "2026-12-04T10:00:18.000Z entry sessions: owner can't be reached: read ECONNRESET.",
                 "2026-12-04T10:00:19.000Z owner gate: server can't be reached: connect ECONNREFUSED.",
                 "2026-12-04T10:00:20.000Z entry requests: POST /pay/ ended as unknown. Status 502: read ECONNRESET; 900 ms, 5 ms of"
-                + " them waiting for a slot; revision 17.",
+                + " them waiting for a slot; version 4, revision 17.",
                 "  placed at owner (first): 40 ms expected, 3 running and 0 waiting 12 ms before; read ECONNRESET",
             ]);
     });
--- /dev/null
+++ b/src/coordination/distribution/VersionLag.ts
@@ -0,0 +1,146 @@
+/**
+ * Tells how far a daemon's version of the configuration is behind those of other daemons, and whether its own version may
+ * still decide. A version that is only a little behind decides on, since its copy is usually on the way.
+ */
+
+/** Time after which a daemon that knows of a newer version no longer decides by its own one. */
+export const OWN_DECISION_LIMIT_MS = 500;
+/** Unanswered queries after which a daemon's word that it has a newer version is no longer taken. */
+const MAXIMUM_UNANSWERED_QUERIES = 3;
+/** Time after which the word of such a daemon is taken again. */
+const DISTRUST_MS = 2_000;
+
+interface PeerVersion {
+    readonly version: number;
+    readonly knownAt: number;
+    /** Queries since the last answer. */
+    unanswered: number;
+    lastUnansweredAt: number;
+}
+
+export class VersionLag {
+    /** Versions in force at other daemons by their ids. */
+    readonly #peers = new Map<string, PeerVersion>();
+    #own: number | undefined;
+    #behindSince: number | undefined;
+    /** Lowest version that may decide, since a request was decided by it or refused by it. */
+    #required = -Infinity;
+    #requiredAt = 0;
+
+    get own(): number | undefined {
+        return this.#own;
+    }
+
+    /** Newest version that is known to be in force anywhere; undefined while none is known. */
+    get newestKnown(): number | undefined {
+        const versions = [...this.#peers.values()].map(({ version }) => version);
+        const newest = Math.max(this.#own ?? -Infinity, this.#required, ...versions);
+        return newest === -Infinity ? undefined : newest;
+    }
+
+    get isBehind(): boolean {
+        return this.#behindSince !== undefined;
+    }
+
+    isNewer(version: number): boolean {
+        return this.#own === undefined || version > this.#own;
+    }
+
+    /** Records the own version in force. */
+    recordOwn(version: number): void {
+        this.#own = version;
+        this.#updateBehindSince();
+    }
+
+    /** Records the version in force at another daemon; returns whether it is newer than the own one. */
+    recordPeer(id: string, version: number, now: number): boolean {
+        if (this.#peers.get(id)?.version !== version) {
+            this.#peers.set(id, { knownAt: now, lastUnansweredAt: -Infinity, unanswered: 0, version });
+            this.#updateBehindSince();
+        }
+        return this.isNewer(version);
+    }
+
+    removePeer(id: string): void {
+        if (this.#peers.delete(id)) {
+            this.#updateBehindSince();
+        }
+    }
+
+    /** Records that a request was decided by a version, so that no older one decides from now on. */
+    requireVersion(version: number, now: number): void {
+        if (version > this.#required) {
+            this.#required = version;
+            this.#requiredAt = now;
+            this.#updateBehindSince();
+        }
+    }
+
+    recordAnswer(id: string): void {
+        const peer = this.#peers.get(id);
+        if (peer !== undefined) {
+            peer.unanswered = 0;
+        }
+    }
+
+    recordUnanswered(id: string, now: number): void {
+        const peer = this.#peers.get(id);
+        if (peer !== undefined) {
+            peer.unanswered++;
+            peer.lastUnansweredAt = now;
+        }
+    }
+
+    /** Time since another daemon was known to have a newer version; undefined while the own one is the newest known. */
+    readBehindMs(now: number): number | undefined {
+        return this.#behindSince === undefined ? undefined : now - this.#behindSince;
+    }
+
+    /** Whether a daemon has a newer version than the own one, whatever became of queries to it. */
+    hasNewer(id: string): boolean {
+        const version = this.#peers.get(id)?.version;
+        return version !== undefined && this.isNewer(version);
+    }
+
+    /** Whether the own version is older than one that has decided already. */
+    get isSuperseded(): boolean {
+        return (this.#own ?? -Infinity) < this.#required;
+    }
+
+    /** Whether a decision by a version would go back behind an earlier one. */
+    isOlderThanRequired(version: number): boolean {
+        return version < this.#required;
+    }
+
+    /** Whether a daemon's version may decide in place of the own one. */
+    canDecide(id: string, now: number): boolean {
+        const peer = this.#peers.get(id);
+        return peer !== undefined
+            && this.isNewer(peer.version)
+            && peer.version >= this.#required
+            && (peer.unanswered < MAXIMUM_UNANSWERED_QUERIES || now - peer.lastUnansweredAt > DISTRUST_MS);
+    }
+
+    /** Whether the own version may decide, if the daemons whose versions could decide instead are `sources`. */
+    mayDecide(sources: readonly unknown[], now: number): boolean {
+        if (this.isSuperseded) {
+            return false;
+        }
+        const behindMs = this.readBehindMs(now);
+        return behindMs === undefined || behindMs <= OWN_DECISION_LIMIT_MS || sources.length === 0;
+    }
+
+    getPeerVersion(id: string): number | undefined {
+        return this.#peers.get(id)?.version;
+    }
+
+    #updateBehindSince(): void {
+        const times = [...this.#peers.values()].filter(({ version }) => this.isNewer(version)).map(peer =>
+            peer.knownAt
+        );
+        if (this.isSuperseded) {
+            times.push(this.#requiredAt);
+        }
+        this.#behindSince = times.length === 0 ? undefined : Math.min(...times);
+    }
+}
--- a/src/coordination/distribution/index.ts
+++ b/src/coordination/distribution/index.ts
@@ -7,6 +7,7 @@
 export type { WatchReport } from "./StoreWatchers.js";
 export { computeTreePosition, listDomainRelays, listRegions, TREE_FANOUT, UNJOINED_POSITION } from "./Tree.js";
 export type { TreePosition } from "./Tree.js";
+export { OWN_DECISION_LIMIT_MS, VersionLag } from "./VersionLag.js";
 export {
     addSnapshot,
     advanceInForce,
--- a/src/coordination/recording/RequestRecorder.ts
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -34,7 +34,9 @@
     readonly queuedMs: number;
     /** Why the request was not answered normally. */
     readonly detail?: string | undefined;
-    /** Revision of the configuration that routed the request. */
+    /** Version of the configuration that routed the request. */
+    readonly version?: number | undefined;
+    /** Revision of that version in the store. */
     readonly revision?: number | undefined;
     /** Placements of the request, unless the first owner answered it. */
     readonly placements?: readonly PlacementRecord[] | undefined;
--- a/src/protocol/request/Outcome.ts
+++ b/src/protocol/request/Outcome.ts
@@ -39,6 +39,8 @@
     Quarantined: "quarantined",
     /** The request may have crashed servers, and has to wait until they are back. */
     Suspected: "suspected",
+    /** A newer version of the configuration doesn't lead the request to this service. */
+    Outdated: "outdated",
 } as const;
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
 
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -13,6 +13,7 @@
 import type { ServerIdentity } from "../../coordination/registration/index.js";
 import { DIGEST_BUCKETS } from "../../state/members/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
+import type { RoutePolicy } from "../../state/traffic/index.js";
 import { memberCodec } from "../peer/index.js";
 import {
     booleanCodec,
@@ -36,6 +37,7 @@
 const MEMBERS_LIMIT = 4_096;
 const DOMAINS_LIMIT = 1_024;
 const WATCHES_LIMIT = 16;
+const TARGETS_LIMIT = 1_024;
 /** Far above the number of verdicts that one request can get. */
 const REVISION_LIMIT = 1_000_000;
 
@@ -97,6 +99,7 @@
     body: bytesCodec,
     route: text,
     service: text,
+    version: integer,
     kind: createChoiceCodec(Object.values(RequestKind)),
     priority: integer,
     isNested: booleanCodec,
@@ -107,10 +110,12 @@
     callerService: name,
 });
 
+/** Number of the version in force; undefined when none is. */
+const version = createOptionalCodec(integer);
+
 /** What each daemon says of its beliefs. */
 const statusFields = {
-    /** Number of the version in force; undefined when none is. */
-    version: createOptionalCodec(integer),
+    version,
     /** Watches of the store in the sender's region that are known to work, or to have failed lately. */
     watches: createListCodec(
         createRecordCodec({ id: name, isWorking: booleanCodec, ageMs: numberCodec }),
@@ -127,6 +132,23 @@
     received: integer,
 };
 
+/** Fields with which an owner's last message on a request tells its state. */
+const ownerFields = {
+    load,
+    version,
+};
+
+const routePolicy = createRecordCodec({
+    name: text,
+    pathPrefix: text,
+    kind: createChoiceCodec(Object.values(RequestKind)),
+    targets: createListCodec(createRecordCodec({ service: text, weight: numberCodec }), TARGETS_LIMIT),
+    maximumServers: numberCodec,
+    timeoutMs: numberCodec,
+    targetLatencyMs: numberCodec,
+    priority: integer,
+}) as unknown as FieldCodec<RoutePolicy>;
+
 const MESSAGE_FIELDS = {
     hello: {
         ...keepaliveFields,
@@ -153,6 +175,10 @@
     /** Sent at once after a change, without waiting for the next ping. */
     status: statusFields,
     configurationRequest: {},
+    /** Asks for the route of a request, which takes less than a copy of the version. */
+    routeQuery: { query: integer, host: text, path: text },
+    /** Answer by the version in force at the sender; without `route`, that version has none. */
+    routeAnswer: { query: integer, version: integer, revision: integer, route: createOptionalCodec(routePolicy) },
     /** Complete text of a version, as it is in the store, compressed. */
     configuration: { version: integer, revision: integer, compressedText: bytesCodec },
     /** Digests of the sender's records, one for each failure domain, after the digests of all records differed. */
@@ -165,7 +191,8 @@
         domain: name,
         wantedBuckets: createListCodec(integer, DIGEST_BUCKETS),
     },
-    request: { stream: integer, request: ownedRequest },
+    /** `version` is in force at the sender; the request may have been decided by another one. */
+    request: { stream: integer, request: ownedRequest, version },
     /** A request that may run only once has a slot; the caller's side answers `proceed` or `cancel`. */
     offer: { stream: integer },
     proceed: { stream: integer },
@@ -177,12 +204,12 @@
         reason: createChoiceCodec(Object.values(RefusalReason)),
         detail: text,
         retryAfterMs: numberCodec,
-        load,
+        ...ownerFields,
     },
     /** The server reported that it did not run the request. */
-    declined: { stream: integer, detail: text, load },
+    declined: { stream: integer, detail: text, ...ownerFields },
     /** The request may have run; there is no answer. */
-    unknown: { stream: integer, detail: text, load },
+    unknown: { stream: integer, detail: text, ...ownerFields },
     answer: {
         stream: integer,
         status: integer,
@@ -191,7 +218,7 @@
         body: bytesCodec,
         workMs: numberCodec,
         queuedMs: numberCodec,
-        load,
+        ...ownerFields,
     },
     answerHead: {
         stream: integer,
@@ -202,9 +229,9 @@
         queuedMs: numberCodec,
     },
     answerData: { stream: integer, body: bytesCodec },
-    answerEnd: { stream: integer, load },
+    answerEnd: { stream: integer, ...ownerFields },
     /** The answer broke off after its head was sent. */
-    answerCut: { stream: integer, detail: text, load },
+    answerCut: { stream: integer, detail: text, ...ownerFields },
     /** Crashes of servers with the requests that ran there, and verdicts on requests; new ones, or all that are known. */
     crashes: {
         crashes: createListCodec(
@@ -250,6 +277,8 @@
     "memberBuckets",
     "memberDigests",
     "members",
+    "routeAnswer",
+    "routeQuery",
     "status",
 ] as const;
 type GossipKind = (typeof GOSSIP_KIND_LIST)[number];
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -3,12 +3,11 @@
  * watchers, and from other daemons. The version in force never decreases, whatever the store's revisions do.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { inflateRawSync } from "node:zlib";
 import type { Either } from "purify-ts/Either";
 import { Left } from "purify-ts/Either";
-import type { WatchReport } from "../../coordination/distribution/index.js";
+import type { VersionLag, WatchReport } from "../../coordination/distribution/index.js";
 import { StoreWatchers } from "../../coordination/distribution/index.js";
-import type { Distance } from "../../coordination/placement/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type {
     ConfigurationReadResult,
@@ -20,36 +19,33 @@
 import type { TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { PeerStatus } from "../sessions/index.js";
+import { CopySender } from "./CopySender.js";
+import type { CompressedConfiguration } from "./CopySender.js";
 import {
-    COPY_BURST_BYTES,
-    COPY_BYTES_PER_MS,
-    FETCH_DELAY_MS,
-    FETCH_RETRY_MS,
-    OWN_WATCH_DELAY_MS,
     REGISTRATION_TIMEOUT_MS,
     STORE_RETRY_BASE_MS,
     STORE_RETRY_MAXIMUM_MS,
     WATCH_WAIT_MS,
     WATCHER_CHECK_INTERVAL_MS,
 } from "./DirectoryConstants.js";
+import { VersionFetcher } from "./VersionFetcher.js";
+import type { ReachablePeer } from "./VersionFetcher.js";
 
 /** Decodes the text of a configuration; Left holds the faults, each with its place. */
 export type DecodeConfiguration = (source: ConfigurationText) => Either<readonly string[], TrafficConfiguration>;
 
-/** Another daemon that can be reached. */
-export interface ReachablePeer {
-    readonly id: string;
-    readonly distance: Distance;
-}
-
 export interface ConfigurationManagerOptions {
     readonly selfId: string;
+    /** Follows the versions in force here and at other daemons. */
+    readonly lag: VersionLag;
     readonly store: MeshStorePort;
     readonly decode: DecodeConfiguration;
     readonly log: PartLogger;
     readonly now: () => number;
     readonly random: () => number;
     listReachable(): readonly ReachablePeer[];
+    /** Number of daemons in all regions. */
+    countDaemons(): number;
     /** Whether the records of the other daemons were read, so that the watchers among them are known. */
     isRegistered(): boolean;
     isSameRegion(id: string): boolean;
@@ -63,23 +59,15 @@
     onChange(configuration: TrafficConfiguration): void;
 }
 
-/** A version as it is sent to another daemon. */
-export interface CompressedConfiguration {
-    readonly version: number;
-    readonly revision: number;
-    readonly compressedText: Uint8Array;
-}
-
 /** Limit of the text of a version, above the platform's limit for an object. */
 const MAXIMUM_TEXT_BYTES = 16 * 1_048_576;
 
 export class ConfigurationManager {
     readonly #options: ConfigurationManagerOptions;
-    /** Versions in force at other daemons by their ids. */
-    readonly #peerVersions = new Map<string, number>();
     readonly #watchers: StoreWatchers;
+    readonly #copies: CopySender;
+    readonly #fetcher: VersionFetcher;
     readonly #startedAt: number;
-    #compressed: CompressedConfiguration | undefined;
     #text: ConfigurationText | undefined;
     #configuration: TrafficConfiguration | undefined;
     #position: StorePosition | undefined;
@@ -87,20 +75,19 @@
     #droppedPosition: StorePosition | undefined;
     #isWatching = false;
     #isStopping = false;
-    #behindSince: number | undefined;
-    #requestedAt = -Infinity;
     #checkTimer: NodeJS.Timeout | undefined;
     #isStoreUnreachable = false;
-    #sentCopies = 0;
-    #sentBytes = 0;
-    #ignoredRequests = 0;
-    #copyAllowance = COPY_BURST_BYTES;
-    #copyAllowanceAt = 0;
 
     constructor(options: ConfigurationManagerOptions) {
         this.#options = options;
         this.#watchers = new StoreWatchers(options.selfId);
         this.#startedAt = options.now();
+        this.#copies = new CopySender(options);
+        this.#fetcher = new VersionFetcher({
+            ...options,
+            isWatching: () => this.#isWatching,
+            readStore: () => void this.#readStore(),
+        });
     }
 
     get configuration(): TrafficConfiguration | undefined {
@@ -117,55 +104,14 @@
         return this.#watchers.listReports(this.#options.now());
     }
 
-    /** Version in force, compressed for other daemons; undefined while there is none. */
-    readCompressed(): CompressedConfiguration | undefined {
-        const version = this.#configuration?.version;
-        if (this.#text !== undefined && version !== undefined && this.#compressed?.version !== version) {
-            this.#compressed = {
-                compressedText: deflateRawSync(this.#text.text),
-                revision: this.#text.revision,
-                version,
-            };
-        }
-        return this.#compressed;
-    }
-
-    /** Copies of versions sent to other daemons since the start, and their compressed size. */
-    get sentCopies(): { readonly count: number; readonly bytes: number; } {
-        return { bytes: this.#sentBytes, count: this.#sentCopies };
+    /** Copies of versions that were sent to other daemons, and requests for them. */
+    get copies(): CopySender {
+        return this.#copies;
     }
 
-    /** Requests for versions that were ignored since the start, because copies had used up their share of the link. */
-    get ignoredRequests(): number {
-        return this.#ignoredRequests;
-    }
-
-    /**
-     * Sends the version in force to a daemon that has asked for it. After many copies at once the request is ignored, so
-     * that the copies don't occupy this daemon's link; the other daemon asks another one that has the version by then.
-     */
+    /** Sends the version in force to a daemon that has asked for it. */
     answerRequest(id: string): void {
-        const configuration = this.readCompressed();
-        if (configuration === undefined) {
-            return;
-        }
-        if (!this.#takeCopyBytes(configuration.compressedText.length)) {
-            this.#ignoredRequests++;
-            this.#options.log.info(`ignored a request of ${id}: copies have used up their share of the link.`, {
-                peer: id,
-                version: configuration.version,
-            });
-            return;
-        }
-        this.#sentCopies++;
-        this.#sentBytes += configuration.compressedText.length;
-        this.#options.log.info(`sent version ${configuration.version} to ${id}.`, {
-            bytes: configuration.compressedText.length,
-            peer: id,
-            revision: configuration.revision,
-            version: configuration.version,
-        });
-        this.#options.sendConfiguration(id, configuration);
+        this.#copies.answerRequest(id, this.#options.now());
     }
 
     /** Puts in force what another daemon has sent, if it is newer. */
@@ -197,7 +143,10 @@
 
     start(): void {
         void this.#watchStore();
-        this.#checkTimer = setInterval(() => this.#fetchIfBehind(), WATCHER_CHECK_INTERVAL_MS);
+        this.#checkTimer = setInterval(
+            () => this.#fetcher.fetchIfBehind(this.#options.now()),
+            WATCHER_CHECK_INTERVAL_MS,
+        );
     }
 
     stop(): void {
@@ -208,22 +157,26 @@
     /** Records the status of another daemon; one that has a newer version may be asked for it. */
     recordStatus(status: PeerStatus): void {
         const now = this.#options.now();
-        if (status.version !== undefined) {
-            this.#peerVersions.set(status.id, status.version);
-        }
         if (this.#options.isSameRegion(status.id)) {
             if (this.#watchers.recordReports(status.watches, now)) {
                 this.#options.onWatchFailed();
             }
         }
-        if (status.version !== undefined && this.#isNewer(status.version)) {
-            this.#behindSince ??= now;
-            this.#fetchIfBehind();
+        if (status.version !== undefined) {
+            this.recordVersion(status.id, status.version);
+        }
+    }
+
+    /** Records the version in force at another daemon, which may be asked for it if it is newer. */
+    recordVersion(id: string, version: number): void {
+        const now = this.#options.now();
+        if (this.#options.lag.recordPeer(id, version, now)) {
+            this.#fetcher.fetchIfBehind(now);
         }
     }
 
     #isNewer(version: number): boolean {
-        return this.#configuration === undefined || version > this.#configuration.version;
+        return this.#options.lag.isNewer(version);
     }
 
     /** Puts a version in force if it is newer than the present one and can be decoded. */
@@ -246,14 +199,14 @@
                 }
                 this.#text = text;
                 this.#configuration = configuration;
-                const behindMs = this.#behindSince === undefined
-                    ? undefined
-                    : Math.round(this.#options.now() - this.#behindSince);
-                this.#behindSince = undefined;
+                const { lag, now } = this.#options;
+                const behindMs = lag.readBehindMs(now());
+                lag.recordOwn(configuration.version);
+                this.#copies.setVersion(configuration.version, text);
                 this.#options.log.info(`version ${configuration.version} is in force.`, {
                     before,
                     // Since another daemon was known to have a newer version.
-                    behindMs,
+                    behindMs: behindMs === undefined ? undefined : Math.round(behindMs),
                     characters: text.text.length,
                     revision: text.revision,
                     source,
@@ -314,16 +267,34 @@
         }
     }
 
+    /** Reads the newest version from the store, without following it. */
+    async #readStore(): Promise<void> {
+        (await this.#callStore(undefined)).caseOf({
+            Left: error => {
+                this.#options.log.warn(`the store could not be read: ${error.detail}.`, { error });
+            },
+            Right: ({ configuration }) => {
+                if (configuration !== undefined) {
+                    this.#tryApplying(() => this.applyVersion(configuration, "store"), configuration.revision);
+                }
+            },
+        });
+    }
+
     /** Applies a reading; false after an internal error, which must not end the loop either. */
     #tryReading(reading: ConfigurationReadResult): boolean {
+        return this.#tryApplying(() => this.#handleReading(reading), reading.configuration?.revision);
+    }
+
+    #tryApplying(apply: () => void, revision: number | undefined): boolean {
         try {
-            this.#handleReading(reading);
+            apply();
             return true;
         }
         catch (error) {
             this.#options.log.error("a version could not be put in force for an internal error.", {
                 err: error,
-                revision: reading.configuration?.revision,
+                revision,
             });
             return false;
         }
@@ -393,43 +364,4 @@
         const isRegionKnown = this.#options.isRegistered() || now - this.#startedAt > REGISTRATION_TIMEOUT_MS;
         return isRegionKnown && this.#watchers.shouldWatch(now);
     }
-
-    /** Takes the bytes of a copy from the allowance; false while earlier copies have used it up. */
-    #takeCopyBytes(bytes: number): boolean {
-        const now = this.#options.now();
-        const refilled = this.#copyAllowance + (now - this.#copyAllowanceAt) * COPY_BYTES_PER_MS;
-        this.#copyAllowance = Math.min(COPY_BURST_BYTES, refilled);
-        this.#copyAllowanceAt = now;
-        if (this.#copyAllowance <= 0) {
-            return false;
-        }
-        this.#copyAllowance -= bytes;
-        return true;
-    }
-
-    /** Asks one of the nearest daemons that have a newer version, if the version has not arrived from elsewhere in time. */
-    #fetchIfBehind(): void {
-        const now = this.#options.now();
-        if (this.#behindSince === undefined || now - this.#requestedAt < FETCH_RETRY_MS) {
-            return;
-        }
-        const waitedMs = now - this.#behindSince - (this.#isWatching ? OWN_WATCH_DELAY_MS : 0);
-        const peers = this.#options.listReachable().filter(({ distance, id }) => {
-            const version = this.#peerVersions.get(id);
-            return version !== undefined && this.#isNewer(version) && waitedMs >= FETCH_DELAY_MS[distance];
-        });
-        const nearest = Math.min(...peers.map(({ distance }) => distance));
-        const candidates = peers.filter(({ distance }) => distance === nearest);
-        const peer = candidates[Math.floor(this.#options.random() * candidates.length)];
-        if (peer !== undefined) {
-            this.#requestedAt = now;
-            this.#options.log.info(`asked ${peer.id} for its version.`, {
-                behindMs: Math.round(now - this.#behindSince),
-                peer: peer.id,
-                version: this.#configuration?.version,
-                wanted: this.#peerVersions.get(peer.id),
-            });
-            this.#options.requestConfiguration(peer.id);
-        }
-    }
 }
--- /dev/null
+++ b/src/transport/directory/CopySender.ts
@@ -0,0 +1,97 @@
+/** Sends copies of the version in force to daemons that ask for it, for at most a share of the own link. */
+import { deflateRawSync } from "node:zlib";
+import type { ConfigurationText } from "../../state/store/index.js";
+import type { PartLogger } from "../logging/index.js";
+import { COPY_BURST_BYTES, COPY_BYTES_PER_MS } from "./DirectoryConstants.js";
+
+/** A version as it is sent to another daemon. */
+export interface CompressedConfiguration {
+    readonly version: number;
+    readonly revision: number;
+    readonly compressedText: Uint8Array;
+}
+
+export interface CopySenderOptions {
+    readonly log: PartLogger;
+    sendConfiguration(id: string, configuration: CompressedConfiguration): void;
+}
+
+export class CopySender {
+    readonly #options: CopySenderOptions;
+    #text: ConfigurationText | undefined;
+    #version: number | undefined;
+    #compressed: CompressedConfiguration | undefined;
+    #sentCopies = 0;
+    #sentBytes = 0;
+    #ignoredRequests = 0;
+    #allowance = COPY_BURST_BYTES;
+    #allowanceAt = 0;
+
+    constructor(options: CopySenderOptions) {
+        this.#options = options;
+    }
+
+    /** Copies sent since the start, and their compressed size. */
+    get sentCopies(): { readonly count: number; readonly bytes: number; } {
+        return { bytes: this.#sentBytes, count: this.#sentCopies };
+    }
+
+    /** Requests that were ignored since the start, because copies had used up their share of the link. */
+    get ignoredRequests(): number {
+        return this.#ignoredRequests;
+    }
+
+    /** Sets the version that is sent from now on. */
+    setVersion(version: number, text: ConfigurationText): void {
+        this.#version = version;
+        this.#text = text;
+    }
+
+    /** Version to be sent, compressed; undefined while there is none. */
+    readCompressed(): CompressedConfiguration | undefined {
+        if (this.#text !== undefined && this.#version !== undefined && this.#compressed?.version !== this.#version) {
+            this.#compressed = {
+                compressedText: deflateRawSync(this.#text.text),
+                revision: this.#text.revision,
+                version: this.#version,
+            };
+        }
+        return this.#compressed;
+    }
+
+    /**
+     * Sends the version to a daemon that has asked for it. After many copies at once the request is ignored, so that the
+     * copies don't occupy this daemon's link; the other daemon asks another one that has the version by then.
+     */
+    answerRequest(id: string, now: number): void {
+        const configuration = this.readCompressed();
+        if (configuration === undefined) {
+            return;
+        }
+        const { compressedText: { length: bytes }, revision, version } = configuration;
+        if (!this.#takeBytes(bytes, now)) {
+            this.#ignoredRequests++;
+            this.#options.log.info(`ignored a request of ${id}: copies have used up their share of the link.`, {
+                peer: id,
+                version,
+            });
+            return;
+        }
+        this.#sentCopies++;
+        this.#sentBytes += bytes;
+        this.#options.log.info(`sent version ${version} to ${id}.`, { bytes, peer: id, revision, version });
+        this.#options.sendConfiguration(id, configuration);
+    }
+
+    /** Takes the bytes of a copy from the allowance; false while earlier copies have used it up. */
+    #takeBytes(bytes: number, now: number): boolean {
+        const refilled = this.#allowance + (now - this.#allowanceAt) * COPY_BYTES_PER_MS;
+        this.#allowance = Math.min(COPY_BURST_BYTES, refilled);
+        this.#allowanceAt = now;
+        if (this.#allowance <= 0) {
+            return false;
+        }
+        this.#allowance -= bytes;
+        return true;
+    }
+}
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -15,6 +15,15 @@
 export const FETCH_DELAY_MS = [0, 100, 400] as const;
 /** Delay before the same version is requested again. */
 export const FETCH_RETRY_MS = 300;
+/** Requests for a version that go to one daemon each; later ones go to two daemons at once. */
+export const SINGLE_SOURCE_ATTEMPTS = 2;
+/** Time after which a daemon that gets no copy reads the store. */
+export const STORE_READ_DELAY_MS = 900;
+/** Time over which these readings are spread, for each daemon, so that all of them take a tenth of the store's rate. */
+export const STORE_READ_SPREAD_PER_DAEMON_MS = 5;
+/** Pause before the store is read again, doubled after each reading. */
+export const STORE_REREAD_BASE_MS = 1_000;
+export const STORE_REREAD_MAXIMUM_MS = 30_000;
 /** Rate and burst of the copies of versions that a daemon sends: about half of the link of the weakest VMs. */
 export const COPY_BYTES_PER_MS = 375;
 export const COPY_BURST_BYTES = 75_000;
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -1,6 +1,7 @@
 import type { Either } from "purify-ts/Either";
 import { Left, Right } from "purify-ts/Either";
 import { describe, expect, it } from "vitest";
+import { VersionLag } from "../../../../coordination/distribution/index.js";
 import type { ConfigurationReadResult, MeshStorePort, StoreError } from "../../../../state/store/index.js";
 import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
@@ -37,9 +38,11 @@
         return Right(createReading(version));
     };
     return new ConfigurationManager({
+        countDaemons: () => 1,
         decode: ({ text }) => text === "" ? Left([]) : Right(createConfiguration(Number(text))),
         isRegistered: () => true,
         isSameRegion: () => true,
+        lag: new VersionLag(),
         listReachable: () => [],
         log: createSilentLogger(),
         now: () => performance.now(),
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -1,6 +1,6 @@
 import { Right } from "purify-ts/Either";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { selectNeighbours } from "../../../../coordination/distribution/index.js";
+import { selectNeighbours, VersionLag } from "../../../../coordination/distribution/index.js";
 import { encodeSessionMessage } from "../../../../protocol/session/index.js";
 import type { SessionMessage } from "../../../../protocol/session/index.js";
 import type { Member } from "../../../../state/members/index.js";
@@ -105,9 +105,11 @@
     function createManager(self: Member): ConfigurationManager {
         const peers = [...sessions.get(self.id) ?? []];
         return new ConfigurationManager({
+            countDaemons: () => size,
             decode: ({ revision, version }) => Right({ revision, version } as TrafficConfiguration),
             isRegistered: () => true,
             isSameRegion: id => table.get(id)?.region === self.region,
+            lag: new VersionLag(),
             listReachable: () => peers.map(id => ({ distance: computeDistance(self, table.get(id) as Member), id })),
             log: createSilentLogger(),
             now: () => performance.now(),
--- a/src/transport/ownership/OwnedRequest.ts
+++ b/src/transport/ownership/OwnedRequest.ts
@@ -13,6 +13,8 @@
     readonly body: Uint8Array;
     readonly route: string;
     readonly service: string;
+    /** Version of the configuration that chose the route and the service. */
+    readonly version: number;
     readonly kind: RequestKind;
     readonly priority: number;
     readonly isNested: boolean;
--- /dev/null
+++ b/src/transport/routes/RouteResolver.ts
@@ -0,0 +1,135 @@
+/**
+ * Finds the routes of requests: by the own version of the configuration, or by that of another daemon while the own one is
+ * outdated. Decisions never go back to an older version.
+ */
+import type { VersionLag } from "../../coordination/distribution/index.js";
+import { findRoute } from "../../state/traffic/index.js";
+import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import type { PartLogger } from "../logging/index.js";
+import type { RouteAnswer, RouteQueries } from "./RouteQueries.js";
+
+/** How a version decides on a request. */
+export interface RouteDecision {
+    readonly version: number;
+    readonly revision: number;
+    /** Undefined when the version has no route for the request. */
+    readonly route: RoutePolicy | undefined;
+}
+
+/** A daemon that can be reached, the nearer the lower its distance. */
+export interface RouteSource {
+    readonly id: string;
+    readonly distance: number;
+}
+
+export interface RouteResolverOptions {
+    readonly lag: VersionLag;
+    readonly log: PartLogger;
+    readonly queries: RouteQueries;
+    readonly now: () => number;
+    readonly random: () => number;
+    listReachable(): readonly RouteSource[];
+    readConfiguration(): TrafficConfiguration | undefined;
+}
+
+export class RouteResolver {
+    readonly #options: RouteResolverOptions;
+    /** Own version at the last warning, so that each is reported once. */
+    #reportedVersion: number | undefined;
+    #unresolved = 0;
+
+    constructor(options: RouteResolverOptions) {
+        this.#options = options;
+    }
+
+    /** Requests since the start for which no version was new enough to decide. */
+    get unresolvedRequests(): number {
+        return this.#unresolved;
+    }
+
+    /** Finds the route of a request; undefined when no version that may decide could be asked. */
+    resolveRoute(
+        requestId: string,
+        host: string | undefined,
+        path: string,
+    ): RouteDecision | undefined | Promise<RouteDecision | undefined> {
+        const { lag, now, readConfiguration } = this.#options;
+        const configuration = readConfiguration();
+        if (configuration === undefined) {
+            return undefined;
+        }
+        const route = findRoute(configuration, host, path);
+        const { revision, version } = configuration;
+        if (!lag.isBehind) {
+            return { revision, route, version };
+        }
+        const sources = this.#listSources(now());
+        // Status 404 is final for callers, so it isn't left to a version that is known to be replaced.
+        if (route !== undefined && lag.mayDecide(sources, now())) {
+            return { revision, route, version };
+        }
+        this.#reportOutdated(version);
+        return this.#resolveElsewhere(requestId, host ?? "", path, sources);
+    }
+
+    async #resolveElsewhere(
+        requestId: string,
+        host: string,
+        path: string,
+        sources: readonly string[],
+    ): Promise<RouteDecision | undefined> {
+        const { lag, log, now, queries, readConfiguration } = this.#options;
+        const own = readConfiguration()?.version;
+        const isUsable = ({ source, version }: RouteAnswer): boolean => {
+            lag.recordAnswer(source);
+            lag.recordPeer(source, version, now());
+            return !lag.isOlderThanRequired(version);
+        };
+        const answer = await queries.fetchRoute(host, path, sources, isUsable);
+        const configuration = readConfiguration();
+        if (configuration !== undefined && configuration.version !== own && !lag.isSuperseded) {
+            // The copy has arrived meanwhile.
+            const { revision, version } = configuration;
+            return { revision, route: findRoute(configuration, host, path), version };
+        }
+        if (answer === undefined) {
+            this.#unresolved++;
+            log.info("no other daemon has told the route of a request.", { own, requestId, sources });
+            return undefined;
+        }
+        lag.requireVersion(answer.version, now());
+        log.info(`version ${answer.version} of ${answer.source} decides on a request.`, {
+            behindMs: Math.round(lag.readBehindMs(now()) ?? 0),
+            own,
+            peer: answer.source,
+            requestId,
+            route: answer.route?.name,
+            version: answer.version,
+        });
+        return answer;
+    }
+
+    /** Daemons whose versions may decide: the newest first, then the nearest, at random among equals. */
+    #listSources(now: number): readonly string[] {
+        const { lag, listReachable, random } = this.#options;
+        return listReachable()
+            .filter(({ id }) => lag.canDecide(id, now))
+            .map(({ distance, id }) => ({ distance, id, order: random(), version: lag.getPeerVersion(id) ?? 0 }))
+            .sort((left, right) =>
+                right.version - left.version || left.distance - right.distance || left.order - right.order
+            )
+            .map(({ id }) => id);
+    }
+
+    #reportOutdated(version: number): void {
+        if (this.#reportedVersion !== version) {
+            this.#reportedVersion = version;
+            const { lag, log, now } = this.#options;
+            log.warn(`version ${version} is outdated; other daemons are asked for the routes of requests.`, {
+                behindMs: Math.round(lag.readBehindMs(now()) ?? 0),
+                newestKnown: lag.newestKnown,
+                version,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -0,0 +1,194 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { VersionLag } from "../../../../coordination/distribution/index.js";
+import { Distance } from "../../../../coordination/placement/index.js";
+import type { GossipMessage } from "../../../../protocol/session/index.js";
+import { RequestKind } from "../../../../state/traffic/index.js";
+import type { RoutePolicy, TrafficConfiguration } from "../../../../state/traffic/index.js";
+import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { RouteQueries, RouteResolver } from "../../index.js";
+import type { RouteDecision } from "../../index.js";
+
+/** Above the time for which a daemon's own version decides although a newer one is known. */
+const OUTDATED_MS = 1_000;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+function createRoute(service: string): RoutePolicy {
+    return {
+        kind: RequestKind.Idempotent,
+        maximumServers: 2,
+        name: "r-stock",
+        pathPrefix: "/stock/",
+        priority: 1,
+        targetLatencyMs: 500,
+        targets: [{ service, weight: 1 }],
+        timeoutMs: 1_000,
+    };
+}
+
+/** A version whose only route leads to `service`; without one, it has no route. */
+function createConfiguration(version: number, service?: string): TrafficConfiguration {
+    return {
+        limits: { bodyBytes: 1, headerBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+        revision: version * 10,
+        routesByHost: new Map([["mesh.example", service === undefined ? [] : [createRoute(service)]]]),
+        services: new Map(),
+        version,
+    };
+}
+
+interface TestResolver {
+    readonly lag: VersionLag;
+    readonly asked: string[];
+    resolve(path?: string): Promise<string>;
+    setOwn(configuration: TrafficConfiguration): void;
+    advance(ms: number): Promise<void>;
+}
+
+/** A daemon beside others, by their ids; one without a version doesn't answer. */
+function createResolver(
+    ownConfiguration: TrafficConfiguration,
+    peers: Readonly<Record<string, TrafficConfiguration | undefined>>,
+): TestResolver {
+    let own = ownConfiguration;
+    let now = 0;
+    const lag = new VersionLag();
+    lag.recordOwn(own.version);
+    const asked: string[] = [];
+    const answering = new Map(
+        Object.entries(peers).map(([id, configuration]) => [
+            id,
+            new RouteQueries({
+                onUnanswered: () => undefined,
+                readConfiguration: () => configuration,
+                send: (_id, message) => void Promise.resolve().then(() => handleAnswer(id, message)),
+            }),
+        ]),
+    );
+    const queries = new RouteQueries({
+        onUnanswered: id => lag.recordUnanswered(id, now),
+        readConfiguration: () => own,
+        send: (id, message) => {
+            asked.push(id);
+            if (message.kind === "routeQuery") {
+                answering.get(id)?.answerQuery("self", message);
+            }
+        },
+    });
+    function handleAnswer(id: string, message: GossipMessage): void {
+        if (message.kind === "routeAnswer") {
+            queries.handleAnswer(id, message);
+        }
+    }
+    const resolver = new RouteResolver({
+        lag,
+        listReachable: () => Object.keys(peers).map(id => ({ distance: Distance.SameDomain, id })),
+        log: createSilentLogger(),
+        now: () => now,
+        queries,
+        random: () => 0.5,
+        readConfiguration: () => own,
+    });
+    return {
+        advance: async ms => {
+            now += ms;
+            await vi.advanceTimersByTimeAsync(ms);
+        },
+        asked,
+        lag,
+        resolve: async (path = "/stock/1") => describeDecision(await resolver.resolveRoute("r", "mesh.example", path)),
+        setOwn: configuration => {
+            own = configuration;
+            lag.recordOwn(configuration.version);
+        },
+    };
+}
+
+function describeDecision(decision: RouteDecision | undefined): string {
+    return decision === undefined
+        ? "none"
+        : `${decision.version}: ${decision.route?.targets.map(({ service }) => service).join() ?? "no route"}`;
+}
+
+/** Guards against requests that follow a replaced version, or wait for an answer that doesn't come. */
+describe("the route of a request", () => {
+    it("is found without asking anybody while the own version is the newest known, also when there is none", async () => {
+        const { asked, resolve } = createResolver(createConfiguration(4, "ledger"), { a: createConfiguration(4) });
+        expect([await resolve(), await resolve("/none/")]).toEqual(["4: ledger", "4: no route"]);
+        expect(asked).toEqual([]);
+    });
+
+    it("comes from the newest version that another daemon has once the own one is outdated", async () => {
+        const { advance, asked, lag, resolve } = createResolver(createConfiguration(4, "ledger"), {
+            a: createConfiguration(5, "status-desk"),
+            b: createConfiguration(6, "workroom"),
+            c: createConfiguration(4, "ledger"),
+        });
+        lag.recordPeer("a", 5, 0);
+        lag.recordPeer("b", 6, 0);
+        lag.recordPeer("c", 4, 0);
+        await advance(OUTDATED_MS);
+        expect(await resolve()).toBe("6: workroom");
+        expect(asked).toEqual(["b"]);
+    });
+
+    it("is never missing by a version that is known to be replaced", async () => {
+        const { lag, resolve } = createResolver(createConfiguration(4), { a: createConfiguration(5, "workroom") });
+        lag.recordPeer("a", 5, 0);
+        expect(await resolve()).toBe("5: workroom");
+    });
+
+    it("is asked of a second daemon when the first one is silent", async () => {
+        const { advance, asked, lag, resolve } = createResolver(createConfiguration(4, "ledger"), {
+            a: undefined,
+            b: createConfiguration(5, "workroom"),
+        });
+        lag.recordPeer("a", 5, 0);
+        lag.recordPeer("b", 5, 0);
+        await advance(OUTDATED_MS);
+        const found = resolve();
+        await advance(100);
+        expect(await found).toBe("5: workroom");
+        expect(asked).toEqual(["a", "b"]);
+    });
+
+    it("is unknown, and soon, when nobody answers; then the own version decides until one may answer again", async () => {
+        const { advance, lag, resolve } = createResolver(createConfiguration(4, "ledger"), { a: undefined });
+        lag.recordPeer("a", 5, 0);
+        await advance(OUTDATED_MS);
+        for (let count = 0; count < 3; count++) {
+            const found = resolve();
+            await advance(300);
+            expect(await found).toBe("none");
+        }
+        expect(await resolve()).toBe("4: ledger");
+    });
+
+    it("never comes from an older version than that of an earlier request, although the newer one is lost", async () => {
+        const peers: Record<string, TrafficConfiguration | undefined> = { a: createConfiguration(6, "workroom") };
+        const { advance, lag, resolve } = createResolver(createConfiguration(4, "ledger"), peers);
+        lag.recordPeer("a", 6, 0);
+        await advance(OUTDATED_MS);
+        expect(await resolve()).toBe("6: workroom");
+        lag.removePeer("a");
+        expect(await resolve()).toBe("none");
+        lag.recordPeer("a", 5, OUTDATED_MS);
+        expect(await resolve()).toBe("none");
+    });
+
+    it("follows the copy of the newer version that arrives while another daemon is asked", async () => {
+        const { advance, lag, resolve, setOwn } = createResolver(createConfiguration(4, "ledger"), { a: undefined });
+        lag.recordPeer("a", 5, 0);
+        await advance(OUTDATED_MS);
+        const found = resolve();
+        setOwn(createConfiguration(5, "workroom"));
+        await advance(300);
+        expect(await found).toBe("5: workroom");
+    });
+});
--- /dev/null
+++ b/src/transport/routes/index.ts
@@ -0,0 +1,4 @@
+export { RouteQueries } from "./RouteQueries.js";
+export type { RouteAnswer, RouteQueriesOptions } from "./RouteQueries.js";
+export { RouteResolver } from "./RouteResolver.js";
+export type { RouteDecision, RouteResolverOptions, RouteSource } from "./RouteResolver.js";
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -109,6 +109,9 @@
                 this.#acknowledge(message.received);
                 return;
             case "request":
+                if (message.version !== undefined) {
+                    this.#dependencies.onVersion(this.peerId, message.version);
+                }
                 this.#submit(message);
                 return;
             case "proceed":
@@ -226,7 +229,8 @@
             stream.isEnded = true;
             this.#streams.delete(id);
         };
-        const { readLoad, uplink } = this.#dependencies;
+        const { readLoad, readVersion, uplink } = this.#dependencies;
+        const readOwnerFields = (load = readLoad()) => ({ load, version: readVersion() });
         const isWanted = (): boolean => !stream.isEnded;
         const pauseIfWaiting = (): void => {
             if (!stream.isEnded && (stream.waitingParts > 0 || !this.#channel.isWritable)) {
@@ -244,21 +248,21 @@
             pauseIfWaiting();
         };
         return {
-            onAnswer: (head, body, load = readLoad()) =>
+            onAnswer: (head, body, load) =>
                 uplink.sendAnswer(
                     body.length,
-                    () => end({ ...head, body, kind: "answer", load, stream: id }),
+                    () => end({ ...head, ...readOwnerFields(load), body, kind: "answer", stream: id }),
                     isWanted,
                 ),
-            onAnswerAborted: (detail, load = readLoad()) =>
-                sendPart(0, () => end({ detail, kind: "answerCut", load, stream: id })),
+            onAnswerAborted: (detail, load) =>
+                sendPart(0, () => end({ ...readOwnerFields(load), detail, kind: "answerCut", stream: id })),
             onData: body => sendPart(body.length, () => send({ body, kind: "answerData", stream: id })),
-            onDeclined: (detail, load = readLoad()) => end({ detail, kind: "declined", load, stream: id }),
-            onEnd: (load = readLoad()) => sendPart(0, () => end({ kind: "answerEnd", load, stream: id })),
+            onDeclined: (detail, load) => end({ ...readOwnerFields(load), detail, kind: "declined", stream: id }),
+            onEnd: load => sendPart(0, () => end({ ...readOwnerFields(load), kind: "answerEnd", stream: id })),
             onHead: head => send({ ...head, kind: "answerHead", stream: id }),
             onOffer: () => send({ kind: "offer", stream: id }),
-            onRefused: (refusal, load = readLoad()) => end({ ...refusal, kind: "refused", load, stream: id }),
-            onOutcomeUnknown: (detail, load = readLoad()) => end({ detail, kind: "unknown", load, stream: id }),
+            onRefused: (refusal, load) => end({ ...refusal, ...readOwnerFields(load), kind: "refused", stream: id }),
+            onOutcomeUnknown: (detail, load) => end({ ...readOwnerFields(load), detail, kind: "unknown", stream: id }),
         };
     }
 }
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -135,7 +135,7 @@
             submittedAt: this.#options.now(),
         };
         this.#pending.set(stream, pending);
-        this.#channel.send({ kind: "request", request, stream });
+        this.#channel.send({ kind: "request", request, stream, version: this.#options.readVersion() });
         this.#pingIfSilent(pending.submittedAt);
         return {
             cancel: () => {
@@ -332,6 +332,9 @@
         if ("load" in message) {
             this.#recordLoad(message.load);
         }
+        if ("stream" in message && "version" in message && message.version !== undefined) {
+            this.#options.onVersion(this.#member.id, message.version);
+        }
         switch (message.kind) {
             case "pong":
                 this.#acknowledge(message.received);
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -38,6 +38,10 @@
     /** Called with the member records of another daemon. */
     onMembers(members: readonly Member[]): void;
     onStatus(status: PeerStatus): void;
+    /** Version in force; undefined when there is none. */
+    readVersion(): number | undefined;
+    /** Called with the version in force at another daemon, which comes with its requests and answers. */
+    onVersion(id: string, version: number): void;
     /** Called with a message that concerns neither a request nor the session. */
     onGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void;
     /** Called when a connection to another daemon is usable, of either side. */
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -49,6 +49,8 @@
             random: () => 0.5,
             readStatus: () => ({ membersDigest: 0, version: undefined, watches: [] }),
             onServerIdentity: () => undefined,
+            onVersion: () => undefined,
+            readVersion: () => undefined,
             readLoad: () => LOAD,
             readServerIdentity: () => undefined,
             readSelf: () => createMember("owner", 2),
@@ -64,7 +66,12 @@
             },
         });
         const [first, second] = [createConnection(), createConnection()];
-        const request: SessionMessage = { kind: "request", request: createOwnedRequest("a"), stream: 1 };
+        const request: SessionMessage = {
+            kind: "request",
+            request: createOwnedRequest("a"),
+            stream: 1,
+            version: undefined,
+        };
         session.attach(first, createHello(0), false);
         session.attach(second, createHello(0), true);
         session.handle(first, request, 10);
--- /dev/null
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -0,0 +1,80 @@
+/** Values of a daemon's parts that its metrics show. */
+import type { VersionLag } from "../../coordination/distribution/index.js";
+import type { ConfigurationManager, MemberRegistry } from "../directory/index.js";
+import type { AdmissionController } from "../ownership/index.js";
+import type { QuarantineManager } from "../quarantine/index.js";
+import type { RouteQueries, RouteResolver } from "../routes/index.js";
+import type { SessionManager } from "../sessions/index.js";
+import type { UplinkSender } from "../uplink/index.js";
+import type { DelayMonitor } from "./DelayMonitor.js";
+import type { Gauge } from "./MetricsText.js";
+import type { SessionSelector } from "./SessionSelector.js";
+
+export interface GaugeSources {
+    readonly admission: AdmissionController;
+    readonly configurationManager: ConfigurationManager;
+    readonly delays: DelayMonitor;
+    readonly lag: VersionLag;
+    readonly memberRegistry: MemberRegistry;
+    readonly now: () => number;
+    readonly quarantine: QuarantineManager;
+    readonly routeQueries: RouteQueries;
+    readonly routeResolver: RouteResolver;
+    readonly sessionSelector: SessionSelector;
+    readonly sessions: SessionManager;
+    readonly uplink: UplinkSender;
+    countReachable(): number;
+    readDroppedLines(): number;
+}
+
+const MS_PER_SECOND = 1_000;
+
+export function listGauges(sources: GaugeSources): readonly Gauge[] {
+    return [...listServerGauges(sources), ...listConfigurationGauges(sources), ...listMeshGauges(sources)];
+}
+
+function listServerGauges({ admission, quarantine }: GaugeSources): readonly Gauge[] {
+    const load = () => admission.readLoad();
+    return [
+        { name: "server_running", read: () => load().running },
+        { name: "server_queued", read: () => load().queued },
+        { name: "server_open", read: () => Number(load().isOpen) },
+        { name: "server_link_wait_seconds", read: () => (load().link?.waitMs ?? 0) / MS_PER_SECOND },
+        { name: "server_limit_per_second", read: () => load().limitPerSecond ?? Infinity },
+        { name: "quarantined_requests", read: () => quarantine.listQuarantines().length },
+        { name: "crash_suspects", read: () => quarantine.suspectCount },
+    ];
+}
+
+function listConfigurationGauges(
+    { configurationManager, lag, now, routeQueries, routeResolver }: GaugeSources,
+): readonly Gauge[] {
+    const { copies } = configurationManager;
+    return [
+        { name: "configuration_version", read: () => lag.own ?? NaN },
+        { name: "configuration_newest_known_version", read: () => lag.newestKnown ?? NaN },
+        { name: "configuration_behind_seconds", read: () => (lag.readBehindMs(now()) ?? 0) / MS_PER_SECOND },
+        { name: "configuration_revision", read: () => configurationManager.text?.revision ?? 0 },
+        { name: "configuration_copies_sent_total", read: () => copies.sentCopies.count },
+        { name: "configuration_copy_bytes_sent_total", read: () => copies.sentCopies.bytes },
+        { name: "configuration_requests_ignored_total", read: () => copies.ignoredRequests },
+        { name: "route_queries_sent_total", read: () => routeQueries.sentQueries },
+        { name: "requests_without_current_route_total", read: () => routeResolver.unresolvedRequests },
+    ];
+}
+
+function listMeshGauges(
+    { countReachable, delays, memberRegistry, readDroppedLines, sessionSelector, sessions, uplink }: GaugeSources,
+): readonly Gauge[] {
+    return [
+        { name: "longest_round_trip_seconds", read: () => delays.takeLongestRoundTrip() / MS_PER_SECOND },
+        { name: "longest_timer_delay_seconds", read: () => delays.takeLongestDelay() / MS_PER_SECOND },
+        { name: "members", read: () => memberRegistry.list().length },
+        { name: "members_connected", read: countReachable },
+        { name: "sessions_open", read: () => [...sessions.listOwnerSessions()].length },
+        { name: "session_buffered_bytes", read: () => sessions.countBufferedBytes() },
+        { name: "uplink_waiting_bytes", read: () => uplink.waitingBytes },
+        { name: "neighbours", read: () => sessionSelector.neighbours.size },
+        { name: "log_lines_dropped_total", read: readDroppedLines },
+    ];
+}
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,8 +1,10 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
-import { SharedRetryBudget } from "../../coordination/retries/index.js";
+import { VersionLag } from "../../coordination/distribution/index.js";
+import { isRouteCurrent } from "../../coordination/routing/index.js";
 import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
 import { MemberState } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
@@ -13,17 +15,21 @@
 import type { CreatePartLogger, PartLogger } from "../logging/index.js";
 import { combineRecorders, createRequestMetrics } from "../metrics/index.js";
 import { AdmissionController, checkHealth } from "../ownership/index.js";
+import type { OwnedRequest, OwnerRefusal } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { QuarantineArchive, QuarantineManager } from "../quarantine/index.js";
+import { RouteQueries, RouteResolver } from "../routes/index.js";
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { UplinkSender } from "../uplink/index.js";
+import { listGauges } from "./DaemonGauges.js";
 import { DelayMonitor } from "./DelayMonitor.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { renderMetrics } from "./MetricsText.js";
 import { answerOperator } from "./OperatorEndpoint.js";
+import { RetryBudgets } from "./RetryBudgets.js";
 import { SessionSelector } from "./SessionSelector.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 
@@ -34,7 +40,6 @@
 const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
 /** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
 const SESSION_UPDATE_INTERVAL_MS = 250;
-const MS_PER_SECOND = 1_000;
 /** Bytes a millisecond in one Mbit/s. */
 const BYTES_PER_MS_AND_MEGABIT = 125;
 /** Number of services up to which sessions are opened before the first request. */
@@ -109,7 +114,10 @@
     readonly #uplink: UplinkSender;
     readonly #delays: DelayMonitor;
     readonly #metrics = createRequestMetrics();
-    readonly #retryBudgets = new Map<string, SharedRetryBudget>();
+    readonly #retryBudgets: RetryBudgets;
+    readonly #lag = new VersionLag();
+    readonly #routeQueries: RouteQueries;
+    readonly #routeResolver: RouteResolver;
     readonly #endpoints: Server[] = [];
     #isStopping = false;
     #isolatedSince: number | undefined;
@@ -158,7 +166,7 @@
                 readHealthPath: service => this.#configurationManager.configuration?.services.get(service)?.healthPath,
             },
             dialect: dependencies.dialect,
-            findRestriction: request => this.#quarantine.findRestriction(request),
+            findRestriction: request => this.#findOutdated(request) ?? this.#quarantine.findRestriction(request),
             findTrial: request => {
                 const suspicion = this.#quarantine.findSuspicion(request);
                 return suspicion?.isOnTrial === true ? suspicion.fingerprint : undefined;
@@ -180,6 +188,7 @@
             log: createPartLogger("members"),
             onMemberLeft: member => this.#serverDirectory.removeMember(member),
             onMemberRemoved: member => {
+                this.#lag.removePeer(member.id);
                 this.#sessions.disconnect(member.id, "the daemon is gone");
                 this.#serverDirectory.removeMember(member);
             },
@@ -198,6 +207,7 @@
                 this.#configurationManager.recordStatus(status);
                 this.#memberGossip.compareDigest(status.id, status.membersDigest);
             },
+            onVersion: (id, version) => this.#configurationManager.recordVersion(id, version),
             onConnected: id => this.#quarantine.sendAll(id),
             onGossip: (id, message) => this.#handleGossip(id, message),
             onLoad: (id, load) => this.#serverDirectory.recordLoad(id, load),
@@ -213,6 +223,7 @@
             },
             random,
             readStatus: () => this.#readStatus(),
+            readVersion: () => this.#lag.own,
             readLoad: () => this.#admission.readLoad(),
             readServerIdentity: () => this.#admission.readServerIdentity(),
             readSelf: () => this.#memberRegistry.self,
@@ -247,7 +258,9 @@
             self,
         });
         this.#configurationManager = new ConfigurationManager({
+            countDaemons: () => this.#memberRegistry.list().length,
             decode: dependencies.decodeConfiguration,
+            lag: this.#lag,
             listReachable: () => this.#listReachable(),
             log: createPartLogger("configuration"),
             now,
@@ -269,6 +282,27 @@
             selfId: settings.id,
             store: dependencies.store,
         });
+        this.#routeQueries = new RouteQueries({
+            onUnanswered: id => this.#lag.recordUnanswered(id, now()),
+            readConfiguration: () => this.#configurationManager.configuration,
+            send: (id, message) => this.#sessions.sendGossip(id, message),
+        });
+        this.#routeResolver = new RouteResolver({
+            lag: this.#lag,
+            listReachable: () => this.#listReachable(),
+            log: createPartLogger("configuration"),
+            now,
+            queries: this.#routeQueries,
+            random,
+            readConfiguration: () => this.#configurationManager.configuration,
+        });
+        this.#retryBudgets = new RetryBudgets({
+            countDaemons: () => this.#memberRegistry.isRegistered ? this.#memberRegistry.list().length : undefined,
+            now,
+            onExhausted: service =>
+                this.#metrics.count({ class: undefined, kind: "refused", reason: "repeat-budget", service }),
+            readSettings: () => this.#settings,
+        });
         this.#callerListener = new CallerListener({
             dialect: dependencies.dialect,
             directory: this.#serverDirectory,
@@ -284,13 +318,15 @@
             recordRequest: (service, isNested) => {
                 this.#usedServices.add(service);
                 if (!isNested) {
-                    this.#getRetryBudget(service).recordRequest(this.#settings.retryWindowMs, now());
+                    this.#retryBudgets.recordRequest(service);
                 }
             },
-            recordRetry: service => this.#getRetryBudget(service).recordRetry(this.#settings.retryWindowMs, now()),
+            recordOutdated: version => this.#lag.requireVersion(version + 1, now()),
+            recordRetry: service => this.#retryBudgets.recordRetry(service),
             selfId: settings.id,
             recordRelayedAnswer: bytes => this.#admission.recordLinkUse(bytes),
-            takeRetry: service => this.#takeRetry(service),
+            resolveRoute: (requestId, host, path) => this.#routeResolver.resolveRoute(requestId, host, path),
+            takeRetry: service => this.#retryBudgets.takeRetry(service),
             uplink: this.#uplink,
             widen: service => this.#sessionSelector.widen(service),
         });
@@ -428,16 +464,33 @@
             case "crashes":
                 this.#quarantine.handle(id, message);
                 return;
+            case "routeAnswer":
+                this.#routeQueries.handleAnswer(id, message);
+                return;
+            case "routeQuery":
+                this.#routeQueries.answerQuery(id, message);
+                return;
             default:
                 this.#memberGossip.handle(id, message);
         }
     }
 
-    /** Services for which sessions are kept: all while they are few, or those of the callers' requests. */
+    /** Returns why a request that an older version has led to the own server must not run there; undefined for others. */
+    #findOutdated(request: OwnedRequest): OwnerRefusal | undefined {
+        const configuration = this.#configurationManager.configuration;
+        return configuration === undefined || isRouteCurrent(request, configuration) ? undefined : {
+            detail: `version ${configuration.version} doesn't lead the request to ${request.service}, `
+                + `as version ${request.version} does`,
+            reason: RefusalReason.Outdated,
+            retryAfterMs: 0,
+        };
+    }
+
+    /** Services for which sessions are kept: those of the callers' requests, and all while they are few. */
     #listServices(): Iterable<string> {
         const services = this.#configurationManager.configuration?.services;
         return services !== undefined && services.size <= MAXIMUM_PREPARED_SERVICES
-            ? services.keys()
+            ? new Set([...services.keys(), ...this.#usedServices])
             : this.#usedServices;
     }
 
@@ -484,61 +537,26 @@
         return this.#isolatedSince === undefined || now - this.#isolatedSince < ISOLATION_TIMEOUT_MS;
     }
 
-    #getRetryBudget(service: string): SharedRetryBudget {
-        let budget = this.#retryBudgets.get(service);
-        if (budget === undefined) {
-            budget = new SharedRetryBudget();
-            this.#retryBudgets.set(service, budget);
-        }
-        return budget;
-    }
-
-    #takeRetry(service: string): boolean {
-        const { retryRatio, retrySlack, retryWindowMs } = this.#settings;
-        const isTaken = this.#getRetryBudget(service).takeRetry({
-            daemons: this.#memberRegistry.list().length,
-            ratio: retryRatio,
-            // Without the records of the others, this daemon can't know its part of the slack.
-            slack: this.#memberRegistry.isRegistered ? retrySlack : 0,
-            windowMs: retryWindowMs,
-        }, this.#dependencies.now());
-        if (!isTaken) {
-            this.#metrics.count({ class: undefined, kind: "refused", reason: "repeat-budget", service });
-        }
-        return isTaken;
-    }
-
     #renderMetrics(): string {
-        const load = () => this.#admission.readLoad();
-        return renderMetrics(this.#metrics, [
-            { name: "server_running", read: () => load().running },
-            { name: "server_queued", read: () => load().queued },
-            { name: "server_open", read: () => Number(load().isOpen) },
-            { name: "server_link_wait_seconds", read: () => (load().link?.waitMs ?? 0) / MS_PER_SECOND },
-            { name: "server_limit_per_second", read: () => load().limitPerSecond ?? Infinity },
-            { name: "configuration_version", read: () => this.#configurationManager.configuration?.version ?? NaN },
-            { name: "configuration_revision", read: () => this.#configurationManager.text?.revision ?? 0 },
-            {
-                name: "configuration_copies_sent_total",
-                read: () => this.#configurationManager.sentCopies.count,
-            },
-            {
-                name: "configuration_copy_bytes_sent_total",
-                read: () => this.#configurationManager.sentCopies.bytes,
-            },
-            { name: "configuration_requests_ignored_total", read: () => this.#configurationManager.ignoredRequests },
-            { name: "longest_round_trip_seconds", read: () => this.#delays.takeLongestRoundTrip() / MS_PER_SECOND },
-            { name: "longest_timer_delay_seconds", read: () => this.#delays.takeLongestDelay() / MS_PER_SECOND },
-            { name: "quarantined_requests", read: () => this.#quarantine.listQuarantines().length },
-            { name: "crash_suspects", read: () => this.#quarantine.suspectCount },
-            { name: "members", read: () => this.#memberRegistry.list().length },
-            { name: "members_connected", read: () => this.#listReachable().length },
-            { name: "sessions_open", read: () => [...this.#sessions.listOwnerSessions()].length },
-            { name: "session_buffered_bytes", read: () => this.#sessions.countBufferedBytes() },
-            { name: "uplink_waiting_bytes", read: () => this.#uplink.waitingBytes },
-            { name: "neighbours", read: () => this.#sessionSelector.neighbours.size },
-            { name: "log_lines_dropped_total", read: this.#dependencies.readDroppedLines },
-        ]);
+        return renderMetrics(
+            this.#metrics,
+            listGauges({
+                admission: this.#admission,
+                configurationManager: this.#configurationManager,
+                countReachable: () => this.#listReachable().length,
+                delays: this.#delays,
+                lag: this.#lag,
+                memberRegistry: this.#memberRegistry,
+                now: this.#dependencies.now,
+                quarantine: this.#quarantine,
+                readDroppedLines: this.#dependencies.readDroppedLines,
+                routeQueries: this.#routeQueries,
+                routeResolver: this.#routeResolver,
+                sessionSelector: this.#sessionSelector,
+                sessions: this.#sessions,
+                uplink: this.#uplink,
+            }),
+        );
     }
 }
 
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -2,21 +2,16 @@
 import { createServer, STATUS_CODES } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { RouteStatistics } from "../../coordination/placement/index.js";
-import { WeightedRoundRobin } from "../../coordination/routing/index.js";
-import { copyRequestHeaders, isValidHeaderList, Outcome } from "../../protocol/request/index.js";
-import { findRoute } from "../../state/traffic/index.js";
+import { isValidHeaderList } from "../../protocol/request/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
-import type { PartLogger } from "../logging/index.js";
-import type { OwnedRequest } from "../ownership/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 import { CallerExchange } from "./CallerExchange.js";
-import { ForwardedRequest } from "./ForwardedRequest.js";
-import type { ForwardingContext } from "./ForwardedRequest.js";
+import { answerClientError, answerUnavailable } from "./DaemonAnswers.js";
 import { BodyReadFault, RequestBodyReader } from "./RequestBodyReader.js";
 import type { BodyReadResult } from "./RequestBodyReader.js";
+import { RequestRouter } from "./RequestRouter.js";
+import type { RequestRouterOptions, RoutableRequest } from "./RequestRouter.js";
 import {
-    DEFAULT_RETRY_AFTER_MS,
     DRAIN_ACCEPT_MS,
     DRAIN_CHECK_INTERVAL_MS,
     DRAIN_IDLE_MS,
@@ -27,28 +22,15 @@
     PARSER_HEADER_LIMIT_BYTES,
 } from "./TrafficConstants.js";
 
-export interface CallerListenerOptions extends ForwardingContext {
-    readonly log: PartLogger;
+export interface CallerListenerOptions extends RequestRouterOptions {
     /** Sends large answers at the rate that the link allows. */
     readonly uplink: UplinkSender;
-    /** Service that runs on this VM. */
-    readonly readCallerService: () => string;
-    /** Finds a request that the own backend server is running. */
-    readonly findRunning: (requestId: string) => OwnedRequest | undefined;
     readonly readConfiguration: () => TrafficConfiguration | undefined;
-    /** Counts a request towards its service's retry budget; a call of a running request doesn't raise it. */
-    recordRequest(service: string, isNested: boolean): void;
-    /** Counts a call of a request that runs again, which is a retry for the service that is called. */
-    recordRetry(service: string): void;
 }
 
-/** Headers that delimit a body; dropped, because the body is forwarded with its own length. */
-const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
 const BAD_REQUEST_STATUS = 400;
-const NOT_FOUND_STATUS = 404;
 const TOO_LARGE_STATUS = 413;
 const HEADERS_TOO_LARGE_STATUS = 431;
-const UNAVAILABLE_STATUS = 503;
 /** How Node.js marks errors of its parser. */
 const PARSE_ERROR_PREFIX = "HPE_";
 const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
@@ -59,8 +41,7 @@
     readonly #options: CallerListenerOptions;
     readonly #server: Server;
     readonly #bodyReader = new RequestBodyReader();
-    readonly #roundRobin = new WeightedRoundRobin();
-    readonly #statisticsByRoute = new Map<string, RouteStatistics>();
+    readonly #router: RequestRouter;
     /** Connections with a request whose answer is not complete; a refusal of later bytes would mix with it. */
     readonly #busySockets = new WeakSet<Socket>();
     #openRequests = 0;
@@ -71,6 +52,7 @@
 
     constructor(options: CallerListenerOptions) {
         this.#options = options;
+        this.#router = new RequestRouter(options);
         this.#server = createServer({
             headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
             keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
@@ -126,17 +108,12 @@
         });
     }
 
-    /** Applies the limits of a new version and drops the statistics of removed routes. */
-    applyConfiguration({ limits, routesByHost }: TrafficConfiguration): void {
+    /** Applies the limits and routes of a new version. */
+    applyConfiguration(configuration: TrafficConfiguration): void {
+        const { limits } = configuration;
         this.#server.headersTimeout = limits.headerTimeoutMs;
         this.#server.keepAliveTimeout = limits.idleTimeoutMs;
-        this.#roundRobin.reset();
-        const names = new Set([...routesByHost.values()].flat().map(route => route.name));
-        for (const name of this.#statisticsByRoute.keys()) {
-            if (!names.has(name)) {
-                this.#statisticsByRoute.delete(name);
-            }
-        }
+        this.#router.applyConfiguration(configuration);
     }
 
     /** Keeps serving until callers have gone elsewhere and all answers are sent, for at most `timeoutMs`. */
@@ -198,43 +175,30 @@
             return;
         }
         const target = request.url ?? "";
-        const queryAt = target.indexOf("?");
-        const path = queryAt < 0 ? target : target.slice(0, queryAt);
-        const route = findRoute(configuration, request.headers.host, path);
-        if (route === undefined) {
-            this.#reject(
-                exchange,
-                requestId,
-                NOT_FOUND_STATUS,
-                `version ${configuration.version} has no route for ${request.headers.host ?? "no host"} ${path}`,
-            );
+        const decision = await this.#router.decide(exchange, requestId, target);
+        if (decision === undefined) {
             return;
         }
-        if (this.#isRefusing(route, arrivedAt)) {
+        if (this.#isRefusing(decision.route, arrivedAt)) {
             this.#refuse(exchange, requestId, "this daemon is stopping");
             return;
         }
         const body = await this.#bodyReader.read(request, configuration.limits.bodyBytes);
         await waitForPendingReads();
-        if (body.kind === "body" && this.#isRefusing(route, this.#options.now())) {
+        if (body.kind === "body" && this.#isRefusing(decision.route, this.#options.now())) {
             this.#bodyReader.release(body.bytes);
             this.#refuse(exchange, requestId, "this daemon is stopping");
             return;
         }
-        this.#forward(exchange, { arrivedAt, body, requestId, revision: configuration.revision, route, target });
+        this.#forward(exchange, body, { arrivedAt, decision, requestId, target });
     }
 
     #forward(
         exchange: CallerExchange,
-        { arrivedAt, body, requestId, revision, route, target }: {
-            readonly arrivedAt: number;
-            readonly body: BodyReadResult;
-            readonly requestId: string;
-            readonly revision: number;
-            readonly route: RoutePolicy;
-            readonly target: string;
-        },
+        body: BodyReadResult,
+        request: Pick<RoutableRequest, "arrivedAt" | "decision" | "requestId" | "target">,
     ): void {
+        const { requestId } = request;
         switch (body.kind) {
             case BodyReadFault.CallerDisconnected:
                 return;
@@ -245,82 +209,19 @@
                 this.#refuse(exchange, requestId, "too many bodies are being read");
                 return;
         }
-        const service = this.#roundRobin.selectService(route);
-        if (exchange.hasCallerLeft) {
-            this.#options.log.info("request dropped: its caller has left.", { requestId });
-            this.#bodyReader.release(body.bytes);
-            return;
-        }
-        if (service === undefined) {
-            this.#refuse(exchange, requestId, `route ${route.name} has no service`);
-            this.#bodyReader.release(body.bytes);
-            return;
-        }
-        const { request } = exchange;
-        const callerHeaders = this.#options.dialect.parseCallerHeaders(request.headers);
-        const budgetMs = callerHeaders.timeLeftMs ?? route.timeoutMs;
-        const statistics = this.#getStatistics(route.name);
-        const spentMs = statistics.recordTimeBudget(budgetMs, arrivedAt);
-        const parent = callerHeaders.parentId === undefined
-            ? undefined
-            : this.#options.findRunning(callerHeaders.parentId);
-        this.#options.recordRequest(service, parent !== undefined);
-        if (parent?.isRetry === true) {
-            this.#options.recordRetry(service);
-        }
-        const plan = {
-            arrivedAt,
+        this.#router.forward(exchange, {
+            ...request,
             body: body.bytes,
-            callerDeadlineAt: arrivedAt + budgetMs,
-            callerService: this.#options.readCallerService(),
-            deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),
-            headers: this.#copyHeaders(request),
-            isNested: parent !== undefined,
-            isRetry: parent?.isRetry === true,
-            method: request.method ?? "",
-            requestId,
-            revision,
-            route,
-            service,
-            statistics,
-            target,
-            targetAt: arrivedAt + route.targetLatencyMs - spentMs,
-        };
-        new ForwardedRequest(this.#options, plan, exchange, () => this.#bodyReader.release(body.bytes)).start();
-    }
-
-    #copyHeaders(request: IncomingMessage): string[] {
-        const copied = copyRequestHeaders(request.rawHeaders, request.headers.connection);
-        const kept: string[] = [];
-        for (let index = 0; index + 1 < copied.length; index += 2) {
-            const name = copied[index] as string;
-            if (!FRAMING_HEADERS.has(name) && !this.#options.dialect.isSystemHeader(name)) {
-                kept.push(name, copied[index + 1] as string);
-            }
-        }
-        return kept;
-    }
-
-    #getStatistics(route: string): RouteStatistics {
-        let statistics = this.#statisticsByRoute.get(route);
-        if (statistics === undefined) {
-            statistics = new RouteStatistics();
-            this.#statisticsByRoute.set(route, statistics);
-        }
-        return statistics;
+            release: () => this.#bodyReader.release(body.bytes),
+        });
     }
 
-    /** Answers 503: the request was not run and may be sent again. */
     #refuse(exchange: CallerExchange, requestId: string | undefined, detail: string): void {
-        this.#options.log.info(`request refused: ${detail}.`, { requestId });
-        const headers = this.#options.dialect.buildRetryAfterHeaders(DEFAULT_RETRY_AFTER_MS);
-        exchange.sendDaemonAnswer(UNAVAILABLE_STATUS, Outcome.NotRun, detail, headers);
+        answerUnavailable(this.#options, exchange, requestId, detail);
     }
 
-    /** Answers with a client error: the request can't be served and should not be sent again. */
     #reject(exchange: CallerExchange, requestId: string | undefined, status: number, detail: string): void {
-        this.#options.log.info(`request rejected with ${status}: ${detail}.`, { requestId });
-        exchange.sendDaemonAnswer(status, Outcome.NotRun, detail);
+        answerClientError(this.#options, exchange, requestId, status, detail);
     }
 }
 
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -2,73 +2,26 @@
  * Forwards one request of a caller: places it at an owner, retries it if it was certainly not run or
  * is repeatable, and answers the caller as soon as the outcome is known.
  */
-import type { RouteStatistics } from "../../coordination/placement/index.js";
 import { computeRetryAfter, selectPlacement } from "../../coordination/placement/index.js";
 import type { OwnerLoad, Placement, PlacementQuery } from "../../coordination/placement/index.js";
-import type { RequestRecorder } from "../../coordination/recording/index.js";
-import type { Dialect } from "../../protocol/dialect/index.js";
 import { getRefusalStatus, Outcome, RefusalReason } from "../../protocol/request/index.js";
-import type { FingerprintSource } from "../../protocol/request/index.js";
-import type { RoutePolicy } from "../../state/traffic/index.js";
 import { isRepeatable } from "../../state/traffic/index.js";
 import type { AnswerHead, OwnedRequest, OwnerRefusal, RequestHandle } from "../ownership/index.js";
 import type { Suspicion } from "../quarantine/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
+import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
 import { PlacementHistory } from "./PlacementHistory.js";
-import type { Owner, ServerDirectory } from "./ServerDirectory.js";
+import type { Owner } from "./ServerDirectory.js";
 import {
     DEADLINE_GRACE_MS,
     DEFAULT_RETRY_AFTER_MS,
     MAXIMUM_PLACEMENTS,
+    MAXIMUM_REROUTES,
     MINIMUM_HEDGE_DELAY_MS,
     MINIMUM_RETRY_TIME_MS,
 } from "./TrafficConstants.js";
 
-export interface ForwardingContext {
-    readonly dialect: Dialect;
-    readonly directory: ServerDirectory;
-    readonly selfId: string;
-    readonly recorder: RequestRecorder;
-    readonly now: () => number;
-    readonly random: () => number;
-    /** Takes one retry from the service's budget; false when the budget is exhausted. */
-    takeRetry(service: string): boolean;
-    /** Called with the size of an answer that came from another daemon. */
-    recordRelayedAnswer(bytes: number): void;
-    /** Returns why a request must not run, since it may crash servers; undefined for all others. */
-    findRestriction(request: FingerprintSource): OwnerRefusal | undefined;
-    /** Returns what is known of a request that was running when servers crashed; undefined for all others. */
-    findSuspicion(request: FingerprintSource): Suspicion | undefined;
-    /** Called when the known servers of a service can't serve a request in time. */
-    widen(service: string): void;
-}
-
-/** Destination and limits of one request. */
-export interface ForwardingPlan {
-    readonly route: RoutePolicy;
-    /** Revision of the configuration that contains the route. */
-    readonly revision: number;
-    readonly service: string;
-    readonly requestId: string;
-    readonly method: string;
-    readonly target: string;
-    readonly headers: readonly string[];
-    readonly body: Uint8Array;
-    readonly callerService: string;
-    readonly isNested: boolean;
-    /** Whether it is a call of a request that may run for a second time. */
-    readonly isRetry: boolean;
-    readonly arrivedAt: number;
-    /** Time until which an answer meets the target latency. */
-    readonly targetAt: number;
-    /** End of the route's timeout or the caller's deadline, whichever is first. */
-    readonly deadlineAt: number;
-    /** The caller's own deadline. */
-    readonly callerDeadlineAt: number;
-    readonly statistics: RouteStatistics;
-}
-
 interface Attempt {
     readonly owner: Owner;
     readonly sentAt: number;
@@ -231,6 +184,7 @@
             service,
             target,
             targetAt,
+            version,
         } = this.#plan;
         const request: OwnedRequest = {
             body,
@@ -247,6 +201,7 @@
             service,
             target,
             targetLeftMs: targetAt - now,
+            version,
         };
         this.#placementHistory.recordPlacement(owner, cause, latencyMs, now);
         this.#placementCount++;
@@ -362,10 +317,30 @@
             this.#applyRestriction(refusal);
             return;
         }
+        if (refusal.reason === RefusalReason.Outdated && this.#tryReroute()) {
+            return;
+        }
         this.#refusals.push(refusal);
         this.#retryOrComplete(refusal.detail, refusal.reason);
     }
 
+    /** Hands a request that has certainly not run over to be routed by a newer version; returns whether it did. */
+    #tryReroute(): boolean {
+        const mayHaveRun = this.#hasUnknownOutcome || this.#fallbackAnswer !== undefined;
+        if (this.#attempts.size > 0 || mayHaveRun || this.#plan.reroutes >= MAXIMUM_REROUTES) {
+            return false;
+        }
+        this.#isComplete = true;
+        this.#clearTimers();
+        this.#context.reroute(this.#plan, this.#exchange, this.#onComplete);
+        return true;
+    }
+
+    #clearTimers(): void {
+        clearTimeout(this.#deadlineTimer);
+        clearTimeout(this.#hedgeTimer);
+    }
+
     #beginStream(attempt: Attempt, head: AnswerHead): void {
         if (attempt.isEnded || this.#isComplete || this.#streamingAttempt !== undefined) {
             return;
@@ -608,8 +583,7 @@
             return;
         }
         this.#isComplete = true;
-        clearTimeout(this.#deadlineTimer);
-        clearTimeout(this.#hedgeTimer);
+        this.#clearTimers();
         for (const attempt of [...this.#attempts]) {
             this.#cancelAttempt(attempt);
         }
@@ -632,6 +606,7 @@
             server: owner?.id,
             service,
             status,
+            version: this.#plan.version,
         });
         this.#onComplete();
     }
--- /dev/null
+++ b/src/transport/traffic/RequestRouter.ts
@@ -0,0 +1,224 @@
+/** Decides to which service a request goes and by which limits, and forwards it; also again after a newer version. */
+import { RouteStatistics } from "../../coordination/placement/index.js";
+import { getPath, WeightedRoundRobin } from "../../coordination/routing/index.js";
+import { copyRequestHeaders } from "../../protocol/request/index.js";
+import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import type { PartLogger } from "../logging/index.js";
+import type { OwnedRequest } from "../ownership/index.js";
+import type { RouteDecision } from "../routes/index.js";
+import type { CallerExchange } from "./CallerExchange.js";
+import { answerClientError, answerUnavailable } from "./DaemonAnswers.js";
+import { ForwardedRequest } from "./ForwardedRequest.js";
+import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
+
+export interface RequestRouterOptions extends Omit<ForwardingContext, "reroute"> {
+    readonly log: PartLogger;
+    /** Service that runs on this VM. */
+    readonly readCallerService: () => string;
+    /** Finds a request that the own backend server is running. */
+    readonly findRunning: (requestId: string) => OwnedRequest | undefined;
+    /** Counts a request towards its service's retry budget; a call of a running request doesn't raise it. */
+    recordRequest(service: string, isNested: boolean): void;
+    /** Counts a call of a request that runs again, which is a retry for the service that is called. */
+    recordRetry(service: string): void;
+    /** Finds the route of a request; undefined when no version that may decide could be asked. */
+    resolveRoute(
+        requestId: string,
+        host: string | undefined,
+        path: string,
+    ): RouteDecision | undefined | Promise<RouteDecision | undefined>;
+    /** Called when the owner of a server has a newer version, by which a decision of `version` is outdated. */
+    recordOutdated(version: number): void;
+}
+
+/** A decision that names a route. */
+export interface FoundRoute extends RouteDecision {
+    readonly route: RoutePolicy;
+}
+
+/** A request that was read completely. */
+export interface RoutableRequest {
+    readonly arrivedAt: number;
+    readonly requestId: string;
+    /** Path and query. */
+    readonly target: string;
+    readonly decision: FoundRoute;
+    readonly body: Uint8Array;
+    /** Called once when the body is no longer needed. */
+    readonly release: () => void;
+}
+
+/** Headers that delimit a body; dropped, because the body is forwarded with its own length. */
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+const NOT_FOUND_STATUS = 404;
+
+export class RequestRouter {
+    readonly #options: RequestRouterOptions;
+    readonly #context: ForwardingContext;
+    readonly #roundRobin = new WeightedRoundRobin();
+    readonly #statisticsByRoute = new Map<string, RouteStatistics>();
+
+    constructor(options: RequestRouterOptions) {
+        this.#options = options;
+        this.#context = {
+            ...options,
+            reroute: (plan, exchange, onComplete) => {
+                void this.#reroute(plan, exchange, onComplete).catch((error: unknown) => {
+                    options.log.error("request could not be routed anew for an internal error.", {
+                        err: error,
+                        requestId: plan.requestId,
+                    });
+                    exchange.resetConnection();
+                    onComplete();
+                });
+            },
+        };
+    }
+
+    /** Drops the statistics of routes that a new version has removed. */
+    applyConfiguration({ routesByHost }: TrafficConfiguration): void {
+        this.#roundRobin.reset();
+        const names = new Set([...routesByHost.values()].flat().map(route => route.name));
+        for (const name of this.#statisticsByRoute.keys()) {
+            if (!names.has(name)) {
+                this.#statisticsByRoute.delete(name);
+            }
+        }
+    }
+
+    /** Finds the route of a request. Without one, answers the request and returns undefined. */
+    async decide(exchange: CallerExchange, requestId: string, target: string): Promise<FoundRoute | undefined> {
+        const { host } = exchange.request.headers;
+        const path = getPath(target);
+        const pending = this.#options.resolveRoute(requestId, host, path);
+        const decision = await pending;
+        if (pending instanceof Promise && exchange.hasCallerLeft) {
+            this.#options.log.info("request dropped: its caller has left.", { requestId });
+            return undefined;
+        }
+        if (decision === undefined) {
+            answerUnavailable(
+                this.#options,
+                exchange,
+                requestId,
+                "the version in force on this daemon is outdated, and no other daemon has told the route",
+            );
+            return undefined;
+        }
+        const { revision, route, version } = decision;
+        if (route === undefined) {
+            const detail = `version ${version} has no route for ${host ?? "no host"} ${path}`;
+            answerClientError(this.#options, exchange, requestId, NOT_FOUND_STATUS, detail);
+            return undefined;
+        }
+        return { revision, route, version };
+    }
+
+    /** Forwards a request to a service of its route, unless its caller has left. */
+    forward(exchange: CallerExchange, request: RoutableRequest): void {
+        const { arrivedAt, body, decision, release, requestId, target } = request;
+        const { route } = decision;
+        const service = this.#roundRobin.selectService(route);
+        if (exchange.hasCallerLeft) {
+            this.#options.log.info("request dropped: its caller has left.", { requestId });
+            release();
+            return;
+        }
+        if (service === undefined) {
+            answerUnavailable(this.#options, exchange, requestId, `route ${route.name} has no service`);
+            release();
+            return;
+        }
+        const callerHeaders = this.#options.dialect.parseCallerHeaders(exchange.request.headers);
+        const budgetMs = callerHeaders.timeLeftMs ?? route.timeoutMs;
+        const statistics = this.#getStatistics(route.name);
+        const spentMs = statistics.recordTimeBudget(budgetMs, arrivedAt);
+        const parent = callerHeaders.parentId === undefined
+            ? undefined
+            : this.#options.findRunning(callerHeaders.parentId);
+        this.#recordRequest(service, parent);
+        const plan = {
+            arrivedAt,
+            body,
+            callerDeadlineAt: arrivedAt + budgetMs,
+            callerService: this.#options.readCallerService(),
+            deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),
+            headers: this.#copyHeaders(exchange),
+            isNested: parent !== undefined,
+            isRetry: parent?.isRetry === true,
+            method: exchange.request.method ?? "",
+            requestId,
+            reroutes: 0,
+            revision: decision.revision,
+            route,
+            service,
+            statistics,
+            target,
+            targetAt: arrivedAt + route.targetLatencyMs - spentMs,
+            version: decision.version,
+        };
+        new ForwardedRequest(this.#context, plan, exchange, release).start();
+    }
+
+    /** Forwards a request anew, by the newer version that has led it away from the service of its plan. */
+    async #reroute(plan: ForwardingPlan, exchange: CallerExchange, onComplete: () => void): Promise<void> {
+        const { arrivedAt, callerDeadlineAt, requestId, target } = plan;
+        this.#options.recordOutdated(plan.version);
+        this.#options.log.info(`version ${plan.version} is outdated for a request, which is routed anew.`, {
+            requestId,
+            service: plan.service,
+            version: plan.version,
+        });
+        const decision = await this.decide(exchange, requestId, target);
+        const service = decision === undefined ? undefined : this.#roundRobin.selectService(decision.route);
+        if (decision === undefined || service === undefined) {
+            if (decision !== undefined) {
+                answerUnavailable(this.#options, exchange, requestId, `route ${decision.route.name} has no service`);
+            }
+            onComplete();
+            return;
+        }
+        const { revision, route, version } = decision;
+        this.#options.recordRequest(service, plan.isNested);
+        const next = {
+            ...plan,
+            deadlineAt: Math.min(callerDeadlineAt, arrivedAt + route.timeoutMs),
+            reroutes: plan.reroutes + 1,
+            revision,
+            route,
+            service,
+            statistics: this.#getStatistics(route.name),
+            targetAt: plan.targetAt + route.targetLatencyMs - plan.route.targetLatencyMs,
+            version,
+        };
+        new ForwardedRequest(this.#context, next, exchange, onComplete).start();
+    }
+
+    #recordRequest(service: string, parent: OwnedRequest | undefined): void {
+        this.#options.recordRequest(service, parent !== undefined);
+        if (parent?.isRetry === true) {
+            this.#options.recordRetry(service);
+        }
+    }
+
+    #copyHeaders({ request }: CallerExchange): string[] {
+        const copied = copyRequestHeaders(request.rawHeaders, request.headers.connection);
+        const kept: string[] = [];
+        for (let index = 0; index + 1 < copied.length; index += 2) {
+            const name = copied[index] as string;
+            if (!FRAMING_HEADERS.has(name) && !this.#options.dialect.isSystemHeader(name)) {
+                kept.push(name, copied[index + 1] as string);
+            }
+        }
+        return kept;
+    }
+
+    #getStatistics(route: string): RouteStatistics {
+        let statistics = this.#statisticsByRoute.get(route);
+        if (statistics === undefined) {
+            statistics = new RouteStatistics();
+            this.#statisticsByRoute.set(route, statistics);
+        }
+        return statistics;
+    }
+}
--- a/src/transport/traffic/TrafficConstants.ts
+++ b/src/transport/traffic/TrafficConstants.ts
@@ -2,6 +2,8 @@
 export const DEADLINE_GRACE_MS = 120;
 /** Highest number of owners at which one request is placed. */
 export const MAXIMUM_PLACEMENTS = 4;
+/** Highest number of times that newer versions lead one request to another service. */
+export const MAXIMUM_REROUTES = 3;
 /** A retry with less time left than this is not worth sending. */
 export const MINIMUM_RETRY_TIME_MS = 40;
 /** Shortest delay before a hedged request. */
