Spread the queries of late daemons, and route no request anew that has reached a server

While versions follow each other, all late daemons asked the few that had the newest one. A request that a server has declined kept its count of servers when it was routed anew: a route's limit of servers could be exceeded by one, so it is refused instead.

--- a/src/coordination/distribution/VersionLag.ts
+++ b/src/coordination/distribution/VersionLag.ts
@@ -107,18 +107,26 @@
         return (this.#own ?? -Infinity) < this.#required;
     }
 
-    /** Whether a decision by a version would go back behind an earlier one. */
-    isOlderThanRequired(version: number): boolean {
-        return version < this.#required;
-    }
-
-    /** Whether a daemon's version may decide in place of the own one. */
-    canDecide(id: string, now: number): boolean {
-        const peer = this.#peers.get(id);
-        return peer !== undefined
-            && this.isNewer(peer.version)
-            && peer.version >= this.#required
-            && (peer.unanswered < MAXIMUM_UNANSWERED_QUERIES || now - peer.lastUnansweredAt > DISTRUST_MS);
+    /**
+     * Lowest version of another daemon that may decide in place of the own one. Versions that became known just now are not
+     * waited for: few daemons have them, and all late ones would ask these few.
+     */
+    computeLowestSource(now: number): number {
+        const expected = [...this.#peers.values()]
+            .filter(({ knownAt }) => now - knownAt > OWN_DECISION_LIMIT_MS)
+            .map(({ version }) => version);
+        return Math.max(this.#required, (this.#own ?? -Infinity) + 1, ...expected);
+    }
+
+    /** Lists the daemons whose versions may decide in place of the own one. */
+    listSources<T extends { readonly id: string; }>(reachable: readonly T[], now: number): readonly T[] {
+        const lowest = this.computeLowestSource(now);
+        return reachable.filter(({ id }) => {
+            const peer = this.#peers.get(id);
+            return peer !== undefined
+                && peer.version >= lowest
+                && (peer.unanswered < MAXIMUM_UNANSWERED_QUERIES || now - peer.lastUnansweredAt > DISTRUST_MS);
+        });
     }
 
     /** Whether the own version may decide, if the daemons whose versions could decide instead are `sources`. */
--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -80,10 +80,11 @@
     ): Promise<RouteDecision | undefined> {
         const { lag, log, now, queries, readConfiguration } = this.#options;
         const own = readConfiguration()?.version;
+        const lowest = lag.computeLowestSource(now());
         const isUsable = ({ source, version }: RouteAnswer): boolean => {
             lag.recordAnswer(source);
             lag.recordPeer(source, version, now());
-            return !lag.isOlderThanRequired(version);
+            return version >= lowest;
         };
         const answer = await queries.fetchRoute(host, path, sources, isUsable);
         const configuration = readConfiguration();
@@ -109,15 +110,12 @@
         return answer;
     }
 
-    /** Daemons whose versions may decide: the newest first, then the nearest, at random among equals. */
+    /** Daemons whose versions may decide: the nearest first, at random among equals. */
     #listSources(now: number): readonly string[] {
         const { lag, listReachable, random } = this.#options;
-        return listReachable()
-            .filter(({ id }) => lag.canDecide(id, now))
-            .map(({ distance, id }) => ({ distance, id, order: random(), version: lag.getPeerVersion(id) ?? 0 }))
-            .sort((left, right) =>
-                right.version - left.version || left.distance - right.distance || left.order - right.order
-            )
+        return lag.listSources(listReachable(), now)
+            .map(({ distance, id }) => ({ distance, id, order: random() }))
+            .sort((left, right) => left.distance - right.distance || left.order - right.order)
             .map(({ id }) => id);
     }
 
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -327,7 +327,8 @@
     /** Hands a request that has certainly not run over to be routed by a newer version; returns whether it did. */
     #tryReroute(): boolean {
         const mayHaveRun = this.#hasUnknownOutcome || this.#fallbackAnswer !== undefined;
-        if (this.#attempts.size > 0 || mayHaveRun || this.#plan.reroutes >= MAXIMUM_REROUTES) {
+        const hasReachedServer = this.#attempts.size > 0 || this.#serversReached > 0;
+        if (mayHaveRun || hasReachedServer || this.#plan.reroutes >= MAXIMUM_REROUTES) {
             return false;
         }
         this.#isComplete = true;
