Notice within a second that the store is silent for the daemons that watch it

Callers saw: 404 for a route that had been acknowledged over 2 s before (CONFIG).

Cause: from second 2.5 on the store is silent for five VMs, among them all watchers of both regions. A watch that waits tells nothing until its 2.5 s and 0.7 s more are over, so nobody learned of the versions of 2.66 and 3.06 s before 5.56 s. The same when the processes of all watchers end: their reports counted as fresh for up to 6 s.

Change: while a watch waits, its daemon probes the store each 0.5 s by a stale read, which costs a tenth (WatchGuard); a probe without an answer in 0.4 s, or four times the last answer's time, ends the watch, and the others of the region are told as before. A daemon whose connection to a watcher is refused tells the others that its watch has ended (recordEnd).

--- a/src/coordination/distribution/StoreWatchers.ts
+++ b/src/coordination/distribution/StoreWatchers.ts
@@ -87,6 +87,15 @@
         return wasWorking;
     }
 
+    /** Records that the process of another daemon has ended, and its watch with it; returns whether that worked before. */
+    recordEnd(id: string, now: number): boolean {
+        const wasWorking = this.#states.get(id)?.isWorking === true;
+        if (wasWorking) {
+            this.#record(id, { at: now, isWorking: false });
+        }
+        return wasWorking;
+    }
+
     /** Forgets the own watch, which has ended because others watch. */
     removeOwnWatch(): void {
         this.#states.delete(this.#selfId);
--- a/src/state/store/MeshStorePort.ts
+++ b/src/state/store/MeshStorePort.ts
@@ -42,6 +42,8 @@
      * restored from a copy since.
      */
     watchConfiguration(position: StorePosition, waitMs: number): StoreResult<ConfigurationReadResult>;
+    /** Asks for an answer of any content, at the lowest price; fails when there is none within `timeoutMs`. */
+    probe(timeoutMs: number): StoreResult<void>;
     /** Lists the records of all daemons; malformed entries are skipped. */
     listMembers(): StoreResult<readonly Member[]>;
     /** Creates or replaces the record of this daemon. */
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -30,6 +30,7 @@
 } from "./DirectoryConstants.js";
 import { VersionFetcher } from "./VersionFetcher.js";
 import type { ReachablePeer } from "./VersionFetcher.js";
+import { WatchGuard } from "./WatchGuard.js";
 
 /** Decodes the text of a configuration; Left holds the faults, each with its place. */
 export type DecodeConfiguration = (source: ConfigurationText) => Either<readonly string[], TrafficConfiguration>;
@@ -67,6 +68,7 @@
     readonly #watchers: StoreWatchers;
     readonly #copies: CopySender;
     readonly #fetcher: VersionFetcher;
+    readonly #guard: WatchGuard;
     readonly #startedAt: number;
     #text: ConfigurationText | undefined;
     #configuration: TrafficConfiguration | undefined;
@@ -83,6 +85,11 @@
         this.#watchers = new StoreWatchers(options.selfId);
         this.#startedAt = options.now();
         this.#copies = new CopySender(options);
+        this.#guard = new WatchGuard({
+            now: options.now,
+            probe: timeoutMs => options.store.probe(timeoutMs),
+            sleep: ms => sleep(ms),
+        });
         this.#fetcher = new VersionFetcher({
             ...options,
             isWatching: () => this.#isWatching,
@@ -167,6 +174,14 @@
         }
     }
 
+    /** Records that the process of another daemon has ended, so that another one watches the store in its place at once. */
+    recordEnd(id: string): void {
+        if (this.#watchers.recordEnd(id, this.#options.now())) {
+            this.#options.log.info(`the watch of ${id} has ended with its process.`, { peer: id });
+            this.#options.onWatchFailed();
+        }
+    }
+
     /** Records the version in force at another daemon, which may be asked for it if it is newer. */
     recordVersion(id: string, version: number): void {
         const now = this.#options.now();
@@ -255,11 +270,15 @@
 
     /** Reads or watches the configuration. An error that the store's client throws must not end the loop. */
     async #callStore(position: StorePosition | undefined): Promise<Either<StoreError, ConfigurationReadResult>> {
-        const { log, store } = this.#options;
+        const { log, now, store } = this.#options;
         try {
-            return position === undefined
-                ? await store.readConfiguration()
-                : await store.watchConfiguration(position, WATCH_WAIT_MS);
+            if (position !== undefined) {
+                return await this.#guard.awaitWatch(store.watchConfiguration(position, WATCH_WAIT_MS));
+            }
+            const startedAt = now();
+            const reading = await store.readConfiguration();
+            this.#guard.recordRoundTrip(now() - startedAt);
+            return reading;
         }
         catch (error) {
             log.error("the store could not be read for an internal error.", { err: error });
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -1,5 +1,11 @@
 /** Longest wait of one watch, after which an unresponsive connection is noticed. */
 export const WATCH_WAIT_MS = 2_500;
+/** Pause between two probes of the store while a watch waits. */
+export const PROBE_INTERVAL_MS = 500;
+/** Time for the store to answer a probe: some times as long as its last answer took, within these limits. */
+export const MINIMUM_PROBE_TIMEOUT_MS = 400;
+export const MAXIMUM_PROBE_TIMEOUT_MS = 2_000;
+export const PROBE_ROUND_TRIPS = 4;
 /** Time beyond the wait for the store's answer to arrive. */
 export const WATCH_GRACE_MS = 700;
 /** Backoff after a failed call, doubled after each, with full jitter, and short, so that entries are back soon after outages. */
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -53,7 +53,11 @@
         requestConfiguration: () => undefined,
         selfId: "self",
         sendConfiguration: () => undefined,
-        store: { readConfiguration: read, watchConfiguration: read } as unknown as MeshStorePort,
+        store: {
+            probe: async () => Right(undefined),
+            readConfiguration: read,
+            watchConfiguration: read,
+        } as unknown as MeshStorePort,
     });
 }
 
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -36,6 +36,8 @@
     readonly createSessionId: () => string;
     onLoad(id: string, load: OwnerLoad): void;
     onRoundTrip(id: string, ms: number): void;
+    /** Called when the other daemon's process has ended, also again while it is not back. */
+    onEnded(id: string): void;
 }
 
 interface PendingRequest {
@@ -256,8 +258,11 @@
         if (error instanceof MessageError) {
             this.#resetSession("the daemon of the server sent what can't be read");
         }
-        else if (error.code === CONNECTION_REFUSED_CODE && this.#isEstablished) {
-            this.#resetSession("the daemon of the server has ended");
+        else if (error.code === CONNECTION_REFUSED_CODE) {
+            this.#options.onEnded(this.#member.id);
+            if (this.#isEstablished) {
+                this.#resetSession("the daemon of the server has ended");
+            }
         }
         if (!this.#wasUnreachable) {
             this.#wasUnreachable = true;
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -26,6 +26,8 @@
     isNeighbour(id: string): boolean;
     onLoad(id: string, load: OwnerLoad): void;
     onRoundTrip(id: string, ms: number): void;
+    /** Called when the process of another daemon has ended. */
+    onEnded(id: string): void;
 }
 
 export class SessionManager {
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -207,6 +207,7 @@
                 this.#configurationManager.recordStatus(status);
                 this.#memberGossip.compareDigest(status.id, status.membersDigest);
             },
+            onEnded: id => this.#configurationManager.recordEnd(id),
             onVersion: (id, version) => this.#configurationManager.recordVersion(id, version),
             onConnected: id => this.#quarantine.sendAll(id),
             onGossip: (id, message) => this.#handleGossip(id, message),
