Go on asking other daemons while one claims a version that nobody has

One faulty daemon that claims a high version and answers no query made a late daemon decide by its own version again, although others had newer ones; alone, it made a daemon that was up to date reject requests of a quarter of a second every 2 s, and answer 503 instead of 404 for good. Its claim is no longer compared with others while it leaves queries unanswered, is taken again after doubled times, and doesn't keep from answering 404. Found by reading; unit tests (the first of them fails before).

--- a/src/coordination/distribution/VersionLag.ts
+++ b/src/coordination/distribution/VersionLag.ts
@@ -7,8 +7,9 @@
 export const OWN_DECISION_LIMIT_MS = 500;
 /** Unanswered queries after which a daemon's word that it has a newer version is no longer taken. */
 const MAXIMUM_UNANSWERED_QUERIES = 3;
-/** Time after which the word of such a daemon is taken again. */
-const DISTRUST_MS = 2_000;
+/** Time after which the word of such a daemon is taken again, doubled by each further unanswered query. */
+const DISTRUST_BASE_MS = 2_000;
+const DISTRUST_MAXIMUM_MS = 120_000;
 
 interface PeerVersion {
     readonly version: number;
@@ -107,26 +108,34 @@
         return (this.#own ?? -Infinity) < this.#required;
     }
 
-    /**
-     * Lowest version of another daemon that may decide in place of the own one. Versions that became known just now are not
-     * waited for: few daemons have them, and all late ones would ask these few.
-     */
-    computeLowestSource(now: number): number {
-        const expected = [...this.#peers.values()]
-            .filter(({ knownAt }) => now - knownAt > OWN_DECISION_LIMIT_MS)
-            .map(({ version }) => version);
-        return Math.max(this.#required, (this.#own ?? -Infinity) + 1, ...expected);
+    /** Lowest version of another daemon that may decide in place of the own one. */
+    get lowestSource(): number {
+        return Math.max(this.#required, (this.#own ?? -Infinity) + 1);
     }
 
-    /** Lists the daemons whose versions may decide in place of the own one. */
+    /** Whether a daemon that answers queries has a newer version than the own one, or such a version has decided. */
+    isBelievedBehind(now: number): boolean {
+        return this.isSuperseded
+            || [...this.#peers.values()].some(peer => this.isNewer(peer.version) && isBelieved(peer, now));
+    }
+
+    /**
+     * Lists the daemons whose versions may decide in place of the own one: none that is older than one that became known
+     * some time ago. Newer ones are not waited for: few daemons have them, and all late ones would ask these few.
+     */
     listSources<T extends { readonly id: string; }>(reachable: readonly T[], now: number): readonly T[] {
-        const lowest = this.computeLowestSource(now);
-        return reachable.filter(({ id }) => {
-            const peer = this.#peers.get(id);
-            return peer !== undefined
-                && peer.version >= lowest
-                && (peer.unanswered < MAXIMUM_UNANSWERED_QUERIES || now - peer.lastUnansweredAt > DISTRUST_MS);
+        const lowest = this.lowestSource;
+        const candidates = reachable.flatMap(source => {
+            const peer = this.#peers.get(source.id);
+            return peer !== undefined && peer.version >= lowest && isBelieved(peer, now) ? [{ peer, source }] : [];
         });
+        const expected = Math.max(
+            lowest,
+            ...candidates.filter(({ peer }) => now - peer.knownAt > OWN_DECISION_LIMIT_MS).map(({ peer }) =>
+                peer.version
+            ),
+        );
+        return candidates.filter(({ peer }) => peer.version >= expected).map(({ source }) => source);
     }
 
     /** Whether the own version may decide, if the daemons whose versions could decide instead are `sources`. */
@@ -152,3 +161,9 @@
         this.#behindSince = times.length === 0 ? undefined : Math.min(...times);
     }
 }
+
+/** Whether a daemon's word that it has a version is taken. */
+function isBelieved({ lastUnansweredAt, unanswered }: PeerVersion, now: number): boolean {
+    const further = unanswered - MAXIMUM_UNANSWERED_QUERIES;
+    return further < 0 || now - lastUnansweredAt > Math.min(DISTRUST_BASE_MS * 2 ** further, DISTRUST_MAXIMUM_MS);
+}
--- a/src/coordination/distribution/__tests__/unit/VersionLag.test.ts
+++ b/src/coordination/distribution/__tests__/unit/VersionLag.test.ts
@@ -66,10 +66,22 @@
             expect(listSources(lag, ["a"], 1_000)).toEqual(["a"]);
             lag.recordUnanswered("a", 1_000);
         }
-        expect(listSources(lag, ["a"], 1_000)).toEqual([]);
-        expect(listSources(lag, ["a"], 4_000)).toEqual(["a"]);
+        expect([listSources(lag, ["a"], 1_000), lag.isBelievedBehind(1_000)]).toEqual([[], false]);
+        expect([listSources(lag, ["a"], 4_000), lag.isBelievedBehind(4_000)]).toEqual([["a"], true]);
+        lag.recordUnanswered("a", 4_000);
+        expect(listSources(lag, ["a"], 7_000)).toEqual([]);
         lag.recordAnswer("a");
-        expect(listSources(lag, ["a"], 1_000)).toEqual(["a"]);
+        expect(listSources(lag, ["a"], 7_000)).toEqual(["a"]);
+    });
+
+    it("goes on asking the others while one daemon claims a version that nobody has", () => {
+        const lag = createLag(4);
+        lag.recordPeer("faulty", Number.MAX_SAFE_INTEGER, 0);
+        lag.recordPeer("a", 5, 0);
+        for (let count = 0; count < 3; count++) {
+            lag.recordUnanswered("faulty", 1_000);
+        }
+        expect(listSources(lag, ["faulty", "a"], 1_100)).toEqual(["a"]);
     });
 
     it("forgets the versions of daemons that are gone", () => {
--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -65,7 +65,8 @@
         }
         const sources = this.#listSources(now());
         // Status 404 is final for callers, so it isn't left to a version that is known to be replaced.
-        if (route !== undefined && lag.mayDecide(sources, now())) {
+        const isFinal = route !== undefined || !lag.isBelievedBehind(now());
+        if (isFinal && lag.mayDecide(sources, now())) {
             return { revision, route, version };
         }
         this.#reportOutdated(version);
@@ -80,7 +81,7 @@
     ): Promise<RouteDecision | undefined> {
         const { lag, log, now, queries, readConfiguration } = this.#options;
         const own = readConfiguration()?.version;
-        const lowest = lag.computeLowestSource(now());
+        const lowest = lag.lowestSource;
         const isUsable = ({ source, version }: RouteAnswer): boolean => {
             lag.recordAnswer(source);
             lag.recordPeer(source, version, now());
--- a/src/transport/routes/__tests__/unit/RouteResolver.test.ts
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -168,6 +168,7 @@
             expect(await found).toBe("none");
         }
         expect(await resolve()).toBe("4: ledger");
+        expect(await resolve("/none/")).toBe("4: no route");
     });
 
     it("never comes from an older version than that of an earlier request, although the newer one is lost", async () => {
