End the process when its planned stop fails

A planned stop that fails left the process running until it was killed, since the sidecar tolerates uncaught errors. Found while the processes that are still there at the end of the grace time were looked for, with logs; it isn't shown that it was the cause of any: those that were found had begun their stops just before the closing fault.

--- a/src/binaries/ProcessExit.ts
+++ b/src/binaries/ProcessExit.ts
@@ -4,6 +4,8 @@
 
 /** Exit code when a second signal interrupts a planned stop. */
 const FORCED_EXIT_CODE = 1;
+/** Exit code when a planned stop has failed. */
+const FAILED_STOP_EXIT_CODE = 1;
 /** Exit code after an uncaught error; EX_SOFTWARE of sysexits.h. */
 const UNCAUGHT_EXIT_CODE = 70;
 const UNCAUGHT_WINDOW_MS = 60_000;
@@ -36,7 +38,10 @@
     process.on("unhandledRejection", onError);
 }
 
-/** Stops gracefully on the first SIGTERM or SIGINT and exits immediately on the second. */
+/**
+ * Stops gracefully on the first SIGTERM or SIGINT and exits immediately on the second. A stop that fails ends the process
+ * too: where uncaught errors are tolerated, it would stay until it is killed.
+ */
 export function handleStopSignals(stop: () => Promise<void>, logInfo: WriteLog): void {
     let isStopping = false;
     const onSignal = (signal: NodeJS.Signals): void => {
@@ -46,7 +51,10 @@
         }
         isStopping = true;
         logInfo("planned stop begins.", { signal });
-        void stop().then(() => process.exit(0));
+        stop().then(() => process.exit(0), (error: unknown) => {
+            logInfo("planned stop has failed.", { err: error });
+            process.exit(FAILED_STOP_EXIT_CODE);
+        });
     };
     process.on("SIGTERM", onSignal);
     process.on("SIGINT", onSignal);
