--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,12 +1,9 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
 import { VersionLag } from "../../coordination/distribution/index.js";
-import { isRouteCurrent } from "../../coordination/routing/index.js";
 import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
-import { RefusalReason } from "../../protocol/request/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
-import { MemberState } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort } from "../../state/store/index.js";
 import { ConfigurationManager, MemberGossip, MemberRegistry } from "../directory/index.js";
@@ -15,10 +12,9 @@
 import type { CreatePartLogger, PartLogger } from "../logging/index.js";
 import { combineRecorders, createRequestMetrics } from "../metrics/index.js";
 import { AdmissionController, checkHealth } from "../ownership/index.js";
-import type { OwnedRequest, OwnerRefusal } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { QuarantineArchive, QuarantineManager } from "../quarantine/index.js";
-import { RouteQueries, RouteResolver } from "../routes/index.js";
+import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../routes/index.js";
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
@@ -29,6 +25,7 @@
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { renderMetrics } from "./MetricsText.js";
 import { answerOperator } from "./OperatorEndpoint.js";
+import { buildMember } from "./OwnRecord.js";
 import { RetryBudgets } from "./RetryBudgets.js";
 import { SessionSelector } from "./SessionSelector.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
@@ -166,7 +163,9 @@
                 readHealthPath: service => this.#configurationManager.configuration?.services.get(service)?.healthPath,
             },
             dialect: dependencies.dialect,
-            findRestriction: request => this.#findOutdated(request) ?? this.#quarantine.findRestriction(request),
+            findRestriction: request =>
+                findOutdatedRefusal(request, this.#configurationManager.configuration)
+                    ?? this.#quarantine.findRestriction(request),
             findTrial: request => {
                 const suspicion = this.#quarantine.findSuspicion(request);
                 return suspicion?.isOnTrial === true ? suspicion.fingerprint : undefined;
@@ -476,17 +475,6 @@
         }
     }
 
-    /** Returns why a request that an older version has led to the own server must not run there; undefined for others. */
-    #findOutdated(request: OwnedRequest): OwnerRefusal | undefined {
-        const configuration = this.#configurationManager.configuration;
-        return configuration === undefined || isRouteCurrent(request, configuration) ? undefined : {
-            detail: `version ${configuration.version} doesn't lead the request to ${request.service}, `
-                + `as version ${request.version} does`,
-            reason: RefusalReason.Outdated,
-            retryAfterMs: 0,
-        };
-    }
-
     /** Services for which sessions are kept: those of the callers' requests, and all while they are few. */
     #listServices(): Iterable<string> {
         const services = this.#configurationManager.configuration?.services;
@@ -560,20 +548,3 @@
         );
     }
 }
-
-function buildMember(settings: SidecarSettings, startedAt: number): Member {
-    const { failureDomain, id, region, serverAddress, service } = settings;
-    const peerAddress = settings.advertisedPeerAddress ?? settings.peerAddress;
-    return {
-        address: peerAddress.host,
-        failureDomain,
-        id,
-        incarnation: startedAt,
-        peerPort: peerAddress.port,
-        region,
-        relayPort: peerAddress.port,
-        revision: 0,
-        server: { address: serverAddress.host, connections: 0, port: serverAddress.port, service, slots: 0 },
-        state: MemberState.Live,
-    };
-}
