Ask two daemons at once only while no version arrives at all

While versions follow each other a daemon is behind all the time, and counted its requests since it was last up to date: from the third one on it asked two daemons for each version, which doubled the copies on weak links. The unit test failed before.

--- a/src/transport/directory/VersionFetcher.ts
+++ b/src/transport/directory/VersionFetcher.ts
@@ -39,8 +39,9 @@
 export class VersionFetcher {
     readonly #options: VersionFetcherOptions;
     #requestedAt = -Infinity;
-    /** Requests since this daemon was last up to date. */
+    /** Requests since the last version came into force. */
     #attempts = 0;
+    #ownVersion: number | undefined;
     #lastSources: ReadonlySet<string> = new Set();
     /** Share of the spread that this daemon waits, drawn anew each time that it falls behind. */
     #spread = 0;
@@ -55,10 +56,14 @@
     fetchIfBehind(now: number): void {
         const { isWatching, lag, random } = this.#options;
         const behindMs = lag.readBehindMs(now);
-        if (behindMs === undefined) {
+        // While versions follow each other their copies do arrive; more of them would only fill the links.
+        if (behindMs === undefined || lag.own !== this.#ownVersion) {
+            this.#ownVersion = lag.own;
             this.#attempts = 0;
             this.#storeReads = 0;
             this.#spread = random();
+        }
+        if (behindMs === undefined) {
             return;
         }
         this.#readStoreIfDue(behindMs, now);
--- a/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
@@ -3,6 +3,7 @@
 import { Distance } from "../../../../coordination/placement/index.js";
 import { createSeededRandom } from "../../../../state/shared/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { FETCH_RETRY_MS } from "../../DirectoryConstants.js";
 import { VersionFetcher } from "../../index.js";
 import type { ReachablePeer } from "../../index.js";
 
@@ -60,6 +61,33 @@
         sources.slice(1).forEach((round, index) => expect(round[0]).not.toBe(sources[index]?.[0]));
     });
 
+    it("asks one daemon at a time while versions follow each other and their copies arrive", () => {
+        const asked: Fetch[] = [];
+        let now = 0;
+        const lag = new VersionLag();
+        lag.recordOwn(1);
+        const fetcher = new VersionFetcher({
+            countDaemons: () => 4,
+            isWatching: () => false,
+            lag,
+            listReachable: () => PEERS,
+            log: createSilentLogger(),
+            random: createSeededRandom(1),
+            readStore: () => asked.push({ at: now, source: "store" }),
+            requestConfiguration: id => asked.push({ at: now, source: id }),
+        });
+        for (let version = 2; now <= DEADLINE_MS; now += CHECK_INTERVAL_MS) {
+            if (now % FETCH_RETRY_MS === 0) {
+                lag.recordOwn(version - 1);
+                version++;
+                PEERS.forEach(({ id }) => lag.recordPeer(id, version, now));
+            }
+            fetcher.fetchIfBehind(now);
+        }
+        expect(asked.map(({ source }) => source)).not.toContain("store");
+        expect(new Set(asked.map(({ at }) => at)).size).toBe(asked.length);
+    });
+
     it("has asked a daemon of another region and the store well before the version has to be used", () => {
         const found = [1, 2, 3, 4, 5, 6, 7, 8].map(seed => {
             const early = runLateDaemon(PEERS, DEADLINE_MS - 1_000, seed).map(({ source }) => source);
