Pass on when a version was last known to be the newest in the store

Pings, pongs and statuses now carry the position of the store at which the sender's version was the newest, and the age of that moment. Ages are corrected for the longest time that a message can have been on its way (TransitBound), so that a message that waited in a full link or at a paused process doesn't make a version look fresh. Nothing acts on it yet; the gauge configuration_confirmed_age_seconds shows it.

--- a/src/coordination/distribution/index.ts
+++ b/src/coordination/distribution/index.ts
@@ -7,6 +7,8 @@
 export type { WatchReport } from "./StoreWatchers.js";
 export { computeTreePosition, listDomainRelays, listRegions, TREE_FANOUT, UNJOINED_POSITION } from "./Tree.js";
 export type { TreePosition } from "./Tree.js";
+export { VersionFreshness } from "./VersionFreshness.js";
+export type { Confirmation } from "./VersionFreshness.js";
 export { OWN_DECISION_LIMIT_MS, VersionLag } from "./VersionLag.js";
 export {
     addSnapshot,
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -123,6 +123,11 @@
     ),
     /** Digest of all member records; equal when both daemons hold the same ones. */
     membersDigest: integer,
+    /** When `version` was last known to be the newest one in the store. */
+    confirmation: createOptionalCodec(createRecordCodec({
+        position: createRecordCodec({ era: integer, revision: integer }),
+        ageMs: numberCodec,
+    })),
 };
 
 /** Fields that each peer sends about itself in handshake and keepalive messages. */
@@ -168,12 +173,13 @@
         load,
         server: serverIdentity,
     },
-    ping: { ...keepaliveFields, sentAt: numberCodec },
+    /** `roundTripMs` is the sender's shortest one on this connection; undefined before the first. */
+    ping: { ...keepaliveFields, sentAt: numberCodec, roundTripMs: createOptionalCodec(numberCodec) },
     pong: { ...keepaliveFields, sentAt: numberCodec, load },
     acknowledge: { received: integer },
     load: { load, server: serverIdentity },
     /** Sent at once after a change, without waiting for the next ping. */
-    status: statusFields,
+    status: { ...statusFields, sentAt: numberCodec },
     configurationRequest: {},
     /** Asks for the route of a request, which takes less than a copy of the version. */
     routeQuery: { query: integer, host: text, path: text },
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -6,8 +6,8 @@
 import { inflateRawSync } from "node:zlib";
 import type { Either } from "purify-ts/Either";
 import { Left } from "purify-ts/Either";
-import type { VersionLag, WatchReport } from "../../coordination/distribution/index.js";
-import { StoreWatchers } from "../../coordination/distribution/index.js";
+import type { Confirmation, VersionLag, WatchReport } from "../../coordination/distribution/index.js";
+import { StoreWatchers, VersionFreshness } from "../../coordination/distribution/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type {
     ConfigurationReadResult,
@@ -66,6 +66,7 @@
 export class ConfigurationManager {
     readonly #options: ConfigurationManagerOptions;
     readonly #watchers: StoreWatchers;
+    readonly #freshness: VersionFreshness;
     readonly #copies: CopySender;
     readonly #fetcher: VersionFetcher;
     readonly #guard: WatchGuard;
@@ -84,6 +85,7 @@
         this.#options = options;
         this.#watchers = new StoreWatchers(options.selfId);
         this.#startedAt = options.now();
+        this.#freshness = new VersionFreshness(this.#startedAt);
         this.#copies = new CopySender(options);
         this.#guard = new WatchGuard({
             now: options.now,
@@ -111,6 +113,16 @@
         return this.#watchers.listReports(this.#options.now());
     }
 
+    /** When the version in force was last known to be the newest one, to be passed on; undefined without a version. */
+    readConfirmation(): Confirmation | undefined {
+        return this.#configuration === undefined ? undefined : this.#freshness.readConfirmation(this.#options.now());
+    }
+
+    /** Time since the version in force was last known to be the newest one. */
+    readConfirmedAgeMs(): number {
+        return this.#freshness.readAgeMs(this.#options.now());
+    }
+
     /** Copies of versions that were sent to other daemons, and requests for them. */
     get copies(): CopySender {
         return this.#copies;
@@ -169,8 +181,12 @@
                 this.#options.onWatchFailed();
             }
         }
-        if (status.version !== undefined) {
-            this.recordVersion(status.id, status.version);
+        const { confirmation, id, version } = status;
+        if (version !== undefined) {
+            this.recordVersion(id, version);
+            if (confirmation !== undefined && !this.#isNewer(version)) {
+                this.#freshness.recordConfirmation(confirmation.position, now - Math.max(0, confirmation.ageMs));
+            }
         }
     }
 
@@ -242,6 +258,7 @@
                 continue;
             }
             const position = this.#position;
+            const startedAt = this.#options.now();
             const reading = await this.#callStore(position);
             const pauseMs = reading.caseOf({
                 Left: error => {
@@ -259,7 +276,14 @@
                     if (!hasLostHistory) {
                         delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
                     }
-                    return this.#tryReading(value) ? 0 : delays.next().value;
+                    if (!this.#tryReading(value)) {
+                        return delays.next().value;
+                    }
+                    // A watch that found nothing was answered after its whole wait; its answer may have come late.
+                    const waitedMs = position !== undefined && value.configuration === undefined ? WATCH_WAIT_MS : 0;
+                    const at = Math.min(this.#options.now(), startedAt + waitedMs);
+                    this.#freshness.recordConfirmation(value.position, at);
+                    return 0;
                 },
             });
             if (pauseMs > 0) {
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -115,7 +115,14 @@
             now: () => performance.now(),
             onChange: ({ version }) => {
                 for (const id of peers) {
-                    send(self, id, { kind: "status", membersDigest: 0, version, watches: [] });
+                    send(self, id, {
+                        confirmation: undefined,
+                        kind: "status",
+                        membersDigest: 0,
+                        sentAt: 0,
+                        version,
+                        watches: [],
+                    });
                 }
             },
             onStoreRead: () => undefined,
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -3,8 +3,9 @@
 import { encodeSessionMessage, isGossip, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
 import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { RequestEvents, RequestHandle } from "../ownership/index.js";
-import { handleGossip } from "./HandleGossip.js";
+import { addTransit, handleGossip } from "./HandleGossip.js";
 import type { SessionDependencies } from "./SessionTypes.js";
+import { TransitBound } from "./TransitBound.js";
 
 interface Stream {
     readonly requestId: string;
@@ -21,6 +22,8 @@
     readonly #channel = new ReliableChannel();
     readonly #streams = new Map<number, Stream>();
     readonly #dependencies: SessionDependencies;
+    /** Of the present connection. */
+    #transit = new TransitBound();
     #connection: FrameConnection | undefined;
     /** Time at which the last connection was lost; undefined while there is one. */
     #disconnectedAt: number | undefined;
@@ -46,6 +49,7 @@
     attach(connection: FrameConnection, hello: SessionMessageOf<"hello">, isResumed: boolean): boolean {
         this.#connection?.close();
         this.#connection = connection;
+        this.#transit = new TransitBound();
         this.#disconnectedAt = undefined;
         const load = this.#dependencies.readLoad();
         const received = this.#channel.received;
@@ -98,7 +102,7 @@
             this.#channel.recordReceived(bytes);
         }
         if (isGossip(message)) {
-            handleGossip(this.peerId, message, this.#dependencies);
+            handleGossip(this.peerId, message, this.#dependencies, sentAt => this.#measureTransit(sentAt));
             return;
         }
         switch (message.kind) {
@@ -145,7 +149,10 @@
 
     #answerPing(message: SessionMessageOf<"ping">): void {
         this.#acknowledge(message.received);
-        this.#dependencies.onStatus({ ...message, id: this.peerId });
+        if (message.roundTripMs !== undefined) {
+            this.#transit.recordRoundTrip(message.roundTripMs);
+        }
+        this.#dependencies.onStatus({ ...addTransit(message, this.#measureTransit(message.sentAt)), id: this.peerId });
         this.#channel.send({
             ...this.#dependencies.readStatus(),
             kind: "pong",
@@ -156,6 +163,10 @@
         this.#channel.markReceivedReported();
     }
 
+    #measureTransit(sentAt: number): number {
+        return this.#transit.measureTransit(sentAt, this.#dependencies.now());
+    }
+
     #acknowledge(received: number): void {
         const wasWritable = this.#channel.isWritable;
         if (!this.#channel.acknowledge(received)) {
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -12,7 +12,7 @@
 import type { OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { consumeFrames } from "./ConsumeFrames.js";
-import { handleGossip } from "./HandleGossip.js";
+import { addTransit, handleGossip } from "./HandleGossip.js";
 import {
     DISCONNECTED_OWNER_TIMEOUT_MS,
     HANDSHAKE_TIMEOUT_MS,
@@ -23,6 +23,7 @@
     SESSION_RETENTION_MS,
 } from "./SessionConstants.js";
 import type { SessionDependencies } from "./SessionTypes.js";
+import { TransitBound } from "./TransitBound.js";
 
 /** Events of a request on a session. */
 export interface SessionRequestEvents extends RequestEvents {
@@ -59,6 +60,8 @@
     #isEstablished = false;
     #connection: FrameConnection | undefined;
     readonly #pending = new Map<number, PendingRequest>();
+    /** Of the present connection. */
+    #transit = new TransitBound();
     #lastStream = 0;
     #lastHeardAt = -Infinity;
     #lastPingAt = -Infinity;
@@ -202,6 +205,7 @@
             ...this.#options.readStatus(),
             kind: "ping",
             received: this.#channel.received,
+            roundTripMs: this.#transit.roundTripMs,
             sentAt: now,
         });
         this.#channel.markReceivedReported();
@@ -331,7 +335,8 @@
             this.#channel.recordReceived(bytes);
         }
         if (isGossip(message)) {
-            handleGossip(this.#member.id, message, this.#options);
+            // Statuses on this side are rare and not compared with a round trip.
+            handleGossip(this.#member.id, message, this.#options, () => Infinity);
             return;
         }
         if ("load" in message) {
@@ -343,8 +348,7 @@
         switch (message.kind) {
             case "pong":
                 this.#acknowledge(message.received);
-                this.#options.onStatus({ ...message, id: this.#member.id });
-                this.#options.onRoundTrip(this.#member.id, this.#options.now() - message.sentAt);
+                this.#handlePong(message);
                 return;
             case "acknowledge":
                 this.#acknowledge(message.received);
@@ -357,6 +361,13 @@
         }
     }
 
+    #handlePong(message: SessionMessageOf<"pong">): void {
+        const roundTripMs = this.#options.now() - message.sentAt;
+        this.#transit.recordRoundTrip(roundTripMs);
+        this.#options.onStatus({ ...addTransit(message, roundTripMs), id: this.#member.id });
+        this.#options.onRoundTrip(this.#member.id, roundTripMs);
+    }
+
     #recordLoad(load: OwnerLoad): void {
         const server = this.#server;
         if (server !== undefined && server.limitPerSecond !== load.limitPerSecond) {
@@ -378,6 +389,7 @@
         this.#isEstablished = true;
         this.#isConnecting = false;
         this.#connection = connection;
+        this.#transit = new TransitBound();
         this.#reconnectDelays = this.#createReconnectDelays();
         if (this.#wasUnreachable) {
             this.#wasUnreachable = false;
@@ -387,7 +399,7 @@
         this.#server = welcome.server ?? (welcome.isResumed ? undefined : this.#server);
         this.#options.onMembers([welcome.member]);
         this.#options.onLoad(this.#member.id, welcome.load);
-        this.#options.onStatus({ ...welcome, id: this.#member.id });
+        this.#options.onStatus({ ...addTransit(welcome, Infinity), id: this.#member.id });
         this.#options.onConnected(this.#member.id);
         for (const pending of this.#pending.values()) {
             pending.hasTimedOut = false;
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -6,6 +6,7 @@
 import type { PeerListener, PeerNetwork } from "../peer/index.js";
 import { CallerSession } from "./CallerSession.js";
 import { consumeFrames } from "./ConsumeFrames.js";
+import { addTransit } from "./HandleGossip.js";
 import { OwnerSession } from "./OwnerSession.js";
 import {
     FEW_SESSIONS,
@@ -231,7 +232,7 @@
         else {
             this.#options.onConnected(hello.member.id);
         }
-        this.#options.onStatus({ ...hello, id: hello.member.id });
+        this.#options.onStatus({ ...addTransit(hello, Infinity), id: hello.member.id });
         if (hello.server !== undefined) {
             this.#options.onServerIdentity(hello.server);
         }
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -1,4 +1,4 @@
-import type { WatchReport } from "../../coordination/distribution/index.js";
+import type { Confirmation, WatchReport } from "../../coordination/distribution/index.js";
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { ServerIdentity } from "../../coordination/registration/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
@@ -15,6 +15,8 @@
     readonly watches: readonly WatchReport[];
     /** Digest of all member records that the daemon holds. */
     readonly membersDigest: number;
+    /** When `version` was last known to be the newest one in the store; undefined while that isn't known. */
+    readonly confirmation: Confirmation | undefined;
 }
 
 /** Status received from another daemon. */
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -31,6 +31,7 @@
         server: undefined,
         sessionId: "s",
         target: "owner",
+        confirmation: undefined,
         watches: [],
     } as const;
 }
@@ -47,7 +48,7 @@
             onGossip: () => undefined,
             onMembers: () => undefined,
             random: () => 0.5,
-            readStatus: () => ({ membersDigest: 0, version: undefined, watches: [] }),
+            readStatus: () => ({ confirmation: undefined, membersDigest: 0, version: undefined, watches: [] }),
             onServerIdentity: () => undefined,
             onVersion: () => undefined,
             readVersion: () => undefined,
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -54,6 +54,10 @@
         { name: "configuration_version", read: () => lag.own ?? NaN },
         { name: "configuration_newest_known_version", read: () => lag.newestKnown ?? NaN },
         { name: "configuration_behind_seconds", read: () => (lag.readBehindMs(now()) ?? 0) / MS_PER_SECOND },
+        {
+            name: "configuration_confirmed_age_seconds",
+            read: () => configurationManager.readConfirmedAgeMs() / MS_PER_SECOND,
+        },
         { name: "configuration_revision", read: () => configurationManager.text?.revision ?? 0 },
         { name: "configuration_copies_sent_total", read: () => copies.sentCopies.count },
         { name: "configuration_copy_bytes_sent_total", read: () => copies.sentCopies.bytes },
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -433,6 +433,7 @@
 
     #readStatus(): LocalStatus {
         return {
+            confirmation: this.#configurationManager.readConfirmation(),
             membersDigest: this.#memberRegistry.table.getDigest(),
             version: this.#configurationManager.configuration?.version,
             watches: this.#configurationManager.listWatches(),
@@ -442,8 +443,9 @@
     /** Sends the status to the neighbours and the daemons of the own failure domain, for example after a new version. */
     #announceStatus(): void {
         const { failureDomain } = this.#memberRegistry.self;
-        const status = { kind: "status", ...this.#readStatus() } as const;
-        for (const id of this.#sessions.listConnected(this.#dependencies.now())) {
+        const now = this.#dependencies.now();
+        const status = { ...this.#readStatus(), kind: "status", sentAt: now } as const;
+        for (const id of this.#sessions.listConnected(now)) {
             if (
                 this.#sessionSelector.neighbours.has(id)
                 || this.#memberRegistry.get(id)?.failureDomain === failureDomain
