Ask the store when no daemon has confirmed for long that the version is the newest

Cause: daemons left the store to others as long as a report of a working watch counted, 6 s, three times the time in which a version has to be in force. Each way in which a watch ends had to be noticed by a means of its own: a probe for a silent store, a refused connection for an ended process, nothing for a frozen, cut off or slow watcher or a watch that hangs.

Change: what counts is when a version was last confirmed as the newest. Watchers ask the store again, by a watch that waits 1 ms, whenever no daemon has confirmed the version for 0.28 of the time in which it has to be in force (PAPAYATURN_CONFIGURATION_DEADLINE), which replaces the stale probes; the same call tells a version that a hanging watch has missed. After half of that time without a confirmation every report of a watch is dropped and the daemons of the region ask the store one after the other, within a fifth of it; one that knows of a newer version and has no copy reads it at 0.65. The watchers of a region are in different failure domains. Watches wait 4 s, since checks notice what their end did before.

--- a/src/coordination/distribution/VersionFreshness.ts
+++ b/src/coordination/distribution/VersionFreshness.ts
@@ -8,7 +8,7 @@
 export interface Confirmation {
     /** Position of the store at that moment; a watch from there tells all later versions. */
     readonly position: StorePosition;
-    /** Time since that moment, or a longer one. */
+    /** Whole milliseconds since that moment, or more. */
     readonly ageMs: number;
 }
 
@@ -33,7 +33,9 @@
 
     /** Confirmation to pass on; undefined while there is none. */
     readConfirmation(now: number): Confirmation | undefined {
-        return this.#position === undefined ? undefined : { ageMs: this.readAgeMs(now), position: this.#position };
+        return this.#position === undefined
+            ? undefined
+            : { ageMs: Math.ceil(this.readAgeMs(now)), position: this.#position };
     }
 
     /** Records that the version in force was the newest one at a time; returns whether that is news. */
--- a/src/state/store/MeshStorePort.ts
+++ b/src/state/store/MeshStorePort.ts
@@ -39,11 +39,13 @@
     readConfiguration(): StoreResult<ConfigurationReadResult>;
     /**
      * Waits at most `waitMs` for a version after `position`; refused as `history` if the store no longer knows it, or was
-     * restored from a copy since.
+     * restored from a copy since. Fails when there is no answer within `timeoutMs`, by default some time after the wait.
      */
-    watchConfiguration(position: StorePosition, waitMs: number): StoreResult<ConfigurationReadResult>;
-    /** Asks for an answer of any content, at the lowest price; fails when there is none within `timeoutMs`. */
-    probe(timeoutMs: number): StoreResult<void>;
+    watchConfiguration(
+        position: StorePosition,
+        waitMs: number,
+        timeoutMs?: number,
+    ): StoreResult<ConfigurationReadResult>;
     /** Lists the records of all daemons; malformed entries are skipped. */
     listMembers(): StoreResult<readonly Member[]>;
     /** Creates or replaces the record of this daemon. */
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -2,41 +2,40 @@
  * Keeps the newest configuration version: from a watch of the store if this daemon is one of the
  * watchers, and from other daemons. The version in force never decreases, whatever the store's revisions do.
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { inflateRawSync } from "node:zlib";
 import type { Either } from "purify-ts/Either";
-import { Left } from "purify-ts/Either";
-import type { Confirmation, VersionLag, WatchReport } from "../../coordination/distribution/index.js";
-import { StoreWatchers, VersionFreshness } from "../../coordination/distribution/index.js";
-import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type {
-    ConfigurationReadResult,
-    ConfigurationText,
-    MeshStorePort,
-    StoreError,
-    StorePosition,
-} from "../../state/store/index.js";
+    Confirmation,
+    FreshnessLimits,
+    RegionMember,
+    VersionLag,
+    WatchReport,
+} from "../../coordination/distribution/index.js";
+import { deriveFreshnessLimits, StoreWatchers, VersionFreshness } from "../../coordination/distribution/index.js";
+import type { ConfigurationText, MeshStorePort, StorePosition } from "../../state/store/index.js";
 import type { TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { PeerStatus } from "../sessions/index.js";
 import { CopySender } from "./CopySender.js";
 import type { CompressedConfiguration } from "./CopySender.js";
 import {
+    CONFIRMATION_JITTER,
+    LATER_WATCHER_FACTOR,
     REGISTRATION_TIMEOUT_MS,
-    STORE_RETRY_BASE_MS,
-    STORE_RETRY_MAXIMUM_MS,
-    WATCH_WAIT_MS,
     WATCHER_CHECK_INTERVAL_MS,
 } from "./DirectoryConstants.js";
+import { StoreFollower } from "./StoreFollower.js";
 import { VersionFetcher } from "./VersionFetcher.js";
 import type { ReachablePeer } from "./VersionFetcher.js";
-import { WatchGuard } from "./WatchGuard.js";
+import type { TimedReading } from "./WatchGuard.js";
 
 /** Decodes the text of a configuration; Left holds the faults, each with its place. */
 export type DecodeConfiguration = (source: ConfigurationText) => Either<readonly string[], TrafficConfiguration>;
 
 export interface ConfigurationManagerOptions {
     readonly selfId: string;
+    /** Time in which a version has to be in force after its acknowledgement. */
+    readonly deadlineMs: number;
     /** Follows the versions in force here and at other daemons. */
     readonly lag: VersionLag;
     readonly store: MeshStorePort;
@@ -52,8 +51,10 @@
     isSameRegion(id: string): boolean;
     /** Called with the era of the store after each reading. */
     onStoreRead(era: number): void;
-    /** Called when a watch of this region has failed, which the other daemons should know at once. */
-    onWatchFailed(): void;
+    /** Called when a watch of this region has failed or was taken over, which the other daemons should know at once. */
+    onWatchChanged(): void;
+    /** Called when this daemon has confirmed its version, with the other daemons that watch the store. */
+    onConfirmed(watcherIds: readonly string[]): void;
     /** Asks another daemon for its version. */
     requestConfiguration(id: string): void;
     sendConfiguration(id: string, configuration: CompressedConfiguration): void;
@@ -69,32 +70,42 @@
     readonly #freshness: VersionFreshness;
     readonly #copies: CopySender;
     readonly #fetcher: VersionFetcher;
-    readonly #guard: WatchGuard;
+    readonly #follower: StoreFollower;
+    readonly #limits: FreshnessLimits;
     readonly #startedAt: number;
     #text: ConfigurationText | undefined;
     #configuration: TrafficConfiguration | undefined;
-    #position: StorePosition | undefined;
+    #isConfirmationMissing = false;
+    /** Share by which the next confirmation of this daemon is delayed. */
+    #confirmationJitter = 0;
     /** Position of the last version from the store that was not put in force, which is logged once. */
     #droppedPosition: StorePosition | undefined;
-    #isWatching = false;
-    #isStopping = false;
     #checkTimer: NodeJS.Timeout | undefined;
-    #isStoreUnreachable = false;
 
     constructor(options: ConfigurationManagerOptions) {
         this.#options = options;
-        this.#watchers = new StoreWatchers(options.selfId);
+        this.#limits = deriveFreshnessLimits(options.deadlineMs);
+        this.#watchers = new StoreWatchers(options.selfId, this.#limits.takeoverSpreadMs);
         this.#startedAt = options.now();
         this.#freshness = new VersionFreshness(this.#startedAt);
         this.#copies = new CopySender(options);
-        this.#guard = new WatchGuard({
-            now: options.now,
-            probe: timeoutMs => options.store.probe(timeoutMs),
-            sleep: ms => sleep(ms),
+        this.#follower = new StoreFollower({
+            ...options,
+            applyReading: reading => this.#applyWatchedReading(reading),
+            computeCheckDelayMs: roundTripMs => this.#computeCheckDelayMs(roundTripMs),
+            freshness: this.#freshness,
+            onConfirmed: reading => {
+                this.#watchers.recordOwnWatch(options.now());
+                this.#confirm(reading);
+            },
+            onFailed: () => this.#handleStoreFailure(),
+            onLeft: () => this.#watchers.removeOwnWatch(),
+            shouldWatch: () => this.#shouldWatch(),
         });
         this.#fetcher = new VersionFetcher({
             ...options,
-            isWatching: () => this.#isWatching,
+            isVersionOverdue: now => this.#isVersionOverdue(now),
+            isWatching: () => this.isWatching,
             readStore: () => void this.#readStore(),
         });
     }
@@ -152,40 +163,42 @@
     }
 
     /** Sets the daemons of this region. */
-    setRegion(ids: readonly string[]): void {
-        this.#watchers.setRegion(ids);
+    setRegion(members: readonly RegionMember[]): void {
+        this.#watchers.setRegion(members);
     }
 
     get isWatching(): boolean {
-        return this.#isWatching;
+        return this.#follower.isWatching;
     }
 
     start(): void {
-        void this.#watchStore();
-        this.#checkTimer = setInterval(
-            () => this.#fetcher.fetchIfBehind(this.#options.now()),
-            WATCHER_CHECK_INTERVAL_MS,
-        );
+        this.#follower.start();
+        this.#checkTimer = setInterval(() => {
+            const now = this.#options.now();
+            this.#checkFreshness(now);
+            this.#fetcher.fetchIfBehind(now);
+        }, WATCHER_CHECK_INTERVAL_MS);
     }
 
     stop(): void {
-        this.#isStopping = true;
+        this.#follower.stop();
         clearInterval(this.#checkTimer);
     }
 
     /** Records the status of another daemon; one that has a newer version may be asked for it. */
     recordStatus(status: PeerStatus): void {
         const now = this.#options.now();
-        if (this.#options.isSameRegion(status.id)) {
-            if (this.#watchers.recordReports(status.watches, now)) {
-                this.#options.onWatchFailed();
-            }
+        const { confirmation, id, version, watches } = status;
+        if (!this.#options.isSameRegion(id)) {
+            this.#watchers.recordRemoteReports(watches, now);
+        }
+        else if (this.#watchers.recordReports(watches, now)) {
+            this.#options.onWatchChanged();
         }
-        const { confirmation, id, version } = status;
         if (version !== undefined) {
             this.recordVersion(id, version);
             if (confirmation !== undefined && !this.#isNewer(version)) {
-                this.#freshness.recordConfirmation(confirmation.position, now - Math.max(0, confirmation.ageMs));
+                this.#recordConfirmation(confirmation.position, now - Math.max(0, confirmation.ageMs));
             }
         }
     }
@@ -194,7 +207,7 @@
     recordEnd(id: string): void {
         if (this.#watchers.recordEnd(id, this.#options.now())) {
             this.#options.log.info(`the watch of ${id} has ended with its process.`, { peer: id });
-            this.#options.onWatchFailed();
+            this.#options.onWatchChanged();
         }
     }
 
@@ -247,120 +260,103 @@
         });
     }
 
-    async #watchStore(): Promise<void> {
-        const { random } = this.#options;
-        let delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
-        let hasLostHistory = false;
-        while (!this.#isStopping) {
-            if (!this.#shouldWatch()) {
-                this.#stopWatching();
-                await sleep(WATCHER_CHECK_INTERVAL_MS);
-                continue;
-            }
-            const position = this.#position;
-            const startedAt = this.#options.now();
-            const reading = await this.#callStore(position);
-            const pauseMs = reading.caseOf({
-                Left: error => {
-                    this.#handleStoreError(error);
-                    const isHistoryLost = error.kind === "refused" && error.reason === "history";
-                    // A store that refuses each watch is not read without a pause.
-                    const isFirst = !hasLostHistory;
-                    hasLostHistory ||= isHistoryLost;
-                    return isHistoryLost && isFirst ? 0 : delays.next().value;
-                },
-                Right: value => {
-                    if (position !== undefined) {
-                        hasLostHistory = false;
-                    }
-                    if (!hasLostHistory) {
-                        delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
-                    }
-                    if (!this.#tryReading(value)) {
-                        return delays.next().value;
-                    }
-                    // A watch that found nothing was answered after its whole wait; its answer may have come late.
-                    const waitedMs = position !== undefined && value.configuration === undefined ? WATCH_WAIT_MS : 0;
-                    const at = Math.min(this.#options.now(), startedAt + waitedMs);
-                    this.#freshness.recordConfirmation(value.position, at);
-                    return 0;
-                },
-            });
-            if (pauseMs > 0) {
-                await sleep(pauseMs);
-            }
-        }
-    }
-
-    /** Reads or watches the configuration. An error that the store's client throws must not end the loop. */
-    async #callStore(position: StorePosition | undefined): Promise<Either<StoreError, ConfigurationReadResult>> {
-        const { log, now, store } = this.#options;
-        try {
-            if (position !== undefined) {
-                return await this.#guard.awaitWatch(store.watchConfiguration(position, WATCH_WAIT_MS));
-            }
-            const startedAt = now();
-            const reading = await store.readConfiguration();
-            this.#guard.recordRoundTrip(now() - startedAt);
-            return reading;
-        }
-        catch (error) {
-            log.error("the store could not be read for an internal error.", { err: error });
-            return Left({ detail: (error as Error).message, kind: "unknown" });
-        }
-    }
-
     /** Reads the newest version from the store, without following it. */
     async #readStore(): Promise<void> {
-        (await this.#callStore(undefined)).caseOf({
+        (await this.#follower.readNewest()).caseOf({
             Left: error => {
                 this.#options.log.warn(`the store could not be read: ${error.detail}.`, { error });
             },
-            Right: ({ configuration }) => {
-                if (configuration !== undefined) {
-                    this.#tryApplying(() => this.applyVersion(configuration, "store"), configuration.revision);
-                }
+            Right: reading => {
+                this.#applyReading(reading);
             },
         });
     }
 
-    /** Applies a reading; false after an internal error, which must not end the loop either. */
-    #tryReading(reading: ConfigurationReadResult): boolean {
-        return this.#tryApplying(() => this.#handleReading(reading), reading.configuration?.revision);
+    /** Applies a reading of the watch, which may have just begun. */
+    #applyWatchedReading(reading: TimedReading): boolean {
+        this.#watchers.recordOwnWatch(this.#options.now());
+        const isTakeover = this.#isConfirmationMissing;
+        const isApplied = this.#applyReading(reading);
+        if (isTakeover && isApplied) {
+            this.#checkFreshness(this.#options.now());
+            this.#options.onWatchChanged();
+        }
+        return isApplied;
     }
 
-    #tryApplying(apply: () => void, revision: number | undefined): boolean {
+    /** Applies a reading; false after an internal error, which must not end the loop that follows the store. */
+    #applyReading(reading: TimedReading): boolean {
+        const { configuration, position } = reading;
         try {
-            apply();
-            return true;
+            this.#options.onStoreRead(position.era);
+            if (configuration !== undefined) {
+                this.#reportDropped(configuration, position);
+                this.applyVersion(configuration, "store");
+            }
         }
         catch (error) {
             this.#options.log.error("a version could not be put in force for an internal error.", {
                 err: error,
-                revision,
+                revision: configuration?.revision,
             });
             return false;
         }
+        this.#confirm(reading);
+        return true;
     }
 
-    #handleReading({ configuration, position }: ConfigurationReadResult): void {
-        this.#position = position;
-        this.#options.onStoreRead(position.era);
-        if (!this.#isWatching) {
-            this.#options.log.info("watches the store.", { ...position });
+    /** Records a reading of this daemon, after which its version is the newest that the store had. */
+    #confirm({ at, position }: TimedReading): void {
+        if (this.#recordConfirmation(position, at)) {
+            this.#options.onConfirmed(this.#watchers.listOtherWatchers(this.#options.now()));
         }
-        this.#isWatching = true;
-        this.#watchers.recordOwnWatch(this.#options.now());
-        if (this.#isStoreUnreachable) {
-            this.#isStoreUnreachable = false;
-            this.#options.log.info("the store answers again.");
+    }
+
+    #recordConfirmation(position: StorePosition, at: number): boolean {
+        const isNews = this.#freshness.recordConfirmation(position, at);
+        if (isNews) {
+            this.#confirmationJitter = this.#options.random() * CONFIRMATION_JITTER;
         }
-        if (configuration !== undefined) {
-            this.#reportDropped(configuration, position);
-            this.applyVersion(configuration, "store");
+        return isNews;
+    }
+
+    /** Time until this watcher asks the store once more: at once if no other daemon has confirmed the version for long. */
+    #computeCheckDelayMs(roundTripMs: number): number {
+        const now = this.#options.now();
+        const factor = this.#watchers.hasEarlierWatcher(now) ? LATER_WATCHER_FACTOR : 1;
+        const dueMs = this.#limits.confirmAfterMs * (factor + this.#confirmationJitter);
+        return dueMs - roundTripMs - this.#freshness.readAgeMs(now);
+    }
+
+    /** Notices that no daemon has confirmed the version for long, so that this one asks the store in its turn. */
+    #checkFreshness(now: number): void {
+        const ageMs = this.#freshness.readAgeMs(now);
+        const isMissing = ageMs >= this.#limits.takeOverAfterMs && this.#isRegionKnown(now);
+        if (isMissing) {
+            this.#watchers.recordLoss(now - this.#limits.takeOverAfterMs / 2);
+        }
+        if (isMissing !== this.#isConfirmationMissing) {
+            this.#isConfirmationMissing = isMissing;
+            const fields = {
+                confirmedAgeMs: Math.round(ageMs),
+                ...this.#freshness.position,
+                version: this.#configuration?.version,
+            };
+            if (isMissing) {
+                this.#options.log.warn("no daemon has confirmed for long that the version is the newest.", fields);
+            }
+            else {
+                this.#options.log.info("the version is confirmed as the newest again.", fields);
+            }
         }
     }
 
+    /** Whether a version that other daemons have should have arrived by now. */
+    #isVersionOverdue(now: number): boolean {
+        const delayMs = this.#watchers.computeLossDelay(this.#options.countDaemons());
+        return this.#freshness.readAgeMs(now) >= this.#limits.readLateAfterMs + delayMs;
+    }
+
     /** Logs that the store holds another version than the one in force and no newer one, once for each position. */
     #reportDropped({ revision, text, version }: ConfigurationText, position: StorePosition): void {
         const inForce = this.#configuration?.version;
@@ -381,30 +377,19 @@
         );
     }
 
-    #handleStoreError(error: StoreError): void {
-        this.#isWatching = false;
-        this.#position = undefined;
+    #handleStoreFailure(): void {
         if (this.#watchers.recordOwnFailure(this.#options.now())) {
-            this.#options.onWatchFailed();
-        }
-        if (!this.#isStoreUnreachable) {
-            this.#isStoreUnreachable = true;
-            this.#options.log.warn(`the store can't be watched: ${error.detail}.`, { error });
+            this.#options.onWatchChanged();
         }
     }
 
-    #stopWatching(): void {
-        if (this.#isWatching) {
-            this.#options.log.info("leaves the store to other watchers of the region.");
-        }
-        this.#isWatching = false;
-        this.#position = undefined;
-        this.#watchers.removeOwnWatch();
+    #isRegionKnown(now: number): boolean {
+        return this.#options.isRegistered() || now - this.#startedAt > REGISTRATION_TIMEOUT_MS;
     }
 
     #shouldWatch(): boolean {
         const now = this.#options.now();
-        const isRegionKnown = this.#options.isRegistered() || now - this.#startedAt > REGISTRATION_TIMEOUT_MS;
-        return isRegionKnown && this.#watchers.shouldWatch(now);
+        return this.#isRegionKnown(now)
+            && this.#watchers.shouldWatch(now, this.#isConfirmationMissing, this.#options.countDaemons());
     }
 }
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -1,11 +1,17 @@
-/** Longest wait of one watch, after which an unresponsive connection is noticed. */
-export const WATCH_WAIT_MS = 2_500;
-/** Pause between two probes of the store while a watch waits. */
-export const PROBE_INTERVAL_MS = 500;
-/** Time for the store to answer a probe: some times as long as its last answer took, within these limits. */
-export const MINIMUM_PROBE_TIMEOUT_MS = 400;
-export const MAXIMUM_PROBE_TIMEOUT_MS = 2_000;
-export const PROBE_ROUND_TRIPS = 4;
+/** Longest wait of one watch, with which its report stays younger than the time for which it counts. */
+export const WATCH_WAIT_MS = 4_000;
+/** Wait of a check at the store, which tells only what is there already. */
+export const CHECK_WAIT_MS = 1;
+/** Shortest pause before a check while a watch waits. */
+export const MINIMUM_CHECK_PAUSE_MS = 20;
+/** Time for the store to answer a check: some times as long as its last answer took, within these limits. */
+export const MINIMUM_ANSWER_TIMEOUT_MS = 400;
+export const MAXIMUM_ANSWER_TIMEOUT_MS = 2_000;
+export const TIMEOUT_ROUND_TRIPS = 4;
+/** Confirmations by a watcher after others in its region, as a multiple of the time of the first one. */
+export const LATER_WATCHER_FACTOR = 1.5;
+/** Share by which the times of confirmations vary, so that the watchers of different regions don't confirm together. */
+export const CONFIRMATION_JITTER = 0.2;
 /** Time beyond the wait for the store's answer to arrive. */
 export const WATCH_GRACE_MS = 700;
 /** Backoff after a failed call, doubled after each, with full jitter, and short, so that entries are back soon after outages. */
--- a/src/transport/directory/VersionFetcher.ts
+++ b/src/transport/directory/VersionFetcher.ts
@@ -30,6 +30,8 @@
     /** Number of daemons in all regions, which share the store's rate. */
     countDaemons(): number;
     isWatching(): boolean;
+    /** Whether the version should have arrived long ago, since the own one was last known to be the newest. */
+    isVersionOverdue(now: number): boolean;
     /** Asks another daemon for its version. */
     requestConfiguration(id: string): void;
     /** Reads the store once, without watching it. */
@@ -113,7 +115,7 @@
         const spreadMs = this.#spread * this.#options.countDaemons() * STORE_READ_SPREAD_PER_DAEMON_MS;
         const pauseMs = Math.min(STORE_REREAD_BASE_MS * 2 ** this.#storeReads, STORE_REREAD_MAXIMUM_MS);
         const isDue = this.#storeReads === 0
-            ? behindMs >= STORE_READ_DELAY_MS + spreadMs
+            ? behindMs >= STORE_READ_DELAY_MS + spreadMs || this.#options.isVersionOverdue(now)
             : now - this.#storeReadAt >= pauseMs + spreadMs;
         if (isDue) {
             this.#storeReads++;
--- a/src/transport/directory/WatchGuard.ts
+++ b/src/transport/directory/WatchGuard.ts
@@ -1,65 +1,72 @@
 /**
- * Notices that the store no longer answers this daemon while a watch waits there, long before the watch would have been
- * answered. Without it a version that is written meanwhile is unknown for the whole wait, if no other watch works.
+ * Asks the store while a watch waits there. An answer confirms the version in force, and tells a version that the watch
+ * should have told: a watch can hang while the store answers. A missing answer ends the watch long before its own wait does.
  */
 import type { Either } from "purify-ts/Either";
 import { Left } from "purify-ts/Either";
-import type { StoreError } from "../../state/store/index.js";
-import {
-    MAXIMUM_PROBE_TIMEOUT_MS,
-    MINIMUM_PROBE_TIMEOUT_MS,
-    PROBE_INTERVAL_MS,
-    PROBE_ROUND_TRIPS,
-} from "./DirectoryConstants.js";
+import type { ConfigurationReadResult, StoreError } from "../../state/store/index.js";
+import { MINIMUM_CHECK_PAUSE_MS } from "./DirectoryConstants.js";
+
+/** A reading of the store, with a time at which nothing newer was there. */
+export interface TimedReading extends ConfigurationReadResult {
+    readonly at: number;
+}
+
+export type StoreReading = Either<StoreError, TimedReading>;
 
 export interface WatchGuardOptions {
-    readonly now: () => number;
     readonly sleep: (ms: number) => Promise<unknown>;
-    /** Asks the store for an answer; Left when there is none within `timeoutMs`. */
-    probe(timeoutMs: number): Promise<Either<StoreError, void>>;
+    /** Time until the version has to be confirmed again; 0 or less when it is due. */
+    computeCheckDelayMs(): number;
+    /** Called when the store had nothing newer. */
+    onConfirmed(reading: TimedReading): void;
 }
 
 export class WatchGuard {
     readonly #options: WatchGuardOptions;
-    /** Time that the last answer took; a store that is slow for all isn't taken to be silent. */
-    #roundTripMs = 0;
 
     constructor(options: WatchGuardOptions) {
         this.#options = options;
     }
 
-    recordRoundTrip(ms: number): void {
-        this.#roundTripMs = ms;
-    }
-
-    /** Resolves with the result of a watch, or with the error of a probe that has failed before. */
-    async awaitWatch<T>(watch: Promise<Either<StoreError, T>>): Promise<Either<StoreError, T>> {
+    /**
+     * Resolves with the result of a watch, of a check that tells a version before the watch does, or with the error of
+     * a check that has failed before.
+     */
+    async awaitWatch(watch: Promise<StoreReading>, check: () => Promise<StoreReading>): Promise<StoreReading> {
         let isOver = false;
         try {
-            return await Promise.race([watch, this.#probeUntilFailure(() => isOver)]);
+            return await Promise.race([watch, this.#checkUntilDecided(check, () => isOver)]);
         }
         finally {
             isOver = true;
         }
     }
 
-    async #probeUntilFailure(isOver: () => boolean): Promise<Either<StoreError, never>> {
+    async #checkUntilDecided(check: () => Promise<StoreReading>, isOver: () => boolean): Promise<StoreReading> {
+        const { computeCheckDelayMs, onConfirmed, sleep } = this.#options;
         for (;;) {
-            await this.#options.sleep(PROBE_INTERVAL_MS);
+            await sleep(Math.max(MINIMUM_CHECK_PAUSE_MS, computeCheckDelayMs()));
             if (isOver()) {
                 return Left({ detail: "the watch has ended", kind: "unknown" });
             }
-            const startedAt = this.#options.now();
-            const timeoutMs = Math.min(
-                MAXIMUM_PROBE_TIMEOUT_MS,
-                Math.max(MINIMUM_PROBE_TIMEOUT_MS, PROBE_ROUND_TRIPS * this.#roundTripMs),
-            );
-            const result = await this.#options.probe(timeoutMs);
+            if (computeCheckDelayMs() > 0) {
+                continue;
+            }
+            const result = await check();
             if (result.isLeft()) {
-                const { detail } = result.extract() as StoreError;
-                return Left({ detail: `a probe failed while a watch waited: ${detail}`, kind: "unreachable" });
+                return result.mapLeft(error => ({
+                    ...error,
+                    detail: `a probe failed while a watch waited: ${error.detail}`,
+                }));
+            }
+            const reading = result.extract() as TimedReading;
+            if (reading.configuration !== undefined) {
+                return result;
+            }
+            if (!isOver()) {
+                onConfirmed(reading);
             }
-            this.recordRoundTrip(this.#options.now() - startedAt);
         }
     }
 }
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -39,6 +39,7 @@
     };
     return new ConfigurationManager({
         countDaemons: () => 1,
+        deadlineMs: 2_000,
         decode: ({ text }) => text === "" ? Left([]) : Right(createConfiguration(Number(text))),
         isRegistered: () => true,
         isSameRegion: () => true,
@@ -47,14 +48,14 @@
         log: createSilentLogger(),
         now: () => performance.now(),
         onChange,
+        onConfirmed: () => undefined,
         onStoreRead: () => undefined,
-        onWatchFailed: () => undefined,
+        onWatchChanged: () => undefined,
         random: () => 0.5,
         requestConfiguration: () => undefined,
         selfId: "self",
         sendConfiguration: () => undefined,
         store: {
-            probe: async () => Right(undefined),
             readConfiguration: read,
             watchConfiguration: read,
         } as unknown as MeshStorePort,
--- a/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
@@ -33,6 +33,7 @@
     lag.recordOwn(1);
     const fetcher = new VersionFetcher({
         countDaemons: () => daemons,
+        isVersionOverdue: () => false,
         isWatching: () => false,
         lag,
         listReachable: () => peers,
@@ -68,6 +69,7 @@
         lag.recordOwn(1);
         const fetcher = new VersionFetcher({
             countDaemons: () => 4,
+            isVersionOverdue: () => false,
             isWatching: () => false,
             lag,
             listReachable: () => PEERS,
@@ -104,6 +106,7 @@
         lag.recordPeer("gone", 2, 0);
         const fetcher = new VersionFetcher({
             countDaemons: () => 4,
+            isVersionOverdue: () => false,
             isWatching: () => false,
             lag,
             listReachable: () => [],
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -126,7 +126,9 @@
                 }
             },
             onStoreRead: () => undefined,
-            onWatchFailed: () => undefined,
+            onConfirmed: () => undefined,
+            onWatchChanged: () => undefined,
+            deadlineMs: 2_000,
             random: createSeededRandom(members.indexOf(self)),
             requestConfiguration: id => send(self, id, { kind: "configurationRequest" }),
             selfId: self.id,
--- a/src/transport/sessions/TransitBound.ts
+++ b/src/transport/sessions/TransitBound.ts
@@ -7,9 +7,9 @@
     /** Smallest difference between the clocks of both sides over all messages, which includes the shortest transit. */
     #smallestOffsetMs = Infinity;
 
-    /** Shortest round trip so far; undefined before the first one. */
+    /** Shortest round trip so far in whole milliseconds, rounded up; undefined before the first one. */
     get roundTripMs(): number | undefined {
-        return this.#smallestRoundTripMs === Infinity ? undefined : this.#smallestRoundTripMs;
+        return this.#smallestRoundTripMs === Infinity ? undefined : Math.ceil(this.#smallestRoundTripMs);
     }
 
     /** Records a round trip that either side has measured on this connection. */
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -259,6 +259,7 @@
         });
         this.#configurationManager = new ConfigurationManager({
             countDaemons: () => this.#memberRegistry.list().length,
+            deadlineMs: settings.configurationDeadlineMs,
             decode: dependencies.decodeConfiguration,
             lag: this.#lag,
             listReachable: () => this.#listReachable(),
@@ -270,7 +271,8 @@
             },
             isRegistered: () => this.#memberRegistry.isRegistered,
             onStoreRead: era => void this.#memberRegistry.recordEra(era),
-            onWatchFailed: () => this.#announceStatus(),
+            onConfirmed: watcherIds => this.#sendStatus(watcherIds),
+            onWatchChanged: () => this.#announceStatus(),
             isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
@@ -443,16 +445,19 @@
     /** Sends the status to the neighbours and the daemons of the own failure domain, for example after a new version. */
     #announceStatus(): void {
         const { failureDomain } = this.#memberRegistry.self;
-        const now = this.#dependencies.now();
-        const status = { ...this.#readStatus(), kind: "status", sentAt: now } as const;
-        for (const id of this.#sessions.listConnected(now)) {
-            if (
+        const connected = [...this.#sessions.listConnected(this.#dependencies.now())];
+        this.#sendStatus(
+            connected.filter(id =>
                 this.#sessionSelector.neighbours.has(id)
                 || this.#memberRegistry.get(id)?.failureDomain === failureDomain
-            ) {
-                this.#sessions.sendGossip(id, status);
-            }
-        }
+            ),
+        );
+    }
+
+    /** Sends the status to those of the daemons that can be reached. */
+    #sendStatus(ids: readonly string[]): void {
+        const status = { ...this.#readStatus(), kind: "status", sentAt: this.#dependencies.now() } as const;
+        ids.forEach(id => this.#sessions.sendGossip(id, status));
     }
 
     #handleGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void {
@@ -491,7 +496,7 @@
         if (table.rankingGeneration !== this.#regionGeneration) {
             this.#regionGeneration = table.rankingGeneration;
             const members = this.#memberRegistry.list().filter(({ region }) => region === self.region);
-            this.#configurationManager.setRegion(members.map(({ id }) => id));
+            this.#configurationManager.setRegion(members);
         }
     }
 
--- a/src/transport/sidecar/SidecarSettings.ts
+++ b/src/transport/sidecar/SidecarSettings.ts
@@ -13,6 +13,11 @@
         type: "string",
     },
     "caller-address": { description: "ip:port for requests of callers on this VM", type: "string" },
+    "configuration-deadline": {
+        default: "2s",
+        description: "time in which a configuration has to be in force everywhere",
+        type: "string",
+    },
     "failure-domain": { description: "failure domain of the VM", type: "string" },
     "first-listing-delay": {
         default: "2s",
@@ -60,6 +65,7 @@
     readonly metricsAddress: HostAndPort | undefined;
     readonly storeUrl: string;
     readonly isFirstStart: boolean;
+    readonly configurationDeadlineMs: number;
     readonly firstListingDelayMs: number;
     readonly graceMs: number;
     readonly linkMegabitsPerSecond: number;
@@ -87,6 +93,7 @@
     const settings = {
         advertisedPeerAddress: reader.readHostAndPort("advertised-peer-address"),
         callerAddress: reader.readRequiredHostAndPort("caller-address"),
+        configurationDeadlineMs: reader.readDuration("configuration-deadline", MAXIMUM_DURATION_MS),
         failureDomain: reader.readName("failure-domain"),
         firstListingDelayMs: reader.readDuration("first-listing-delay", MAXIMUM_DURATION_MS),
         graceMs: reader.readDuration("grace", MAXIMUM_DURATION_MS),
