--- a/src/coordination/distribution/FreshnessLimits.ts
+++ b/src/coordination/distribution/FreshnessLimits.ts
@@ -13,12 +13,15 @@
     readonly takeoverSpreadMs: number;
     /** A daemon reads from the store a version that others have, but that has not arrived. */
     readonly readLateAfterMs: number;
+    /** Time that a copy has to arrive after a daemon has learned of its version, before the store is read. */
+    readonly copyTimeMs: number;
 }
 
 const CONFIRM_SHARE = 0.28;
 const TAKE_OVER_SHARE = 0.5;
 const TAKEOVER_SPREAD_SHARE = 0.2;
 const READ_LATE_SHARE = 0.65;
+const COPY_SHARE = 0.1;
 /** Shorter ones would take more of the store's rate than versions are worth. */
 const MINIMUM_CONFIRM_AFTER_MS = 300;
 
@@ -26,6 +29,7 @@
 export function deriveFreshnessLimits(deadlineMs: number): FreshnessLimits {
     return {
         confirmAfterMs: Math.max(MINIMUM_CONFIRM_AFTER_MS, CONFIRM_SHARE * deadlineMs),
+        copyTimeMs: COPY_SHARE * deadlineMs,
         readLateAfterMs: READ_LATE_SHARE * deadlineMs,
         takeOverAfterMs: Math.max(2 * MINIMUM_CONFIRM_AFTER_MS, TAKE_OVER_SHARE * deadlineMs),
         takeoverSpreadMs: TAKEOVER_SPREAD_SHARE * deadlineMs,
--- a/src/coordination/distribution/VersionFreshness.ts
+++ b/src/coordination/distribution/VersionFreshness.ts
@@ -26,6 +26,13 @@
         return this.#position;
     }
 
+    /** Counts from a later time, as long as nothing is confirmed. */
+    startAt(now: number): void {
+        if (this.#position === undefined) {
+            this.#confirmedAt = Math.max(this.#confirmedAt, now);
+        }
+    }
+
     /** Time since the version in force was known to be the newest. */
     readAgeMs(now: number): number {
         return now - this.#confirmedAt;
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -330,8 +330,12 @@
 
     /** Notices that no daemon has confirmed the version for long, so that this one asks the store in its turn. */
     #checkFreshness(now: number): void {
+        if (!this.#isRegionKnown(now)) {
+            this.#freshness.startAt(now);
+            return;
+        }
         const ageMs = this.#freshness.readAgeMs(now);
-        const isMissing = ageMs >= this.#limits.takeOverAfterMs && this.#isRegionKnown(now);
+        const isMissing = ageMs >= this.#limits.takeOverAfterMs;
         if (isMissing) {
             this.#watchers.recordLoss(now - this.#limits.takeOverAfterMs / 2);
         }
@@ -353,8 +357,13 @@
 
     /** Whether a version that other daemons have should have arrived by now. */
     #isVersionOverdue(now: number): boolean {
-        const delayMs = this.#watchers.computeLossDelay(this.#options.countDaemons());
-        return this.#freshness.readAgeMs(now) >= this.#limits.readLateAfterMs + delayMs;
+        const { countDaemons, lag } = this.#options;
+        // Daemons that were paused find their confirmations old all at once; copies are on the way to most of them.
+        const overdueMs = Math.min(
+            this.#freshness.readAgeMs(now) - this.#limits.readLateAfterMs,
+            (lag.readBehindMs(now) ?? 0) - this.#limits.copyTimeMs,
+        );
+        return overdueMs >= this.#watchers.computeLossDelay(countDaemons());
     }
 
     /** Logs that the store holds another version than the one in force and no newer one, once for each position. */
