--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -84,3 +84,40 @@
         await awaitVersion(manager, 5);
     });
 });
+
+/** Guards against a daemon that counts its version as the newest by the word of one that has a newer or no version. */
+describe("the confirmation of the version in force", () => {
+    const AGE_MS = 40;
+
+    async function readAgeAfterStatus(statusVersion: number, statusAgeMs = AGE_MS): Promise<number> {
+        const manager = createManager(new Set(), () => undefined);
+        manager.applyVersion({ revision: 5, text: "5", version: 5 }, "test");
+        await new Promise(resolve => setTimeout(resolve, 4 * AGE_MS));
+        manager.recordStatus({
+            confirmation: { ageMs: statusAgeMs, position: { era: 1, revision: 9 } },
+            id: "other",
+            membersDigest: 0,
+            version: statusVersion,
+            watches: [],
+        });
+        return manager.readConfirmedAgeMs();
+    }
+
+    it("is taken over from a daemon with the same version, with its age", async () => {
+        const ageMs = await readAgeAfterStatus(5);
+        expect(ageMs).toBeGreaterThanOrEqual(AGE_MS);
+        expect(ageMs).toBeLessThan(3 * AGE_MS);
+    });
+
+    it("is taken over from a daemon with an older version, which was the newest then", async () => {
+        expect(await readAgeAfterStatus(4)).toBeLessThan(3 * AGE_MS);
+    });
+
+    it("is not taken over from a daemon with a newer version", async () => {
+        expect(await readAgeAfterStatus(6)).toBeGreaterThanOrEqual(3 * AGE_MS);
+    });
+
+    it("is never in the future, whatever another daemon says", async () => {
+        expect(await readAgeAfterStatus(5, -5_000)).toBeGreaterThanOrEqual(0);
+    });
+});
--- a/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
@@ -99,6 +99,30 @@
         expect(found.filter(({ far }) => far).length).toBeGreaterThanOrEqual(6);
     });
 
+    it("reads the store at once when the version is overdue, though it has just learned of it", () => {
+        const readings: number[] = [];
+        let now = 0;
+        const lag = new VersionLag();
+        lag.recordOwn(1);
+        const fetcher = new VersionFetcher({
+            countDaemons: () => 300,
+            isVersionOverdue: () => now >= 500,
+            isWatching: () => false,
+            lag,
+            listReachable: () => PEERS,
+            log: createSilentLogger(),
+            random: () => 0.5,
+            readStore: () => readings.push(now),
+            requestConfiguration: () => undefined,
+        });
+        fetcher.fetchIfBehind(now);
+        PEERS.forEach(({ id }) => lag.recordPeer(id, 2, now));
+        for (; now <= 800; now += CHECK_INTERVAL_MS) {
+            fetcher.fetchIfBehind(now);
+        }
+        expect(readings).toEqual([500]);
+    });
+
     it("reads the store when no daemon with the version can be reached any more", () => {
         let readings = 0;
         const lag = new VersionLag();
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -5,6 +5,7 @@
 import { createOwnedRequest, createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
 import { UplinkSender } from "../../../uplink/index.js";
 import { CallerSession } from "../../CallerSession.js";
+import type { PeerStatus } from "../../SessionTypes.js";
 import { createMember } from "../fixtures/SessionManagers.js";
 
 const LOAD = {
@@ -36,36 +37,45 @@
     } as const;
 }
 
+interface SessionCalls {
+    readonly statuses: PeerStatus[];
+    readonly submitted: string[];
+}
+
+function createCallerSession({ statuses, submitted }: SessionCalls, now: () => number): CallerSession {
+    return new CallerSession("caller", {
+        log: createSilentLogger(),
+        now,
+        onConnected: () => undefined,
+        onGossip: () => undefined,
+        onMembers: () => undefined,
+        onServerIdentity: () => undefined,
+        onStatus: status => statuses.push(status),
+        onVersion: () => undefined,
+        random: () => 0.5,
+        readLoad: () => LOAD,
+        readSelf: () => createMember("owner", 2),
+        readServerIdentity: () => undefined,
+        readStatus: () => ({ confirmation: undefined, membersDigest: 0, version: undefined, watches: [] }),
+        readVersion: () => undefined,
+        submit: request => {
+            submitted.push(request.requestId);
+            return {
+                cancel: () => undefined,
+                pause: () => undefined,
+                proceed: () => undefined,
+                resume: () => undefined,
+            };
+        },
+        uplink: new UplinkSender(undefined, () => performance.now()),
+    });
+}
+
 /** Guards against a request that runs twice because it is sent again over the next connection. */
 describe("a session that continues over a second connection", () => {
     it("submits a request once when it arrives over both connections", async () => {
         const submitted: string[] = [];
-        const session = new CallerSession("caller", {
-            log: createSilentLogger(),
-            now: () => 0,
-            onConnected: () => undefined,
-            onStatus: () => undefined,
-            onGossip: () => undefined,
-            onMembers: () => undefined,
-            random: () => 0.5,
-            readStatus: () => ({ confirmation: undefined, membersDigest: 0, version: undefined, watches: [] }),
-            onServerIdentity: () => undefined,
-            onVersion: () => undefined,
-            readVersion: () => undefined,
-            readLoad: () => LOAD,
-            readServerIdentity: () => undefined,
-            readSelf: () => createMember("owner", 2),
-            uplink: new UplinkSender(undefined, () => performance.now()),
-            submit: request => {
-                submitted.push(request.requestId);
-                return {
-                    cancel: () => undefined,
-                    pause: () => undefined,
-                    proceed: () => undefined,
-                    resume: () => undefined,
-                };
-            },
-        });
+        const session = createCallerSession({ statuses: [], submitted }, () => 0);
         const [first, second] = [createConnection(), createConnection()];
         const request: SessionMessage = {
             kind: "request",
@@ -81,3 +91,47 @@
         expect(submitted).toEqual(["a"]);
     });
 });
+
+/** Guards against a version that counts as the newest since a message that said so has waited for seconds on its way. */
+describe("a confirmation that another daemon passes on", () => {
+    const SENT_AT = 70_000;
+    const CONFIRMED_AGE_MS = 100;
+
+    function createPing(sentAt: number, roundTripMs: number | undefined): SessionMessage {
+        return {
+            confirmation: { ageMs: CONFIRMED_AGE_MS, position: { era: 0, revision: 5 } },
+            kind: "ping",
+            membersDigest: 0,
+            received: 0,
+            roundTripMs,
+            sentAt,
+            version: 4,
+            watches: [],
+        };
+    }
+
+    /** Receives pings of a daemon with another clock; returns the ages of the confirmations that they pass on. */
+    function listAges(pings: readonly { readonly ping: SessionMessage; readonly receivedAt: number; }[]) {
+        const statuses: PeerStatus[] = [];
+        let now = 0;
+        const session = createCallerSession({ statuses, submitted: [] }, () => now);
+        const connection = createConnection();
+        session.attach(connection, createHello(0), false);
+        for (const { ping, receivedAt } of pings) {
+            now = receivedAt;
+            session.handle(connection, ping, 10);
+        }
+        return statuses.map(({ confirmation }) => confirmation?.ageMs);
+    }
+
+    it("is dropped while no round trip is known", () => {
+        expect(listAges([{ ping: createPing(SENT_AT, undefined), receivedAt: 1_000 }])).toEqual([undefined]);
+    });
+
+    it("gets older by the time for which its message waited", () => {
+        expect(listAges([
+            { ping: createPing(SENT_AT, 3), receivedAt: 1_000 },
+            { ping: createPing(SENT_AT + 500, 3), receivedAt: 4_000 },
+        ])).toEqual([CONFIRMED_AGE_MS + 3, CONFIRMED_AGE_MS + 2_503]);
+    });
+});
