--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -2,7 +2,12 @@
 import { Left, Right } from "purify-ts/Either";
 import { describe, expect, it } from "vitest";
 import { VersionLag } from "../../../../coordination/distribution/index.js";
-import type { ConfigurationReadResult, MeshStorePort, StoreError } from "../../../../state/store/index.js";
+import type {
+    ConfigurationReadResult,
+    MeshStorePort,
+    StoreError,
+    StorePosition,
+} from "../../../../state/store/index.js";
 import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
 import { ConfigurationManager } from "../../index.js";
@@ -28,8 +33,14 @@
 
 /** A manager whose store gives one version after the other; a call fails where `failingCalls` has its number. */
 function createManager(failingCalls: ReadonlySet<number>, onChange: (configuration: TrafficConfiguration) => void) {
+    return createStoreManager(createVersionReader(failingCalls), onChange, 2_000);
+}
+
+function createVersionReader(
+    failingCalls: ReadonlySet<number>,
+): () => Promise<Either<StoreError, ConfigurationReadResult>> {
     let calls = 0;
-    const read = async (): Promise<Either<StoreError, ConfigurationReadResult>> => {
+    return async () => {
         const version = ++calls;
         await new Promise(resolve => setTimeout(resolve, READING_MS));
         if (failingCalls.has(version)) {
@@ -37,9 +48,18 @@
         }
         return Right(createReading(version));
     };
+}
+
+/** A manager that gets its readings, watches and checks from `read`, which is called with the wait at the store. */
+function createStoreManager(
+    read: (waitMs: number | undefined) => Promise<Either<StoreError, ConfigurationReadResult>>,
+    onChange: (configuration: TrafficConfiguration) => void,
+    deadlineMs: number,
+    onConfirmed: (watcherIds: readonly string[]) => void = () => undefined,
+) {
     return new ConfigurationManager({
         countDaemons: () => 1,
-        deadlineMs: 2_000,
+        deadlineMs,
         decode: ({ text }) => text === "" ? Left([]) : Right(createConfiguration(Number(text))),
         isRegistered: () => true,
         isSameRegion: () => true,
@@ -48,7 +68,7 @@
         log: createSilentLogger(),
         now: () => performance.now(),
         onChange,
-        onConfirmed: () => undefined,
+        onConfirmed,
         onStoreRead: () => undefined,
         onWatchChanged: () => undefined,
         random: () => 0.5,
@@ -56,8 +76,8 @@
         selfId: "self",
         sendConfiguration: () => undefined,
         store: {
-            readConfiguration: read,
-            watchConfiguration: read,
+            readConfiguration: () => read(undefined),
+            watchConfiguration: (_position: StorePosition, waitMs: number) => read(waitMs),
         } as unknown as MeshStorePort,
     });
 }
@@ -121,3 +141,56 @@
         expect(await readAgeAfterStatus(5, -5_000)).toBeGreaterThanOrEqual(0);
     });
 });
+
+/** Guards against a daemon that waits for a copy until its version has been outdated for longer than the deadline. */
+describe("a version that is late at a daemon that doesn't watch the store", () => {
+    const SHORT_DEADLINE_MS = 600;
+    const WATCHER_IDS = Array.from({ length: 16 }, (_value, index) => `watcher-${index}`);
+
+    it("is read from the store in time, though the daemon has just learned of it", async () => {
+        const read = async () => {
+            await new Promise(resolve => setTimeout(resolve, READING_MS));
+            return Right(createReading(9));
+        };
+        const manager = createStoreManager(read, () => undefined, SHORT_DEADLINE_MS);
+        manager.applyVersion({ revision: 5, text: "5", version: 5 }, "test");
+        manager.setRegion([...WATCHER_IDS, "self"].map(id => ({ failureDomain: "erie-a", id })));
+        const recordStatus = (version: number) =>
+            manager.recordStatus({
+                confirmation: { ageMs: 0, position: { era: 1, revision: 5 } },
+                id: "watcher-0",
+                membersDigest: 0,
+                version,
+                watches: WATCHER_IDS.map(id => ({ ageMs: 0, id, isWorking: true })),
+            });
+        recordStatus(5);
+        const confirmedAt = performance.now();
+        manager.start();
+        await new Promise(resolve => setTimeout(resolve, SHORT_DEADLINE_MS / 2));
+        recordStatus(9);
+        await expect.poll(() => manager.configuration?.version, { interval: 10 }).toBe(9);
+        manager.stop();
+        expect(performance.now() - confirmedAt).toBeLessThanOrEqual(SHORT_DEADLINE_MS);
+    });
+});
+
+/** Guards against a confirmation for each watcher, where one of them is enough for all. */
+describe("a daemon that has confirmed its version", () => {
+    it("tells the other daemons that watch the store", async () => {
+        const told: (readonly string[])[] = [];
+        const read = async () => {
+            await new Promise(resolve => setTimeout(resolve, READING_MS));
+            return Right(createReading(5));
+        };
+        const manager = createStoreManager(read, () => undefined, 2_000, ids => told.push(ids));
+        manager.recordStatus({
+            confirmation: undefined,
+            id: "other",
+            membersDigest: 0,
+            version: 5,
+            watches: [{ ageMs: 0, id: "other", isWorking: true }],
+        });
+        await awaitVersion(manager, 5);
+        expect(told[0]).toEqual(["other"]);
+    });
+});
