List the store at once when it no longer knows the last confirmed position

A daemon that was late and read the store by itself was refused with 410 after the history had been dropped, and tried the same position again until the next confirmation. Found by reading; the test of StoreFollower fails without the change (a Left in place of version 9). Ages of watches in other regions can't lie in the future any more, as those of the own region.

--- a/src/coordination/distribution/StoreWatchers.ts
+++ b/src/coordination/distribution/StoreWatchers.ts
@@ -93,7 +93,10 @@
     recordRemoteReports(reports: readonly WatchReport[], now: number): void {
         for (const { ageMs, id, isWorking } of reports) {
             if (isWorking) {
-                this.#remoteWatches.set(id, Math.max(this.#remoteWatches.get(id) ?? -Infinity, now - ageMs));
+                this.#remoteWatches.set(
+                    id,
+                    Math.max(this.#remoteWatches.get(id) ?? -Infinity, now - Math.max(0, ageMs)),
+                );
             }
             else {
                 this.#remoteWatches.delete(id);
--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -70,12 +70,19 @@
         this.#isStopping = true;
     }
 
-    /** Reads what is newer than the last confirmed position, or all. An error that the store's client throws is a `Left` too. */
+    /**
+     * Reads what is newer than the last confirmed position, or all if the store no longer knows it. An error that the
+     * store's client throws is a `Left` too.
+     */
     async readNewest(): Promise<StoreReading> {
         const { freshness, now, store } = this.#options;
         const { position } = freshness;
         if (position !== undefined) {
-            return await this.#call(() => this.#check(position));
+            const found = await this.#call(() => this.#check(position));
+            if (!isHistoryLost(found)) {
+                return found;
+            }
+            freshness.removePosition();
         }
         const startedAt = now();
         return await this.#call(async () =>
@@ -102,11 +109,11 @@
             const pauseMs = result.caseOf({
                 Left: error => {
                     this.#handleError(error);
-                    const isHistoryLost = error.kind === "refused" && error.reason === "history";
                     // A store that refuses each watch is not read without a pause.
                     const isFirst = !hasLostHistory;
-                    hasLostHistory ||= isHistoryLost;
-                    return isHistoryLost && isFirst ? 0 : delays.next().value;
+                    const isLost = isHistoryLost(result);
+                    hasLostHistory ||= isLost;
+                    return isLost && isFirst ? 0 : delays.next().value;
                 },
                 Right: reading => {
                     if (position !== undefined) {
@@ -191,11 +198,8 @@
     }
 
     #handleError(error: StoreError): void {
-        const { freshness, log, onFailed } = this.#options;
+        const { log, onFailed } = this.#options;
         this.#position = undefined;
-        if (error.kind === "refused" && error.reason === "history") {
-            freshness.removePosition();
-        }
         onFailed();
         if (!this.#isStoreUnreachable) {
             this.#isStoreUnreachable = true;
@@ -204,6 +208,11 @@
     }
 }
 
+/** Whether the store no longer knows the changes since a position. */
+function isHistoryLost(result: StoreReading): boolean {
+    return result.swap().map(error => error.kind === "refused" && error.reason === "history").orDefault(false);
+}
+
 function addTime(at: number): (reading: ConfigurationReadResult) => TimedReading {
     return reading => ({ ...reading, at });
 }
