Pass timers and freshness limits to the parts that decide on versions

ConfigurationManager, StoreFollower, RouteQueries, MemberGossip and the sessions take their timers as an argument, as the product's own mesh does, so that many daemons can run on a simulated clock in one process. Timers.ts moves to transport/timers. ConfigurationManager takes the limits instead of the deadline from which they are derived, so that a test can vary one of them.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -11,11 +11,13 @@
     VersionLag,
     WatchReport,
 } from "../../coordination/distribution/index.js";
-import { deriveFreshnessLimits, StoreWatchers, VersionFreshness } from "../../coordination/distribution/index.js";
+import { StoreWatchers, VersionFreshness } from "../../coordination/distribution/index.js";
 import type { ConfigurationText, MeshStorePort, StorePosition } from "../../state/store/index.js";
 import type { TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { PeerStatus } from "../sessions/index.js";
+import { scheduleRepeating } from "../timers/index.js";
+import type { Timers } from "../timers/index.js";
 import { CopySender } from "./CopySender.js";
 import type { CompressedConfiguration } from "./CopySender.js";
 import {
@@ -34,8 +36,7 @@
 
 export interface ConfigurationManagerOptions {
     readonly selfId: string;
-    /** Time in which a version has to be in force after its acknowledgement. */
-    readonly deadlineMs: number;
+    readonly limits: FreshnessLimits;
     /** Follows the versions in force here and at other daemons. */
     readonly lag: VersionLag;
     readonly store: MeshStorePort;
@@ -43,6 +44,7 @@
     readonly log: PartLogger;
     readonly now: () => number;
     readonly random: () => number;
+    readonly timers: Timers;
     listReachable(): readonly ReachablePeer[];
     /** Number of daemons in all regions. */
     countDaemons(): number;
@@ -80,11 +82,11 @@
     #confirmationJitter = 0;
     /** Position of the last version from the store that was not put in force, which is logged once. */
     #droppedPosition: StorePosition | undefined;
-    #checkTimer: NodeJS.Timeout | undefined;
+    #stopChecks: () => void = () => undefined;
 
     constructor(options: ConfigurationManagerOptions) {
         this.#options = options;
-        this.#limits = deriveFreshnessLimits(options.deadlineMs);
+        this.#limits = options.limits;
         this.#watchers = new StoreWatchers(options.selfId, this.#limits.takeoverSpreadMs);
         this.#startedAt = options.now();
         this.#freshness = new VersionFreshness(this.#startedAt);
@@ -173,16 +175,16 @@
 
     start(): void {
         this.#follower.start();
-        this.#checkTimer = setInterval(() => {
-            const now = this.#options.now();
-            this.#checkFreshness(now);
-            this.#fetcher.fetchIfBehind(now);
-        }, WATCHER_CHECK_INTERVAL_MS);
+        const { now, timers } = this.#options;
+        this.#stopChecks = scheduleRepeating(timers, () => WATCHER_CHECK_INTERVAL_MS, WATCHER_CHECK_INTERVAL_MS, () => {
+            this.#checkFreshness(now());
+            this.#fetcher.fetchIfBehind(now());
+        });
     }
 
     stop(): void {
         this.#follower.stop();
-        clearInterval(this.#checkTimer);
+        this.#stopChecks();
     }
 
     /** Records the status of another daemon; one that has a newer version may be asked for it. */
--- a/src/transport/directory/MemberGossip.ts
+++ b/src/transport/directory/MemberGossip.ts
@@ -5,6 +5,7 @@
 import type { GossipMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { Member, MemberTable } from "../../state/members/index.js";
 import type { PartLogger } from "../logging/index.js";
+import type { Timers } from "../timers/index.js";
 import {
     DIGEST_EXCHANGE_INTERVAL_MS,
     MAXIMUM_DOMAINS_PER_EXCHANGE,
@@ -20,6 +21,7 @@
     readonly table: MemberTable;
     readonly log: PartLogger;
     readonly now: () => number;
+    readonly timers: Timers;
     send(id: string, message: GossipMessage): void;
     /** Lists the daemons to which new records are passed on. */
     listReceivers(): Iterable<string>;
@@ -36,7 +38,7 @@
 export class MemberGossip {
     readonly #options: MemberGossipOptions;
     #pending: PendingRecord[] = [];
-    #batchTimer: NodeJS.Timeout | undefined;
+    #cancelBatch: (() => void) | undefined;
     #lastExchangeAt = -Infinity;
 
     constructor(options: MemberGossipOptions) {
@@ -47,14 +49,14 @@
     announce(records: readonly Member[], source?: string): void {
         this.#pending.push(...records.map(record => ({ record, source })));
         if (this.#pending.length > 0) {
-            this.#batchTimer ??= setTimeout(() => this.flush(), RECORD_BATCH_DELAY_MS);
+            this.#cancelBatch ??= this.#options.timers.after(RECORD_BATCH_DELAY_MS, () => this.flush());
         }
     }
 
     /** Sends the records that are waiting. */
     flush(): void {
-        clearTimeout(this.#batchTimer);
-        this.#batchTimer = undefined;
+        this.#cancelBatch?.();
+        this.#cancelBatch = undefined;
         const pending = this.#pending;
         this.#pending = [];
         for (const id of this.#options.listReceivers()) {
@@ -90,7 +92,7 @@
     }
 
     stop(): void {
-        clearTimeout(this.#batchTimer);
+        this.#cancelBatch?.();
     }
 
     #handleMembers(id: string, { domain, records, wantedBuckets }: SessionMessageOf<"members">): void {
--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -2,12 +2,13 @@
  * Follows the configuration in the store while this daemon should: by a watch, by checks while it waits, and by a
  * reading of what is newer than the last confirmed position when it begins.
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { Left } from "purify-ts/Either";
 import type { VersionFreshness } from "../../coordination/distribution/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type { ConfigurationReadResult, MeshStorePort, StoreError, StorePosition } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
+import { sleepFor } from "../timers/index.js";
+import type { Timers } from "../timers/index.js";
 import { AnswerTimeout } from "./AnswerTimeout.js";
 import {
     CHECK_WAIT_MS,
@@ -26,6 +27,7 @@
     readonly log: PartLogger;
     readonly now: () => number;
     readonly random: () => number;
+    readonly timers: Timers;
     /** Number of daemons in all regions, which share the store's rate. */
     countDaemons(): number;
     shouldWatch(): boolean;
@@ -54,7 +56,7 @@
         this.#guard = new WatchGuard({
             computeCheckDelayMs: () => options.computeCheckDelayMs(this.#timeout.roundTripMs),
             onConfirmed: reading => options.onConfirmed(reading),
-            sleep: ms => sleep(ms),
+            sleep: ms => sleepFor(options.timers, ms),
         });
     }
 
@@ -91,7 +93,7 @@
     }
 
     async #run(): Promise<void> {
-        const { applyReading, onLeft, shouldWatch } = this.#options;
+        const { applyReading, onLeft, shouldWatch, timers } = this.#options;
         let delays = this.#createDelays();
         let hasLostHistory = false;
         while (!this.#isStopping) {
@@ -101,7 +103,7 @@
                 }
                 this.#position = undefined;
                 onLeft();
-                await sleep(WATCHER_CHECK_INTERVAL_MS);
+                await sleepFor(timers, WATCHER_CHECK_INTERVAL_MS);
                 continue;
             }
             const position = this.#position;
@@ -127,7 +129,7 @@
                 },
             });
             if (pauseMs > 0) {
-                await sleep(pauseMs);
+                await sleepFor(timers, pauseMs);
             }
         }
     }
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -1,7 +1,7 @@
 import type { Either } from "purify-ts/Either";
 import { Left, Right } from "purify-ts/Either";
 import { describe, expect, it } from "vitest";
-import { VersionLag } from "../../../../coordination/distribution/index.js";
+import { deriveFreshnessLimits, VersionLag } from "../../../../coordination/distribution/index.js";
 import type {
     ConfigurationReadResult,
     MeshStorePort,
@@ -10,6 +10,7 @@
 } from "../../../../state/store/index.js";
 import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { realTimers } from "../../../timers/index.js";
 import { ConfigurationManager } from "../../index.js";
 
 const READING_MS = 20;
@@ -59,7 +60,7 @@
 ) {
     return new ConfigurationManager({
         countDaemons: () => 1,
-        deadlineMs,
+        limits: deriveFreshnessLimits(deadlineMs),
         decode: ({ text }) => text === "" ? Left([]) : Right(createConfiguration(Number(text))),
         isRegistered: () => true,
         isSameRegion: () => true,
@@ -74,6 +75,7 @@
         random: () => 0.5,
         requestConfiguration: () => undefined,
         selfId: "self",
+        timers: realTimers,
         sendConfiguration: () => undefined,
         store: {
             readConfiguration: () => read(undefined),
--- a/src/transport/directory/__tests__/unit/MemberGossip.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberGossip.test.ts
@@ -7,6 +7,7 @@
 import type { MeshStorePort } from "../../../../state/store/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
 import { createMember } from "../../../sessions/__tests__/fixtures/SessionManagers.js";
+import { realTimers } from "../../../timers/index.js";
 import { MemberGossip, MemberRegistry } from "../../index.js";
 
 const DOMAINS = ["erie-a", "erie-b", "superior-a", "superior-b"] as const;
@@ -68,6 +69,7 @@
                 }
             },
             table: registry.table,
+            timers: realTimers,
         });
         registry.merge(known);
         const daemon = { gossip, id: self.id, registry };
--- a/src/transport/directory/__tests__/unit/StoreFollower.test.ts
+++ b/src/transport/directory/__tests__/unit/StoreFollower.test.ts
@@ -8,6 +8,7 @@
     StorePosition,
 } from "../../../../state/store/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { realTimers } from "../../../timers/index.js";
 import { StoreFollower } from "../../StoreFollower.js";
 
 const CONFIRMED: StorePosition = { era: 0, revision: 7 };
@@ -46,6 +47,7 @@
         random: () => 0.5,
         shouldWatch: () => false,
         store,
+        timers: realTimers,
     });
     return { calls, follower };
 }
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -1,6 +1,6 @@
 import { Right } from "purify-ts/Either";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { selectNeighbours, VersionLag } from "../../../../coordination/distribution/index.js";
+import { deriveFreshnessLimits, selectNeighbours, VersionLag } from "../../../../coordination/distribution/index.js";
 import { encodeSessionMessage } from "../../../../protocol/session/index.js";
 import type { SessionMessage } from "../../../../protocol/session/index.js";
 import type { Member } from "../../../../state/members/index.js";
@@ -10,6 +10,7 @@
 import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
 import { createMember } from "../../../sessions/__tests__/fixtures/SessionManagers.js";
+import { realTimers } from "../../../timers/index.js";
 import { computeDistance } from "../../../traffic/index.js";
 import { ConfigurationManager } from "../../index.js";
 
@@ -128,7 +129,8 @@
             onStoreRead: () => undefined,
             onConfirmed: () => undefined,
             onWatchChanged: () => undefined,
-            deadlineMs: 2_000,
+            limits: deriveFreshnessLimits(2_000),
+            timers: realTimers,
             random: createSeededRandom(members.indexOf(self)),
             requestConfiguration: id => send(self, id, { kind: "configurationRequest" }),
             selfId: self.id,
--- a/src/transport/mesh/FailureDetector.ts
+++ b/src/transport/mesh/FailureDetector.ts
@@ -2,12 +2,12 @@
 import { LinkRole } from "../../protocol/peer/index.js";
 import type { CutOffDomain, MessageOf } from "../../protocol/peer/index.js";
 import { isPresent } from "../../state/members/index.js";
+import { sleepFor } from "../timers/index.js";
 import type { Exclusions } from "./Exclusions.js";
 import type { Link } from "./Link.js";
 import type { MemberExchange } from "./MemberExchange.js";
 import { HEARTBEAT_MS, MISSED_HEARTBEATS, TOMBSTONE_RETENTION_MS } from "./MeshConstants.js";
 import type { MeshComponent, MeshContext, MessageHandlers } from "./MeshContext.js";
-import { sleepFor } from "./Timers.js";
 
 /** Time for a lost link to be re-established before the member is checked. */
 const RECONNECT_GRACE_MS = 500;
--- a/src/transport/mesh/FloorResolver.ts
+++ b/src/transport/mesh/FloorResolver.ts
@@ -2,12 +2,12 @@
 import { LinkRole } from "../../protocol/peer/index.js";
 import type { MessageOf } from "../../protocol/peer/index.js";
 import { parseHead } from "../../state/versions/index.js";
+import { sleepFor, withTimeout } from "../timers/index.js";
 import type { InstrumentedStore } from "./InstrumentedStore.js";
 import type { Link } from "./Link.js";
 import { REQUEST_TIMEOUT_MS } from "./MeshConstants.js";
 import type { MeshComponent, MeshContext, MessageHandlers } from "./MeshContext.js";
 import { PendingRequests } from "./PendingRequests.js";
-import { sleepFor, withTimeout } from "./Timers.js";
 import type { VersionExchange } from "./VersionExchange.js";
 
 /** Highest-ranked members of another failure domain that are queried in turn to find a settled relay. */
--- a/src/transport/mesh/FrameDelivery.ts
+++ b/src/transport/mesh/FrameDelivery.ts
@@ -1,6 +1,6 @@
 import type { SessionOptions } from "../../protocol/peer/index.js";
+import type { Timers } from "../timers/index.js";
 import type { DelayLink, LinkEndpoint } from "./MeshOptions.js";
-import type { Timers } from "./Timers.js";
 
 /** Delays frames by the latency from `delayLink` and preserves their order within a connection. */
 export function createFrameDelivery(
--- a/src/transport/mesh/HeadWatcher.ts
+++ b/src/transport/mesh/HeadWatcher.ts
@@ -2,10 +2,10 @@
 import { computeBackoffDelay, getNewestSnapshot, getReceivedVersion } from "../../coordination/distribution/index.js";
 import type { StoredObject } from "../../state/store/index.js";
 import { HEAD_KEY, parseHead } from "../../state/versions/index.js";
+import { sleepFor } from "../timers/index.js";
 import type { InstrumentedStore } from "./InstrumentedStore.js";
 import { TICK_MS } from "./MeshConstants.js";
 import type { MeshComponent, MeshContext } from "./MeshContext.js";
-import { sleepFor } from "./Timers.js";
 import type { VersionExchange } from "./VersionExchange.js";
 
 /** Maximum wait of one watch call. */
--- a/src/transport/mesh/LinkConnector.ts
+++ b/src/transport/mesh/LinkConnector.ts
@@ -2,11 +2,11 @@
 import { MessageError, PeerSession } from "../../protocol/peer/index.js";
 import type { AuthenticatedPeer } from "../../protocol/peer/index.js";
 import type { PeerNetwork } from "../peer/index.js";
+import type { Timers } from "../timers/index.js";
+import { withTimeout } from "../timers/index.js";
 import { Link } from "./Link.js";
 import { CONCURRENT_HANDSHAKE_LIMIT, HANDSHAKE_TIMEOUT_MS } from "./MeshConstants.js";
 import type { MeshLog } from "./MeshOptions.js";
-import type { Timers } from "./Timers.js";
-import { withTimeout } from "./Timers.js";
 
 export interface LinkCallbacks {
     /** Returns the candidates to which a daemon is redirected, or undefined to admit it. */
--- a/src/transport/mesh/MeshContext.ts
+++ b/src/transport/mesh/MeshContext.ts
@@ -1,10 +1,10 @@
 import type { DistributionIntervals, TreePosition } from "../../coordination/distribution/index.js";
 import type { Candidate, LinkRole, MessageKind, MessageOf } from "../../protocol/peer/index.js";
 import type { Member, MemberTable } from "../../state/members/index.js";
+import type { Timers } from "../timers/index.js";
 import type { Link } from "./Link.js";
 import type { LinkSet } from "./LinkSet.js";
 import type { MeshOptions } from "./MeshOptions.js";
-import type { Timers } from "./Timers.js";
 
 /** State and operations shared by the components of a mesh node. */
 export interface MeshContext {
--- a/src/transport/mesh/MeshNode.ts
+++ b/src/transport/mesh/MeshNode.ts
@@ -14,6 +14,7 @@
 import type { MeshView } from "../../state/view/index.js";
 import { createWebSocketNetwork } from "../peer/index.js";
 import type { PeerListener } from "../peer/index.js";
+import { realTimers, scheduleRepeating, sleepFor } from "../timers/index.js";
 import { AntiEntropy } from "./AntiEntropy.js";
 import { Bootstrap } from "./Bootstrap.js";
 import { CutOffTracker } from "./CutOffTracker.js";
@@ -34,7 +35,6 @@
 import { createMonotonicClock } from "./MonotonicClock.js";
 import { ReleaseManager } from "./ReleaseManager.js";
 import { StatusAggregator } from "./StatusAggregator.js";
-import { realTimers, scheduleRepeating, sleepFor } from "./Timers.js";
 import { TrafficCounter } from "./TrafficCounter.js";
 import { TreeManager } from "./TreeManager.js";
 import { VersionExchange } from "./VersionExchange.js";
--- a/src/transport/mesh/MeshOptions.ts
+++ b/src/transport/mesh/MeshOptions.ts
@@ -5,7 +5,7 @@
 import type { StorePort } from "../../state/store/index.js";
 import type { MeshView } from "../../state/view/index.js";
 import type { PeerNetwork } from "../peer/index.js";
-import type { Timers } from "./Timers.js";
+import type { Timers } from "../timers/index.js";
 
 /** Log functions with the argument order of `bunyan`. */
 export interface MeshLog {
--- a/src/transport/mesh/PendingRequests.ts
+++ b/src/transport/mesh/PendingRequests.ts
@@ -1,6 +1,6 @@
+import type { Timers } from "../timers/index.js";
+import { withTimeout } from "../timers/index.js";
 import type { Link } from "./Link.js";
-import type { Timers } from "./Timers.js";
-import { withTimeout } from "./Timers.js";
 
 interface PendingRequest<T> {
     readonly link: Link;
--- a/src/transport/mesh/ViewPublisher.ts
+++ b/src/transport/mesh/ViewPublisher.ts
@@ -1,7 +1,7 @@
 import { MemberState } from "../../state/members/index.js";
 import type { Member, MemberTable } from "../../state/members/index.js";
 import type { ConfigurationInForce, MeshView } from "../../state/view/index.js";
-import type { Timers } from "./Timers.js";
+import type { Timers } from "../timers/index.js";
 
 /** Time for which changes are collected before they are published together. */
 const PUBLISH_DELAY_MS = 10;
--- a/src/transport/mesh/__tests__/support/VirtualTime.ts
+++ b/src/transport/mesh/__tests__/support/VirtualTime.ts
@@ -1,4 +1,4 @@
-import type { Timers } from "../../Timers.js";
+import type { Timers } from "../../../timers/index.js";
 
 interface ScheduledEvent {
     readonly at: number;
--- a/src/transport/mesh/index.ts
+++ b/src/transport/mesh/index.ts
@@ -1,3 +1,5 @@
+export { realTimers } from "../timers/index.js";
+export type { Timers } from "../timers/index.js";
 export { startMeshNode } from "./MeshNode.js";
 export type {
     ControlCounters,
@@ -8,5 +10,3 @@
     MeshOptions,
     MeshStatus,
 } from "./MeshOptions.js";
-export { realTimers } from "./Timers.js";
-export type { Timers } from "./Timers.js";
--- a/src/transport/routes/RouteQueries.ts
+++ b/src/transport/routes/RouteQueries.ts
@@ -2,6 +2,7 @@
 import type { GossipMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import { findRoute } from "../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import type { Timers } from "../timers/index.js";
 
 /** Time after which a second daemon is asked; above a round trip between regions. */
 export const SECOND_QUERY_DELAY_MS = 60;
@@ -20,6 +21,7 @@
 }
 
 export interface RouteQueriesOptions {
+    readonly timers: Timers;
     send(id: string, message: GossipMessage): void;
     readConfiguration(): TrafficConfiguration | undefined;
     /** Called when a daemon has not answered a query in time. */
@@ -60,6 +62,7 @@
         if (first === undefined || this.#open.size >= MAXIMUM_OPEN_QUERIES) {
             return Promise.resolve(undefined);
         }
+        const { timers } = this.#options;
         const query = ++this.#lastQuery;
         const waitingFor = new Set<string>();
         const ask = (id: string): void => {
@@ -69,16 +72,18 @@
         };
         return new Promise(resolve => {
             const end = (answer: RouteAnswer | undefined): void => {
-                clearTimeout(secondTimer);
-                clearTimeout(timeout);
+                cancelSecond();
+                cancelTimeout();
                 this.#open.delete(query);
                 resolve(answer);
             };
-            const secondTimer = second === undefined ? undefined : setTimeout(() => ask(second), SECOND_QUERY_DELAY_MS);
-            const timeout = setTimeout(() => {
+            const cancelSecond = second === undefined
+                ? () => undefined
+                : timers.after(SECOND_QUERY_DELAY_MS, () => ask(second));
+            const cancelTimeout = timers.after(QUERY_TIMEOUT_MS, () => {
                 waitingFor.forEach(id => this.#options.onUnanswered(id));
                 end(undefined);
-            }, QUERY_TIMEOUT_MS);
+            });
             this.#open.set(query, {
                 accept: answer => {
                     if (isUsable(answer)) {
--- a/src/transport/routes/__tests__/unit/RouteResolver.test.ts
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -5,6 +5,7 @@
 import { RequestKind } from "../../../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../../../state/traffic/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { realTimers } from "../../../timers/index.js";
 import { RouteQueries, RouteResolver } from "../../index.js";
 import type { RouteDecision } from "../../index.js";
 
@@ -68,6 +69,7 @@
                 onUnanswered: () => undefined,
                 readConfiguration: () => configuration,
                 send: (_id, message) => void Promise.resolve().then(() => handleAnswer(id, message)),
+                timers: realTimers,
             }),
         ]),
     );
@@ -80,6 +82,7 @@
                 answering.get(id)?.answerQuery("self", message);
             }
         },
+        timers: realTimers,
     });
     function handleAnswer(id: string, message: GossipMessage): void {
         if (message.kind === "routeAnswer") {
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -71,7 +71,7 @@
     #isClosed = false;
     #isConnecting = false;
     #connectAttempts = 0;
-    #reconnectTimer: NodeJS.Timeout | undefined;
+    #cancelReconnect: () => void = () => undefined;
     #reconnectDelays: Generator<number, never>;
     #wasUnreachable = true;
     /** Last known identity of the owner's server, sent to the owner in case it has restarted. */
@@ -125,7 +125,7 @@
     reconnect(): void {
         if (this.#connection === undefined && !this.#isConnecting) {
             this.#reconnectDelays = this.#createReconnectDelays();
-            clearTimeout(this.#reconnectTimer);
+            this.#cancelReconnect();
             void this.#connect();
         }
     }
@@ -219,7 +219,7 @@
     /** Closes the session for good and fails all requests on it. */
     close(detail: string): void {
         this.#isClosed = true;
-        clearTimeout(this.#reconnectTimer);
+        this.#cancelReconnect();
         this.#connection?.close();
         this.#connection = undefined;
         this.#failPendingRequests(detail);
@@ -275,12 +275,12 @@
     }
 
     #scheduleReconnect(): void {
-        clearTimeout(this.#reconnectTimer);
-        this.#reconnectTimer = setTimeout(() => {
+        this.#cancelReconnect();
+        this.#cancelReconnect = this.#options.timers.after(this.#reconnectDelays.next().value, () => {
             if (this.#connection === undefined && !this.#isConnecting) {
                 void this.#connect();
             }
-        }, this.#reconnectDelays.next().value);
+        });
     }
 
     async #runConnection(connection: FrameConnection): Promise<void> {
@@ -294,11 +294,11 @@
             target: this.#member.id,
         }));
         // Only one connection at a time may be in its handshake: another one would make its message counts stale.
-        const timer = setTimeout(() => {
+        const cancelTimeout = this.#options.timers.after(HANDSHAKE_TIMEOUT_MS, () => {
             if (this.#connection !== connection) {
                 connection.close();
             }
-        }, HANDSHAKE_TIMEOUT_MS);
+        });
         try {
             await consumeFrames(connection, (message, bytes) => {
                 this.#lastHeardAt = this.#options.now();
@@ -307,7 +307,7 @@
             });
         }
         finally {
-            clearTimeout(timer);
+            cancelTimeout();
             this.#detachConnection(connection);
         }
     }
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -4,6 +4,7 @@
 import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { PeerListener, PeerNetwork } from "../peer/index.js";
+import { scheduleRepeating } from "../timers/index.js";
 import { CallerSession } from "./CallerSession.js";
 import { consumeFrames } from "./ConsumeFrames.js";
 import { addTransit } from "./HandleGossip.js";
@@ -36,7 +37,7 @@
     readonly #ownerSessions = new Map<string, OwnerSession>();
     readonly #callerSessions = new Map<string, CallerSession>();
     #listener: PeerListener | undefined;
-    #tickTimer: NodeJS.Timeout | undefined;
+    #stopTicks: () => void = () => undefined;
 
     constructor(options: SessionManagerOptions) {
         this.#options = options;
@@ -54,7 +55,7 @@
                 this.#options.log.warn(`connection closed: ${(error as Error).message}.`);
             });
         });
-        this.#scheduleTick();
+        this.#scheduleTicks();
     }
 
     /** Opens a session with the daemon of a record, or updates its session after a change. */
@@ -137,7 +138,7 @@
     }
 
     async stop(): Promise<void> {
-        clearTimeout(this.#tickTimer);
+        this.#stopTicks();
         for (const session of this.#ownerSessions.values()) {
             session.close("this daemon stops");
         }
@@ -157,10 +158,9 @@
         );
     }
 
-    #scheduleTick(): void {
-        this.#tickTimer = setTimeout(() => {
-            // First, so that an error of one session doesn't end the pings of all.
-            this.#scheduleTick();
+    #scheduleTicks(): void {
+        // An error of one session doesn't end the pings of all: the next tick is scheduled first.
+        this.#stopTicks = scheduleRepeating(this.#options.timers, () => SESSION_TICK_MS, SESSION_TICK_MS, () => {
             const now = this.#options.now();
             for (const session of this.#ownerSessions.values()) {
                 session.tick(now);
@@ -171,7 +171,7 @@
                     session.close();
                 }
             }
-        }, SESSION_TICK_MS);
+        });
     }
 
     async #acceptConnection(connection: FrameConnection): Promise<void> {
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -5,6 +5,7 @@
 import type { Member } from "../../state/members/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
+import type { Timers } from "../timers/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 
 /** Status that a daemon sends with each ping and pong. */
@@ -30,6 +31,7 @@
     /** Monotonic clock, in milliseconds. */
     readonly now: () => number;
     readonly random: () => number;
+    readonly timers: Timers;
     readSelf(): Member;
     readStatus(): LocalStatus;
     readLoad(): OwnerLoad;
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -3,6 +3,7 @@
 import type { FrameConnection } from "../../../../protocol/peer/index.js";
 import type { SessionMessage } from "../../../../protocol/session/index.js";
 import { createOwnedRequest, createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { realTimers } from "../../../timers/index.js";
 import { UplinkSender } from "../../../uplink/index.js";
 import { CallerSession } from "../../CallerSession.js";
 import type { PeerStatus } from "../../SessionTypes.js";
@@ -67,6 +68,7 @@
                 resume: () => undefined,
             };
         },
+        timers: realTimers,
         uplink: new UplinkSender(undefined, () => performance.now()),
     });
 }
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,6 +1,6 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
-import { VersionLag } from "../../coordination/distribution/index.js";
+import { deriveFreshnessLimits, VersionLag } from "../../coordination/distribution/index.js";
 import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
@@ -17,6 +17,7 @@
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../routes/index.js";
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
+import { realTimers } from "../timers/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { UplinkSender } from "../uplink/index.js";
 import { listGauges } from "./DaemonGauges.js";
@@ -228,6 +229,7 @@
             readServerIdentity: () => this.#admission.readServerIdentity(),
             readSelf: () => this.#memberRegistry.self,
             submit: (request, events) => this.#admission.submit(request, events),
+            timers: realTimers,
             uplink: this.#uplink,
         });
         this.#memberGossip = new MemberGossip({
@@ -237,6 +239,7 @@
             now,
             send: (id, message) => this.#sessions.sendGossip(id, message),
             table: this.#memberRegistry.table,
+            timers: realTimers,
         });
         this.#sessionSelector = new SessionSelector({
             listServices: () => this.#listServices(),
@@ -259,7 +262,7 @@
         });
         this.#configurationManager = new ConfigurationManager({
             countDaemons: () => this.#memberRegistry.list().length,
-            deadlineMs: settings.configurationDeadlineMs,
+            limits: deriveFreshnessLimits(settings.configurationDeadlineMs),
             decode: dependencies.decodeConfiguration,
             lag: this.#lag,
             listReachable: () => this.#listReachable(),
@@ -283,11 +286,13 @@
             },
             selfId: settings.id,
             store: dependencies.store,
+            timers: realTimers,
         });
         this.#routeQueries = new RouteQueries({
             onUnanswered: id => this.#lag.recordUnanswered(id, now()),
             readConfiguration: () => this.#configurationManager.configuration,
             send: (id, message) => this.#sessions.sendGossip(id, message),
+            timers: realTimers,
         });
         this.#routeResolver = new RouteResolver({
             lag: this.#lag,
