Count how late a version is from the oldest missing one, whatever a daemon says later

Callers could be routed by a replaced version for longer than 0.5 s after their daemon had learned of a newer one. Cause: of each other daemon only the last version was kept, with the time since it was known. Each further version of the only daemon that is asked, and each message with its version before that was on its way for long, began the time anew, in which the own version still decides.

Now the versions of another daemon that are newer than the own one are kept with the times at which they became known, 16 at most.

--- a/src/coordination/distribution/VersionLag.ts
+++ b/src/coordination/distribution/VersionLag.ts
@@ -10,10 +10,17 @@
 /** Time after which the word of such a daemon is taken again, doubled by each further unanswered query. */
 const DISTRUST_BASE_MS = 2_000;
 const DISTRUST_MAXIMUM_MS = 120_000;
+/** Versions of another daemon that are kept while the own one is older than all of them. */
+const MAXIMUM_NEWER_VERSIONS = 16;
 
-interface PeerVersion {
+interface KnownVersion {
     readonly version: number;
     readonly knownAt: number;
+}
+
+interface PeerVersion extends KnownVersion {
+    /** Versions newer than the own one since they were first known, in ascending order. */
+    readonly newer: readonly KnownVersion[];
     /** Queries since the last answer. */
     unanswered: number;
     lastUnansweredAt: number;
@@ -55,8 +62,15 @@
 
     /** Records the version in force at another daemon; returns whether it is newer than the own one. */
     recordPeer(id: string, version: number, now: number): boolean {
-        if (this.#peers.get(id)?.version !== version) {
-            this.#peers.set(id, { knownAt: now, lastUnansweredAt: -Infinity, unanswered: 0, version });
+        const before = this.#peers.get(id);
+        if (before?.version !== version) {
+            this.#peers.set(id, {
+                knownAt: now,
+                lastUnansweredAt: -Infinity,
+                newer: this.#addNewer(before?.newer ?? [], { knownAt: now, version }),
+                unanswered: 0,
+                version,
+            });
             this.#updateBehindSince();
         }
         return this.isNewer(version);
@@ -151,9 +165,21 @@
         return this.#peers.get(id)?.version;
     }
 
+    /**
+     * Adds a version to those of another daemon. They stay when it names an older one again: a message can be late, and a
+     * version that was in force anywhere doesn't end. Beyond the limit the oldest and the newest ones are kept.
+     */
+    #addNewer(versions: readonly KnownVersion[], added: KnownVersion): readonly KnownVersion[] {
+        const newer = versions.filter(({ version }) => this.isNewer(version));
+        if (!this.isNewer(added.version) || added.version <= (newer.at(-1)?.version ?? -Infinity)) {
+            return newer;
+        }
+        return [...newer.slice(0, MAXIMUM_NEWER_VERSIONS - 1), added];
+    }
+
     #updateBehindSince(): void {
-        const times = [...this.#peers.values()].filter(({ version }) => this.isNewer(version)).map(peer =>
-            peer.knownAt
+        const times = [...this.#peers.values()].flatMap(({ newer }) =>
+            newer.find(({ version }) => this.isNewer(version))?.knownAt ?? []
         );
         if (this.isSuperseded) {
             times.push(this.#requiredAt);
--- a/src/coordination/distribution/__tests__/unit/VersionLag.test.ts
+++ b/src/coordination/distribution/__tests__/unit/VersionLag.test.ts
@@ -47,6 +47,36 @@
         expect(lag.readBehindMs(1_500)).toBeUndefined();
     });
 
+    it("goes on counting while the only other daemon changes its version ever again", () => {
+        const lag = createLag(4);
+        for (let count = 0; count < 5; count++) {
+            lag.recordPeer("a", 5 + count, 400 * count);
+        }
+        expect(lag.readBehindMs(1_600)).toBe(1_600);
+        expect(lag.mayDecide(SOURCES, 1_600)).toBe(false);
+        lag.recordOwn(6);
+        expect(lag.readBehindMs(1_600)).toBe(800);
+    });
+
+    it("goes on counting when a message that was on its way for long names the other daemon's version before", () => {
+        const lag = createLag(4);
+        lag.recordPeer("a", 5, 0);
+        lag.recordPeer("a", 4, 400);
+        lag.recordPeer("a", 5, 410);
+        expect(lag.readBehindMs(600)).toBe(600);
+        expect(lag.mayDecide(SOURCES, 600)).toBe(false);
+    });
+
+    it("keeps a bounded number of another daemon's versions, among them the oldest that is missing", () => {
+        const lag = createLag(4);
+        for (let version = 5; version < 100_000; version++) {
+            lag.recordPeer("a", version, version);
+        }
+        expect(lag.readBehindMs(100_000)).toBe(100_000 - 5);
+        lag.recordOwn(99_999);
+        expect(lag.isBehind).toBe(false);
+    });
+
     it("asks daemons with any newer version, but none that is older than one known for long or than one that decided", () => {
         const lag = createLag(4);
         lag.recordPeer("same", 4, 0);
