Give input in tiny parts a quarter of the event loop, shared by all that sends it

Answers of a server that are valid but cut into tiny chunks held the daemon's event loop for seconds: 64 KB were read at once, and each chunk became a message of its own. Requests of others on the VM, pings and versions waited.

Both are now parsed in slices of 2 KB while their parts are tiny. A slice beyond the first millisecond of an answer or a body waits until all costly input has taken no more than a quarter of the time; the connection that has cost least goes first. What a read holds is passed on as one piece. Reports above 64 KB are rejected while they are still being sent.

--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -17,6 +17,7 @@
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
+import type { CostlyReads } from "../input/index.js";
 import type { PartLogger } from "../logging/index.js";
 import { CrashDetector } from "./CrashDetector.js";
 import type { RunningRequest } from "./CrashDetector.js";
@@ -39,6 +40,8 @@
     readonly log: PartLogger;
     /** Monotonic clock, in milliseconds. */
     readonly now: () => number;
+    /** Divides the processor time for answers that come in tiny parts. */
+    readonly costlyReads: CostlyReads;
     /** Rate of the VM's link; undefined when large answers need no budget. */
     readonly linkBytesPerMs?: number | undefined;
     /** Called after admission has opened or closed, or another server has reported. */
@@ -92,7 +95,11 @@
             this.#rateLimit,
             this.#link,
         );
-        this.#connectionPool = new ServerConnectionPool(options.dialect, options.now);
+        this.#connectionPool = new ServerConnectionPool(
+            options.dialect,
+            options.now,
+            options.costlyReads,
+        );
         this.#crashDetector = new CrashDetector(options);
     }
 
--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -34,6 +34,15 @@
     return parser;
 }
 
+/** Returns how many of the next bytes belong to one piece of a body: a chunk, or a body with a length or without end. */
+export function readPieceBytes(parser: AnswerParser): number {
+    const { body_bytes: pieceBytes, state } = parser as unknown as ParserState;
+    if (state === "BODY_RAW") {
+        return Infinity;
+    }
+    return state === "BODY_CHUNK" || state === "BODY_SIZED" ? pieceBytes ?? 0 : 0;
+}
+
 function appendField(line: string, headers: string[]): void {
     const continuation = headers.length === 0 ? null : CONTINUATION_PATTERN.exec(line);
     if (continuation !== null) {
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -231,9 +231,7 @@
         if (this.#bufferedBytes > MAXIMUM_BUFFERED_ANSWER_BYTES) {
             this.#isHeadForwarded = true;
             this.events.onHead(this.#head);
-            for (const part of this.#bufferedParts) {
-                this.events.onData(part);
-            }
+            this.events.onData(Buffer.concat(this.#bufferedParts));
             this.#bufferedParts = [];
         }
     }
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -1,20 +1,25 @@
 /**
  * One connection to the backend server. Bytes that belong to no request in flight, and answers that
  * name another request, are dropped and never passed on. A server that sends too many of them, or too many bytes
- * that are no body, loses the connection.
+ * that are no body, loses the connection. What was read at once is parsed in slices, which wait for their share of the
+ * processor while the server cuts its answer into tiny parts.
  */
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
-import { createAnswerParser } from "./AnswerParser.js";
+import type { CostlyReader, CostlyReads } from "../input/index.js";
+import { createAnswerParser, readPieceBytes } from "./AnswerParser.js";
 import type { AnswerParser } from "./AnswerParser.js";
 import {
     ANSWER_HEADER_LIMIT_BYTES,
     CONNECT_TIMEOUT_MS,
+    COSTLY_PART_BYTES,
     FOREIGN_BODY_LIMIT_BYTES,
     FRAMING_BYTES_PER_BODY_BYTE,
     MAXIMUM_DECLINED_IDS,
+    MAXIMUM_SLICE_BYTES,
+    MINIMUM_SLICE_BYTES,
 } from "./OwnershipConstants.js";
 
 /** Events of one request on a connection. Exactly one of `onEnd`, `onNotSent` and `onBroken` is called last. */
@@ -47,10 +52,14 @@
 const FIRST_FINAL_STATUS = 200;
 const FIRST_FAILURE_STATUS = 300;
 const SKIP_BODY = 1;
+/** Parts of a body that take as long to read as a head. */
+const PARTS_PER_HEAD = 4;
 
-export class ServerConnection {
+export class ServerConnection implements CostlyReader {
     readonly #socket: Socket;
     readonly #dialect: Dialect;
+    readonly #now: () => number;
+    readonly #costlyReads: CostlyReads;
     readonly #onIdle: (connection: ServerConnection) => void;
     readonly #onClose: (connection: ServerConnection) => void;
     readonly #parser: AnswerParser;
@@ -69,15 +78,32 @@
     readonly #declinedIds = new Set<string>();
     #idleTimeoutMs = Infinity;
     #idleSince = 0;
+    /** Bytes that were read from the socket and wait to be parsed. */
+    #unparsed: Buffer | undefined;
+    #sliceBytes = MINIMUM_SLICE_BYTES;
+    /** Pieces of bodies in the present slice, and heads, which count more. */
+    #sliceParts = 0;
+    #workMs = 0;
+    /** Pieces of the own answer's body that are passed on together. */
+    #bodyParts: Uint8Array[] = [];
+    #isPausedByReader = false;
+    #isParsing = false;
+    #isWaitingForShare = false;
+    /** What is to be done once no bytes wait any more, after the socket has ended or closed. */
+    #finishes: (() => void)[] = [];
 
     constructor(
         address: string,
         port: number,
         dialect: Dialect,
+        now: () => number,
+        costlyReads: CostlyReads,
         onFree: (connection: ServerConnection) => void,
         onClose: (connection: ServerConnection) => void,
     ) {
         this.#dialect = dialect;
+        this.#now = now;
+        this.#costlyReads = costlyReads;
         this.#onIdle = onFree;
         this.#onClose = onClose;
         this.#parser = this.#createParser();
@@ -93,10 +119,11 @@
             error = cause;
         });
         this.#socket.on("data", chunk => this.#handleData(chunk));
-        this.#socket.on("end", () => this.#handleSocketEnd());
+        this.#socket.on("end", () => this.#runAfterUnparsed(() => this.#handleSocketEnd()));
         this.#socket.on("close", () => {
             clearTimeout(timer);
-            this.#handleSocketClose(error?.message ?? "the server closed the connection");
+            const detail = error?.message ?? "the server closed the connection";
+            this.#runAfterUnparsed(() => this.#handleSocketClose(detail));
         });
     }
 
@@ -108,6 +135,15 @@
         return this.#idleTimeoutMs;
     }
 
+    get source(): string {
+        return `the answer to request ${this.#exchange?.requestId ?? "-"}`;
+    }
+
+    /** Processor time that the costly slices of the present answer have taken, in milliseconds. */
+    get workMs(): number {
+        return this.#workMs;
+    }
+
     get isClosed(): boolean {
         return this.#isClosed;
     }
@@ -125,6 +161,7 @@
     send(requestId: string, isHead: boolean, bytes: Uint8Array, events: ExchangeEvents): void {
         this.#exchange = { bytes, events, isHead, isOwnAnswer: false, isSent: false, requestId };
         this.#earlierExchanges++;
+        this.#workMs = 0;
         this.#receivedBytes = 0;
         this.#ownBodyBytes = 0;
         this.#foreignBodyBytes = 0;
@@ -137,19 +174,43 @@
     }
 
     pause(): void {
+        this.#isPausedByReader = true;
         this.#socket.pause();
     }
 
     resume(): void {
-        this.#socket.resume();
+        this.#isPausedByReader = false;
+        if (this.#unparsed === undefined) {
+            this.#socket.resume();
+        }
+        else if (!this.#isParsing && !this.#isWaitingForShare) {
+            this.#waitForShare();
+        }
     }
 
     /** Closes the connection; an exchange in flight gets no further event. */
     destroy(): void {
         this.#exchange = undefined;
+        this.#discardUnparsed();
         this.#socket.destroy();
     }
 
+    /** Parses what waits, as far as its share of the processor goes. */
+    readOn(): void {
+        this.#isWaitingForShare = false;
+        this.#parseUnparsed();
+        this.#passBodyOn();
+        if (this.#unparsed !== undefined || this.#isWaitingForShare) {
+            return;
+        }
+        const finishes = this.#finishes;
+        this.#finishes = [];
+        finishes.forEach(finish => finish());
+        if (!this.#isPausedByReader) {
+            this.#socket.resume();
+        }
+    }
+
     #write(): void {
         const exchange = this.#exchange;
         if (exchange !== undefined && !exchange.isSent) {
@@ -162,9 +223,10 @@
         const parser = createAnswerParser(ANSWER_HEADER_LIMIT_BYTES);
         parser.onHeadersComplete = (head: ParsedHead) => this.#handleHead(head);
         parser.onBody = (chunk: Buffer, offset: number, length: number) => {
+            this.#sliceParts++;
             if (this.#exchange?.isOwnAnswer === true) {
                 this.#ownBodyBytes += length;
-                this.#exchange.events.onData(chunk.subarray(offset, offset + length));
+                this.#addBodyPart(chunk.subarray(offset, offset + length));
             }
             else {
                 this.#foreignBodyBytes += length;
@@ -180,18 +242,108 @@
             this.#socket.destroy();
             return;
         }
-        this.#receivedBytes += chunk.length;
-        const result = this.#parser.execute(chunk);
+        // A socket that is paused may still deliver what it had read before.
+        this.#unparsed = this.#unparsed === undefined ? chunk : Buffer.concat([this.#unparsed, chunk]);
+        if (!this.#isWaitingForShare) {
+            this.readOn();
+        }
+    }
+
+    #parseUnparsed(): void {
+        while (this.#unparsed !== undefined) {
+            if (this.#isPausedByReader && this.#finishes.length === 0) {
+                return;
+            }
+            if (!this.#costlyReads.isFree(this)) {
+                this.#waitForShare();
+                return;
+            }
+            const slice = this.#unparsed.subarray(0, Math.max(this.#sliceBytes, readPieceBytes(this.#parser)));
+            this.#unparsed = slice.length < this.#unparsed.length ? this.#unparsed.subarray(slice.length) : undefined;
+            this.#parseSlice(slice);
+        }
+    }
+
+    #parseSlice(slice: Buffer): void {
+        const startedAt = this.#now();
+        this.#sliceParts = 0;
+        this.#receivedBytes += slice.length;
+        this.#isParsing = true;
+        const result = this.#parser.execute(slice);
+        this.#isParsing = false;
         const fault = result instanceof Error ? `the answer is malformed: ${result.message}` : this.#findExcess();
         if (fault !== undefined) {
             this.#failExchange(fault);
-            this.#socket.destroy();
+            this.#closeSocket();
         }
         else if (this.#exchange === undefined && !this.#isReusable) {
-            this.#socket.destroy();
+            this.#closeSocket();
+        }
+        if (this.#sliceParts * COSTLY_PART_BYTES > slice.length) {
+            const workMs = this.#now() - startedAt;
+            this.#workMs += workMs;
+            this.#costlyReads.charge(workMs);
+            this.#sliceBytes = MINIMUM_SLICE_BYTES;
+        }
+        else {
+            this.#sliceBytes = Math.min(MAXIMUM_SLICE_BYTES, 2 * this.#sliceBytes);
         }
     }
 
+    #waitForShare(): void {
+        this.#isWaitingForShare = true;
+        this.#socket.pause();
+        this.#costlyReads.enqueue(this);
+    }
+
+    /** Pieces of a body without framing between them stay one piece, so that they needn't be copied. */
+    #addBodyPart(part: Buffer): void {
+        const last = this.#bodyParts.at(-1);
+        if (last?.buffer === part.buffer && last.byteOffset + last.length === part.byteOffset) {
+            this.#bodyParts.pop();
+            this.#bodyParts.push(Buffer.from(part.buffer, last.byteOffset, last.length + part.length));
+        }
+        else {
+            this.#bodyParts.push(part);
+        }
+    }
+
+    #passBodyOn(): void {
+        const parts = this.#bodyParts;
+        const [first] = parts;
+        if (first !== undefined) {
+            this.#bodyParts = [];
+            this.#exchange?.events.onData(parts.length === 1 ? first : Buffer.concat(parts));
+        }
+    }
+
+    /** Runs an action at once, or after the bytes that wait were parsed. */
+    #runAfterUnparsed(action: () => void): void {
+        if (this.#unparsed === undefined) {
+            action();
+            return;
+        }
+        this.#finishes.push(action);
+        if (!this.#isWaitingForShare) {
+            this.#waitForShare();
+        }
+    }
+
+    #closeSocket(): void {
+        this.#discardUnparsed();
+        this.#socket.destroy();
+    }
+
+    #discardUnparsed(): void {
+        this.#unparsed = undefined;
+        this.#bodyParts = [];
+        this.#costlyReads.cancel(this);
+        this.#isWaitingForShare = false;
+        const finishes = this.#finishes;
+        this.#finishes = [];
+        finishes.forEach(finish => finish());
+    }
+
     /** Describes bytes that the server sends without end in place of an answer; undefined within the limits. */
     #findExcess(): string | undefined {
         const bodyBytes = this.#ownBodyBytes + this.#foreignBodyBytes;
@@ -206,6 +358,7 @@
     }
 
     #handleHead(head: ParsedHead): number | undefined {
+        this.#sliceParts += PARTS_PER_HEAD;
         this.#isInterim = head.statusCode < FIRST_FINAL_STATUS;
         if (this.#isInterim) {
             return undefined;
@@ -217,7 +370,7 @@
         }
         if (!isValidHeaderList(head.headers)) {
             this.#failExchange("the head of the answer has a malformed header");
-            this.#socket.destroy();
+            this.#closeSocket();
             return undefined;
         }
         const statement = this.#dialect.parseServerHeaders(head.statusCode, toHeaderMap(head.headers));
@@ -226,7 +379,7 @@
         const mayBelongToOther = head.statusCode < FIRST_FAILURE_STATUS || this.#earlierExchanges > 0;
         if (statement.requestId === undefined && mayBelongToOther) {
             this.#failExchange(`an answer with status ${head.statusCode} names no request`);
-            this.#socket.destroy();
+            this.#closeSocket();
             return undefined;
         }
         if (statement.requestId !== undefined && statement.requestId !== exchange.requestId) {
@@ -247,8 +400,10 @@
         if (this.#isInterim || exchange === undefined || !exchange.isOwnAnswer) {
             return;
         }
+        this.#passBodyOn();
         this.#exchange = undefined;
         // The reader of this answer may have paused the socket, which would block the next answer.
+        this.#isPausedByReader = false;
         this.#socket.resume();
         exchange.events.onEnd();
         if (this.#isReusable && !this.#isClosed) {
@@ -260,7 +415,7 @@
             });
         }
         else {
-            this.#socket.destroy();
+            this.#closeSocket();
         }
     }
 
@@ -281,6 +436,7 @@
     }
 
     #failExchange(detail: string, isClosed = false): void {
+        this.#passBodyOn();
         const exchange = this.#exchange;
         this.#exchange = undefined;
         if (exchange === undefined) {
--- a/src/transport/ownership/ServerConnectionPool.ts
+++ b/src/transport/ownership/ServerConnectionPool.ts
@@ -1,5 +1,6 @@
 /** Connections of an owner to its backend server: one request at a time on each, the most recently used first. */
 import type { Dialect } from "../../protocol/dialect/index.js";
+import type { CostlyReads } from "../input/index.js";
 import { IDLE_TIMEOUT_MARGIN_MS, MAXIMUM_FRESH_IDLE_MS, MAXIMUM_IDLE_MS } from "./OwnershipConstants.js";
 import { ServerConnection } from "./ServerConnection.js";
 
@@ -9,10 +10,12 @@
     #target: { readonly address: string; readonly port: number; } | undefined;
     #idle: ServerConnection[] = [];
     readonly #open = new Set<ServerConnection>();
+    readonly #costlyReads: CostlyReads;
 
-    constructor(dialect: Dialect, now: () => number) {
+    constructor(dialect: Dialect, now: () => number, costlyReads: CostlyReads) {
         this.#dialect = dialect;
         this.#now = now;
+        this.#costlyReads = costlyReads;
     }
 
     /** Open connections, including idle ones. */
@@ -48,6 +51,8 @@
             this.#target.address,
             this.#target.port,
             this.#dialect,
+            this.#now,
+            this.#costlyReads,
             free => {
                 free.markIdle(this.#now());
                 this.#idle.push(free);
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -1,6 +1,7 @@
 /** Values of a daemon's parts that its metrics show. */
 import type { VersionLag } from "../../coordination/distribution/index.js";
 import type { ConfigurationManager, MemberRegistry } from "../directory/index.js";
+import type { CostlyReads } from "../input/index.js";
 import type { AdmissionController } from "../ownership/index.js";
 import type { QuarantineManager } from "../quarantine/index.js";
 import type { RouteQueries, RouteResolver } from "../routes/index.js";
@@ -12,6 +13,7 @@
 
 export interface GaugeSources {
     readonly admission: AdmissionController;
+    readonly costlyReads: CostlyReads;
     readonly configurationManager: ConfigurationManager;
     readonly delays: DelayMonitor;
     readonly lag: VersionLag;
@@ -68,11 +70,14 @@
 }
 
 function listMeshGauges(
-    { countReachable, delays, memberRegistry, readDroppedLines, sessionSelector, sessions, uplink }: GaugeSources,
+    { costlyReads, countReachable, delays, memberRegistry, readDroppedLines, sessionSelector, sessions, uplink }:
+        GaugeSources,
 ): readonly Gauge[] {
     return [
         { name: "longest_round_trip_seconds", read: () => delays.takeLongestRoundTrip() / MS_PER_SECOND },
         { name: "longest_timer_delay_seconds", read: () => delays.takeLongestDelay() / MS_PER_SECOND },
+        { name: "costly_input_seconds_total", read: () => costlyReads.totalWorkMs / MS_PER_SECOND },
+        { name: "costly_input_waiting", read: () => costlyReads.waiting },
         { name: "members", read: () => memberRegistry.list().length },
         { name: "members_connected", read: countReachable },
         { name: "sessions_open", read: () => [...sessions.listOwnerSessions()].length },
--- a/src/transport/sidecar/HttpEndpoint.ts
+++ b/src/transport/sidecar/HttpEndpoint.ts
@@ -2,6 +2,8 @@
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { isValidHeaderList } from "../../protocol/request/index.js";
+import { registerPacedRequests } from "../input/index.js";
+import type { CostlyReads } from "../input/index.js";
 import type { HostAndPort } from "../settings/index.js";
 
 /** A request with its whole body. */
@@ -25,7 +27,12 @@
 const TOO_LARGE_STATUS = 413;
 
 /** Opens a port that answers each request once its body is complete. Rejects when the port can't be bound. */
-export function openEndpoint({ host, port }: HostAndPort, handle: EndpointHandler): Promise<Server> {
+export function openEndpoint(
+    { host, port }: HostAndPort,
+    handle: EndpointHandler,
+    costlyReads: CostlyReads,
+    now: () => number,
+): Promise<Server> {
     const server = createServer((request, response) => {
         if (!isValidHeaderList(request.rawHeaders)) {
             response.writeHead(BAD_REQUEST_STATUS, { "connection": "close", "content-length": 0 }).end();
@@ -38,12 +45,17 @@
             if (length <= BODY_LIMIT_BYTES) {
                 chunks.push(chunk);
             }
+            else if (!response.headersSent) {
+                // The rest isn't waited for: it may have no end.
+                response.writeHead(TOO_LARGE_STATUS, { "connection": "close", "content-length": 0 }).end();
+            }
         });
         request.on("end", () => {
+            if (response.headersSent) {
+                return;
+            }
             const body = Buffer.concat(chunks).toString("utf8");
-            const answer = length > BODY_LIMIT_BYTES
-                ? { body: "", contentType: "text/plain", status: TOO_LARGE_STATUS }
-                : handle({ body, method: request.method ?? "", path: request.url ?? "" });
+            const answer = handle({ body, method: request.method ?? "", path: request.url ?? "" });
             response.writeHead(answer.status, {
                 "content-length": Buffer.byteLength(answer.body),
                 "content-type": answer.contentType,
@@ -53,6 +65,7 @@
         // An aborted request gets no answer and has no effect.
         request.on("error", () => response.destroy());
     });
+    registerPacedRequests(server, costlyReads, now);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
         server.listen(port, host, () => {
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -8,6 +8,7 @@
 import type { MeshStorePort } from "../../state/store/index.js";
 import { ConfigurationManager, MemberGossip, MemberRegistry } from "../directory/index.js";
 import type { DecodeConfiguration } from "../directory/index.js";
+import { CostlyReads } from "../input/index.js";
 import { createAccessLog } from "../logging/index.js";
 import type { CreatePartLogger, PartLogger } from "../logging/index.js";
 import { combineRecorders, createRequestMetrics } from "../metrics/index.js";
@@ -17,6 +18,7 @@
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../routes/index.js";
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
+import type { HostAndPort } from "../settings/index.js";
 import { realTimers } from "../timers/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { UplinkSender } from "../uplink/index.js";
@@ -110,6 +112,7 @@
     readonly #quarantine: QuarantineManager;
     readonly #quarantineArchive: QuarantineArchive;
     readonly #uplink: UplinkSender;
+    readonly #costlyReads: CostlyReads;
     readonly #delays: DelayMonitor;
     readonly #metrics = createRequestMetrics();
     readonly #retryBudgets: RetryBudgets;
@@ -156,6 +159,7 @@
             restore: (fingerprint, crashIds, at) => this.#quarantine.restore(fingerprint, crashIds, at),
             store: dependencies.store,
         });
+        this.#costlyReads = new CostlyReads(createPartLogger("input"), now);
         this.#admission = new AdmissionController({
             confirmation: settings.isFirstStart ? undefined : {
                 checkHealth: (server, path) => checkHealth(dependencies.dialect, server, path),
@@ -163,6 +167,7 @@
                 random,
                 readHealthPath: service => this.#configurationManager.configuration?.services.get(service)?.healthPath,
             },
+            costlyReads: this.#costlyReads,
             dialect: dependencies.dialect,
             findRestriction: request =>
                 findOutdatedRefusal(request, this.#configurationManager.configuration)
@@ -311,6 +316,7 @@
             readSettings: () => this.#settings,
         });
         this.#callerListener = new CallerListener({
+            costlyReads: this.#costlyReads,
             dialect: dependencies.dialect,
             directory: this.#serverDirectory,
             findRunning: requestId => this.#admission.findRunning(requestId),
@@ -343,19 +349,15 @@
         const { callerAddress, metricsAddress, peerAddress, readyAddress, reportAddress } = this.#settings;
         await this.#sessions.start(peerAddress.host, peerAddress.port);
         await this.#callerListener.listen(callerAddress.host, callerAddress.port);
-        const { readWallClock } = this.#dependencies;
+        const { answerReady, now, readWallClock } = this.#dependencies;
         const answerReports = this.#dependencies.answerReports(this.#admission, this.#log, readWallClock);
-        this.#endpoints.push(
-            await openEndpoint(reportAddress, answerReports),
-            await openEndpoint(readyAddress, call => this.#dependencies.answerReady(this.#isReady())(call)),
-        );
+        const open = async (address: HostAndPort, handle: EndpointHandler): Promise<void> => {
+            this.#endpoints.push(await openEndpoint(address, handle, this.#costlyReads, now));
+        };
+        await open(reportAddress, answerReports);
+        await open(readyAddress, call => answerReady(this.#isReady())(call));
         if (metricsAddress !== undefined) {
-            this.#endpoints.push(
-                await openEndpoint(
-                    metricsAddress,
-                    answerOperator(this.#quarantine, () => this.#renderMetrics(), this.#dependencies.now),
-                ),
-            );
+            await open(metricsAddress, answerOperator(this.#quarantine, () => this.#renderMetrics(), now));
         }
         this.#configurationManager.start();
         this.#quarantine.start();
@@ -543,6 +545,7 @@
             this.#metrics,
             listGauges({
                 admission: this.#admission,
+                costlyReads: this.#costlyReads,
                 configurationManager: this.#configurationManager,
                 countReachable: () => this.#listReachable().length,
                 delays: this.#delays,
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -4,6 +4,8 @@
 import type { Socket } from "node:net";
 import { isValidHeaderList } from "../../protocol/request/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import { registerPacedRequests } from "../input/index.js";
+import type { CostlyReads } from "../input/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 import { CallerExchange } from "./CallerExchange.js";
 import { answerClientError, answerUnavailable } from "./DaemonAnswers.js";
@@ -26,6 +28,8 @@
     /** Sends large answers at the rate that the link allows. */
     readonly uplink: UplinkSender;
     readonly readConfiguration: () => TrafficConfiguration | undefined;
+    /** Divides the processor time for bodies that come in tiny chunks. */
+    readonly costlyReads: CostlyReads;
 }
 
 const BAD_REQUEST_STATUS = 400;
@@ -61,6 +65,7 @@
             requestTimeout: 0,
         });
         this.#server.maxHeadersCount = 0;
+        registerPacedRequests(this.#server, options.costlyReads, options.now);
         const handle = (request: IncomingMessage, response: ServerResponse): void => {
             response.sendDate = false;
             this.#openRequests++;
