Let other input in between many messages of one daemon

All messages that had arrived from a daemon were handled without a break, since the loop over them only waits for microtasks. The WebSocket library still takes apart one read of 64 KB at a time. Tests of sessions, protocol and peer networks pass.

--- a/src/transport/peer/WebSocketNetwork.ts
+++ b/src/transport/peer/WebSocketNetwork.ts
@@ -95,7 +95,14 @@
 }
 
 function wrapSocket(socket: WebSocket): FrameConnection {
-    const frames = new FrameQueue();
+    const frames = new FrameQueue(isFull => {
+        if (isFull) {
+            socket.pause();
+        }
+        else {
+            socket.resume();
+        }
+    });
     socket.binaryType = "nodebuffer";
     socket.on("message", data => frames.push(data as Buffer));
     socket.on("close", () => frames.end());
