--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -28,6 +28,8 @@
     SlowCopies: "slowCopies",
     /** Copies of versions wait for `strength` times 5 ms on their way to a daemon. */
     LateCopies: "lateCopies",
+    /** A daemon gets no copies of versions. */
+    LostCopies: "lostCopies",
     /** All messages wait for `strength` times 25 ms at the link of their sender. */
     FullLink: "fullLink",
     /** The store forgets its history. */
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -34,6 +34,8 @@
     readonly decidesAlone: boolean;
     /** Daemons run what an older version than theirs has led to their servers. */
     readonly runsOutdated: boolean;
+    /** Links are full for the daemons' own large answers, so that it is no excuse that messages wait behind these. */
+    readonly fillsLinks: boolean;
 }
 
 /** How a request was handled, judged by the version that decided. */
@@ -58,6 +60,7 @@
     readonly variant: Variant;
     readonly createSessionId: () => string;
     readonly decode: (text: string) => TrafficConfiguration;
+    losesCopies(): boolean;
     /** Records of the daemons that are in the store. */
     listRecords(): readonly Member[];
     onHandled(handling: Handling): void;
@@ -106,7 +109,9 @@
             onGossip: (id, message) => {
                 switch (message.kind) {
                     case "configuration":
-                        this.#configuration.applyCompressed(message, id);
+                        if (!options.losesCopies()) {
+                            this.#configuration.applyCompressed(message, id);
+                        }
                         return;
                     case "configurationRequest":
                         this.#configuration.answerRequest(id);
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -69,6 +69,7 @@
         cutUntil: number;
         storeCutUntil: number;
         lossShare: number;
+        copiesLostUntil: number;
         messageWaitMs: number;
         copyWaitMs: number;
         incomingCopyWaitMs: number;
@@ -85,7 +86,7 @@
 
 /** The repairs that are in force, unless a test leaves one out. */
 export function createVariant(deadlineMs: number): Variant {
-    return { decidesAlone: false, limits: deriveFreshnessLimits(deadlineMs), runsOutdated: false };
+    return { decidesAlone: false, fillsLinks: false, limits: deriveFreshnessLimits(deadlineMs), runsOutdated: false };
 }
 
 /** `log` gets each line of the daemons with the simulated time. */
@@ -170,6 +171,7 @@
             record: undefined,
             region,
             state: {
+                copiesLostUntil: -Infinity,
                 copyWaitMs: 0,
                 cutUntil: -Infinity,
                 incomingCopyWaitMs: 0,
@@ -210,6 +212,7 @@
             createSessionId: () => `session-${++this.#lastSession}`,
             decode: text => this.#decode(text),
             listRecords: () => this.#vms.flatMap(other => other.record === undefined ? [] : [other.record]),
+            losesCopies: () => state.copiesLostUntil > this.#clock.now,
             log: this.#createLogger(vm.id),
             network: createSimulatedNetwork(
                 this.#clock,
@@ -391,8 +394,13 @@
                     state.incomingCopyWaitMs = 0;
                 });
                 return;
+            case FaultKind.LostCopies:
+                state.copiesLostUntil = Math.max(state.copiesLostUntil, until);
+                return;
             case FaultKind.FullLink:
-                excuse();
+                if (!this.#variant.fillsLinks) {
+                    excuse();
+                }
                 state.messageWaitMs = strength * FULL_LINK_UNIT_MS;
                 atEnd(() => {
                     state.messageWaitMs = 0;
--- a/src/transport/sidecar/__tests__/search/main.ts
+++ b/src/transport/sidecar/__tests__/search/main.ts
@@ -18,6 +18,7 @@
 void runMain(defineCommand({
     args: {
         climb: { default: false, description: "begin from the histories with the latest versions", type: "boolean" },
+        exact: { default: false, description: "all meshes have the given size", type: "boolean" },
         history: { description: "file with a history to be played with its log", type: "string" },
         runs: { default: "200", description: "number of histories", type: "string" },
         seed: { default: "1", description: "seed of the search", type: "string" },
@@ -32,11 +33,13 @@
             return;
         }
         const [regions = 1, domainsPerRegion = 1, daemonsPerDomain = 1] = args.size.split("x").map(Number);
+        const size = { daemonsPerDomain, domainsPerRegion, regions };
         const startedAt = performance.now();
         const { found, handled, latest, refused, runs } = await (args.climb ? findViolationByClimbing : findViolation)({
             runs: Number(args.runs),
             seed: Number(args.seed),
-            size: { daemonsPerDomain, domainsPerRegion, regions },
+            ...args.exact ? { adapt: history => ({ ...history, ...size }) } : {},
+            size,
         });
         const seconds = Math.round((performance.now() - startedAt) / 1_000);
         printLine(
