Pass timers to the parts that forward requests

Cause: the search of histories leaves out forwarding, since its time limits are timers of Node.js; so timeouts, splits and requests that are routed anew were not searched. Change: timers are an argument of ForwardingContext, and the directory of servers names the two functions of the gate that it uses.

--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -340,6 +340,7 @@
             recordRelayedAnswer: bytes => this.#admission.recordLinkUse(bytes),
             resolveRoute: (requestId, host, path) => this.#routeResolver.resolveRoute(requestId, host, path),
             takeRetry: service => this.#retryBudgets.takeRetry(service),
+            timers: realTimers,
             uplink: this.#uplink,
             widen: service => this.#sessionSelector.widen(service),
         });
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -67,8 +67,8 @@
     #fallbackAnswer: ServerAnswer | undefined;
     #lastDetail = "";
     #queuedMs = 0;
-    #deadlineTimer: NodeJS.Timeout | undefined;
-    #hedgeTimer: NodeJS.Timeout | undefined;
+    #cancelDeadline: () => void = () => undefined;
+    #cancelHedge: () => void = () => undefined;
     #isComplete = false;
     #streamedBytes = 0;
 
@@ -83,9 +83,9 @@
         const now = this.#context.now();
         this.#exchange.onDisconnect = () => this.#handleDisconnect();
         this.#exchange.onDrain = () => this.#streamingAttempt?.handle?.resume();
-        this.#deadlineTimer = setTimeout(
-            () => this.#handleDeadline(),
+        this.#cancelDeadline = this.#context.timers.after(
             Math.max(0, this.#plan.deadlineAt - now) + DEADLINE_GRACE_MS,
+            () => this.#handleDeadline(),
         );
         this.#place(false);
         this.#scheduleHedge();
@@ -338,8 +338,8 @@
     }
 
     #clearTimers(): void {
-        clearTimeout(this.#deadlineTimer);
-        clearTimeout(this.#hedgeTimer);
+        this.#cancelDeadline();
+        this.#cancelHedge();
     }
 
     #beginStream(attempt: Attempt, head: AnswerHead): void {
@@ -418,11 +418,11 @@
         if (hedgeDelayMs === undefined || !isRepeatable(this.#plan.route.kind) || this.#isComplete) {
             return;
         }
-        this.#hedgeTimer = setTimeout(() => {
+        this.#cancelHedge = this.#context.timers.after(Math.max(MINIMUM_HEDGE_DELAY_MS, hedgeDelayMs), () => {
             if (this.#streamingAttempt === undefined) {
                 this.#placeRetry("overdue");
             }
-        }, Math.max(MINIMUM_HEDGE_DELAY_MS, hedgeDelayMs));
+        });
     }
 
     /** Ends an attempt; false when it had ended before or the request is complete. */
--- a/src/transport/traffic/ForwardingPlan.ts
+++ b/src/transport/traffic/ForwardingPlan.ts
@@ -6,6 +6,7 @@
 import type { RoutePolicy } from "../../state/traffic/index.js";
 import type { OwnerRefusal } from "../ownership/index.js";
 import type { Suspicion } from "../quarantine/index.js";
+import type { Timers } from "../timers/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import type { ServerDirectory } from "./ServerDirectory.js";
 
@@ -16,6 +17,7 @@
     readonly recorder: RequestRecorder;
     readonly now: () => number;
     readonly random: () => number;
+    readonly timers: Timers;
     /** Takes one retry from the service's budget; false when the budget is exhausted. */
     takeRetry(service: string): boolean;
     /** Called with the size of an answer that came from another daemon. */
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -15,7 +15,7 @@
 
 export interface ServerDirectoryOptions {
     readonly self: Member;
-    readonly admission: AdmissionController;
+    readonly admission: Pick<AdmissionController, "readLoad" | "submit">;
     readonly sessions: SessionManager;
     readonly now: () => number;
     /** Called when outlier ejection excludes a server. */
