Answer 404 only by the newest version that is known, whoever decides

What callers saw: status 404, which is final, for a route that had just been added, from a daemon that had no copy of the version yet. Cause: the own version doesn't decide on a missing route once a newer one is known, but the version of the daemon that is asked instead did, although a third daemon was known to have a newer one. Now such an answer makes the daemon ask one that has the newest version; without an answer the request is rejected as not run. The two new tests of RouteResolver failed before ('5: no route' for '6: workroom' and for none). isBelievedBehind gave way to readNewestBelieved, which says the same and which version it is; its test compares the version now.

--- a/src/coordination/distribution/VersionLag.ts
+++ b/src/coordination/distribution/VersionLag.ts
@@ -127,18 +127,21 @@
         return Math.max(this.#required, (this.#own ?? -Infinity) + 1);
     }
 
-    /** Whether a daemon that answers queries has a newer version than the own one, or such a version has decided. */
-    isBelievedBehind(now: number): boolean {
-        return this.isSuperseded
-            || [...this.#peers.values()].some(peer => this.isNewer(peer.version) && isBelieved(peer, now));
+    /** Newest version that has decided or is in force, here or at a daemon that answers queries; -Infinity for none. */
+    readNewestBelieved(now: number): number {
+        const versions = [...this.#peers.values()].filter(peer => isBelieved(peer, now)).map(({ version }) => version);
+        return Math.max(this.#own ?? -Infinity, this.#required, ...versions);
     }
 
     /**
      * Lists the daemons whose versions may decide in place of the own one: none that is older than one that became known
      * some time ago. Newer ones are not waited for: few daemons have them, and all late ones would ask these few.
      */
-    listSources<T extends { readonly id: string; }>(reachable: readonly T[], now: number): readonly T[] {
-        const lowest = this.lowestSource;
+    listSources<T extends { readonly id: string; }>(
+        reachable: readonly T[],
+        now: number,
+        lowest = this.lowestSource,
+    ): readonly T[] {
         const candidates = reachable.flatMap(source => {
             const peer = this.#peers.get(source.id);
             return peer !== undefined && peer.version >= lowest && isBelieved(peer, now) ? [{ peer, source }] : [];
--- a/src/coordination/distribution/__tests__/unit/VersionLag.test.ts
+++ b/src/coordination/distribution/__tests__/unit/VersionLag.test.ts
@@ -96,8 +96,8 @@
             expect(listSources(lag, ["a"], 1_000)).toEqual(["a"]);
             lag.recordUnanswered("a", 1_000);
         }
-        expect([listSources(lag, ["a"], 1_000), lag.isBelievedBehind(1_000)]).toEqual([[], false]);
-        expect([listSources(lag, ["a"], 4_000), lag.isBelievedBehind(4_000)]).toEqual([["a"], true]);
+        expect([listSources(lag, ["a"], 1_000), lag.readNewestBelieved(1_000)]).toEqual([[], 4]);
+        expect([listSources(lag, ["a"], 4_000), lag.readNewestBelieved(4_000)]).toEqual([["a"], 5]);
         lag.recordUnanswered("a", 4_000);
         expect(listSources(lag, ["a"], 7_000)).toEqual([]);
         lag.recordAnswer("a");
--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -32,6 +32,9 @@
     readConfiguration(): TrafficConfiguration | undefined;
 }
 
+/** Rounds of queries for a request whose route no answer names, while newer versions become known. */
+const MAXIMUM_ROUNDS = 3;
+
 export class RouteResolver {
     readonly #options: RouteResolverOptions;
     /** Own version at the last warning, so that each is reported once. */
@@ -64,16 +67,44 @@
             return { revision, route, version };
         }
         const sources = this.#listSources(now());
-        // Status 404 is final for callers, so it isn't left to a version that is known to be replaced.
-        const isFinal = route !== undefined || !lag.isBelievedBehind(now());
-        if (isFinal && lag.mayDecide(sources, now())) {
+        if (this.#isFinal({ revision, route, version }) && lag.mayDecide(sources, now())) {
             return { revision, route, version };
         }
         this.#reportOutdated(version);
         return this.#resolveElsewhere(requestId, host ?? "", path, sources);
     }
 
+    /** Status 404 is final for callers, so it isn't left to a version that is known to be replaced. */
+    #isFinal({ route, version }: RouteDecision): boolean {
+        const { lag, now } = this.#options;
+        return route !== undefined || version >= lag.readNewestBelieved(now());
+    }
+
     async #resolveElsewhere(
+        requestId: string,
+        host: string,
+        path: string,
+        firstSources: readonly string[],
+    ): Promise<RouteDecision | undefined> {
+        const { lag, now } = this.#options;
+        let sources = firstSources;
+        for (let round = 0; round < MAXIMUM_ROUNDS; round++) {
+            const decision = await this.#fetchDecision(requestId, host, path, sources);
+            if (decision === undefined || this.#isFinal(decision)) {
+                return decision;
+            }
+            sources = this.#listSources(now(), lag.readNewestBelieved(now()));
+        }
+        this.#unresolved++;
+        this.#options.log.info("newer versions became known while the route of a request was asked for.", {
+            newestKnown: lag.newestKnown,
+            requestId,
+        });
+        return undefined;
+    }
+
+    /** Gets a decision from one of some daemons, or by the own version if it has changed meanwhile. */
+    async #fetchDecision(
         requestId: string,
         host: string,
         path: string,
@@ -99,6 +130,9 @@
             log.info("no other daemon has told the route of a request.", { own, requestId, sources });
             return undefined;
         }
+        if (!this.#isFinal(answer)) {
+            return answer;
+        }
         lag.requireVersion(answer.version, now());
         log.info(`version ${answer.version} of ${answer.source} decides on a request.`, {
             behindMs: Math.round(lag.readBehindMs(now()) ?? 0),
@@ -112,9 +146,9 @@
     }
 
     /** Daemons whose versions may decide: the nearest first, at random among equals. */
-    #listSources(now: number): readonly string[] {
+    #listSources(now: number, lowest?: number): readonly string[] {
         const { lag, listReachable, random } = this.#options;
-        return lag.listSources(listReachable(), now)
+        return lag.listSources(listReachable(), now, lowest)
             .map(({ distance, id }) => ({ distance, id, order: random() }))
             .sort((left, right) => left.distance - right.distance || left.order - right.order)
             .map(({ id }) => id);
--- a/src/transport/routes/__tests__/unit/RouteResolver.test.ts
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -147,6 +147,28 @@
         expect(await resolve()).toBe("5: workroom");
     });
 
+    it("is never missing by the version of another daemon that is known to be replaced", async () => {
+        const { lag, resolve } = createResolver(createConfiguration(4), {
+            a: createConfiguration(5),
+            b: createConfiguration(6, "workroom"),
+        });
+        lag.recordPeer("a", 5, 0);
+        lag.recordPeer("b", 6, 0);
+        expect(await resolve()).toBe("6: workroom");
+    });
+
+    it("is unknown rather than missing when the daemon with the newest version is silent", async () => {
+        const { advance, lag, resolve } = createResolver(createConfiguration(4), {
+            a: createConfiguration(5),
+            b: undefined,
+        });
+        lag.recordPeer("a", 5, 0);
+        lag.recordPeer("b", 6, 0);
+        const found = resolve();
+        await advance(300);
+        expect(await found).toBe("none");
+    });
+
     it("is asked of a second daemon when the first one is silent", async () => {
         const { advance, asked, lag, resolve } = createResolver(createConfiguration(4, "ledger"), {
             a: undefined,
