--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -42,11 +42,19 @@
 export const TargetKind = {
     /** The daemons that watch the store at that moment. */
     Watchers: "watchers",
-    /** All daemons of `value` failure domains. */
+    /** The first `count` daemons of each region in the order in which they take over, with those that watch. */
+    Line: "line",
+    /** Up to `count` of the daemons that have the newest version. */
+    Sources: "sources",
+    /** Up to `count` of the daemons that lack the newest version. */
+    Behind: "behind",
+    /** All daemons of `count` failure domains. */
     Domains: "domains",
-    /** `value` daemons by their place. */
+    /** `count` daemons by their place. */
     Daemons: "daemons",
     All: "all",
+    /** Those of the fault before. */
+    Same: "same",
 } as const;
 export type TargetKind = (typeof TargetKind)[keyof typeof TargetKind];
 
@@ -61,62 +69,215 @@
     readonly strength: number;
 }
 
-export interface History {
-    /** Of latencies, requests and all choices of the daemons. */
-    readonly seed: number;
-    readonly deadlineMs: number;
+export interface HistorySize {
     readonly regions: number;
     readonly domainsPerRegion: number;
     readonly daemonsPerDomain: number;
+}
+
+export interface History extends HistorySize {
+    /** Of latencies, requests and all choices of the daemons. */
+    readonly seed: number;
+    readonly deadlineMs: number;
+    /** Time of the first version after the one with which the mesh starts. */
+    readonly firstChangeMs: number;
     /** Times between the versions, in milliseconds. */
     readonly versionGapsMs: readonly number[];
+    /** Percentage of the VMs whose processors are weak, and by how much longer each event takes there. */
+    readonly weakShare: number;
+    readonly weakness: number;
     readonly faults: readonly Fault[];
 }
 
-export interface HistorySize {
-    readonly regions: number;
-    readonly domainsPerRegion: number;
-    readonly daemonsPerDomain: number;
-}
+/** Layouts like those of the users' deployments; the last one, with the size of a grown one, is drawn seldom. */
+const LAYOUTS: readonly { readonly weight: number; readonly layout: HistorySize; }[] = [
+    { layout: { daemonsPerDomain: 4, domainsPerRegion: 3, regions: 2 }, weight: 8 },
+    { layout: { daemonsPerDomain: 3, domainsPerRegion: 3, regions: 2 }, weight: 8 },
+    { layout: { daemonsPerDomain: 4, domainsPerRegion: 2, regions: 2 }, weight: 8 },
+    { layout: { daemonsPerDomain: 5, domainsPerRegion: 3, regions: 1 }, weight: 6 },
+    { layout: { daemonsPerDomain: 7, domainsPerRegion: 2, regions: 1 }, weight: 4 },
+    { layout: { daemonsPerDomain: 3, domainsPerRegion: 2, regions: 3 }, weight: 4 },
+    { layout: { daemonsPerDomain: 2, domainsPerRegion: 2, regions: 1 }, weight: 2 },
+    { layout: { daemonsPerDomain: 11, domainsPerRegion: 3, regions: 2 }, weight: 1 },
+];
 
-/** Time of the first version after the one with which the mesh starts, and the range of times of faults. */
-export const FIRST_CHANGE_MS = 3_000;
-const FAULTS_FROM_MS = 2_000;
-const FAULTS_UNTIL_MS = 7_000;
+const FIRST_CHANGE = { max: 3_000, min: 700 } as const;
+const SHORTEST_GAP_MS = 30;
+const MAXIMUM_CHANGES = 5;
+const SCENES = { maxLength: 4, minLength: 2 } as const;
 const LONGEST_FAULT_MS = 6_000;
-const MAXIMUM_FAULTS = 4;
-const MAXIMUM_CHANGES = 8;
+const MAXIMUM_WEAKNESS = 12;
 
-export function createFaultArbitrary(): fc.Arbitrary<Fault> {
+/** Range of the time between two events. */
+interface Range {
+    readonly min: number;
+    readonly max: number;
+}
+
+/** Troubles that meet at the same daemons and keep a version from being noticed, from being spread, or from arriving. */
+interface SceneKind {
+    readonly weight: number;
+    readonly targets: readonly TargetKind[];
+    /** One kind of each list. */
+    readonly parts: readonly (readonly FaultKind[])[];
+    /** Time of the first trouble, from the version that it belongs to. */
+    readonly offsetsMs: readonly Range[];
+}
+
+/** The shorter before a version, the less of its deadline has passed when confirmations are missing. */
+const BEFORE_VERSION_MS: readonly Range[] = [{ max: 0, min: -40 }, { max: 0, min: -40 }, { max: 0, min: -1_200 }];
+const AFTER_VERSION_MS: readonly Range[] = [{ max: 80, min: 1 }];
+
+const SCENE_KINDS: readonly SceneKind[] = [
+    {
+        // Those that watch the store, or would next, learn of nothing or can't tell it.
+        offsetsMs: BEFORE_VERSION_MS,
+        parts: [[
+            FaultKind.Freeze,
+            FaultKind.PowerOff,
+            FaultKind.Cut,
+            FaultKind.FullLink,
+            FaultKind.Slow,
+            FaultKind.CutFromDaemons,
+            FaultKind.CutFromDaemons,
+            FaultKind.StoreSilent,
+            FaultKind.StoreSilent,
+            FaultKind.WatchesHang,
+            FaultKind.WatchesHang,
+            FaultKind.StoreSlow,
+            FaultKind.Stop,
+        ]],
+        targets: [TargetKind.Watchers, TargetKind.Line, TargetKind.Line, TargetKind.Domains],
+        weight: 4,
+    },
+    {
+        // Daemons get no copies and no answer of the store.
+        offsetsMs: BEFORE_VERSION_MS,
+        parts: [
+            [FaultKind.LostCopies, FaultKind.LostCopies, FaultKind.LateCopies],
+            [FaultKind.StoreSilent, FaultKind.StoreRefused, FaultKind.StoreSlow],
+        ],
+        targets: [TargetKind.Daemons, TargetKind.Domains, TargetKind.Line],
+        weight: 2,
+    },
+    {
+        offsetsMs: BEFORE_VERSION_MS,
+        parts: [[FaultKind.LostCopies, FaultKind.LateCopies, FaultKind.SlowCopies]],
+        targets: [TargetKind.Daemons, TargetKind.Domains, TargetKind.All],
+        weight: 2,
+    },
+    {
+        // Those that have a version can't pass it on.
+        offsetsMs: AFTER_VERSION_MS,
+        parts: [[
+            FaultKind.SlowCopies,
+            FaultKind.FullLink,
+            FaultKind.Freeze,
+            FaultKind.Slow,
+            FaultKind.Loss,
+            FaultKind.Kill,
+            FaultKind.PowerOff,
+        ]],
+        targets: [TargetKind.Sources],
+        weight: 2,
+    },
+    {
+        offsetsMs: [{ max: 300, min: -1_200 }],
+        parts: [Object.values(FaultKind), Object.values(FaultKind)],
+        targets: [TargetKind.Daemons, TargetKind.Domains, TargetKind.Line, TargetKind.Behind, TargetKind.All],
+        weight: 1,
+    },
+];
+
+/** A fault without its time. */
+function createPartArbitrary(
+    kinds: readonly FaultKind[],
+    targets: readonly TargetKind[],
+): fc.Arbitrary<Omit<Fault, "atMs">> {
     return fc.record({
-        atMs: fc.integer({ max: FAULTS_UNTIL_MS, min: FAULTS_FROM_MS }),
-        count: fc.integer({ max: 6, min: 1 }),
+        count: fc.integer({ max: 12, min: 1 }),
         first: fc.nat({ max: 40 }),
-        forMs: fc.integer({ max: LONGEST_FAULT_MS, min: 100 }),
-        kind: fc.constantFrom(...Object.values(FaultKind)),
+        forMs: fc.oneof(
+            { arbitrary: fc.integer({ max: 2_000, min: 100 }), weight: 1 },
+            { arbitrary: fc.integer({ max: LONGEST_FAULT_MS, min: 2_000 }), weight: 2 },
+        ),
+        kind: fc.constantFrom(...kinds),
         strength: fc.integer({ max: 100, min: 1 }),
-        target: fc.constantFrom(
-            TargetKind.Daemons,
-            TargetKind.Daemons,
-            TargetKind.Watchers,
-            TargetKind.Domains,
-            TargetKind.All,
+        target: fc.constantFrom(...targets),
+    });
+}
+
+function createSceneArbitrary({ offsetsMs, parts, targets }: SceneKind) {
+    return fc.record({
+        offsetMs: fc.oneof(...offsetsMs.map(range => fc.integer(range))),
+        parts: fc.tuple(
+            ...parts.map((kinds, index) => createPartArbitrary(kinds, index === 0 ? targets : [TargetKind.Same])),
         ),
+        version: fc.nat({ max: MAXIMUM_CHANGES - 1 }),
     });
 }
 
-/** Histories of meshes up to a size. */
-export function createHistoryArbitrary(size: HistorySize): fc.Arbitrary<History> {
+const SCENE_ARBITRARY = fc.oneof(
+    ...SCENE_KINDS.map(kind => ({ arbitrary: createSceneArbitrary(kind), weight: kind.weight })),
+);
+const FAULT_ARBITRARY = fc.oneof(
+    ...SCENE_KINDS.map(({ parts, targets, weight }) => ({
+        arbitrary: createPartArbitrary(parts.flat(), targets),
+        weight,
+    })),
+);
+
+/** A single fault at any time, for changes of a history. */
+export function createFaultArbitrary(): fc.Arbitrary<Fault> {
+    return fc.tuple(FAULT_ARBITRARY, fc.integer({ max: 7_000, min: 0 })).map(([fault, atMs]) => ({ ...fault, atMs }));
+}
+
+/** Histories of meshes up to a size, most of which have it; without a size, of meshes like the users'. */
+export function createHistoryArbitrary(size?: HistorySize): fc.Arbitrary<History> {
     return fc.record({
-        daemonsPerDomain: fc.integer({ max: size.daemonsPerDomain, min: 1 }),
         deadlineMs: fc.constantFrom(2_000, 3_000),
-        domainsPerRegion: fc.integer({ max: size.domainsPerRegion, min: 1 }),
-        faults: fc.array(createFaultArbitrary(), { maxLength: MAXIMUM_FAULTS }),
-        regions: fc.integer({ max: size.regions, min: 1 }),
+        firstChangeMs: fc.integer(FIRST_CHANGE),
+        layout: size === undefined ? createLayoutArbitrary() : createSizeArbitrary(size),
+        scenes: fc.array(SCENE_ARBITRARY, SCENES),
         seed: fc.nat(),
-        versionGapsMs: fc.array(fc.oneof(fc.integer({ max: 500, min: 30 }), fc.integer({ max: 3_000, min: 30 })), {
-            maxLength: MAXIMUM_CHANGES,
-            minLength: 1,
+        versionGapsMs: fc.array(
+            fc.oneof(
+                fc.integer({ max: 100, min: SHORTEST_GAP_MS }),
+                fc.integer({ max: 500, min: SHORTEST_GAP_MS }),
+                fc.integer({ max: 1_500, min: SHORTEST_GAP_MS }),
+            ),
+            { maxLength: MAXIMUM_CHANGES, minLength: 1 },
+        ),
+        weakness: fc.integer({ max: MAXIMUM_WEAKNESS, min: 1 }),
+        weakShare: fc.constantFrom(0, 20, 50, 100),
+    }).map(({ layout, scenes, ...history }) => ({
+        ...history,
+        ...layout,
+        faults: scenes.flatMap(({ offsetMs, parts, version }) => {
+            const atMs = computeChangeTime(history, version % history.versionGapsMs.length) + offsetMs;
+            return parts.map(fault => ({ ...fault, atMs: Math.max(0, atMs) }));
         }),
+    }));
+}
+
+/** Returns the time of a change by its place. */
+export function computeChangeTime(
+    { firstChangeMs, versionGapsMs }: Pick<History, "firstChangeMs" | "versionGapsMs">,
+    index: number,
+): number {
+    return versionGapsMs.slice(0, index).reduce((sum, gapMs) => sum + gapMs, firstChangeMs);
+}
+
+function createLayoutArbitrary(): fc.Arbitrary<HistorySize> {
+    return fc.oneof(...LAYOUTS.map(({ layout, weight }) => ({ arbitrary: fc.constant(layout), weight })));
+}
+
+function createSizeArbitrary(size: HistorySize): fc.Arbitrary<HistorySize> {
+    const upTo = (max: number): fc.Arbitrary<number> =>
+        fc.oneof({ arbitrary: fc.constant(max), weight: 3 }, { arbitrary: fc.integer({ max, min: 1 }), weight: 1 });
+    return fc.record({
+        daemonsPerDomain: upTo(size.daemonsPerDomain),
+        domainsPerRegion: upTo(size.domainsPerRegion),
+        regions: upTo(size.regions),
     });
 }
--- a/src/transport/sidecar/__tests__/search/HistoryClimb.ts
+++ b/src/transport/sidecar/__tests__/search/HistoryClimb.ts
@@ -19,9 +19,10 @@
 export async function findViolationByClimbing(options: SearchOptions): Promise<SearchResult> {
     const { adapt = history => history, runs, seed, size, vary = variant => variant } = options;
     const random = createSeededRandom(seed);
-    const fresh = fc.sample(createHistoryArbitrary(size), { numRuns: runs, seed });
-    const freshFaults = fc.sample(createFaultArbitrary(), { numRuns: runs, seed });
+    const fresh = fc.sample(createHistoryArbitrary(size), { numRuns: runs, seed, unbiased: true });
+    const freshFaults = fc.sample(createFaultArbitrary(), { numRuns: runs, seed, unbiased: true });
     const pool: { share: number; history: History; }[] = [];
+    const shares: number[] = [];
     let handled = 0;
     let refused = 0;
     for (let run = 0; run < runs; run++) {
@@ -37,13 +38,14 @@
         refused += result.refused;
         if (result.violations.length > 0) {
             const found = { history, violations: result.violations };
-            return { found, handled, latest: pool, refused, runs: run + 1 };
+            return { found, handled, latest: pool, refused, runs: run + 1, shares };
         }
+        shares.push(result.longestShare);
         pool.push({ history, share: result.longestShare });
         pool.sort((left, right) => right.share - left.share);
         pool.length = Math.min(pool.length, POOL_SIZE);
     }
-    return { found: undefined, handled, latest: pool, refused, runs };
+    return { found: undefined, handled, latest: pool, refused, runs, shares };
 }
 
 /** Changes one or two things of a history. */
@@ -73,6 +75,8 @@
         () => ({ versionGapsMs: versionGapsMs.map(gap => shift(gap, 30)) }),
         () => ({ versionGapsMs: drawn.versionGapsMs }),
         () => ({ seed: drawn.seed }),
+        () => ({ weakness: drawn.weakness, weakShare: drawn.weakShare }),
+        () => ({ firstChangeMs: drawn.firstChangeMs }),
         () => ({
             daemonsPerDomain: drawn.daemonsPerDomain,
             domainsPerRegion: drawn.domainsPerRegion,
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -6,26 +6,23 @@
 import type { Member } from "../../../../state/members/index.js";
 import type { Random } from "../../../../state/shared/index.js";
 import type { MeshStorePort } from "../../../../state/store/index.js";
-import { RequestKind } from "../../../../state/traffic/index.js";
-import type { RoutePolicy, TrafficConfiguration } from "../../../../state/traffic/index.js";
+import { findRoute } from "../../../../state/traffic/index.js";
+import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
 import { ConfigurationManager, MemberGossip } from "../../../directory/index.js";
 import type { PartLogger } from "../../../logging/index.js";
-import type { OwnedRequest } from "../../../ownership/index.js";
 import type { PeerNetwork } from "../../../peer/index.js";
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../../../routes/index.js";
 import type { RouteDecision } from "../../../routes/index.js";
 import { SessionManager } from "../../../sessions/index.js";
-import type { LocalStatus, OwnerSession } from "../../../sessions/index.js";
-import { computeDistance } from "../../../traffic/index.js";
+import type { LocalStatus } from "../../../sessions/index.js";
+import { computeDistance, ServerDirectory } from "../../../traffic/index.js";
 import { UplinkSender } from "../../../uplink/index.js";
 import { SessionSelector } from "../../SessionSelector.js";
+import { SimulatedCallers } from "./SimulatedCallers.js";
 import type { SimulatedProcess } from "./SimulatedProcess.js";
+import { SimulatedServer } from "./SimulatedServer.js";
 
-export const HOST = "mesh.example";
 const SESSION_UPDATE_INTERVAL_MS = 250;
-/** Longest wait of a request for a slot, and most attempts to place it. */
-const MAXIMUM_QUEUE_MS = 60;
-const MAXIMUM_ATTEMPTS = 3;
 
 /** Repairs that a run leaves out, to show that the search finds what they repair. */
 export interface Variant {
@@ -38,16 +35,11 @@
     readonly fillsLinks: boolean;
 }
 
-/** How a request was handled, judged by the version that decided. */
-export interface Handling {
-    readonly path: string;
-    readonly sentAt: number;
-    readonly handledAt: number;
-    readonly callerId: string;
-    readonly ownerId: string;
-    readonly version: number;
-    /** Whether it ran; otherwise the version has no route for it. */
-    readonly hasRun: boolean;
+/** What a daemon tells of the requests of its callers and of those that its server runs. */
+export interface RequestObserver {
+    onRun(requestId: string, version: number): void;
+    /** `version` is the one that has decided; undefined when none has. */
+    onAnswered(requestId: string, status: number, version: number | undefined): void;
 }
 
 export interface SimulatedDaemonOptions {
@@ -63,19 +55,9 @@
     losesCopies(): boolean;
     /** Records of the daemons that are in the store. */
     listRecords(): readonly Member[];
-    onHandled(handling: Handling): void;
+    readonly observer: RequestObserver;
 }
 
-const LOAD = {
-    coldLeftMs: 0,
-    isOpen: true,
-    queued: 0,
-    running: 0,
-    slots: 4,
-    waits: { inTimeMs: 0, lateMs: 0, nestedMs: 0 },
-    workMs: 1,
-};
-
 export class SimulatedDaemon {
     readonly id: string;
     readonly #options: SimulatedDaemonOptions;
@@ -87,10 +69,11 @@
     readonly #configuration: ConfigurationManager;
     readonly #queries: RouteQueries;
     readonly #resolver: RouteResolver;
+    readonly #server: SimulatedServer;
+    readonly #directory: ServerDirectory;
+    readonly #callers: SimulatedCallers;
     #isRegistered = false;
     #regionGeneration = -1;
-    #lastRequest = 0;
-    #refused = 0;
 
     constructor(options: SimulatedDaemonOptions) {
         this.#options = options;
@@ -98,6 +81,18 @@
         const { now, timers } = process;
         this.id = self.id;
         this.#table.merge(self);
+        this.#server = new SimulatedServer({
+            findRestriction: request =>
+                variant.runsOutdated ? undefined : findOutdatedRefusal(request, this.#configuration.configuration),
+            onChange: load => {
+                this.#directory.recordLoad(self.id, load);
+                this.#sessions.announceLoad();
+            },
+            onRun: ({ requestId, version }) => options.observer.onRun(requestId, version),
+            random,
+            service: self.server?.service ?? "",
+            timers,
+        });
         this.#sessions = new SessionManager({
             createSessionId: options.createSessionId,
             isNeighbour: id => this.#selector.neighbours.has(id),
@@ -128,9 +123,9 @@
                         this.#gossip.handle(id, message);
                 }
             },
-            onLoad: () => undefined,
+            onLoad: (id, load) => this.#directory.recordLoad(id, load),
             onMembers: members => this.#gossip.announce(this.#merge(members)),
-            onRoundTrip: () => undefined,
+            onRoundTrip: (id, ms) => this.#directory.recordRoundTrip(id, ms),
             onServerIdentity: () => undefined,
             onStatus: status => {
                 this.#configuration.recordStatus(status);
@@ -138,25 +133,12 @@
             },
             onVersion: (id, version) => this.#configuration.recordVersion(id, version),
             random,
-            readLoad: () => LOAD,
+            readLoad: () => this.#server.readLoad(),
             readSelf: () => self,
             readServerIdentity: () => undefined,
             readStatus: () => this.#readStatus(),
             readVersion: () => this.#lag.own,
-            submit: (request, events) => {
-                this.#execute(
-                    request,
-                    refusal => events.onRefused(refusal, LOAD),
-                    () =>
-                        events.onAnswer(
-                            { headers: [], isCloseDelimited: false, queuedMs: 0, status: 200, workMs: 1 },
-                            new Uint8Array(0),
-                            LOAD,
-                        ),
-                );
-                const ignore = (): void => undefined;
-                return { cancel: ignore, pause: ignore, proceed: ignore, resume: ignore };
-            },
+            submit: (request, events) => this.#server.submit(request, events),
             timers,
             uplink: new UplinkSender(undefined, now),
         });
@@ -170,7 +152,7 @@
             timers,
         });
         this.#selector = new SessionSelector({
-            listServices: () => ["all"],
+            listServices: () => this.#configuration.configuration?.services.keys() ?? [],
             log,
             now,
             readSelf: () => self,
@@ -187,7 +169,10 @@
             listReachable: () => this.#listReachable(),
             log,
             now,
-            onChange: () => this.#announceStatus(),
+            onChange: configuration => {
+                this.#callers.applyConfiguration(configuration);
+                this.#announceStatus();
+            },
             onConfirmed: ids => this.#sendStatus(ids),
             onStoreRead: () => undefined,
             onWatchChanged: () => this.#announceStatus(),
@@ -214,17 +199,38 @@
             random,
             readConfiguration: () => this.#configuration.configuration,
         });
-    }
-
-    /** Requests that were refused as not run. */
-    get refused(): number {
-        return this.#refused;
+        this.#directory = new ServerDirectory({
+            admission: this.#server,
+            now,
+            onEject: () => undefined,
+            self,
+            sessions: this.#sessions,
+        });
+        this.#callers = new SimulatedCallers({
+            directory: this.#directory,
+            log,
+            now,
+            onAnswered: (requestId, status, version) => options.observer.onAnswered(requestId, status, version),
+            random,
+            readConfiguration: () => this.#configuration.configuration,
+            recordOutdated: version => this.#lag.requireVersion(version + 1, now()),
+            resolveRoute: (requestId, host, path) => this.#resolveRoute(requestId, host, path),
+            selfId: self.id,
+            service: self.server?.service ?? "",
+            timers,
+            widen: service => this.#selector.widen(service),
+        });
     }
 
     get version(): number | undefined {
         return this.#lag.own;
     }
 
+    /** Newest version that is known to be in force at a daemon that answers queries. */
+    get newestBelieved(): number {
+        return this.#lag.readNewestBelieved(this.#options.process.now());
+    }
+
     get isWatching(): boolean {
         return this.#configuration.isWatching;
     }
@@ -240,138 +246,55 @@
         });
     }
 
-    /** Announces that this daemon leaves. */
+    /** Announces that this daemon leaves; its server takes no further requests. */
     leave(): void {
         const { self } = this.#options;
+        this.#server.close();
         const record = { ...self, revision: self.revision + 1, state: MemberState.Left };
         this.#table.merge(record);
         this.#gossip.announce([record]);
         this.#gossip.flush();
     }
 
-    /** Handles a request of a caller on this VM that was sent at a time of the simulated clock. */
-    async handleRequest(path: string, sentAt: number): Promise<void> {
-        for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
-            const decision = await this.#decide(path);
-            if (decision === undefined) {
-                break;
-            }
-            if (decision.route === undefined) {
-                this.#report(path, sentAt, this.id, decision.version, false);
-                return;
-            }
-            if (await this.#place(decision.route, decision.version, path, sentAt)) {
-                return;
-            }
-            this.#lag.requireVersion(decision.version + 1, this.#options.process.now());
-        }
-        this.#refused++;
+    /** Handles a request of a caller on this VM. */
+    handleRequest(requestId: string, path: string): void {
+        this.#callers.send(requestId, path);
     }
 
-    #decide(path: string): RouteDecision | undefined | Promise<RouteDecision | undefined> {
+    #resolveRoute(
+        requestId: string,
+        host: string | undefined,
+        path: string,
+    ): RouteDecision | undefined | Promise<RouteDecision | undefined> {
         const configuration = this.#configuration.configuration;
-        if (configuration === undefined) {
-            return undefined;
-        }
-        if (this.#options.variant.decidesAlone) {
-            const route = configuration.routesByHost.get(HOST)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
-            return { revision: configuration.revision, route, version: configuration.version };
-        }
-        return this.#resolver.resolveRoute("request", HOST, path);
-    }
-
-    /** Places a request here or at a daemon that responds; resolves with false when it was refused as outdated. */
-    #place(route: RoutePolicy, version: number, path: string, sentAt: number): Promise<boolean> {
-        const { process, random } = this.#options;
-        const request: OwnedRequest = {
-            body: new Uint8Array(0),
-            budgetLeftMs: 2_000,
-            callerService: "all",
-            headers: ["host", HOST],
-            isNested: false,
-            isRetry: false,
-            kind: RequestKind.Idempotent,
-            method: "GET",
-            priority: 1,
-            requestId: `${this.id}/${++this.#lastRequest}/${sentAt}`,
-            route: route.name,
-            service: route.targets[0]?.service ?? "",
-            target: path,
-            targetLeftMs: 500,
-            version,
-        };
-        const usable = [...this.#sessions.listOwnerSessions()].filter(session => session.isUsable(process.now()));
-        const index = Math.floor(random() * (usable.length + 1));
-        const session: OwnerSession | undefined = usable[index];
-        return new Promise(resolve => {
-            const end = (isPlaced: boolean): void => resolve(isPlaced);
-            if (session === undefined) {
-                this.#execute(request, () => end(false), () => end(true));
-                return;
-            }
-            session.submit(request, {
-                onAnswer: () => end(true),
-                onAnswerAborted: () => end(true),
-                onData: () => undefined,
-                onDeclined: () => end(true),
-                onEnd: () => end(true),
-                onHead: () => undefined,
-                onOffer: () => undefined,
-                onOutcomeUnknown: () => end(true),
-                onOwnerTimeout: () => undefined,
-                onRefused: ({ reason }) => end(reason !== "outdated"),
-            });
-        });
-    }
-
-    /** Runs a request at the own server after its wait for a slot, unless a newer version leads it elsewhere. */
-    #execute(
-        request: OwnedRequest,
-        refuse: (refusal: NonNullable<ReturnType<typeof findOutdatedRefusal>>) => void,
-        complete: () => void,
-    ): void {
-        const { process: { timers }, random, variant } = this.#options;
-        const findRefusal = () =>
-            variant.runsOutdated ? undefined : findOutdatedRefusal(request, this.#configuration.configuration);
-        const refusal = findRefusal();
-        if (refusal !== undefined) {
-            refuse(refusal);
-            return;
+        if (!this.#options.variant.decidesAlone || configuration === undefined) {
+            return this.#resolver.resolveRoute(requestId, host, path);
         }
-        timers.after(random() * MAXIMUM_QUEUE_MS, () => {
-            const late = findRefusal();
-            if (late !== undefined) {
-                refuse(late);
-                return;
-            }
-            const [callerId = "", , sentAt] = request.requestId.split("/");
-            this.#options.onHandled({
-                callerId,
-                handledAt: 0,
-                hasRun: true,
-                ownerId: this.id,
-                path: request.target,
-                sentAt: Number(sentAt),
-                version: Number(request.service.slice(1)),
-            });
-            complete();
-        });
-    }
-
-    #report(path: string, sentAt: number, ownerId: string, version: number, hasRun: boolean): void {
-        this.#options.onHandled({ callerId: this.id, handledAt: 0, hasRun, ownerId, path, sentAt, version });
+        const { revision, version } = configuration;
+        return { revision, route: findRoute(configuration, host, path), version };
     }
 
     #merge(members: readonly Member[]): readonly Member[] {
         return members.filter(member => {
             const isNew = member.id !== this.id && this.#table.merge(member);
-            if (isNew && this.#sessions.getOwnerSession(member.id) !== undefined) {
-                this.#sessions.connect(member);
+            if (isNew) {
+                this.#applyMember(member);
             }
             return isNew;
         });
     }
 
+    #applyMember(member: Member): void {
+        if (member.state === MemberState.Left) {
+            this.#directory.removeMember(member);
+            return;
+        }
+        if (this.#sessions.getOwnerSession(member.id) !== undefined) {
+            this.#sessions.connect(member);
+        }
+        this.#directory.addMember(member);
+    }
+
     #updateSessions(): void {
         const { process: { now, timers }, self } = this.#options;
         timers.after(SESSION_UPDATE_INTERVAL_MS, () => this.#updateSessions());
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -1,52 +1,69 @@
-/** Plays a history on a simulated mesh and tells each request that a replaced version has decided too late. */
+/** Plays a history on a simulated mesh, with requests at each daemon, and judges what becomes of them. */
 import { deriveFreshnessLimits } from "../../../../coordination/distribution/index.js";
 import { MemberState } from "../../../../state/members/index.js";
 import type { Member } from "../../../../state/members/index.js";
 import { createSeededRandom, invariant } from "../../../../state/shared/index.js";
-import { RequestKind } from "../../../../state/traffic/index.js";
-import type { RoutePolicy, TrafficConfiguration } from "../../../../state/traffic/index.js";
+import type { Random } from "../../../../state/shared/index.js";
 import type { PartLogger } from "../../../logging/index.js";
-import { FaultKind, FIRST_CHANGE_MS, TargetKind } from "./History.js";
-import type { Fault, History } from "./History.js";
+import { FaultInjector } from "./FaultInjector.js";
+import { computeChangeTime } from "./History.js";
+import type { History } from "./History.js";
+import { RuleJudge } from "./RuleJudge.js";
+import type { Violation } from "./RuleJudge.js";
 import { SimulatedClock } from "./SimulatedClock.js";
-import { HOST, SimulatedDaemon } from "./SimulatedDaemon.js";
-import type { Handling, Variant } from "./SimulatedDaemon.js";
+import { SimulatedDaemon } from "./SimulatedDaemon.js";
+import type { Variant } from "./SimulatedDaemon.js";
 import { createSimulatedNetwork } from "./SimulatedNetwork.js";
 import type { NetworkNode, NetworkPath } from "./SimulatedNetwork.js";
-import { SimulatedProcess } from "./SimulatedProcess.js";
+import { EventCost, SimulatedProcess } from "./SimulatedProcess.js";
 import { SimulatedStore } from "./SimulatedStore.js";
+import {
+    countServices,
+    formatAddedPath,
+    formatDroppedPath,
+    formatService,
+    MOVING_PATH,
+    ONCE_PATH,
+    SimulatedVersions,
+    SLOW_PATH,
+    SPLIT_PATH,
+} from "./SimulatedVersions.js";
+import { createVm } from "./SimulatedVm.js";
+import type { SimulatedVm } from "./SimulatedVm.js";
 
-/** Time without impairment after which a VM is in touch again, as the users' rules have it. */
-const STABLE_WINDOW_MS = 3_000;
 /** Time after the last version's deadline for which requests are sent. */
-const TAIL_MS = 1_500;
+const TAIL_MS = 1_200;
 /** Delay of the store's answers from which it counts as impaired for a VM. */
 const SLOW_STORE_MS = 200;
 const PATH_CHECK_INTERVAL_MS = 50;
 const ACKNOWLEDGEMENT_MS = 5;
-const REQUEST_INTERVAL_MS = 160;
-const FIRST_REQUEST_MS = 1_500;
+/** Mean times between the requests of a VM: shortly after a change, after its deadline, and else. */
+const CHANGE_INTERVAL_MS = 12;
+const DEADLINE_INTERVAL_MS = 25;
+const USUAL_INTERVAL_MS = 150;
+/** Times after a change, and after its deadline, in which requests are dense. */
+const CHANGE_WINDOW_MS = 200;
+const DEADLINE_WINDOW_MS = 700;
+const FIRST_REQUEST_MS = 500;
 const START_SPREAD_MS = 300;
 const LISTING_MS = 20;
 /** Latencies between daemons of one failure domain, of one region and of two regions. */
 const LATENCIES_MS = [0.2, 0.6, 6] as const;
-const STOP_MS = 1_200;
 const PADDING_CHARACTERS = 12_000;
 const MAXIMUM_CLOCK_ORIGIN_MS = 1e7;
-const SLOW_COPY_UNIT_MS = 5;
-const FULL_LINK_UNIT_MS = 25;
-const STORE_SLOW_UNIT_MS = 10;
-const MAXIMUM_LOSS_SHARE = 0.4;
-const MAXIMUM_SLOWNESS = 30;
-
-export interface Violation {
-    readonly handling: Handling;
-    /** Version that had to be in force. */
-    readonly required: number;
-}
+const REFUSAL_STATUS = 503;
+/** Shares of the paths among the requests; the rest goes to routes that versions add and drop. */
+const PATH_SHARES: readonly (readonly [string, number])[] = [
+    [MOVING_PATH, 0.35],
+    [SPLIT_PATH, 0.25],
+    [ONCE_PATH, 0.15],
+    [SLOW_PATH, 0.05],
+];
+const ADDED_SHARE = 0.12;
 
 export interface Play {
     readonly violations: readonly Violation[];
+    /** Requests that ran or were answered with 404, and those that were refused. */
     readonly handled: number;
     readonly refused: number;
     readonly storeCalls: number;
@@ -54,36 +71,6 @@
     readonly longestShare: number;
 }
 
-interface Impairment {
-    readonly from: number;
-    readonly to: number;
-}
-
-interface Vm {
-    readonly index: number;
-    readonly id: string;
-    readonly domain: string;
-    readonly region: string;
-    readonly impairments: Impairment[];
-    readonly state: {
-        cutUntil: number;
-        storeCutUntil: number;
-        lossShare: number;
-        copiesLostUntil: number;
-        messageWaitMs: number;
-        copyWaitMs: number;
-        incomingCopyWaitMs: number;
-        storeSilentUntil: number;
-        storeRefusedUntil: number;
-        storeExtraMs: number;
-        watchesHangUntil: number;
-    };
-    incarnation: number;
-    node: NetworkNode | undefined;
-    daemon: SimulatedDaemon | undefined;
-    record: Member | undefined;
-}
-
 /** The repairs that are in force, unless a test leaves one out. */
 export function createVariant(deadlineMs: number): Variant {
     return { decidesAlone: false, fillsLinks: false, limits: deriveFreshnessLimits(deadlineMs), runsOutdated: false };
@@ -104,19 +91,21 @@
     readonly #variant: Variant;
     readonly #log: ((line: string) => void) | undefined;
     readonly #clock = new SimulatedClock();
-    readonly #random: () => number;
+    readonly #random: Random;
     readonly #store: SimulatedStore;
-    readonly #vms: Vm[] = [];
+    readonly #versions: SimulatedVersions;
+    readonly #judge: RuleJudge;
+    readonly #injector: FaultInjector;
+    readonly #services: number;
+    readonly #vms: SimulatedVm[] = [];
+    /** Makes the text of a version as large as a copy. */
     readonly #padding: string;
-    /** Versions by the times of their acknowledgements, the first one at -Infinity. */
-    readonly #acknowledged: { readonly at: number; readonly version: number; }[] = [{ at: -Infinity, version: 1 }];
-    readonly #configurations = new Map<number, TrafficConfiguration>();
+    /** Times of the changes, at which requests are dense. */
+    readonly #changes: readonly number[];
     readonly #violations: Violation[] = [];
-    /** Times at which no sound daemon reached the store. */
-    readonly #storeless: Impairment[] = [];
-    #handled = 0;
-    #longestShare = 0;
-    #refusedBefore = 0;
+    #newest = 1;
+    #refused = 0;
+    #lastRequest = 0;
     #lastSession = 0;
 
     constructor(history: History, variant: Variant, log: ((line: string) => void) | undefined) {
@@ -126,71 +115,78 @@
         this.#random = createSeededRandom(history.seed);
         this.#padding = generatePadding(this.#random);
         this.#store = new SimulatedStore(this.#clock, 1, version => `${version}:${this.#padding}`);
+        this.#changes = history.versionGapsMs.map((_, index) => computeChangeTime(history, index));
+        const daemons = history.daemonsPerDomain * history.domainsPerRegion * history.regions;
+        this.#services = countServices(daemons);
+        this.#versions = new SimulatedVersions(daemons, this.#changes.length + 1);
+        this.#judge = new RuleJudge({
+            deadlineMs: history.deadlineMs,
+            onViolation: violation => {
+                this.#violations.push(violation);
+                this.#log?.(`${Math.round(violation.at)} BROKEN ${violation.rule}: ${violation.detail}`);
+            },
+            versions: this.#versions,
+        });
+        this.#injector = new FaultInjector({
+            addVm: place => this.#joinVm(place),
+            clock: this.#clock,
+            compactStore: () => this.#store.compact(),
+            fillsLinks: variant.fillsLinks,
+            log,
+            startDaemon: vm => this.#startDaemon(vm),
+            vms: this.#vms,
+        });
     }
 
     async play(): Promise<Play> {
-        const { daemonsPerDomain, domainsPerRegion, faults, regions, versionGapsMs } = this.#history;
-        this.#checkStorePaths();
+        const { daemonsPerDomain, deadlineMs, domainsPerRegion, faults, regions } = this.#history;
+        this.#clock.schedule(FIRST_REQUEST_MS, () => this.#checkStorePaths());
         for (let place = 0; place < daemonsPerDomain; place++) {
             for (let domain = 0; domain < regions * domainsPerRegion; domain++) {
                 const vm = this.#addVm(domain);
                 this.#clock.schedule(this.#random() * START_SPREAD_MS, () => this.#startDaemon(vm));
             }
         }
-        let at = FIRST_CHANGE_MS;
-        versionGapsMs.forEach((gapMs, index) => {
-            this.#scheduleChange(at, index + 2);
-            at += gapMs;
-        });
+        this.#changes.forEach((at, index) => this.#scheduleChange(at, index + 2));
         for (const fault of faults) {
-            this.#clock.schedule(fault.atMs, () => this.#beginFault(fault));
+            this.#clock.schedule(fault.atMs, () => this.#injector.begin(fault));
         }
-        const lastChangeAt = at - (versionGapsMs.at(-1) ?? 0);
-        const end = lastChangeAt + this.#history.deadlineMs + TAIL_MS;
+        const end = (this.#changes.at(-1) ?? 0) + deadlineMs + TAIL_MS;
         await this.#clock.runUntil(end);
+        this.#judge.complete(end);
         return {
-            handled: this.#handled,
-            longestShare: this.#longestShare,
-            refused: this.#refusedBefore + this.#vms.reduce((sum, { daemon }) => sum + (daemon?.refused ?? 0), 0),
+            handled: this.#judge.handled,
+            longestShare: this.#judge.longestShare,
+            refused: this.#refused,
             storeCalls: this.#store.calls,
             violations: this.#violations,
         };
     }
 
-    #addVm(domain: number): Vm {
+    #addVm(domain: number): SimulatedVm {
         const index = this.#vms.length;
-        const region = `region-${domain % this.#history.regions}`;
-        const vm: Vm = {
-            daemon: undefined,
+        const { regions, weakness, weakShare } = this.#history;
+        const vm = createVm({
             domain: `domain-${domain}`,
-            id: `d${index}`,
-            impairments: [],
-            incarnation: 0,
             index,
-            node: undefined,
-            record: undefined,
-            region,
-            state: {
-                copiesLostUntil: -Infinity,
-                copyWaitMs: 0,
-                cutUntil: -Infinity,
-                incomingCopyWaitMs: 0,
-                lossShare: 0,
-                messageWaitMs: 0,
-                storeCutUntil: -Infinity,
-                storeExtraMs: 0,
-                storeRefusedUntil: -Infinity,
-                storeSilentUntil: -Infinity,
-                watchesHangUntil: -Infinity,
-            },
-        };
+            region: `region-${domain % regions}`,
+            service: formatService((index + Math.floor(index / this.#services)) % this.#services),
+            weakness: this.#random() * 100 < weakShare ? weakness : 1,
+        });
         this.#vms.push(vm);
-        this.#clock.schedule(FIRST_REQUEST_MS + this.#random() * REQUEST_INTERVAL_MS, () => this.#sendRequests(vm));
+        const requestsAt = Math.max(FIRST_REQUEST_MS, this.#clock.now) + this.#random() * USUAL_INTERVAL_MS;
+        this.#clock.schedule(requestsAt, () => this.#sendRequests(vm));
         return vm;
     }
 
-    #startDaemon(vm: Vm): void {
-        const process = new SimulatedProcess(this.#clock, this.#random() * MAXIMUM_CLOCK_ORIGIN_MS);
+    #joinVm(place: number): void {
+        const vm = this.#addVm(place % (this.#history.regions * this.#history.domainsPerRegion));
+        vm.impairments.push({ from: -Infinity, to: this.#clock.now });
+        this.#startDaemon(vm);
+    }
+
+    #startDaemon(vm: SimulatedVm): void {
+        const process = new SimulatedProcess(this.#clock, this.#random() * MAXIMUM_CLOCK_ORIGIN_MS, vm.weakness);
         const node: NetworkNode = { accept: undefined, closers: new Set(), process };
         const random = createSeededRandom(Math.floor(this.#random() * 2 ** 32));
         const record: Member = {
@@ -202,7 +198,7 @@
             region: vm.region,
             relayPort: vm.index + 1,
             revision: 0,
-            server: { address: "127.0.0.1", connections: 0, port: 1, service: "all", slots: 4 },
+            server: { address: "127.0.0.1", connections: 0, port: 1, service: vm.service, slots: 4 },
             state: MemberState.Live,
         };
         vm.node = node;
@@ -210,10 +206,14 @@
         const { state } = vm;
         const daemon = new SimulatedDaemon({
             createSessionId: () => `session-${++this.#lastSession}`,
-            decode: text => this.#decode(text),
+            decode: text => {
+                const version = Number.parseInt(text, 10);
+                invariant(version > 0, "a version has a number");
+                return this.#versions.read(version);
+            },
             listRecords: () => this.#vms.flatMap(other => other.record === undefined ? [] : [other.record]),
-            losesCopies: () => state.copiesLostUntil > this.#clock.now,
             log: this.#createLogger(vm.id),
+            losesCopies: () => state.copiesLostUntil > this.#clock.now,
             network: createSimulatedNetwork(
                 this.#clock,
                 random,
@@ -221,7 +221,14 @@
                 port => this.#vms[port - 1]?.node,
                 (from, to) => this.#readPath(from, to),
             ),
-            onHandled: handling => this.#judge({ ...handling, handledAt: this.#clock.now }),
+            observer: {
+                onAnswered: (requestId, status, version) => {
+                    this.#refused += status === REFUSAL_STATUS ? 1 : 0;
+                    this.#judge.recordAnswer(requestId, status, version, this.#clock.now);
+                },
+                onRun: (requestId, version) =>
+                    this.#judge.recordRun(requestId, vm.service, version, vm, this.#clock.now),
+            },
             process,
             random,
             self: record,
@@ -240,219 +247,70 @@
     #scheduleChange(at: number, version: number): void {
         this.#clock.schedule(at, () => {
             this.#log?.(`${Math.round(at)} version ${version} is written`);
+            this.#newest = version;
+            this.#judge.recordVersion(version, at + ACKNOWLEDGEMENT_MS);
             this.#store.write(version);
-            this.#acknowledged.push({ at: at + ACKNOWLEDGEMENT_MS, version });
         });
     }
 
-    /** Excuses all while no sound daemon reaches the store; those that others can't reach are excused by their own trouble. */
+    /** Excuses the VMs that reach the store neither by themselves nor over a sound VM that does. */
     #checkStorePaths(): void {
         const { now } = this.#clock;
         this.#clock.schedule(now + PATH_CHECK_INTERVAL_MS, () => this.#checkStorePaths());
-        const hasStore = this.#vms.some(({ daemon, impairments, state }) =>
-            daemon !== undefined && !impairments.some(({ from, to }) => from <= now && now <= to)
-            && Math.max(state.storeSilentUntil, state.storeRefusedUntil) <= now && state.storeExtraMs < SLOW_STORE_MS
+        const hasStore = ({ state }: SimulatedVm): boolean =>
+            Math.max(state.storeSilentUntil, state.storeRefusedUntil, state.storeCutUntil) <= now
+            && state.storeExtraMs < SLOW_STORE_MS;
+        const isCut = ({ state }: SimulatedVm): boolean => state.cutUntil > now;
+        const isSource = this.#vms.some(vm =>
+            vm.daemon !== undefined && hasStore(vm) && !isCut(vm)
+            && !vm.impairments.some(({ from, to }) => from <= now && now <= to)
         );
-        if (!hasStore) {
-            this.#storeless.push({ from: now, to: now });
-        }
-    }
-
-    #sendRequests(vm: Vm): void {
-        const sentAt = this.#clock.now;
-        this.#clock.schedule(sentAt + REQUEST_INTERVAL_MS * (0.5 + this.#random()), () => this.#sendRequests(vm));
-        const newest = this.#acknowledged.at(-1)?.version ?? 1;
-        const isForAdded = this.#random() < 0.3;
-        const path = isForAdded ? `/from-${1 + Math.floor(this.#random() * newest)}/` : "/r/";
-        const { daemon, node } = vm;
-        node?.process.handle(() => void daemon?.handleRequest(path, sentAt));
-    }
-
-    #judge(handling: Handling): void {
-        this.#handled++;
-        const { callerId, handledAt, hasRun, ownerId, path, sentAt, version } = handling;
-        const dueBefore = sentAt - this.#history.deadlineMs;
-        const required = this.#acknowledged.findLast(({ at }) => at < dueBefore)?.version ?? 1;
-        const added = /^\/from-(\d+)\//.exec(path)?.[1];
-        // The first version that forbids what was done.
-        const replacement = added === undefined ? version + 1 : hasRun ? Infinity : Number(added);
-        const isOutdated = replacement <= required;
-        const isInTouch = [callerId, ownerId].every(id => {
-            const vm = this.#vms.find(other => other.id === id);
-            return vm !== undefined && [sentAt, handledAt].every(at => !isImpaired(vm.impairments, at));
-        }) && [sentAt, handledAt].every(at => !isImpaired(this.#storeless, at));
-        const replacedAt = this.#acknowledged.find(other => other.version === replacement)?.at ?? Infinity;
-        if (isInTouch && replacedAt > -Infinity) {
-            this.#longestShare = Math.max(this.#longestShare, (sentAt - replacedAt) / this.#history.deadlineMs);
-        }
-        if (isOutdated && isInTouch) {
-            this.#violations.push({ handling, required });
-            this.#log?.(`${Math.round(handledAt)} BROKEN ${JSON.stringify(handling)} required ${required}`);
-        }
-    }
-
-    #beginFault(fault: Fault): void {
-        const { forMs, kind, strength } = fault;
-        const now = this.#clock.now;
-        const until = now + forMs;
-        const targets = this.#selectTargets(fault);
-        this.#log?.(`${now} ${kind} of ${targets.map(({ id }) => id).join(" ")} for ${forMs}, strength ${strength}`);
-        for (const vm of targets) {
-            this.#applyFault(vm, kind, until, strength);
-        }
-        if (kind === FaultKind.Compact) {
-            this.#store.compact();
-        }
-        if (kind === FaultKind.Join) {
-            const vm = this.#addVm(fault.first % (this.#history.regions * this.#history.domainsPerRegion));
-            vm.impairments.push({ from: -Infinity, to: now });
-            this.#startDaemon(vm);
-        }
-    }
-
-    #applyFault(vm: Vm, kind: FaultKind, until: number, strength: number): void {
-        const { node, state } = vm;
-        const now = this.#clock.now;
-        const excuse = (to = until): void => {
-            vm.impairments.push({ from: now, to });
-        };
-        const atEnd = (action: () => void): void => {
-            this.#clock.schedule(until, action);
-        };
-        switch (kind) {
-            case FaultKind.Freeze:
-                excuse();
-                node?.process.pauseUntil(until);
-                return;
-            case FaultKind.PowerOff:
-                excuse();
-                this.#endDaemon(vm, false);
-                atEnd(() => this.#restart(vm));
-                return;
-            case FaultKind.Kill:
-                excuse();
-                this.#endDaemon(vm, true);
-                atEnd(() => this.#restart(vm));
-                return;
-            case FaultKind.Stop: {
-                const { daemon } = vm;
-                excuse(until + STOP_MS);
-                node?.process.handle(() => daemon?.leave());
-                this.#clock.schedule(now + STOP_MS, () => {
-                    if (vm.daemon === daemon) {
-                        this.#endDaemon(vm, true);
-                    }
-                });
-                this.#clock.schedule(until + STOP_MS, () => this.#restart(vm));
-                return;
-            }
-            case FaultKind.Cut:
-                excuse();
-                state.cutUntil = Math.max(state.cutUntil, until);
-                state.storeCutUntil = Math.max(state.storeCutUntil, until);
-                return;
-            case FaultKind.CutFromDaemons:
-                excuse();
-                state.cutUntil = Math.max(state.cutUntil, until);
-                return;
-            case FaultKind.Loss:
-                excuse();
-                state.lossShare = strength / 100 * MAXIMUM_LOSS_SHARE;
-                atEnd(() => {
-                    state.lossShare = 0;
-                });
-                return;
-            case FaultKind.Slow:
-                excuse();
-                node?.process.setSlowness(1 + strength / 100 * MAXIMUM_SLOWNESS);
-                atEnd(() => node?.process.setSlowness(1));
-                return;
-            case FaultKind.StoreSilent:
-                state.storeSilentUntil = Math.max(state.storeSilentUntil, until);
-                return;
-            case FaultKind.StoreRefused:
-                state.storeRefusedUntil = Math.max(state.storeRefusedUntil, until);
-                return;
-            case FaultKind.StoreSlow:
-                state.storeExtraMs = strength * STORE_SLOW_UNIT_MS;
-                atEnd(() => {
-                    state.storeExtraMs = 0;
-                });
-                return;
-            case FaultKind.WatchesHang:
-                state.watchesHangUntil = Math.max(state.watchesHangUntil, until);
-                return;
-            case FaultKind.SlowCopies:
-                state.copyWaitMs = strength * SLOW_COPY_UNIT_MS;
-                atEnd(() => {
-                    state.copyWaitMs = 0;
-                });
-                return;
-            case FaultKind.LateCopies:
-                state.incomingCopyWaitMs = strength * SLOW_COPY_UNIT_MS;
-                atEnd(() => {
-                    state.incomingCopyWaitMs = 0;
-                });
-                return;
-            case FaultKind.LostCopies:
-                state.copiesLostUntil = Math.max(state.copiesLostUntil, until);
-                return;
-            case FaultKind.FullLink:
-                if (!this.#variant.fillsLinks) {
-                    excuse();
+        for (const vm of this.#vms) {
+            if (!hasStore(vm)) {
+                vm.storeLostAt = now;
+                if (isCut(vm) || !isSource) {
+                    vm.impairments.push({ from: now, to: now });
                 }
-                state.messageWaitMs = strength * FULL_LINK_UNIT_MS;
-                atEnd(() => {
-                    state.messageWaitMs = 0;
-                });
-                return;
-            case FaultKind.Compact:
-            case FaultKind.Join:
+            }
+            vm.hasStore = now - vm.storeLostAt > this.#history.deadlineMs;
         }
+        this.#judge.judgeVersions(this.#vms, now);
     }
 
-    #endDaemon(vm: Vm, isAnnounced: boolean): void {
-        const { daemon, node } = vm;
-        if (daemon === undefined) {
-            return;
-        }
-        this.#refusedBefore += daemon.refused;
-        node?.process.end();
-        if (isAnnounced) {
-            [...node?.closers ?? []].forEach(close => close());
+    #sendRequests(vm: SimulatedVm): void {
+        const { now } = this.#clock;
+        this.#clock.schedule(
+            now + this.#computeRequestInterval(now) * (0.5 + this.#random()),
+            () => this.#sendRequests(vm),
+        );
+        const { daemon, incarnation, node } = vm;
+        const path = this.#selectPath();
+        const id = `${vm.id}/${++this.#lastRequest}`;
+        if (daemon !== undefined) {
+            this.#judge.recordSent({ caller: vm, id, incarnation, path, sentAt: now });
+            node?.process.handle(() => daemon.handleRequest(id, path), EventCost.Request);
         }
-        vm.daemon = undefined;
     }
 
-    #restart(vm: Vm): void {
-        if (vm.daemon === undefined) {
-            vm.impairments.push({ from: this.#clock.now, to: this.#clock.now });
-            this.#startDaemon(vm);
+    #computeRequestInterval(now: number): number {
+        const isWithin = (startMs: number, windowMs: number): boolean =>
+            this.#changes.some(at => at + startMs <= now && now < at + startMs + windowMs);
+        if (isWithin(0, CHANGE_WINDOW_MS)) {
+            return CHANGE_INTERVAL_MS;
         }
+        return isWithin(this.#history.deadlineMs, DEADLINE_WINDOW_MS) ? DEADLINE_INTERVAL_MS : USUAL_INTERVAL_MS;
     }
 
-    #selectTargets({ count, first, kind, target }: Fault): readonly Vm[] {
-        if (kind === FaultKind.Compact || kind === FaultKind.Join) {
-            return [];
-        }
-        const domains = [...new Set(this.#vms.map(({ domain }) => domain))];
-        const takeFrom = <T>(items: readonly T[]): readonly T[] =>
-            Array.from(
-                { length: Math.min(count, items.length) },
-                (_, index) => items[(first + index) % items.length] as T,
-            );
-        switch (target) {
-            case TargetKind.All:
-                return this.#vms;
-            case TargetKind.Domains: {
-                const chosen = new Set(takeFrom(domains));
-                return this.#vms.filter(({ domain }) => chosen.has(domain));
+    #selectPath(): string {
+        let share = this.#random();
+        for (const [path, pathShare] of PATH_SHARES) {
+            share -= pathShare;
+            if (share < 0) {
+                return path;
             }
-            case TargetKind.Watchers:
-                return this.#vms.filter(({ daemon }) => daemon?.isWatching === true);
-            case TargetKind.Daemons:
-                return takeFrom(this.#vms);
         }
+        const known = 1 + Math.floor(this.#random() * this.#newest);
+        return share < ADDED_SHARE ? formatAddedPath(known) : formatDroppedPath(Math.max(2, known));
     }
 
     #readPath(from: NetworkNode, to: NetworkNode): NetworkPath {
@@ -473,17 +331,6 @@
         };
     }
 
-    #decode(text: string): TrafficConfiguration {
-        const version = Number.parseInt(text, 10);
-        invariant(version > 0, "a version has a number");
-        let configuration = this.#configurations.get(version);
-        if (configuration === undefined) {
-            configuration = createConfiguration(version);
-            this.#configurations.set(version, configuration);
-        }
-        return configuration;
-    }
-
     #createLogger(id: string): PartLogger {
         const add = (sentence: string, fields: Readonly<Record<string, unknown>> = {}): void => {
             this.#log?.(`${Math.round(this.#clock.now)} ${id} ${sentence} ${JSON.stringify(fields)}`);
@@ -494,32 +341,6 @@
     }
 }
 
-function isImpaired(impairments: readonly Impairment[], at: number): boolean {
-    return impairments.some(({ from, to }) => from <= at && at <= to + STABLE_WINDOW_MS);
-}
-
-/** Each version leads `/r/` to a service of its own, so that a run tells the version; `/from-5/` exists from version 5 on. */
-function createConfiguration(version: number): TrafficConfiguration {
-    const createRoute = (pathPrefix: string, service: string): RoutePolicy => ({
-        kind: RequestKind.Idempotent,
-        maximumServers: 3,
-        name: pathPrefix,
-        pathPrefix,
-        priority: 1,
-        targetLatencyMs: 500,
-        targets: [{ service, weight: 1 }],
-        timeoutMs: 2_000,
-    });
-    const added = Array.from({ length: version }, (_, index) => createRoute(`/from-${index + 1}/`, `s${index + 1}`));
-    return {
-        limits: { bodyBytes: 1, headerBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-        revision: version,
-        routesByHost: new Map([[HOST, [createRoute("/r/", `s${version}`), ...added]]]),
-        services: new Map(),
-        version,
-    };
-}
-
 /** Text that compression can't shorten much, so that copies are larger than other messages. */
 function generatePadding(random: () => number): string {
     return Array.from({ length: PADDING_CHARACTERS }, () => String.fromCharCode(33 + Math.floor(random() * 90))).join(
--- a/src/transport/sidecar/__tests__/search/SimulatedNetwork.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedNetwork.ts
@@ -4,6 +4,7 @@
 import type { Random } from "../../../../state/shared/index.js";
 import type { PeerNetwork } from "../../../peer/index.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
+import { EventCost } from "./SimulatedProcess.js";
 import type { SimulatedProcess } from "./SimulatedProcess.js";
 
 /** Wait for the handshake of a connection, as in the sessions' network. */
@@ -58,7 +59,8 @@
         const { peer } = this;
         this.#transmit(frame.length, () => {
             if (peer?.isClosed === false) {
-                peer.node.process.handle(() => peer.frames.push(frame));
+                const costMs = frame.length > COPY_FRAME_BYTES ? EventCost.Copy : EventCost.Small;
+                peer.node.process.handle(() => peer.frames.push(frame), costMs);
             }
         });
     }
--- a/src/transport/sidecar/__tests__/search/SimulatedProcess.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedProcess.ts
@@ -2,23 +2,33 @@
 import type { Timers } from "../../../timers/index.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
 
-/** Processor time that one event takes on a sound VM. */
-const EVENT_COST_MS = 0.1;
+/** Processor time that events take on a VM with a strong processor, in milliseconds. */
+export const EventCost = {
+    /** A timer, a message of another daemon, an answer of the store. */
+    Small: 0.1,
+    /** Reading a request of a caller and answering it. */
+    Request: 0.4,
+    /** Decompressing, decoding and checking a version. */
+    Copy: 3,
+} as const;
 
 export class SimulatedProcess {
     readonly #clock: SimulatedClock;
     /** Difference between the steady clock of this process and the simulated one. */
     readonly #originMs: number;
-    readonly #waiting: (() => void)[] = [];
+    /** By how much longer each event takes, since the processor is weak. */
+    readonly #weakness: number;
+    readonly #waiting: { readonly action: () => void; readonly costMs: number; }[] = [];
     #isEnded = false;
     #isDraining = false;
     #pausedUntil = -Infinity;
     #busyUntil = -Infinity;
     #slowness = 1;
 
-    constructor(clock: SimulatedClock, originMs: number) {
+    constructor(clock: SimulatedClock, originMs: number, weakness = 1) {
         this.#clock = clock;
         this.#originMs = originMs;
+        this.#weakness = weakness;
     }
 
     get isEnded(): boolean {
@@ -47,12 +57,12 @@
         },
     };
 
-    /** Handles an event now, or once the process is free. */
-    handle(action: () => void): void {
+    /** Handles an event now, or once the process is free; it takes `costMs` of a strong processor. */
+    handle(action: () => void, costMs: number = EventCost.Small): void {
         if (this.#isEnded) {
             return;
         }
-        this.#waiting.push(action);
+        this.#waiting.push({ action, costMs });
         this.#drain();
     }
 
@@ -60,7 +70,7 @@
         this.#pausedUntil = Math.max(this.#pausedUntil, at);
     }
 
-    /** Sets by how much longer each event takes. */
+    /** Sets by how much longer each event takes for a time. */
     setSlowness(factor: number): void {
         this.#slowness = factor;
     }
@@ -83,10 +93,10 @@
             });
             return;
         }
-        const action = this.#waiting.shift();
-        if (action !== undefined) {
-            this.#busyUntil = this.#clock.now + EVENT_COST_MS * this.#slowness;
-            action();
+        const next = this.#waiting.shift();
+        if (next !== undefined) {
+            this.#busyUntil = this.#clock.now + next.costMs * this.#slowness * this.#weakness;
+            next.action();
             this.#drain();
         }
     }
--- a/src/transport/sidecar/__tests__/search/SimulatedStore.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedStore.ts
@@ -9,6 +9,7 @@
     StorePosition,
 } from "../../../../state/store/index.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
+import { EventCost } from "./SimulatedProcess.js";
 import type { SimulatedProcess } from "./SimulatedProcess.js";
 
 const LATENCY_MS = 2;
@@ -98,7 +99,8 @@
                     stop = serve(result => {
                         this.#clock.schedule(this.#clock.now + delayMs + readAccess().extraMs, () => {
                             if (readAccess().silentUntil <= this.#clock.now) {
-                                process.handle(() => settle(result));
+                                const hasVersion = result.toMaybe().extract()?.configuration !== undefined;
+                                process.handle(() => settle(result), hasVersion ? EventCost.Copy : EventCost.Small);
                             }
                         });
                     });
--- /dev/null
+++ b/src/transport/sidecar/__tests__/search/SpoiltBuilds.ts
@@ -0,0 +1,198 @@
+/**
+ * Builds of the product with one wrong constant, comparison or call each. The search is worth what it finds in them; one
+ * that it doesn't find is either not searched for or not needed.
+ */
+
+export interface SpoiltBuild {
+    readonly name: string;
+    /** Source file, from the root of the project. */
+    readonly file: string;
+    /** Text that occurs once in the file, and what replaces it. */
+    readonly from: string;
+    readonly to: string;
+}
+
+const LIMITS = "src/coordination/distribution/FreshnessLimits.ts";
+const LAG = "src/coordination/distribution/VersionLag.ts";
+const WATCHERS = "src/coordination/distribution/StoreWatchers.ts";
+const MANAGER = "src/transport/directory/ConfigurationManager.ts";
+const CONSTANTS = "src/transport/directory/DirectoryConstants.ts";
+const RESOLVER = "src/transport/routes/RouteResolver.ts";
+
+export const SPOILT_BUILDS: readonly SpoiltBuild[] = [
+    {
+        file: "src/transport/sessions/HandleGossip.ts",
+        from: "ageMs: confirmation.ageMs + transitMs",
+        name: "the transit of a confirmation isn't counted",
+        to: "ageMs: confirmation.ageMs",
+    },
+    {
+        file: LAG,
+        from: "if (version > this.#required) {",
+        name: "a version that has decided isn't required",
+        to: "if (version < 0) {",
+    },
+    {
+        file: LIMITS,
+        from: "const TAKEOVER_SPREAD_SHARE = 0.2;",
+        name: "takeovers are spread five times as long",
+        to: "const TAKEOVER_SPREAD_SHARE = 1;",
+    },
+    {
+        file: LAG,
+        from: "export const OWN_DECISION_LIMIT_MS = 500;",
+        name: "own decisions last four times as long",
+        to: "export const OWN_DECISION_LIMIT_MS = 2_000;",
+    },
+    {
+        file: LIMITS,
+        from: "const TAKE_OVER_SHARE = 0.5;",
+        name: "takeovers begin twice as late",
+        to: "const TAKE_OVER_SHARE = 1;",
+    },
+    {
+        file: LIMITS,
+        from: "const CONFIRM_SHARE = 0.28;",
+        name: "checks of the store are four times as late",
+        to: "const CONFIRM_SHARE = 1.12;",
+    },
+    {
+        file: LIMITS,
+        from: "const READ_LATE_SHARE = 0.65;",
+        name: "late versions are read four times as late",
+        to: "const READ_LATE_SHARE = 2.6;",
+    },
+    {
+        file: LAG,
+        from: "return candidates.filter(({ peer }) => peer.version >= expected)",
+        name: "no other daemon decides",
+        to: "return candidates.filter(() => false)",
+    },
+    {
+        file: "src/coordination/routing/RouteCurrency.ts",
+        from: "if (version >= configuration.version) {",
+        name: "servers run what a replaced version leads to them",
+        to: "if (version >= 0) {",
+    },
+    {
+        file: "src/coordination/routing/RouteCurrency.ts",
+        from: "other.service === service && other.weight > 0",
+        name: "servers run requests of a part whose weight has become 0",
+        to: "other.service === service",
+    },
+    {
+        file: RESOLVER,
+        from: "return route !== undefined || version >= lag.readNewestBelieved(now());",
+        name: "an outdated version may answer 404",
+        to: "return route !== undefined || version > 0;",
+    },
+    {
+        file: RESOLVER,
+        from: "lag.requireVersion(answer.version, now());",
+        name: "the version of another daemon that has decided isn't required",
+        to: "",
+    },
+    {
+        file: MANAGER,
+        from: "this.#watchers.recordLoss(now - this.#limits.takeOverAfterMs / 2);",
+        name: "reports of watches count although confirmations are missing",
+        to: "",
+    },
+    {
+        file: MANAGER,
+        from: "if (this.#watchers.recordEnd(id, this.#options.now())) {",
+        name: "the watch of an ended process counts on",
+        to: "if (id === \"\") {",
+    },
+    {
+        file: MANAGER,
+        from: "if (confirmation !== undefined && !this.#isNewer(version)) {",
+        name: "a confirmation of a newer version counts for the own one",
+        to: "if (confirmation !== undefined) {",
+    },
+    {
+        file: LAG,
+        from: "newer.find(({ version }) => this.isNewer(version))?.knownAt ?? []",
+        name: "the time behind counts from the latest missing version",
+        to: "newer.findLast(({ version }) => this.isNewer(version))?.knownAt ?? []",
+    },
+    {
+        file: CONSTANTS,
+        from: "export const MINIMUM_ANSWER_TIMEOUT_MS = 400;",
+        name: "the store has 4 s to answer a check",
+        to: "export const MINIMUM_ANSWER_TIMEOUT_MS = 4_000;",
+    },
+    {
+        file: CONSTANTS,
+        from: "export const FETCH_RETRY_MS = 300;",
+        name: "a version is requested again after 3 s",
+        to: "export const FETCH_RETRY_MS = 3_000;",
+    },
+    {
+        file: CONSTANTS,
+        from: "export const STORE_READ_DELAY_MS = 900;",
+        name: "a daemon without copies waits 9 s before it reads the store",
+        to: "export const STORE_READ_DELAY_MS = 9_000;",
+    },
+    {
+        file: MANAGER,
+        from: "return overdueMs >= this.#watchers.computeLossDelay(countDaemons());",
+        name: "no version is overdue",
+        to: "return overdueMs === Infinity;",
+    },
+    {
+        file: WATCHERS,
+        from:
+            "#isTrusted({ at, isWorking }: WatchState): boolean {\n        return isWorking && at > this.#distrustedUntil;",
+        name: "watches are trusted whatever was lost",
+        to: "#isTrusted({ isWorking }: WatchState): boolean {\n        return isWorking;",
+    },
+    {
+        file: RESOLVER,
+        from: "if (decision === undefined || this.#isFinal(decision)) {",
+        name: "the version of another daemon that is replaced may answer 404",
+        to: "if (decision?.version !== 0) {",
+    },
+    {
+        file: LAG,
+        from: "return behindMs === undefined || behindMs <= OWN_DECISION_LIMIT_MS || sources.length === 0;",
+        name: "the own version always decides",
+        to: "return behindMs === undefined || behindMs > 0;",
+    },
+    {
+        file: MANAGER,
+        from: "this.#freshness.readAgeMs(now) - this.#limits.readLateAfterMs,",
+        name: "a version that is missing is overdue only when the store was not read for 3 s",
+        to: "this.#freshness.readAgeMs(now) - 3_000,",
+    },
+    {
+        file: "src/transport/directory/StoreFollower.ts",
+        from: "freshness.removePosition();",
+        name: "a position that the store has forgotten is kept",
+        to: "",
+    },
+    {
+        file: "src/coordination/routing/WeightedRoundRobin.ts",
+        from: "const currentWeight = (currentWeights.get(service) ?? 0) + weight;",
+        name: "parts of a split get equal shares",
+        to: "const currentWeight = (currentWeights.get(service) ?? 0) + (weight > 0 ? 50 : 0);",
+    },
+    {
+        file: "src/transport/traffic/RequestRouter.ts",
+        from: "deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),",
+        name: "the timeout of the route is ignored",
+        to: "deadlineAt: arrivedAt + budgetMs,",
+    },
+    {
+        file: "src/transport/traffic/ForwardedRequest.ts",
+        from: "if (refusal.reason === RefusalReason.Outdated && this.#tryReroute()) {",
+        name: "requests that a newer version leads elsewhere aren't routed anew",
+        to: "if (refusal.detail === \"\" && this.#tryReroute()) {",
+    },
+    {
+        file: "src/transport/sessions/SessionConstants.ts",
+        from: "export const NEIGHBOUR_PING_INTERVAL_MS = 1_500;",
+        name: "neighbours are pinged every 6 s",
+        to: "export const NEIGHBOUR_PING_INTERVAL_MS = 6_000;",
+    },
+];
