Keep two fifths of the simulated VMs within reach of the store

Cause: a fifth of the histories were empty, most of them since a trouble of the store hit all VMs, which excuses all. Now the cap on excused VMs holds for those that don't reach the store as well.

--- a/src/transport/sidecar/__tests__/search/FaultInjector.ts
+++ b/src/transport/sidecar/__tests__/search/FaultInjector.ts
@@ -13,8 +13,8 @@
 const STORE_SLOW_UNIT_MS = 10;
 const MAXIMUM_LOSS_SHARE = 0.4;
 const MAXIMUM_SLOWNESS = 30;
-/** Largest share of the VMs that are excused at a time: the rules say nothing of the others then. */
-const MAXIMUM_EXCUSED_SHARE = 0.6;
+/** Largest share of the VMs that are excused, or don't reach the store, at a time: else the rules say nothing of the others. */
+const MAXIMUM_HIT_SHARE = 0.6;
 
 /** Faults that excuse the VMs that they hit, by the users' rules. */
 const EXCUSING_KINDS: ReadonlySet<FaultKind> = new Set([
@@ -27,6 +27,11 @@
     FaultKind.Slow,
     FaultKind.Stop,
 ]);
+const STORE_KINDS: ReadonlySet<FaultKind> = new Set([
+    FaultKind.StoreRefused,
+    FaultKind.StoreSilent,
+    FaultKind.StoreSlow,
+]);
 
 export interface FaultInjectorOptions {
     readonly clock: SimulatedClock;
@@ -63,7 +68,7 @@
         }
         const selected = this.#selectTargets(fault);
         this.#lastTargets = selected;
-        const targets = EXCUSING_KINDS.has(kind) ? this.#limitExcused(selected) : selected;
+        const targets = this.#limitTargets(kind, selected);
         log?.(
             `${Math.round(clock.now)} ${kind} of ${targets.map(({ id }) => id).join(" ")} for ${forMs}, `
                 + `strength ${strength}`,
@@ -73,10 +78,20 @@
         }
     }
 
-    #limitExcused(targets: readonly SimulatedVm[]): readonly SimulatedVm[] {
+    #limitTargets(kind: FaultKind, targets: readonly SimulatedVm[]): readonly SimulatedVm[] {
         const { clock, vms } = this.#options;
-        const excused = vms.filter(vm => !targets.includes(vm) && isImpaired(vm.impairments, clock.now)).length;
-        return targets.slice(0, Math.max(1, Math.floor(vms.length * MAXIMUM_EXCUSED_SHARE) - excused));
+        if (!EXCUSING_KINDS.has(kind) && !STORE_KINDS.has(kind)) {
+            return targets;
+        }
+        const hit =
+            vms.filter(vm => !targets.includes(vm) && (isImpaired(vm.impairments, clock.now) || this.#lacksStore(vm)))
+                .length;
+        return targets.slice(0, Math.max(1, Math.floor(vms.length * MAXIMUM_HIT_SHARE) - hit));
+    }
+
+    #lacksStore({ state }: SimulatedVm): boolean {
+        const { now } = this.#options.clock;
+        return state.storeSilentUntil > now || state.storeRefusedUntil > now || state.storeExtraMs > 0;
     }
 
     #apply(vm: SimulatedVm, kind: FaultKind, until: number, strength: number): void {
--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -97,7 +97,7 @@
     { layout: { daemonsPerDomain: 5, domainsPerRegion: 3, regions: 1 }, weight: 6 },
     { layout: { daemonsPerDomain: 7, domainsPerRegion: 2, regions: 1 }, weight: 4 },
     { layout: { daemonsPerDomain: 3, domainsPerRegion: 2, regions: 3 }, weight: 4 },
-    { layout: { daemonsPerDomain: 2, domainsPerRegion: 2, regions: 1 }, weight: 2 },
+    { layout: { daemonsPerDomain: 2, domainsPerRegion: 2, regions: 1 }, weight: 1 },
     { layout: { daemonsPerDomain: 11, domainsPerRegion: 3, regions: 2 }, weight: 1 },
 ];
 
