--- /dev/null
+++ b/src/transport/sidecar/__tests__/search/CheckMutants.ts
@@ -0,0 +1,68 @@
+/**
+ * Searches mutants of the product and prints after how many histories each is found:
+ * `npm run search:mutants -- --seed 1 --runs 100 --jobs 4`. The same search has to find nothing in the product itself.
+ */
+import { defineCommand, runMain } from "citty";
+import { join } from "node:path";
+import { MUTANTS } from "./Mutants.js";
+import { buildSearch, OUTPUT_FOLDER, runSearch } from "./SearchBuild.js";
+import type { SearchRun } from "./SearchBuild.js";
+
+const MISSED_EXIT_CODE = 1;
+
+function formatRow(name: string, { isFound, output }: SearchRun): string {
+    const histories = /: (\d+) histories/.exec(output)?.[1] ?? "?";
+    const rule = /"rule":"([^"]+)"/.exec(output)?.[1] ?? "";
+    return isFound ? `| ${name} | ${histories} | ${rule} |` : `| ${name} | not in ${histories} | |`;
+}
+
+/** Searches all mutants; returns the number of those that were not found. */
+async function runAll(options: readonly string[], jobs: number, only: string | undefined): Promise<number> {
+    const mutants = MUTANTS.filter(({ name }) => only === undefined || new RegExp(only).test(name));
+    const waiting = [...mutants.entries()];
+    let found = 0;
+    const work = async (): Promise<void> => {
+        for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+            const [index, mutant] = next;
+            const bundle = join(OUTPUT_FOLDER, `mutant-${index}.mjs`);
+            await buildSearch(mutant, bundle);
+            const run = await runSearch(bundle, options);
+            found += run.isFound ? 1 : 0;
+            process.stdout.write(`${formatRow(mutant.name, run)}\n`);
+        }
+    };
+    await Promise.all(Array.from({ length: jobs }, work));
+    process.stdout.write(`found ${found} of ${mutants.length}\n`);
+    return mutants.length - found;
+}
+
+void runMain(defineCommand({
+    args: {
+        climb: {
+            default: false,
+            description: "begin from the histories with the latest versions",
+            type: "boolean",
+        },
+        jobs: { default: "4", description: "searches at a time", type: "string" },
+        only: { description: "pattern of the names of the mutants that are searched", type: "string" },
+        runs: { default: "100", description: "histories for each mutant", type: "string" },
+        seed: { default: "1", description: "seed of the searches", type: "string" },
+    },
+    meta: {
+        description: "Counts the histories until the search finds mutants of the product.",
+        name: "search:mutants",
+    },
+    run: async ({ args }) => {
+        const options = [
+            "--seed",
+            args.seed,
+            "--runs",
+            args.runs,
+            "--shorten",
+            "0",
+            ...args.climb ? ["--climb"] : [],
+        ];
+        const missed = await runAll(options, Number(args.jobs), args.only);
+        process.exitCode = missed > 0 ? MISSED_EXIT_CODE : 0;
+    },
+}));
--- a/src/transport/sidecar/__tests__/search/SpoiltBuilds.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -1,9 +1,9 @@
 /**
- * Builds of the product with one wrong constant, comparison or call each. The search is worth what it finds in them; one
- * that it doesn't find is either not searched for or not needed.
+ * Mutants of the product: each has one wrong constant, comparison or call. The search is worth what it finds in them. A mutant
+ * that it doesn't find is either not searched for, or what it lacks is covered by another decision.
  */
 
-export interface SpoiltBuild {
+export interface Mutant {
     readonly name: string;
     /** Source file, from the root of the project. */
     readonly file: string;
@@ -19,7 +19,7 @@
 const CONSTANTS = "src/transport/directory/DirectoryConstants.ts";
 const RESOLVER = "src/transport/routes/RouteResolver.ts";
 
-export const SPOILT_BUILDS: readonly SpoiltBuild[] = [
+export const MUTANTS: readonly Mutant[] = [
     {
         file: "src/transport/sessions/HandleGossip.ts",
         from: "ageMs: confirmation.ageMs + transitMs",
--- /dev/null
+++ b/src/transport/sidecar/__tests__/search/SearchBuild.ts
@@ -0,0 +1,70 @@
+/** Builds the search with a mutant of the product and runs it in a process of its own. */
+import { build } from "esbuild";
+import type { Plugin } from "esbuild";
+import { spawn } from "node:child_process";
+import { mkdir, readFile } from "node:fs/promises";
+import { dirname, join, resolve } from "node:path";
+import { fileURLToPath } from "node:url";
+import { invariant } from "../../../../state/shared/index.js";
+import type { Mutant } from "./Mutants.js";
+
+const OWN_FOLDER = dirname(fileURLToPath(import.meta.url));
+const ROOT = resolve(OWN_FOLDER, "../../../../..");
+export const OUTPUT_FOLDER = join(ROOT, "target/search");
+/** Exit code of a search that has found a violation. */
+const FOUND_EXIT_CODE = 1;
+
+/** Bundles the search with the product or with a mutant of it. */
+export async function buildSearch(mutant: Mutant | undefined, outfile: string): Promise<void> {
+    await mkdir(OUTPUT_FOLDER, { recursive: true });
+    await build({
+        banner: {
+            js: "import { createRequire as createBundleRequire } from \"node:module\"; "
+                + "const require = createBundleRequire(import.meta.url);",
+        },
+        bundle: true,
+        entryPoints: [join(OWN_FOLDER, "main.ts")],
+        external: ["bufferutil", "utf-8-validate"],
+        format: "esm",
+        logLevel: "error",
+        outfile,
+        platform: "node",
+        plugins: mutant === undefined ? [] : [createReplacement(mutant)],
+        target: "node20",
+    });
+}
+
+function createReplacement({ file, from, name, to }: Mutant): Plugin {
+    const path = join(ROOT, file);
+    return {
+        name,
+        setup: ({ onLoad }) => {
+            onLoad({ filter: /\.ts$/ }, async args => {
+                if (args.path !== path) {
+                    return undefined;
+                }
+                const text = await readFile(path, "utf8");
+                invariant(text.split(from).length === 2, `${file} has the text of "${name}" once`);
+                return { contents: text.replace(from, () => to), loader: "ts" };
+            });
+        },
+    };
+}
+
+/** Result of a search in a process of its own. */
+export interface SearchRun {
+    readonly isFound: boolean;
+    readonly output: string;
+}
+
+export function runSearch(bundle: string, options: readonly string[]): Promise<SearchRun> {
+    return new Promise((resolveRun, reject) => {
+        const child = spawn(process.execPath, [bundle, ...options], { stdio: ["ignore", "pipe", "inherit"] });
+        let output = "";
+        child.stdout.on("data", (data: Buffer) => {
+            output += data.toString();
+        });
+        child.on("error", reject);
+        child.on("close", code => resolveRun({ isFound: code === FOUND_EXIT_CODE, output }));
+    });
+}
--- /dev/null
+++ b/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
@@ -0,0 +1,45 @@
+import { join } from "node:path";
+import { describe, expect, it } from "vitest";
+import { MUTANTS } from "../search/Mutants.js";
+import { buildSearch, OUTPUT_FOLDER, runSearch } from "../search/SearchBuild.js";
+
+const SEED = "601";
+/** Histories within which each of these mutants is found; one takes about a second. */
+const RUNS = "12";
+const TEST_TIMEOUT_MS = 120_000;
+
+/** Mutants by the rule that shows them; `npm run search:mutants` searches all of them. */
+const FOUND_MUTANTS = [
+    { name: "a version that has decided isn't required", rules: ["going back"] },
+    { name: "servers run what a replaced version leads to them", rules: ["outdated run"] },
+    { name: "the version of another daemon that is replaced may answer 404", rules: ["denied"] },
+    { name: "the transit of a confirmation isn't counted", rules: ["late", "not in force"] },
+    { name: "takeovers begin twice as late", rules: ["late", "not in force"] },
+    { name: "the timeout of the route is ignored", rules: ["timeouts"] },
+];
+
+async function searchMutant(name: string): Promise<{ readonly isFound: boolean; readonly rule: string | undefined; }> {
+    const index = MUTANTS.findIndex(mutant => mutant.name === name);
+    const bundle = join(OUTPUT_FOLDER, `tested-${process.pid}-${index}.mjs`);
+    await buildSearch(MUTANTS[index], bundle);
+    const { isFound, output } = await runSearch(bundle, ["--seed", SEED, "--runs", RUNS, "--shorten", "0"]);
+    return { isFound, rule: /"rule":"([^"]+)"/.exec(output)?.[1] };
+}
+
+/** Guards against a search that finds nothing because nothing happens in its histories, or because nothing judges it. */
+describe("the search of histories", () => {
+    it.each(FOUND_MUTANTS)("finds that $name", async ({ name, rules }) => {
+        const { isFound, rule } = await searchMutant(name);
+        expect(isFound).toBe(true);
+        expect(rules).toContain(rule);
+    }, TEST_TIMEOUT_MS);
+
+    it("finds nothing in the same histories of the product itself", async () => {
+        const { isFound, rule } = await searchMutant("none");
+        expect({ isFound, rule }).toEqual({ isFound: false, rule: undefined });
+    }, TEST_TIMEOUT_MS);
+
+    it("knows its mutants by different names", () => {
+        expect(new Set(MUTANTS.map(({ name }) => name)).size).toBe(MUTANTS.length);
+    });
+});
