--- a/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
+++ b/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
@@ -18,7 +18,7 @@
     { name: "the timeout of the route is ignored", rules: ["timeouts"] },
 ];
 
-async function searchMutant(name: string): Promise<{ readonly isFound: boolean; readonly rule: string | undefined; }> {
+async function findMutant(name: string): Promise<{ readonly isFound: boolean; readonly rule: string | undefined; }> {
     const index = MUTANTS.findIndex(mutant => mutant.name === name);
     const bundle = join(OUTPUT_FOLDER, `tested-${process.pid}-${index}.mjs`);
     await buildSearch(MUTANTS[index], bundle);
@@ -29,13 +29,13 @@
 /** Guards against a search that finds nothing because nothing happens in its histories, or because nothing judges it. */
 describe("the search of histories", () => {
     it.each(FOUND_MUTANTS)("finds that $name", async ({ name, rules }) => {
-        const { isFound, rule } = await searchMutant(name);
+        const { isFound, rule } = await findMutant(name);
         expect(isFound).toBe(true);
         expect(rules).toContain(rule);
     }, TEST_TIMEOUT_MS);
 
     it("finds nothing in the same histories of the product itself", async () => {
-        const { isFound, rule } = await searchMutant("none");
+        const { isFound, rule } = await findMutant("none");
         expect({ isFound, rule }).toEqual({ isFound: false, rule: undefined });
     }, TEST_TIMEOUT_MS);
 
