Add releases to the search, and compare added routes only where servers can be reached

The record of the issue has a release, the search only single daemons that join. A release adds a daemon every 0.2 to 1 s and stops an old one for good 0.9 s later; both are excused by themselves only. The rule speaks of steady state, so VMs that were cut off within the stable window no longer count for it.

--- a/src/transport/sidecar/__tests__/search/FaultInjector.ts
+++ b/src/transport/sidecar/__tests__/search/FaultInjector.ts
@@ -8,6 +8,10 @@
 
 /** Time from a planned stop to the end of the process. */
 const STOP_MS = 1_200;
+const RELEASE_STEP_MS = 200;
+const RELEASE_STEP_UNIT_MS = 8;
+/** Time from the start of a new VM in a release to the stop of the one that it replaces. */
+const REPLACEMENT_MS = 900;
 const SLOW_COPY_UNIT_MS = 5;
 const FULL_LINK_UNIT_MS = 25;
 const STORE_SLOW_UNIT_MS = 10;
@@ -66,6 +70,10 @@
             addVm(fault.first);
             return;
         }
+        if (kind === FaultKind.Release) {
+            this.#release(fault);
+            return;
+        }
         const selected = this.#selectTargets(fault);
         this.#lastTargets = selected;
         const targets = this.#limitTargets(kind, selected);
@@ -192,6 +200,22 @@
         this.#options.clock.schedule(at, action);
     }
 
+    /** Replaces VMs one after the other. */
+    #release({ count, first, strength }: Fault): void {
+        const { addVm, clock, log, vms } = this.#options;
+        const stepMs = RELEASE_STEP_MS + strength * RELEASE_STEP_UNIT_MS;
+        const replaced = Array.from({ length: count }, (_, index) => vms[(first + index) % vms.length] as SimulatedVm);
+        log?.(`${Math.round(clock.now)} release of ${replaced.map(({ id }) => id).join(" ")} every ${stepMs}`);
+        for (const [index, vm] of [...new Set(replaced)].entries()) {
+            const at = clock.now + index * stepMs;
+            this.#schedule(at, () => addVm(first + index));
+            this.#schedule(at + REPLACEMENT_MS, () => {
+                this.#excuse(vm, Infinity);
+                this.#stopDaemon(vm, Infinity);
+            });
+        }
+    }
+
     #stopDaemon(vm: SimulatedVm, until: number): void {
         const { daemon, node } = vm;
         node?.process.handle(() => daemon?.leave());
--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -36,6 +36,8 @@
     Compact: "compact",
     /** A daemon is added. */
     Join: "join",
+    /** `count` times, every 200 ms and `strength` times 8 ms, a daemon is added and an old one stops for good. */
+    Release: "release",
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
@@ -181,6 +183,12 @@
         targets: [TargetKind.Sources],
         weight: 2,
     },
+    {
+        offsetsMs: [{ max: 0, min: -2_000 }],
+        parts: [[FaultKind.Release]],
+        targets: [TargetKind.Daemons],
+        weight: 2,
+    },
     {
         offsetsMs: [{ max: 300, min: -1_200 }],
         parts: [Object.values(FaultKind), Object.values(FaultKind)],
--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -47,6 +47,8 @@
     readonly sentAt: number;
     readonly caller: SimulatedVm;
     readonly incarnation: number;
+    /** Whether the caller's VM has reached other daemons for the stable window. */
+    readonly isConnected: boolean;
 }
 
 interface RequestState {
@@ -288,9 +290,11 @@
         const added = { served: 0, total: 0 };
         const first = { served: 0, total: 0 };
         for (const { request, status } of this.#requests.values()) {
-            const { caller, path, sentAt } = request;
+            const { caller, isConnected, path, sentAt } = request;
             const version = parseAddedPath(path);
-            if (!this.#isInTouch([caller], [sentAt]) || version !== undefined && version > this.#readRequired(sentAt)) {
+            // Where servers can't be reached, the rule compares the places of services, not versions.
+            const isJudged = isConnected && this.#isInTouch([caller], [sentAt]);
+            if (!isJudged || version !== undefined && version > this.#readRequired(sentAt)) {
                 continue;
             }
             const counts = version === undefined || version === 1 ? first : added;
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -28,7 +28,7 @@
     SLOW_PATH,
     SPLIT_PATH,
 } from "./SimulatedVersions.js";
-import { createVm } from "./SimulatedVm.js";
+import { createVm, STABLE_WINDOW_MS } from "./SimulatedVm.js";
 import type { SimulatedVm } from "./SimulatedVm.js";
 
 /** Time after the last version's deadline for which requests are sent. */
@@ -287,7 +287,8 @@
         const path = this.#selectPath();
         const id = `${vm.id}/${++this.#lastRequest}`;
         if (daemon !== undefined) {
-            this.#judge.recordSent({ caller: vm, id, incarnation, path, sentAt: now });
+            const isConnected = vm.state.cutUntil + STABLE_WINDOW_MS < now;
+            this.#judge.recordSent({ caller: vm, id, incarnation, isConnected, path, sentAt: now });
             node?.process.handle(() => daemon.handleRequest(id, path), EventCost.Request);
         }
     }
