Tell a search that found a violation from one that failed

A mutant that throws while it is loaded was listed as found: Node.js ends with exit code 1 after an uncaught exception, as the search did after a finding. The new test failed before: the run resolved with isFound true.

--- a/src/transport/sidecar/__tests__/search/CheckMutants.ts
+++ b/src/transport/sidecar/__tests__/search/CheckMutants.ts
@@ -26,9 +26,14 @@
             const [index, mutant] = next;
             const bundle = join(OUTPUT_FOLDER, `mutant-${index}.mjs`);
             await buildSearch(mutant, bundle);
-            const run = await runSearch(bundle, options);
-            found += run.isFound ? 1 : 0;
-            process.stdout.write(`${formatRow(mutant.name, run)}\n`);
+            try {
+                const run = await runSearch(bundle, options);
+                found += run.isFound ? 1 : 0;
+                process.stdout.write(`${formatRow(mutant.name, run)}\n`);
+            }
+            catch (error) {
+                process.stdout.write(`| ${mutant.name} | failed: ${(error as Error).message} | |\n`);
+            }
         }
     };
     await Promise.all(Array.from({ length: jobs }, work));
--- a/src/transport/sidecar/__tests__/search/SearchBuild.ts
+++ b/src/transport/sidecar/__tests__/search/SearchBuild.ts
@@ -7,13 +7,11 @@
 import { fileURLToPath } from "node:url";
 import { invariant } from "../../../../state/shared/index.js";
 import type { Mutant } from "./Mutants.js";
+import { FOUND_EXIT_CODE } from "./SearchExitCode.js";
 
 const OWN_FOLDER = dirname(fileURLToPath(import.meta.url));
 const ROOT = resolve(OWN_FOLDER, "../../../../..");
 export const OUTPUT_FOLDER = join(ROOT, "target/search");
-/** Exit code of a search that has found a violation. */
-const FOUND_EXIT_CODE = 1;
-
 /** Bundles the search with the product or with a mutant of it. */
 export async function buildSearch(mutant: Mutant | undefined, outfile: string): Promise<void> {
     await mkdir(OUTPUT_FOLDER, { recursive: true });
@@ -57,6 +55,7 @@
     readonly output: string;
 }
 
+/** Runs a search; rejects when it neither completes nor finds a violation. */
 export function runSearch(bundle: string, options: readonly string[]): Promise<SearchRun> {
     return new Promise((resolveRun, reject) => {
         const child = spawn(process.execPath, [bundle, ...options], { stdio: ["ignore", "pipe", "inherit"] });
@@ -65,6 +64,13 @@
             output += data.toString();
         });
         child.on("error", reject);
-        child.on("close", code => resolveRun({ isFound: code === FOUND_EXIT_CODE, output }));
+        child.on("close", (code, signal) => {
+            if (code === 0 || code === FOUND_EXIT_CODE) {
+                resolveRun({ isFound: code === FOUND_EXIT_CODE, output });
+            }
+            else {
+                reject(new Error(`the search of ${bundle} ended with ${signal ?? `exit code ${code}`}`));
+            }
+        });
     });
 }
--- a/src/transport/sidecar/__tests__/search/main.ts
+++ b/src/transport/sidecar/__tests__/search/main.ts
@@ -7,10 +7,9 @@
 import type { History, HistorySize } from "./History.js";
 import { findViolationByClimbing } from "./HistoryClimb.js";
 import { findViolation } from "./HistorySearch.js";
+import { FOUND_EXIT_CODE } from "./SearchExitCode.js";
 import { runHistory } from "./SimulatedMesh.js";
 
-const FOUND_EXIT_CODE = 1;
-
 function printLine(line: string): void {
     process.stdout.write(`${line}\n`);
 }
--- a/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
+++ b/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
@@ -1,6 +1,7 @@
 import { join } from "node:path";
 import { describe, expect, it } from "vitest";
 import { MUTANTS } from "../search/Mutants.js";
+import type { Mutant } from "../search/Mutants.js";
 import { buildSearch, OUTPUT_FOLDER, runSearch } from "../search/SearchBuild.js";
 
 const SEED = "1";
@@ -29,6 +30,14 @@
     { name: "the timeout of the route is ignored", rules: ["timeouts"] },
 ];
 
+/** Ends with an uncaught exception before any history is played. */
+const THROWING_MUTANT: Mutant = {
+    file: "src/coordination/distribution/FreshnessLimits.ts",
+    from: "const CONFIRM_SHARE = 0.28;",
+    name: "the limits can't be loaded",
+    to: "const CONFIRM_SHARE = JSON.parse(\"\");",
+};
+
 async function findMutant({ name, runs = RUNS, seed = SEED }: Omit<FoundMutant, "rules">) {
     const index = MUTANTS.findIndex(mutant => mutant.name === name);
     const bundle = join(OUTPUT_FOLDER, `tested-${process.pid}-${index}.mjs`);
@@ -50,6 +59,12 @@
         expect({ isFound, rule }).toEqual({ isFound: false, rule: undefined });
     }, TEST_TIMEOUT_MS);
 
+    it("fails for a mutant that only throws", async () => {
+        const bundle = join(OUTPUT_FOLDER, `tested-${process.pid}-throwing.mjs`);
+        await buildSearch(THROWING_MUTANT, bundle);
+        await expect(runSearch(bundle, ["--runs", "1"])).rejects.toThrow("ended with exit code 1");
+    }, TEST_TIMEOUT_MS);
+
     it("knows its mutants by different names", () => {
         expect(new Set(MUTANTS.map(({ name }) => name)).size).toBe(MUTANTS.length);
     });
