Log when a daemon is registered, and pass timers to the registration

A daemon logged that its record can't be registered, but not that it had read the records of the others, before which it doesn't look after its version; a late registration and a slow store looked the same. New: a line with the number of records and the era, and the gauge member_registered. MemberRegistry and RecordRestorer waited on real timers, so no simulated daemon could contain them; they take timers as an argument now. No change of behaviour.

--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -2,12 +2,13 @@
  * Discovers the other daemons: each writes its record to the store once and then reads those of the
  * others, so that of two that start together at least one finds the other and connects to it.
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import { isPresent, isSameLocation, MemberState, MemberTable } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort, StoreError } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
+import { sleepFor } from "../timers/index.js";
+import type { Timers } from "../timers/index.js";
 import { STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
 import { RecordRestorer } from "./RecordRestorer.js";
 
@@ -20,6 +21,7 @@
     readonly store: MeshStorePort;
     readonly log: PartLogger;
     readonly random: () => number;
+    readonly timers: Timers;
     /** Called with a daemon that is gone. */
     onMemberRemoved(member: Member): void;
     /** Called with a daemon whose planned stop has begun; it still answers what it has accepted. */
@@ -48,6 +50,7 @@
             log: options.log,
             random: options.random,
             store: options.store,
+            timers: options.timers,
         });
         this.#addRecord(options.self);
     }
@@ -89,9 +92,10 @@
 
     /** Registers this daemon and reads the records of the others, with retries until both are done. */
     async register(): Promise<void> {
-        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, this.#options.random);
+        const { firstListingDelayMs, isFirstStart, log, random, store, timers } = this.#options;
+        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
         let isWritten = false;
-        let mayBeStored = !this.#options.isFirstStart;
+        let mayBeStored = !isFirstStart;
         let isStoreUnreachable = false;
         let writtenEra: number | undefined;
         while (!this.#isStopping && !this.#isRegistered) {
@@ -101,8 +105,8 @@
             if (error === undefined) {
                 if (!isWritten && !mayBeStored) {
                     isWritten = true;
-                    writtenEra = this.#options.store.readEra();
-                    await sleep(this.#options.isFirstStart ? this.#options.firstListingDelayMs : 0);
+                    writtenEra = store.readEra();
+                    await sleepFor(timers, isFirstStart ? firstListingDelayMs : 0);
                 }
                 mayBeStored = false;
                 if (this.#isRegistered && isWritten && this.#era !== writtenEra) {
@@ -112,15 +116,18 @@
                 }
                 if (isStoreUnreachable) {
                     isStoreUnreachable = false;
-                    this.#options.log.info("the store answers again.");
+                    log.info("the store answers again.");
                 }
                 continue;
             }
             if (!isStoreUnreachable) {
                 isStoreUnreachable = true;
-                this.#options.log.warn(`the own record can't be registered: ${error.detail}.`, { error });
+                log.warn(`the own record can't be registered: ${error.detail}.`, { error });
             }
-            await sleep(delays.next().value);
+            await sleepFor(timers, delays.next().value);
+        }
+        if (this.#isRegistered) {
+            log.info(`is registered and has read ${this.table.size} records.`, { era: this.#era });
         }
     }
 
--- a/src/transport/directory/RecordRestorer.ts
+++ b/src/transport/directory/RecordRestorer.ts
@@ -2,18 +2,20 @@
  * Writes the records of a region that the store lacks after it was restored from a copy. Only the daemons that watch the
  * store notice that, so they write the records of the others as well.
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import { isSameLocation } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort, StoreError } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
+import { sleepFor } from "../timers/index.js";
+import type { Timers } from "../timers/index.js";
 import { RESTORE_SPREAD_MS, STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
 
 export interface RecordRestorerOptions {
     readonly store: MeshStorePort;
     readonly log: PartLogger;
     readonly random: () => number;
+    readonly timers: Timers;
     /** Lists the present daemons of the region. */
     listRegion(): readonly Member[];
 }
@@ -33,17 +35,17 @@
 
     /** Writes what is missing in the era of a restored store, with retries until that is done. */
     async restore(era: number): Promise<void> {
-        const { log, random } = this.#options;
+        const { log, random, timers } = this.#options;
         this.#isRestoring = true;
         // The watchers of a region begin at different times, so that the later ones find the records written.
-        await sleep(random() * RESTORE_SPREAD_MS);
+        await sleepFor(timers, random() * RESTORE_SPREAD_MS);
         const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
         let restored = 0;
         let error: StoreError | undefined;
         do {
             if (error !== undefined) {
                 log.warn(`records can't be restored: ${error.detail}.`, { error });
-                await sleep(delays.next().value);
+                await sleepFor(timers, delays.next().value);
             }
             const result = await this.#writeMissing();
             restored += result.written;
--- a/src/transport/directory/__tests__/unit/MemberGossip.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberGossip.test.ts
@@ -56,6 +56,7 @@
             random,
             self,
             store: { listMembers: () => Promise.resolve(Right(known)) } as unknown as MeshStorePort,
+            timers: realTimers,
         });
         const gossip = new MemberGossip({
             listReceivers: () => selectNeighbours(registry.table, registry.self, () => false),
--- a/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
@@ -5,6 +5,7 @@
 import type { MeshStorePort, StoreError } from "../../../../state/store/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
 import { createMember } from "../../../sessions/__tests__/fixtures/SessionManagers.js";
+import { realTimers } from "../../../timers/index.js";
 import { MemberRegistry } from "../../index.js";
 
 const UNREACHABLE: StoreError = { detail: "the store is unreachable", kind: "unreachable" };
@@ -37,6 +38,7 @@
         random: () => 0.1,
         self,
         store,
+        timers: realTimers,
     });
     return { registry, changes };
 }
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -79,6 +79,7 @@
         { name: "costly_input_seconds_total", read: () => costlyReads.totalWorkMs / MS_PER_SECOND },
         { name: "costly_input_waiting", read: () => costlyReads.waiting },
         { name: "members", read: () => memberRegistry.list().length },
+        { name: "member_registered", read: () => Number(memberRegistry.isRegistered) },
         { name: "members_connected", read: countReachable },
         { name: "sessions_open", read: () => [...sessions.listOwnerSessions()].length },
         { name: "session_buffered_bytes", read: () => sessions.countBufferedBytes() },
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -201,6 +201,7 @@
             random,
             self,
             store: dependencies.store,
+            timers: realTimers,
         });
         this.#sessions = new SessionManager({
             createSessionId: dependencies.createSessionId,
