Count the transit of reports on watches, as that of confirmations

Cause: pings pass on how old the report of each watch of the store is. A message that waits at a daemon which is out of processor time made its reports younger by that wait; daemons that pass reports on to each other did so again each time. So the reports of watches that had stopped telling versions stayed fresh for as long as daemons were slow. Nobody took over, although all of them had noticed that no daemon confirms the version: reports of the last half second count even then. The new test of CallerSession failed before. Reports of working watches without a known transit are dropped. The side that connects knows how long the handshake has taken, so that it still learns of watches, and now of confirmations too, at once.

--- a/src/transport/sessions/HandleGossip.ts
+++ b/src/transport/sessions/HandleGossip.ts
@@ -17,13 +17,19 @@
     }
 }
 
-/** Adds the longest transit of a message to the age of its confirmation, which is dropped if no such bound is known. */
-export function addTransit<T extends Pick<LocalStatus, "confirmation">>(status: T, transitMs: number): T {
-    const { confirmation } = status;
+/**
+ * Adds the longest transit of a message to the ages that it tells, of its confirmation and of the watches. Daemons that
+ * pass these on to each other would make them younger otherwise. If no such bound is known, only failed watches are
+ * kept: what they lead to are redundant watches.
+ */
+export function addTransit<T extends Pick<LocalStatus, "confirmation" | "watches">>(status: T, transitMs: number): T {
+    const { confirmation, watches } = status;
+    if (transitMs === Infinity) {
+        return { ...status, confirmation: undefined, watches: watches.filter(({ isWorking }) => !isWorking) };
+    }
     return {
         ...status,
-        confirmation: confirmation === undefined || transitMs === Infinity
-            ? undefined
-            : { ...confirmation, ageMs: confirmation.ageMs + transitMs },
+        confirmation: confirmation && { ...confirmation, ageMs: confirmation.ageMs + transitMs },
+        watches: watches.map(report => ({ ...report, ageMs: report.ageMs + transitMs })),
     };
 }
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -62,6 +62,7 @@
     readonly #pending = new Map<number, PendingRequest>();
     /** Of the present connection. */
     #transit = new TransitBound();
+    #helloSentAt = -Infinity;
     #lastStream = 0;
     #lastHeardAt = -Infinity;
     #lastPingAt = -Infinity;
@@ -284,6 +285,7 @@
     }
 
     async #runConnection(connection: FrameConnection): Promise<void> {
+        this.#helloSentAt = this.#options.now();
         connection.send(encodeSessionMessage({
             ...this.#options.readStatus(),
             kind: "hello",
@@ -399,7 +401,8 @@
         this.#server = welcome.server ?? (welcome.isResumed ? undefined : this.#server);
         this.#options.onMembers([welcome.member]);
         this.#options.onLoad(this.#member.id, welcome.load);
-        this.#options.onStatus({ ...addTransit(welcome, Infinity), id: this.#member.id });
+        const handshakeMs = this.#options.now() - this.#helloSentAt;
+        this.#options.onStatus({ ...addTransit(welcome, handshakeMs), id: this.#member.id });
         this.#options.onConnected(this.#member.id);
         for (const pending of this.#pending.values()) {
             pending.hasTimedOut = false;
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -98,6 +98,7 @@
 describe("a confirmation that another daemon passes on", () => {
     const SENT_AT = 70_000;
     const CONFIRMED_AGE_MS = 100;
+    const WATCH_AGE_MS = 200;
 
     function createPing(sentAt: number, roundTripMs: number | undefined): SessionMessage {
         return {
@@ -108,12 +109,15 @@
             roundTripMs,
             sentAt,
             version: 4,
-            watches: [],
+            watches: [
+                { ageMs: WATCH_AGE_MS, id: "working", isWorking: true },
+                { ageMs: WATCH_AGE_MS, id: "failed", isWorking: false },
+            ],
         };
     }
 
-    /** Receives pings of a daemon with another clock; returns the ages of the confirmations that they pass on. */
-    function listAges(pings: readonly { readonly ping: SessionMessage; readonly receivedAt: number; }[]) {
+    /** Receives pings of a daemon with another clock; returns the statuses that they pass on. */
+    function listStatuses(pings: readonly { readonly ping: SessionMessage; readonly receivedAt: number; }[]) {
         const statuses: PeerStatus[] = [];
         let now = 0;
         const session = createCallerSession({ statuses, submitted: [] }, () => now);
@@ -123,17 +127,32 @@
             now = receivedAt;
             session.handle(connection, ping, 10);
         }
-        return statuses.map(({ confirmation }) => confirmation?.ageMs);
+        return statuses;
     }
 
+    const UNKNOWN_TRANSIT = [{ ping: createPing(SENT_AT, undefined), receivedAt: 1_000 }];
+    const SECOND_WAITS = [
+        { ping: createPing(SENT_AT, 3), receivedAt: 1_000 },
+        { ping: createPing(SENT_AT + 500, 3), receivedAt: 4_000 },
+    ];
+
     it("is dropped while no round trip is known", () => {
-        expect(listAges([{ ping: createPing(SENT_AT, undefined), receivedAt: 1_000 }])).toEqual([undefined]);
+        expect(listStatuses(UNKNOWN_TRANSIT).map(({ confirmation }) => confirmation)).toEqual([undefined]);
     });
 
     it("gets older by the time for which its message waited", () => {
-        expect(listAges([
-            { ping: createPing(SENT_AT, 3), receivedAt: 1_000 },
-            { ping: createPing(SENT_AT + 500, 3), receivedAt: 4_000 },
-        ])).toEqual([CONFIRMED_AGE_MS + 3, CONFIRMED_AGE_MS + 2_503]);
+        expect(listStatuses(SECOND_WAITS).map(({ confirmation }) => confirmation?.ageMs)).toEqual([
+            CONFIRMED_AGE_MS + 3,
+            CONFIRMED_AGE_MS + 2_503,
+        ]);
+    });
+
+    // Guards against daemons that pass on for ever that a watch works, each time as if they had just heard of it.
+    it("leaves the report of a working watch as old as it may be", () => {
+        expect(listStatuses(UNKNOWN_TRANSIT)[0]?.watches.map(({ id }) => id)).toEqual(["failed"]);
+        expect(listStatuses(SECOND_WAITS).map(({ watches }) => watches.map(({ ageMs }) => ageMs))).toEqual([
+            [WATCH_AGE_MS + 3, WATCH_AGE_MS + 3],
+            [WATCH_AGE_MS + 2_503, WATCH_AGE_MS + 2_503],
+        ]);
     });
 });
--- /dev/null
+++ b/src/transport/sessions/__tests__/unit/Handshake.test.ts
@@ -0,0 +1,54 @@
+import { afterEach, describe, expect, it } from "vitest";
+import { takeTestPort } from "../../../../../standins/ports/index.js";
+import { createAdmissionController } from "../../../ownership/__tests__/fixtures/Admission.js";
+import type { SessionManager } from "../../index.js";
+import type { LocalStatus, PeerStatus } from "../../SessionTypes.js";
+import { createMember, createSessionManager, waitUntil } from "../fixtures/SessionManagers.js";
+
+const STATUS: LocalStatus = {
+    confirmation: { ageMs: 40, position: { era: 0, revision: 3 } },
+    membersDigest: 0,
+    version: 2,
+    watches: [{ ageMs: 50, id: "watcher", isWorking: true }],
+};
+
+const managers: SessionManager[] = [];
+
+afterEach(async () => {
+    await Promise.all(managers.splice(0).map(manager => manager.stop()));
+});
+
+/** Connects one daemon to another; returns the statuses that each has received first. */
+async function connectPair(): Promise<{ readonly atCaller: PeerStatus; readonly atOwner: PeerStatus; }> {
+    const received = { caller: [] as PeerStatus[], owner: [] as PeerStatus[] };
+    const create = (id: "caller" | "owner", port: number): SessionManager => {
+        const manager = createSessionManager(createMember(id, port), createAdmissionController(1), {
+            onStatus: status => received[id].push(status),
+            readStatus: () => STATUS,
+        });
+        managers.push(manager);
+        return manager;
+    };
+    const ownerPort = takeTestPort();
+    await create("owner", ownerPort).start("127.0.0.1", ownerPort);
+    const caller = create("caller", 1);
+    await caller.start("127.0.0.1", 0);
+    caller.connect(createMember("owner", ownerPort));
+    await waitUntil(() => received.caller.length > 0 && received.owner.length > 0);
+    return { atCaller: received.caller[0] as PeerStatus, atOwner: received.owner[0] as PeerStatus };
+}
+
+/** Guards against a daemon that watches the store at its start, since it doesn't know yet who does. */
+describe("the handshake of a session", () => {
+    it("tells the side that connects of confirmations and watches, at most as young as they are", async () => {
+        const { confirmation, watches } = (await connectPair()).atCaller;
+        expect(confirmation?.ageMs).toBeGreaterThan(40);
+        expect(watches.map(({ id }) => id)).toEqual(["watcher"]);
+        expect(watches[0]?.ageMs).toBeGreaterThan(50);
+    });
+
+    it("tells neither to the other side, which can't know how long the first message has waited", async () => {
+        const { confirmation, version, watches } = (await connectPair()).atOwner;
+        expect({ confirmation, version, watches }).toEqual({ confirmation: undefined, version: 2, watches: [] });
+    });
+});
