Report the own watch as old as the last answer that showed it working

Cause: a watcher dated its own watch by when it handled the answer to a check, but the confirmation by when it had asked. A daemon that reads its answers a second late passed on a watch that works at this moment beside a confirmation that is a second old; the others trust reports of the last half second, whatever is confirmed. The new test failed before: the report of a check that took 300 ms was 1 ms old.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -97,7 +97,7 @@
             computeCheckDelayMs: roundTripMs => this.#computeCheckDelayMs(roundTripMs),
             freshness: this.#freshness,
             onConfirmed: reading => {
-                this.#watchers.recordOwnWatch(options.now());
+                this.#watchers.recordOwnWatch(reading.at);
                 this.#confirm(reading);
             },
             onFailed: () => this.#handleStoreFailure(),
@@ -276,7 +276,8 @@
 
     /** Applies a reading of the watch, which may have just begun. */
     #applyWatchedReading(reading: TimedReading): boolean {
-        this.#watchers.recordOwnWatch(this.#options.now());
+        // A version that a long watch tells shows that it works now; an answer without one may have been read late.
+        this.#watchers.recordOwnWatch(reading.configuration === undefined ? reading.at : this.#options.now());
         const isTakeover = this.#isConfirmationMissing;
         const isApplied = this.#applyReading(reading);
         if (isTakeover && isApplied) {
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -11,6 +11,7 @@
 import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
 import { realTimers } from "../../../timers/index.js";
+import { CHECK_WAIT_MS } from "../../DirectoryConstants.js";
 import { ConfigurationManager } from "../../index.js";
 
 const READING_MS = 20;
@@ -196,3 +197,27 @@
         expect(told[0]).toEqual(["other"]);
     });
 });
+
+/** Guards against a slow watcher in whose place nobody takes over, since it says that its watch has just worked. */
+describe("the report of a daemon on its own watch", () => {
+    const ANSWER_MS = 300;
+    /** Timers may run a little early by the steady clock. */
+    const TIMER_TOLERANCE_MS = 2;
+
+    it("is as old as the last check that was answered, however late its answer was read", async () => {
+        const read = async (waitMs: number | undefined) => {
+            const isCheck = waitMs === CHECK_WAIT_MS;
+            await new Promise(resolve => setTimeout(resolve, isCheck ? ANSWER_MS : waitMs ?? READING_MS));
+            const { configuration, position } = createReading(5);
+            return Right({ configuration: isCheck ? undefined : configuration, position });
+        };
+        const ages: number[] = [];
+        const manager = createStoreManager(read, () => undefined, 600, () => {
+            ages.push(...manager.listWatches().map(({ ageMs }) => ageMs));
+        });
+        manager.start();
+        await expect.poll(() => ages.length, { timeout: 5_000 }).toBeGreaterThan(1);
+        manager.stop();
+        expect(ages.at(-1)).toBeGreaterThanOrEqual(ANSWER_MS - TIMER_TOLERANCE_MS);
+    });
+});
