Look after the version in force before the records of the others were read

What callers see: requests decided by a replaced version at a daemon that reaches the store, but was cut off from the others right after it had started (CONFIG). Cause: until a daemon is registered and has listed the records, 4 s at most, it began the age of its version anew at each check while nothing had confirmed it, and watched the store in no case. It needs the records to know which daemons watch, and so that a start of all of them is no herd of calls; that nobody confirms the version it already has needs neither. Class of fault: a decision that waits for knowledge that it doesn't need. The new test failed before: version 5 was still in force after the whole deadline, without a call. A daemon without a version still leaves the store to the registration (second test). One with a version has met another daemon, from which the records spread by gossip, so it knows its place in the order of takeovers; and it calls the store for its registration with the same backoff already.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -333,7 +333,7 @@
 
     /** Notices that no daemon has confirmed the version for long, so that this one asks the store in its turn. */
     #checkFreshness(now: number): void {
-        if (!this.#isRegionKnown(now)) {
+        if (this.#configuration === undefined && !this.#isRegionKnown(now)) {
             this.#freshness.startAt(now);
             return;
         }
@@ -401,7 +401,8 @@
 
     #shouldWatch(): boolean {
         const now = this.#options.now();
-        return this.#isRegionKnown(now)
+        // Which daemons watch is told by the records; that nobody confirms the version of this one isn't.
+        return (this.#isConfirmationMissing || this.#isRegionKnown(now))
             && this.#watchers.shouldWatch(now, this.#isConfirmationMissing, this.#options.countDaemons());
     }
 }
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -58,12 +58,13 @@
     onChange: (configuration: TrafficConfiguration) => void,
     deadlineMs: number,
     onConfirmed: (watcherIds: readonly string[]) => void = () => undefined,
+    isRegistered = true,
 ) {
     return new ConfigurationManager({
         countDaemons: () => 1,
         limits: deriveFreshnessLimits(deadlineMs),
         decode: ({ text }) => text === "" ? Left([]) : Right(createConfiguration(Number(text))),
-        isRegistered: () => true,
+        isRegistered: () => isRegistered,
         isSameRegion: () => true,
         lag: new VersionLag(),
         listReachable: () => [],
@@ -221,3 +222,34 @@
         expect(ages.at(-1)).toBeGreaterThanOrEqual(ANSWER_MS - TIMER_TOLERANCE_MS);
     });
 });
+
+/** Guards against a daemon that goes on with a version that nobody confirms, since the store keeps it from registering. */
+describe("a daemon that has not read the records of the others", () => {
+    const DEADLINE_MS = 1_500;
+
+    function createUnregisteredManager() {
+        const calls: (number | undefined)[] = [];
+        const read = async (waitMs: number | undefined) => {
+            calls.push(waitMs);
+            await new Promise(resolve => setTimeout(resolve, waitMs ?? READING_MS));
+            return Right(createReading(9));
+        };
+        return { calls, manager: createStoreManager(read, () => undefined, DEADLINE_MS, () => undefined, false) };
+    }
+
+    it("reads the store in time once nobody confirms the version that it has", async () => {
+        const { manager } = createUnregisteredManager();
+        manager.start();
+        manager.applyVersion({ revision: 5, text: "5", version: 5 }, "other");
+        await expect.poll(() => manager.configuration?.version, { interval: 10, timeout: DEADLINE_MS }).toBe(9);
+        manager.stop();
+    });
+
+    it("leaves the store to the registration as long as it has no version", async () => {
+        const { calls, manager } = createUnregisteredManager();
+        manager.start();
+        await new Promise(resolve => setTimeout(resolve, DEADLINE_MS));
+        manager.stop();
+        expect(calls).toEqual([]);
+    });
+});
