Take the number of daemons for the store's backoff when it is used, also during registration

What operators see: daemons that were restarted while the store is away call it each second for as long as that lasts, however many they are, and so does the registration of each; 18,000 of them are 18 to 36 thousand calls a second for a store of 2,000. Cause: the longest delay was derived from the number of daemons before the first retry, when a daemon knows only itself; the registration didn't take it into account. Class: a decision that keeps what it knew at its start. The longest delay is read before each retry now, and both use it.

--- a/src/coordination/acceptance/StoreRetries.ts
+++ b/src/coordination/acceptance/StoreRetries.ts
@@ -17,7 +17,7 @@
     { random, sleep }: StoreAccess,
     operation: () => Promise<Result | undefined>,
 ): Promise<Result | undefined> {
-    const delays = generateBackoffDelays(BASE_DELAY_MS, MAXIMUM_DELAY_MS, random);
+    const delays = generateBackoffDelays(BASE_DELAY_MS, () => MAXIMUM_DELAY_MS, random);
     for (let attempt = 1;; attempt += 1) {
         const result = await operation();
         if (result !== undefined || attempt === MAXIMUM_ATTEMPTS) {
--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -2,15 +2,14 @@
  * Discovers the other daemons: each writes its record to the store once and then reads those of the
  * others, so that of two that start together at least one finds the other and connects to it.
  */
-import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import { isPresent, isSameLocation, MemberState, MemberTable } from "../../state/members/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort, StoreError } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
 import { sleepFor } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
-import { STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS } from "./DirectoryConstants.js";
 import { RecordRestorer } from "./RecordRestorer.js";
+import { generateStoreDelays } from "./StoreDelays.js";
 
 export interface MemberRegistryOptions {
     readonly self: Member;
@@ -93,7 +92,7 @@
     /** Registers this daemon and reads the records of the others, with retries until both are done. */
     async register(): Promise<void> {
         const { firstListingDelayMs, isFirstStart, log, random, store, timers } = this.#options;
-        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
+        const delays = generateStoreDelays(() => this.list().length, random);
         let isWritten = false;
         let mayBeStored = !isFirstStart;
         let isStoreUnreachable = false;
--- a/src/transport/directory/RecordRestorer.ts
+++ b/src/transport/directory/RecordRestorer.ts
@@ -39,7 +39,7 @@
         this.#isRestoring = true;
         // The watchers of a region begin at different times, so that the later ones find the records written.
         await sleepFor(timers, random() * RESTORE_SPREAD_MS);
-        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, STORE_RETRY_MAXIMUM_MS, random);
+        const delays = generateBackoffDelays(STORE_RETRY_BASE_MS, () => STORE_RETRY_MAXIMUM_MS, random);
         let restored = 0;
         let error: StoreError | undefined;
         do {
--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -4,20 +4,13 @@
  */
 import { Left } from "purify-ts/Either";
 import type { VersionFreshness } from "../../coordination/distribution/index.js";
-import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type { ConfigurationReadResult, MeshStorePort, StoreError, StorePosition } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
 import { sleepFor } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
 import { AnswerTimeout } from "./AnswerTimeout.js";
-import {
-    CHECK_WAIT_MS,
-    STORE_READ_SPREAD_PER_DAEMON_MS,
-    STORE_RETRY_BASE_MS,
-    STORE_RETRY_MAXIMUM_MS,
-    WATCH_WAIT_MS,
-    WATCHER_CHECK_INTERVAL_MS,
-} from "./DirectoryConstants.js";
+import { CHECK_WAIT_MS, WATCH_WAIT_MS, WATCHER_CHECK_INTERVAL_MS } from "./DirectoryConstants.js";
+import { generateStoreDelays } from "./StoreDelays.js";
 import { WatchGuard } from "./WatchGuard.js";
 import type { StoreReading, TimedReading } from "./WatchGuard.js";
 
@@ -93,8 +86,8 @@
     }
 
     async #run(): Promise<void> {
-        const { applyReading, onLeft, shouldWatch, timers } = this.#options;
-        let delays = this.#createDelays();
+        const { applyReading, countDaemons, onLeft, random, shouldWatch, timers } = this.#options;
+        let delays = generateStoreDelays(countDaemons, random);
         let hasLostHistory = false;
         while (!this.#isStopping) {
             if (!shouldWatch()) {
@@ -122,7 +115,7 @@
                         hasLostHistory = false;
                     }
                     if (!hasLostHistory) {
-                        delays = this.#createDelays();
+                        delays = generateStoreDelays(countDaemons, random);
                     }
                     this.#begin(reading.position);
                     return applyReading(reading) ? 0 : delays.next().value;
@@ -134,13 +127,6 @@
         }
     }
 
-    /** With many daemons, pauses are longer: all of them may have lost the store. */
-    #createDelays(): Generator<number, never> {
-        const { countDaemons, random } = this.#options;
-        const maximumMs = Math.max(STORE_RETRY_MAXIMUM_MS, countDaemons() * STORE_READ_SPREAD_PER_DAEMON_MS);
-        return generateBackoffDelays(STORE_RETRY_BASE_MS, maximumMs, random);
-    }
-
     async #watch(position: StorePosition): Promise<StoreReading> {
         const { now, store } = this.#options;
         return await this.#call(async () => {
--- a/src/transport/ownership/ServerConfirmation.ts
+++ b/src/transport/ownership/ServerConfirmation.ts
@@ -46,7 +46,11 @@
     }
 
     async #run(): Promise<void> {
-        const delays = generateBackoffDelays(CONFIRMATION_BASE_MS, CONFIRMATION_MAXIMUM_MS, this.#dependencies.random);
+        const delays = generateBackoffDelays(
+            CONFIRMATION_BASE_MS,
+            () => CONFIRMATION_MAXIMUM_MS,
+            this.#dependencies.random,
+        );
         while (!this.#isStopped && this.#registration.needsConfirmation()) {
             await this.#checkOnce();
             if (this.#registration.needsConfirmation()) {
--- a/src/transport/proxy/RequestAttempts.ts
+++ b/src/transport/proxy/RequestAttempts.ts
@@ -113,7 +113,7 @@
     attempt: (member: Member) => Promise<AttemptResult>,
 ): Promise<AttemptResult> {
     const { retry } = plan.service;
-    const delays = generateBackoffDelays(retry.baseDelayMs, retry.maximumDelayMs, context.options.random);
+    const delays = generateBackoffDelays(retry.baseDelayMs, () => retry.maximumDelayMs, context.options.random);
     for (;;) {
         const member = selectNext();
         if (member === undefined) {
--- a/src/transport/quarantine/QuarantineArchive.ts
+++ b/src/transport/quarantine/QuarantineArchive.ts
@@ -69,7 +69,7 @@
 
     /** Repeats a call until it succeeds; undefined if the daemon stops before. */
     async #retry<T>(failure: string, call: () => StoreResult<T>): Promise<T | undefined> {
-        const delays = generateBackoffDelays(RETRY_BASE_MS, RETRY_MAXIMUM_MS, this.#options.random);
+        const delays = generateBackoffDelays(RETRY_BASE_MS, () => RETRY_MAXIMUM_MS, this.#options.random);
         for (let isFirst = true; !this.#isStopped; isFirst = false) {
             const result = await this.#try(call);
             if (result.isRight()) {
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -227,7 +227,7 @@
     }
 
     #createReconnectDelays(): Generator<number, never> {
-        return generateBackoffDelays(RECONNECT_BASE_MS, RECONNECT_MAXIMUM_MS, this.#options.random);
+        return generateBackoffDelays(RECONNECT_BASE_MS, () => RECONNECT_MAXIMUM_MS, this.#options.random);
     }
 
     #isSilent(now: number): boolean {
