Update sessions and the region at once when the records were read

What operators see: at each start most daemons read the whole configuration from the store and watch it, though two or three of a region suffice. Cause: a daemon decides on watching 100 ms after it has read the records at the latest, but told its watchers of the region only at the next check of the sessions, up to 250 ms later. Until then the region was empty, so that each daemon took itself for the first in line. Class: a decision that takes an empty table for knowledge.

--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -21,6 +21,8 @@
     readonly log: PartLogger;
     readonly random: () => number;
     readonly timers: Timers;
+    /** Called once this daemon is registered and its table has the records of the others. */
+    onRegistered(): void;
     /** Called with a daemon that is gone. */
     onMemberRemoved(member: Member): void;
     /** Called with a daemon whose planned stop has begun; it still answers what it has accepted. */
@@ -127,6 +129,7 @@
         }
         if (this.#isRegistered) {
             log.info(`is registered and has read ${this.table.size} records.`, { era: this.#era });
+            this.#options.onRegistered();
         }
     }
 
--- a/src/transport/directory/__tests__/unit/MemberGossip.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberGossip.test.ts
@@ -53,6 +53,7 @@
             onMemberLeft: () => undefined,
             onMemberRemoved: () => undefined,
             onMemberUpdated: () => undefined,
+            onRegistered: () => undefined,
             random,
             self,
             store: { listMembers: () => Promise.resolve(Right(known)) } as unknown as MeshStorePort,
--- a/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
@@ -35,6 +35,7 @@
         onMemberLeft: member => changes.push(`left ${member.id}`),
         onMemberRemoved: member => changes.push(`gone ${member.id}`),
         onMemberUpdated: member => changes.push(member.id),
+        onRegistered: () => changes.push("registered"),
         random: () => 0.1,
         self,
         store,
@@ -64,6 +65,14 @@
         expect(calls.filter(call => call === "write").length).toBe(1);
     });
 
+    // Guards against decisions on who watches the store that are taken before the others are counted.
+    it("is told once the records of the others are in the table", async () => {
+        const records = new Map([["other", createMember("other", 7)]]);
+        const { changes, registry } = createRegistry(createMember("a", 1), createStore(records, 1).store);
+        await registry.register();
+        expect(changes).toEqual(["other", "registered"]);
+    });
+
     it("writes the record again when the address of the daemon has changed", async () => {
         const records = new Map([["a", createMember("a", 1)]]);
         const { store } = createStore(records);
--- a/src/transport/directory/__tests__/unit/StoreDelays.test.ts
+++ b/src/transport/directory/__tests__/unit/StoreDelays.test.ts
@@ -54,6 +54,7 @@
             onMemberLeft: () => undefined,
             onMemberRemoved: () => undefined,
             onMemberUpdated: () => undefined,
+            onRegistered: () => undefined,
             random: () => 1,
             self: createMember("self", 1),
             store: { listMembers: () => Promise.resolve(Left(UNREACHABLE)) } as Partial<MeshStorePort> as MeshStorePort,
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -198,6 +198,7 @@
                 this.#serverDirectory.removeMember(member);
             },
             onMemberUpdated: member => this.#addMember(member),
+            onRegistered: () => this.#updateSessions(),
             random,
             self,
             store: dependencies.store,
