Give the store 0.4 s at first to answer a registration

What callers see: 503 for two seconds and more at a daemon that starts, for each answer of the store that is lost. Cause: the calls of the registration had the client's usual 2 s, whereas checks of versions begin with 0.4 s and double that after each missed answer. The new test failed before: no time was given.

--- a/src/state/store/MeshStorePort.ts
+++ b/src/state/store/MeshStorePort.ts
@@ -46,10 +46,10 @@
         waitMs: number,
         timeoutMs?: number,
     ): StoreResult<ConfigurationReadResult>;
-    /** Lists the records of all daemons; malformed entries are skipped. */
-    listMembers(): StoreResult<readonly Member[]>;
-    /** Creates or replaces the record of this daemon. */
-    writeMember(member: Member): StoreResult<void>;
+    /** Lists the records of all daemons; malformed entries are skipped. Each page has `timeoutMs`, or some seconds. */
+    listMembers(timeoutMs?: number): StoreResult<readonly Member[]>;
+    /** Creates or replaces the record of this daemon; each of up to two calls has `timeoutMs`, or some seconds. */
+    writeMember(member: Member, timeoutMs?: number): StoreResult<void>;
     deleteMember(id: string): StoreResult<void>;
     /** Lists the quarantined requests, perhaps as they were some seconds ago; malformed entries are skipped. */
     listQuarantines(): StoreResult<readonly QuarantineRecord[]>;
--- a/src/transport/directory/MemberRegistry.ts
+++ b/src/transport/directory/MemberRegistry.ts
@@ -8,6 +8,7 @@
 import type { PartLogger } from "../logging/index.js";
 import { sleepFor } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
+import { AnswerTimeout } from "./AnswerTimeout.js";
 import { RecordRestorer } from "./RecordRestorer.js";
 import { generateStoreDelays } from "./StoreDelays.js";
 
@@ -42,6 +43,7 @@
     /** Era of the store in which the records were last read or restored. */
     #era: number | undefined;
     readonly #restorer: RecordRestorer;
+    readonly #timeout = new AnswerTimeout();
 
     constructor(options: MemberRegistryOptions) {
         this.#options = options;
@@ -121,6 +123,9 @@
                 }
                 continue;
             }
+            if (error.kind === "unknown") {
+                this.#timeout.recordMissedAnswer();
+            }
             if (!isStoreUnreachable) {
                 isStoreUnreachable = true;
                 log.warn(`the own record can't be registered: ${error.detail}.`, { error });
@@ -176,7 +181,7 @@
     }
 
     async #readMembers(isWritten: boolean): Promise<StoreError | undefined> {
-        const result = await this.#options.store.listMembers();
+        const result = await this.#options.store.listMembers(this.#timeout.timeoutMs);
         return result.caseOf<StoreError | undefined>({
             Left: error => error,
             Right: members => {
@@ -190,7 +195,7 @@
     }
 
     async #writeSelf(): Promise<StoreError | undefined> {
-        const result = await this.#options.store.writeMember(this.#self);
+        const result = await this.#options.store.writeMember(this.#self, this.#timeout.timeoutMs);
         return result.caseOf<StoreError | undefined>({ Left: error => error, Right: () => undefined });
     }
 
--- a/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
+++ b/src/transport/directory/__tests__/unit/MemberRegistry.test.ts
@@ -65,6 +65,26 @@
         expect(calls.filter(call => call === "write").length).toBe(1);
     });
 
+    // Guards against a daemon that is out of service for seconds at its start for each answer that is lost.
+    it("waits for an answer first for 0.4 s, and longer after each one that was missed", async () => {
+        const timeouts: (number | undefined)[] = [];
+        const silentStore = {
+            listMembers: (timeoutMs?: number) => {
+                timeouts.push(timeoutMs);
+                return Promise.resolve(
+                    timeouts.length > 4 ? Right([]) : Left({ detail: "no answer", kind: "unknown" }),
+                );
+            },
+            readEra: () => 0,
+            writeMember: (_member: Member, timeoutMs?: number) => {
+                timeouts.push(timeoutMs);
+                return Promise.resolve(Right(undefined));
+            },
+        } as unknown as MeshStorePort;
+        await createRegistry(createMember("a", 1), silentStore).registry.register();
+        expect(timeouts.slice(0, 5)).toEqual([400, 800, 1_600, 2_000, 2_000]);
+    });
+
     // Guards against decisions on who watches the store that are taken before the others are counted.
     it("is told once the records of the others are in the table", async () => {
         const records = new Map([["other", createMember("other", 7)]]);
