--- a/src/transport/sidecar/__tests__/search/FaultInjector.ts
+++ b/src/transport/sidecar/__tests__/search/FaultInjector.ts
@@ -16,6 +16,7 @@
 const FULL_LINK_UNIT_MS = 25;
 const STORE_SLOW_UNIT_MS = 10;
 const MAXIMUM_LOSS_SHARE = 0.4;
+const MAXIMUM_STORE_FAILURE_SHARE = 0.5;
 const MAXIMUM_SLOWNESS = 30;
 /** Largest share of the VMs that are excused, or don't reach the store, at a time: else the rules say nothing of the others. */
 const MAXIMUM_HIT_SHARE = 0.6;
@@ -32,6 +33,8 @@
     FaultKind.Stop,
 ]);
 const STORE_KINDS: ReadonlySet<FaultKind> = new Set([
+    FaultKind.StoreAnswersLost,
+    FaultKind.StoreBusy,
     FaultKind.StoreRefused,
     FaultKind.StoreSilent,
     FaultKind.StoreSlow,
@@ -44,6 +47,7 @@
     readonly fillsLinks: boolean;
     readonly log: ((line: string) => void) | undefined;
     compactStore(): void;
+    restoreStore(lostVersions: number): void;
     /** Adds a VM and starts its daemon. */
     addVm(place: number): void;
     startDaemon(vm: SimulatedVm): void;
@@ -58,13 +62,19 @@
     }
 
     begin(fault: Fault): void {
-        const { addVm, clock, compactStore, log } = this.#options;
+        const { addVm, clock, compactStore, log, restoreStore } = this.#options;
         const { forMs, kind, strength } = fault;
         if (kind === FaultKind.Compact) {
             log?.(`${clock.now} the store forgets its history`);
             compactStore();
             return;
         }
+        if (kind === FaultKind.Restore) {
+            log?.(`${Math.round(clock.now)} the store comes back from a copy without the last ${fault.count} versions`);
+            this.#lastTargets = this.#selectTargets(fault);
+            restoreStore(fault.count);
+            return;
+        }
         if (kind === FaultKind.Join) {
             log?.(`${clock.now} a VM is added`);
             addVm(fault.first);
@@ -99,7 +109,8 @@
 
     #lacksStore({ state }: SimulatedVm): boolean {
         const { now } = this.#options.clock;
-        return state.storeSilentUntil > now || state.storeRefusedUntil > now || state.storeExtraMs > 0;
+        return state.storeSilentUntil > now || state.storeRefusedUntil > now || state.storeExtraMs > 0
+            || state.storeBusyShare > 0 || state.storeLostShare > 0;
     }
 
     #apply(vm: SimulatedVm, kind: FaultKind, until: number, strength: number): void {
@@ -172,6 +183,18 @@
                     state.storeExtraMs = 0;
                 });
                 return;
+            case FaultKind.StoreBusy:
+                state.storeBusyShare = strength / 100 * MAXIMUM_STORE_FAILURE_SHARE;
+                this.#schedule(until, () => {
+                    state.storeBusyShare = 0;
+                });
+                return;
+            case FaultKind.StoreAnswersLost:
+                state.storeLostShare = strength / 100 * MAXIMUM_STORE_FAILURE_SHARE;
+                this.#schedule(until, () => {
+                    state.storeLostShare = 0;
+                });
+                return;
             case FaultKind.WatchesHang:
                 state.watchesHangUntil = Math.max(state.watchesHangUntil, until);
                 return;
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -18,10 +18,13 @@
 const MANAGER = "src/transport/directory/ConfigurationManager.ts";
 const CONSTANTS = "src/transport/directory/DirectoryConstants.ts";
 const RESOLVER = "src/transport/routes/RouteResolver.ts";
+const FOLLOWER = "src/transport/directory/StoreFollower.ts";
+const GOSSIP = "src/transport/sessions/HandleGossip.ts";
+const REQUEST = "src/transport/traffic/ForwardedRequest.ts";
 
 export const MUTANTS: readonly Mutant[] = [
     {
-        file: "src/transport/sessions/HandleGossip.ts",
+        file: GOSSIP,
         from: "ageMs: confirmation.ageMs + transitMs",
         name: "the transit of a confirmation isn't counted",
         to: "ageMs: confirmation.ageMs",
@@ -166,7 +169,7 @@
         to: "this.#freshness.readAgeMs(now) - 3_000,",
     },
     {
-        file: "src/transport/directory/StoreFollower.ts",
+        file: FOLLOWER,
         from: "freshness.removePosition();",
         name: "a position that the store has forgotten is kept",
         to: "",
@@ -184,7 +187,7 @@
         to: "deadlineAt: arrivedAt + budgetMs,",
     },
     {
-        file: "src/transport/traffic/ForwardedRequest.ts",
+        file: REQUEST,
         from: "if (refusal.reason === RefusalReason.Outdated && this.#tryReroute()) {",
         name: "requests that a newer version leads elsewhere aren't routed anew",
         to: "if (refusal.detail === \"\" && this.#tryReroute()) {",
@@ -195,4 +198,118 @@
         name: "neighbours are pinged every 6 s",
         to: "export const NEIGHBOUR_PING_INTERVAL_MS = 6_000;",
     },
+    {
+        file: GOSSIP,
+        from: "ageMs: report.ageMs + transitMs",
+        name: "the transit of a report on a watch isn't counted",
+        to: "ageMs: report.ageMs",
+    },
+    {
+        file: GOSSIP,
+        from: "watches: watches.filter(({ isWorking }) => !isWorking)",
+        name: "a report of unknown transit counts as instant",
+        to: "watches",
+    },
+    {
+        file: GOSSIP,
+        from: "{ ...status, confirmation: undefined,",
+        name: "a confirmation of unknown transit counts as instant",
+        to: "{ ...status,",
+    },
+    {
+        file: MANAGER,
+        from: "this.#watchers.recordOwnWatch(reading.at);",
+        name: "the own watch is as young as the reading of an answer",
+        to: "this.#watchers.recordOwnWatch(options.now());",
+    },
+    {
+        file: MANAGER,
+        from: "if (this.#configuration === undefined && !this.#isRegionKnown(now)) {",
+        name: "the age begins anew until the records were read",
+        to: "if (!this.#isRegionKnown(now)) {",
+    },
+    {
+        file: MANAGER,
+        from: "return (this.#isConfirmationMissing || this.#isRegionKnown(now))",
+        name: "nobody takes over before the records were read",
+        to: "return this.#isRegionKnown(now)",
+    },
+    {
+        file: MANAGER,
+        from: "now - Math.max(0, confirmation.ageMs)",
+        name: "a confirmation counts from its arrival",
+        to: "now",
+    },
+    {
+        file: LAG,
+        from: "if (this.isSuperseded) {\n            return false;",
+        name: "a superseded version decides when there are no sources",
+        to: "if (this.isSuperseded && sources.length > 0) {\n            return false;",
+    },
+    {
+        file: WATCHERS,
+        from: "export const WATCHERS_PER_SMALL_REGION = 2;",
+        name: "one daemon of a small region watches",
+        to: "export const WATCHERS_PER_SMALL_REGION = 1;",
+    },
+    {
+        file: WATCHERS,
+        from: "rounds.set(id, round);",
+        name: "the watchers of a region may share a failure domain",
+        to: "rounds.set(id, 0);",
+    },
+    {
+        file: WATCHERS,
+        from: "place - lost.length + 1",
+        name: "lost watches still delay the turn of those behind them",
+        to: "place + 1",
+    },
+    {
+        file: FOLLOWER,
+        from: "return this.#recordAnswer(result.map(addTime(startedAt)), startedAt);",
+        name: "a check counts from its answer",
+        to: "return this.#recordAnswer(result.map(addTime(now())), startedAt);",
+    },
+    {
+        file: LAG,
+        from: "newer: this.#addNewer(before?.newer ?? [],",
+        name: "the newer versions of a daemon are forgotten when it names another one",
+        to: "newer: this.#addNewer([],",
+    },
+    {
+        file: LAG,
+        from: "return further < 0 || now",
+        name: "the word of a daemon that doesn't answer queries is taken for ever",
+        to: "return further < 9_999 || now",
+    },
+    {
+        file: RESOLVER,
+        from: "return version >= lowest;",
+        name: "an answer of any version is usable for a route",
+        to: "return version > 0;",
+    },
+    {
+        file: RESOLVER,
+        from: "configuration.version !== own && !lag.isSuperseded",
+        name: "the arriving copy decides although a newer version has decided",
+        to: "configuration.version !== own",
+    },
+    {
+        file: REQUEST,
+        from: "Math.max(0, this.#plan.deadlineAt - now) + DEADLINE_GRACE_MS,",
+        name: "requests wait 1 s beyond their deadline",
+        to: "Math.max(0, this.#plan.deadlineAt - now) + DEADLINE_GRACE_MS + 1_000,",
+    },
+    {
+        file: REQUEST,
+        from: "if (isRepeatable(this.#plan.route.kind)) {\n            this.#retryOrComplete(detail, \"unknown\");",
+        name: "a request that may run once is repeated after an unknown outcome",
+        to: "if (this.#plan.route.name !== \"\") {\n            this.#retryOrComplete(detail, \"unknown\");",
+    },
+    {
+        file: REQUEST,
+        from: "const hasReachedServer = this.#attempts.size > 0 || this.#serversReached > 0;",
+        name: "a request that has reached a server is routed anew",
+        to: "const hasReachedServer = this.#attempts.size > 0;",
+    },
 ];
--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -243,7 +243,9 @@
     }
 
     #isInTouch(vms: readonly SimulatedVm[], times: readonly number[]): boolean {
-        return times.every(at => vms.every(({ impairments }) => !isImpaired(impairments, at)));
+        return times.every(at =>
+            vms.every(({ impairments, settledAt }) => settledAt <= at && !isImpaired(impairments, at))
+        );
     }
 
     #raiseFloor(request: SentRequest, version: number, at: number): void {
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -2,22 +2,23 @@
 import { Right } from "purify-ts/Either";
 import { VersionLag } from "../../../../coordination/distribution/index.js";
 import type { FreshnessLimits } from "../../../../coordination/distribution/index.js";
-import { MemberState, MemberTable } from "../../../../state/members/index.js";
 import type { Member } from "../../../../state/members/index.js";
 import type { Random } from "../../../../state/shared/index.js";
 import type { MeshStorePort } from "../../../../state/store/index.js";
 import { findRoute } from "../../../../state/traffic/index.js";
 import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
-import { ConfigurationManager, MemberGossip } from "../../../directory/index.js";
+import { ConfigurationManager, MemberGossip, MemberRegistry } from "../../../directory/index.js";
 import type { PartLogger } from "../../../logging/index.js";
 import type { PeerNetwork } from "../../../peer/index.js";
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../../../routes/index.js";
 import type { RouteDecision } from "../../../routes/index.js";
 import { SessionManager } from "../../../sessions/index.js";
 import type { LocalStatus } from "../../../sessions/index.js";
+import { scheduleRepeating } from "../../../timers/index.js";
 import { computeDistance, ServerDirectory } from "../../../traffic/index.js";
 import { UplinkSender } from "../../../uplink/index.js";
 import { SessionSelector } from "../../SessionSelector.js";
+import { FIRST_LISTING_DELAY_MS } from "./History.js";
 import { SimulatedCallers } from "./SimulatedCallers.js";
 import type { SimulatedProcess } from "./SimulatedProcess.js";
 import { SimulatedServer } from "./SimulatedServer.js";
@@ -52,16 +53,15 @@
     readonly variant: Variant;
     readonly createSessionId: () => string;
     readonly decode: (text: string) => TrafficConfiguration;
+    readonly isFirstStart: boolean;
     losesCopies(): boolean;
-    /** Records of the daemons that are in the store. */
-    listRecords(): readonly Member[];
     readonly observer: RequestObserver;
 }
 
 export class SimulatedDaemon {
     readonly id: string;
     readonly #options: SimulatedDaemonOptions;
-    readonly #table = new MemberTable();
+    readonly #registry: MemberRegistry;
     readonly #lag = new VersionLag();
     readonly #sessions: SessionManager;
     readonly #selector: SessionSelector;
@@ -72,7 +72,6 @@
     readonly #server: SimulatedServer;
     readonly #directory: ServerDirectory;
     readonly #callers: SimulatedCallers;
-    #isRegistered = false;
     #regionGeneration = -1;
 
     constructor(options: SimulatedDaemonOptions) {
@@ -80,7 +79,28 @@
         const { decode, log, network, process, random, self, store, variant } = options;
         const { now, timers } = process;
         this.id = self.id;
-        this.#table.merge(self);
+        this.#registry = new MemberRegistry({
+            firstListingDelayMs: FIRST_LISTING_DELAY_MS,
+            isFirstStart: options.isFirstStart,
+            log,
+            onMemberLeft: member => this.#directory.removeMember(member),
+            onMemberRemoved: member => {
+                this.#lag.removePeer(member.id);
+                this.#sessions.disconnect(member.id, "the daemon is gone");
+                this.#directory.removeMember(member);
+            },
+            onMemberUpdated: member => {
+                if (this.#sessions.getOwnerSession(member.id) !== undefined) {
+                    this.#sessions.connect(member);
+                }
+                this.#directory.addMember(member);
+            },
+            onRegistered: () => this.#updateSessions(),
+            random,
+            self,
+            store,
+            timers,
+        });
         this.#server = new SimulatedServer({
             findRestriction: request =>
                 variant.runsOutdated ? undefined : findOutdatedRefusal(request, this.#configuration.configuration),
@@ -124,7 +144,7 @@
                 }
             },
             onLoad: (id, load) => this.#directory.recordLoad(id, load),
-            onMembers: members => this.#gossip.announce(this.#merge(members)),
+            onMembers: members => this.#gossip.announce(this.#registry.merge(members)),
             onRoundTrip: (id, ms) => this.#directory.recordRoundTrip(id, ms),
             onServerIdentity: () => undefined,
             onStatus: status => {
@@ -134,7 +154,7 @@
             onVersion: (id, version) => this.#configuration.recordVersion(id, version),
             random,
             readLoad: () => this.#server.readLoad(),
-            readSelf: () => self,
+            readSelf: () => this.#registry.self,
             readServerIdentity: () => undefined,
             readStatus: () => this.#readStatus(),
             readVersion: () => this.#lag.own,
@@ -145,25 +165,25 @@
         this.#gossip = new MemberGossip({
             listReceivers: () => this.#selector.neighbours,
             log,
-            merge: members => this.#merge(members),
+            merge: members => this.#registry.merge(members),
             now,
             send: (id, message) => this.#sessions.sendGossip(id, message),
-            table: this.#table,
+            table: this.#registry.table,
             timers,
         });
         this.#selector = new SessionSelector({
             listServices: () => this.#configuration.configuration?.services.keys() ?? [],
             log,
             now,
-            readSelf: () => self,
+            readSelf: () => this.#registry.self,
             sessions: this.#sessions,
-            table: this.#table,
+            table: this.#registry.table,
         });
         this.#configuration = new ConfigurationManager({
-            countDaemons: () => this.#table.size,
+            countDaemons: () => this.#registry.list().length,
             decode: ({ text }) => Right(decode(text)),
-            isRegistered: () => this.#isRegistered,
-            isSameRegion: id => this.#table.get(id)?.region === self.region,
+            isRegistered: () => this.#registry.isRegistered,
+            isSameRegion: id => this.#registry.get(id)?.region === self.region,
             lag: this.#lag,
             limits: variant.limits,
             listReachable: () => this.#listReachable(),
@@ -174,7 +194,7 @@
                 this.#announceStatus();
             },
             onConfirmed: ids => this.#sendStatus(ids),
-            onStoreRead: () => undefined,
+            onStoreRead: era => void this.#registry.recordEra(era),
             onWatchChanged: () => this.#announceStatus(),
             random,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
@@ -231,28 +251,33 @@
         return this.#lag.readNewestBelieved(this.#options.process.now());
     }
 
+    get isRegistered(): boolean {
+        return this.#registry.isRegistered;
+    }
+
     get isWatching(): boolean {
         return this.#configuration.isWatching;
     }
 
-    async start(listingMs: number): Promise<void> {
-        const { listRecords, process: { timers }, self } = this.#options;
+    async start(): Promise<void> {
+        const { self } = this.#options;
         await this.#sessions.start(self.address, self.peerPort);
         this.#configuration.start();
-        timers.after(listingMs, () => {
-            this.#gossip.announce(this.#merge(listRecords()));
-            this.#isRegistered = true;
-            this.#updateSessions();
-        });
+        void this.#registry.register();
+        const { timers } = this.#options.process;
+        scheduleRepeating(
+            timers,
+            () => SESSION_UPDATE_INTERVAL_MS,
+            SESSION_UPDATE_INTERVAL_MS,
+            () => this.#updateSessions(),
+        );
     }
 
     /** Announces that this daemon leaves; its server takes no further requests. */
     leave(): void {
-        const { self } = this.#options;
         this.#server.close();
-        const record = { ...self, revision: self.revision + 1, state: MemberState.Left };
-        this.#table.merge(record);
-        this.#gossip.announce([record]);
+        this.#registry.stop();
+        this.#gossip.announce([this.#registry.leave()]);
         this.#gossip.flush();
     }
 
@@ -274,44 +299,18 @@
         return { revision, route: findRoute(configuration, host, path), version };
     }
 
-    #merge(members: readonly Member[]): readonly Member[] {
-        return members.filter(member => {
-            const isNew = member.id !== this.id && this.#table.merge(member);
-            if (isNew) {
-                this.#applyMember(member);
-            }
-            return isNew;
-        });
-    }
-
-    #applyMember(member: Member): void {
-        if (member.state === MemberState.Left) {
-            this.#directory.removeMember(member);
-            return;
-        }
-        if (this.#sessions.getOwnerSession(member.id) !== undefined) {
-            this.#sessions.connect(member);
-        }
-        this.#directory.addMember(member);
-    }
-
     #updateSessions(): void {
-        const { process: { now, timers }, self } = this.#options;
-        timers.after(SESSION_UPDATE_INTERVAL_MS, () => this.#updateSessions());
-        this.#selector.update(now());
-        if (this.#table.rankingGeneration !== this.#regionGeneration) {
-            this.#regionGeneration = this.#table.rankingGeneration;
-            this.#configuration.setRegion(
-                [...this.#table.listAll()].filter(({ region, state }) =>
-                    region === self.region && state === MemberState.Live
-                ),
-            );
+        this.#selector.update(this.#options.process.now());
+        const { self, table } = this.#registry;
+        if (table.rankingGeneration !== this.#regionGeneration) {
+            this.#regionGeneration = table.rankingGeneration;
+            this.#configuration.setRegion(this.#registry.list().filter(({ region }) => region === self.region));
         }
     }
 
     #listReachable() {
         return [...this.#sessions.listConnected(this.#options.process.now())].flatMap(id => {
-            const member = this.#table.get(id);
+            const member = this.#registry.get(id);
             return member === undefined ? [] : [{ distance: computeDistance(this.#options.self, member), id }];
         });
     }
@@ -319,7 +318,7 @@
     #readStatus(): LocalStatus {
         return {
             confirmation: this.#configuration.readConfirmation(),
-            membersDigest: this.#table.getDigest(),
+            membersDigest: this.#registry.table.getDigest(),
             version: this.#configuration.configuration?.version,
             watches: this.#configuration.listWatches(),
         };
@@ -329,7 +328,7 @@
         const { failureDomain } = this.#options.self;
         this.#sendStatus(
             [...this.#sessions.listConnected(this.#options.process.now())].filter(id =>
-                this.#selector.neighbours.has(id) || this.#table.get(id)?.failureDomain === failureDomain
+                this.#selector.neighbours.has(id) || this.#registry.get(id)?.failureDomain === failureDomain
             ),
         );
     }
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -1,5 +1,5 @@
 /** Plays a history on a simulated mesh, with requests at each daemon, and judges what becomes of them. */
-import { deriveFreshnessLimits } from "../../../../coordination/distribution/index.js";
+import { deriveFreshnessLimits, OWN_DECISION_LIMIT_MS } from "../../../../coordination/distribution/index.js";
 import { MemberState } from "../../../../state/members/index.js";
 import type { Member } from "../../../../state/members/index.js";
 import { createSeededRandom, invariant } from "../../../../state/shared/index.js";
@@ -46,7 +46,6 @@
 const DEADLINE_WINDOW_MS = 700;
 const FIRST_REQUEST_MS = 500;
 const START_SPREAD_MS = 300;
-const LISTING_MS = 20;
 /** Latencies between daemons of one failure domain, of one region and of two regions. */
 const LATENCIES_MS = [0.2, 0.6, 6] as const;
 const PADDING_CHARACTERS = 12_000;
@@ -131,6 +130,7 @@
             addVm: place => this.#joinVm(place),
             clock: this.#clock,
             compactStore: () => this.#store.compact(),
+            restoreStore: lostVersions => this.#store.restore(Math.max(1, this.#store.version - lostVersions)),
             fillsLinks: variant.fillsLinks,
             log,
             startDaemon: vm => this.#startDaemon(vm),
@@ -144,7 +144,10 @@
         for (let place = 0; place < daemonsPerDomain; place++) {
             for (let domain = 0; domain < regions * domainsPerRegion; domain++) {
                 const vm = this.#addVm(domain);
-                this.#clock.schedule(this.#random() * START_SPREAD_MS, () => this.#startDaemon(vm));
+                this.#clock.schedule(
+                    this.#random() * START_SPREAD_MS,
+                    () => this.#startDaemon(vm, this.#history.isFirstStart),
+                );
             }
         }
         this.#changes.forEach((at, index) => this.#scheduleChange(at, index + 2));
@@ -185,7 +188,7 @@
         this.#startDaemon(vm);
     }
 
-    #startDaemon(vm: SimulatedVm): void {
+    #startDaemon(vm: SimulatedVm, isFirstStart = false): void {
         const process = new SimulatedProcess(this.#clock, this.#random() * MAXIMUM_CLOCK_ORIGIN_MS, vm.weakness);
         const node: NetworkNode = { accept: undefined, closers: new Set(), process };
         const random = createSeededRandom(Math.floor(this.#random() * 2 ** 32));
@@ -202,7 +205,7 @@
             state: MemberState.Live,
         };
         vm.node = node;
-        vm.record = record;
+        vm.settledAt = Infinity;
         const { state } = vm;
         const daemon = new SimulatedDaemon({
             createSessionId: () => `session-${++this.#lastSession}`,
@@ -211,7 +214,7 @@
                 invariant(version > 0, "a version has a number");
                 return this.#versions.read(version);
             },
-            listRecords: () => this.#vms.flatMap(other => other.record === undefined ? [] : [other.record]),
+            isFirstStart,
             log: this.#createLogger(vm.id),
             losesCopies: () => state.copiesLostUntil > this.#clock.now,
             network: createSimulatedNetwork(
@@ -233,7 +236,9 @@
             random,
             self: record,
             store: this.#store.createPort(process, random, () => ({
+                busyShare: state.storeBusyShare,
                 extraMs: state.storeExtraMs,
+                lostShare: state.storeLostShare,
                 refusedUntil: state.storeRefusedUntil,
                 silentUntil: Math.max(state.storeSilentUntil, state.storeCutUntil),
                 watchesHangUntil: state.watchesHangUntil,
@@ -241,7 +246,7 @@
             variant: this.#variant,
         });
         vm.daemon = daemon;
-        process.handle(() => void daemon.start(LISTING_MS));
+        process.handle(() => void daemon.start());
     }
 
     #scheduleChange(at: number, version: number): void {
@@ -257,21 +262,28 @@
     #checkStorePaths(): void {
         const { now } = this.#clock;
         this.#clock.schedule(now + PATH_CHECK_INTERVAL_MS, () => this.#checkStorePaths());
+        const isRestored = this.#store.version < this.#newest;
         const hasStore = ({ state }: SimulatedVm): boolean =>
-            Math.max(state.storeSilentUntil, state.storeRefusedUntil, state.storeCutUntil) <= now
-            && state.storeExtraMs < SLOW_STORE_MS;
+            !isRestored && Math.max(state.storeSilentUntil, state.storeRefusedUntil, state.storeCutUntil) <= now
+            && state.storeExtraMs < SLOW_STORE_MS && state.storeBusyShare === 0 && state.storeLostShare === 0;
         const isCut = ({ state }: SimulatedVm): boolean => state.cutUntil > now;
+        // While the store is behind, only daemons that have the newest version can tell it.
         const isSource = this.#vms.some(vm =>
-            vm.daemon !== undefined && hasStore(vm) && !isCut(vm)
+            vm.daemon !== undefined && !isCut(vm)
+            && (isRestored ? vm.daemon.version === this.#newest : hasStore(vm))
             && !vm.impairments.some(({ from, to }) => from <= now && now <= to)
         );
         for (const vm of this.#vms) {
             if (!hasStore(vm)) {
                 vm.storeLostAt = now;
-                if (isCut(vm) || !isSource) {
+                // A daemon that the store has kept from registering may know nobody else.
+                if (isCut(vm) || !isSource || vm.daemon?.isRegistered === false) {
                     vm.impairments.push({ from: now, to: now });
                 }
             }
+            if (vm.settledAt === Infinity && vm.daemon?.version !== undefined) {
+                vm.settledAt = now + OWN_DECISION_LIMIT_MS;
+            }
             vm.hasStore = now - vm.storeLostAt > this.#history.deadlineMs;
         }
         this.#judge.judgeVersions(this.#vms, now);
--- a/src/transport/sidecar/__tests__/search/SimulatedStore.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedStore.ts
@@ -1,6 +1,7 @@
 /** The store of a simulated mesh: versions, watches and checks, with the faults that single daemons see. */
 import { Left, Right } from "purify-ts/Either";
 import type { Either } from "purify-ts/Either";
+import type { Member } from "../../../../state/members/index.js";
 import type { Random } from "../../../../state/shared/index.js";
 import type {
     ConfigurationReadResult,
@@ -17,6 +18,8 @@
 const CALL_TIMEOUT_MS = 2_000;
 const WATCH_GRACE_MS = 700;
 const SILENT: StoreError = { detail: "no answer in time", kind: "unknown" };
+const BUSY: StoreError = { detail: "the store rejects the call for its rate", kind: "refused", reason: "rate" };
+const HISTORY_GONE: StoreError = { detail: "the history is gone", kind: "refused", reason: "history" };
 const REFUSED: StoreError = { detail: "the store refuses the connection", kind: "unreachable" };
 
 /** What the store is for one daemon at present. */
@@ -26,6 +29,10 @@
     readonly refusedUntil: number;
     /** Time that an answer takes besides its usual time. */
     readonly extraMs: number;
+    /** Share of the calls that are rejected without effect. */
+    readonly busyShare: number;
+    /** Share of the answers that are lost after the call took effect. */
+    readonly lostShare: number;
     /** Watches that are open then tell nothing; calls are answered. */
     readonly watchesHangUntil: number;
 }
@@ -38,16 +45,19 @@
 interface WaitingWatch {
     readonly position: StorePosition;
     answer(): void;
+    /** Ends the watch with the connection, after which the store names another era. */
+    end(): void;
 }
 
 export class SimulatedStore {
     readonly #clock: SimulatedClock;
     readonly #formatText: (version: number) => string;
     #newest: StoredVersion;
-    readonly #era = 1;
+    #era = 1;
     #oldestRevision = 0;
     #calls = 0;
     readonly #watches = new Set<WaitingWatch>();
+    readonly #records = new Map<string, Member>();
 
     constructor(clock: SimulatedClock, firstVersion: number, formatText: (version: number) => string) {
         this.#clock = clock;
@@ -55,6 +65,11 @@
         this.#newest = { revision: 1, version: firstVersion };
     }
 
+    /** Newest version that the store holds. */
+    get version(): number {
+        return this.#newest.version;
+    }
+
     get calls(): number {
         return this.#calls;
     }
@@ -72,16 +87,31 @@
         this.#oldestRevision = this.#newest.revision;
     }
 
+    /** Goes back to an older version, without half of the records; open watches end. */
+    restore(version: number): void {
+        this.#era++;
+        this.#newest = { revision: version, version };
+        this.#oldestRevision = 0;
+        for (const id of [...this.#records.keys()].filter((_id, index) => index % 2 === 0)) {
+            this.#records.delete(id);
+        }
+        for (const watch of [...this.#watches]) {
+            watch.end();
+        }
+    }
+
     /** Store as one daemon sees it. */
     createPort(process: SimulatedProcess, random: Random, readAccess: () => StoreAccess): MeshStorePort {
-        const call = (
+        let answeredEra: number | undefined;
+        const call = <T>(
             timeoutMs: number,
-            serve: (answer: (result: Either<StoreError, ConfigurationReadResult>) => void) => () => void,
-        ): Promise<Either<StoreError, ConfigurationReadResult>> => {
+            serve: (answer: (result: Either<StoreError, T>) => void) => () => void,
+            costMs: (result: Either<StoreError, T>) => number = () => EventCost.Small,
+        ): Promise<Either<StoreError, T>> => {
             this.#calls++;
             return new Promise(resolve => {
                 let stop = (): void => undefined;
-                const settle = (result: Either<StoreError, ConfigurationReadResult>): void => {
+                const settle = (result: Either<StoreError, T>): void => {
                     cancelTimeout();
                     stop();
                     resolve(result);
@@ -93,30 +123,53 @@
                     return;
                 }
                 this.#clock.schedule(this.#clock.now + delayMs, () => {
-                    if (readAccess().silentUntil > this.#clock.now) {
+                    const { busyShare, silentUntil } = readAccess();
+                    if (silentUntil > this.#clock.now) {
+                        return;
+                    }
+                    if (busyShare > 0 && random() < busyShare) {
+                        this.#clock.schedule(this.#clock.now + delayMs, () => process.handle(() => settle(Left(BUSY))));
                         return;
                     }
                     stop = serve(result => {
+                        const era = this.#era;
                         this.#clock.schedule(this.#clock.now + delayMs + readAccess().extraMs, () => {
-                            if (readAccess().silentUntil <= this.#clock.now) {
-                                const hasVersion = result.toMaybe().extract()?.configuration !== undefined;
-                                process.handle(() => settle(result), hasVersion ? EventCost.Copy : EventCost.Small);
+                            const { lostShare, silentUntil } = readAccess();
+                            const isLost = silentUntil > this.#clock.now || lostShare > 0 && random() < lostShare;
+                            if (!isLost) {
+                                process.handle(() => {
+                                    answeredEra = era;
+                                    settle(result);
+                                }, costMs(result));
                             }
                         });
                     });
                 });
             });
         };
+        /** Answers a call at once. */
+        const callOnce = <T>(
+            run: () => T,
+            timeoutMs = CALL_TIMEOUT_MS,
+            costMs?: (result: Either<StoreError, T>) => number,
+        ): Promise<Either<StoreError, T>> =>
+            call(timeoutMs, answer => {
+                answer(Right(run()));
+                return () => undefined;
+            }, costMs);
         return {
-            readConfiguration: () =>
-                call(CALL_TIMEOUT_MS, answer => {
-                    answer(Right(this.#readNewest()));
-                    return () => undefined;
-                }),
-            readEra: () => this.#era,
+            deleteMember: id => callOnce(() => void this.#records.delete(id)),
+            listMembers: timeoutMs => callOnce(() => [...this.#records.values()], timeoutMs),
+            readConfiguration: () => callOnce(() => this.#readNewest(), CALL_TIMEOUT_MS, computeReadingCost),
+            readEra: () => answeredEra,
             watchConfiguration: (position: StorePosition, waitMs: number, timeoutMs = waitMs + WATCH_GRACE_MS) =>
-                call(timeoutMs, answer => this.#watch(position, waitMs, readAccess, answer)),
-        } as unknown as MeshStorePort;
+                call(
+                    timeoutMs,
+                    answer => this.#watch(position, waitMs, readAccess, answer),
+                    computeReadingCost,
+                ),
+            writeMember: (member, timeoutMs) => callOnce(() => void this.#records.set(member.id, member), timeoutMs),
+        } as Partial<MeshStorePort> as MeshStorePort;
     }
 
     #watch(
@@ -126,7 +179,7 @@
         answer: (result: Either<StoreError, ConfigurationReadResult>) => void,
     ): () => void {
         if (position.era !== this.#era || position.revision < this.#oldestRevision) {
-            answer(Left({ detail: "the history is gone", kind: "refused", reason: "history" }));
+            answer(Left(HISTORY_GONE));
             return () => undefined;
         }
         if (this.#newest.revision > position.revision) {
@@ -141,6 +194,10 @@
                     answer(Right(this.#readNewest()));
                 }
             },
+            end: () => {
+                stop();
+                answer(Left(HISTORY_GONE));
+            },
             position,
         };
         this.#watches.add(watch);
@@ -163,3 +220,7 @@
         };
     }
 }
+
+function computeReadingCost(result: Either<StoreError, ConfigurationReadResult>): number {
+    return result.toMaybe().extract()?.configuration === undefined ? EventCost.Small : EventCost.Copy;
+}
--- a/src/transport/sidecar/__tests__/search/SimulatedVm.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedVm.ts
@@ -1,5 +1,4 @@
 /** A VM of a simulated mesh: its place, its daemon, and what disturbs it. */
-import type { Member } from "../../../../state/members/index.js";
 import type { SimulatedDaemon } from "./SimulatedDaemon.js";
 import type { NetworkNode } from "./SimulatedNetwork.js";
 
@@ -34,16 +33,20 @@
         storeSilentUntil: number;
         storeRefusedUntil: number;
         storeExtraMs: number;
+        /** Shares of the calls that the store rejects for its rate, and of the answers that are lost after their effect. */
+        storeBusyShare: number;
+        storeLostShare: number;
         watchesHangUntil: number;
     };
     /** Whether it has reached the store by itself for as long as a version may take. */
     hasStore: boolean;
     storeLostAt: number;
+    /** When its daemon had its first version for long enough to know those of others; Infinity until then. */
+    settledAt: number;
     /** Counts the starts of its daemon. */
     incarnation: number;
     node: NetworkNode | undefined;
     daemon: SimulatedDaemon | undefined;
-    record: Member | undefined;
 }
 
 export function createVm(
@@ -57,7 +60,6 @@
         impairments: [],
         incarnation: 0,
         node: undefined,
-        record: undefined,
         slowTimes: [],
         state: {
             copiesLostUntil: -Infinity,
@@ -66,12 +68,15 @@
             incomingCopyWaitMs: 0,
             lossShare: 0,
             messageWaitMs: 0,
+            storeBusyShare: 0,
             storeCutUntil: -Infinity,
             storeExtraMs: 0,
+            storeLostShare: 0,
             storeRefusedUntil: -Infinity,
             storeSilentUntil: -Infinity,
             watchesHangUntil: -Infinity,
         },
+        settledAt: Infinity,
         storeLostAt: -Infinity,
     };
 }
--- a/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
+++ b/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
@@ -20,6 +20,7 @@
 
 function createTestVm(index: number, version = 2): SimulatedVm {
     const vm = createVm({ domain: "a", index, region: "r", service: `s${index}`, weakness: 1 });
+    vm.settledAt = 0;
     vm.daemon = { newestBelieved: version, version } as SimulatedDaemon;
     return vm;
 }
@@ -99,6 +100,15 @@
         expect(broken).toEqual(["late"]);
     });
 
+    it("excuses a daemon that has just got its first version", () => {
+        const { broken, caller, run } = createJudge();
+        caller.settledAt = OVERDUE_AT + 100;
+        run(MOVING_PATH, OVERDUE_AT, 1, "s1");
+        expect(broken).toEqual([]);
+        run(MOVING_PATH, OVERDUE_AT + 100, 1, "s1");
+        expect(broken).toEqual(["late"]);
+    });
+
     it("finds decisions that go back after the slack, which is longer on slow VMs", () => {
         const { broken, caller, run } = createJudge();
         run(MOVING_PATH, CHANGED_AT + 10, 2, "s2");
