Bound the transit by the age of the connection while no round trip is known

Cause: since reports of unknown transit are dropped, and on a connection that the other side has opened the transit is unknown until its second ping. So daemons began to watch at their turns, 0.1 to 0.5 s after the start, and left after the 4 s of a watch, too close to the test's 5 s. The other side sends nothing but its hello before it has the welcome, so a message is at most as old as the connection: a sound bound, and a small one in the first second.

--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -24,6 +24,7 @@
     readonly #dependencies: SessionDependencies;
     /** Of the present connection. */
     #transit = new TransitBound();
+    #attachedAt = -Infinity;
     #connection: FrameConnection | undefined;
     /** Time at which the last connection was lost; undefined while there is one. */
     #disconnectedAt: number | undefined;
@@ -50,6 +51,7 @@
         this.#connection?.close();
         this.#connection = connection;
         this.#transit = new TransitBound();
+        this.#attachedAt = this.#dependencies.now();
         this.#disconnectedAt = undefined;
         const load = this.#dependencies.readLoad();
         const received = this.#channel.received;
@@ -164,7 +166,9 @@
     }
 
     #measureTransit(sentAt: number): number {
-        return this.#transit.measureTransit(sentAt, this.#dependencies.now());
+        const now = this.#dependencies.now();
+        // The other side sends nothing but its hello before it has the welcome.
+        return Math.min(this.#transit.measureTransit(sentAt, now), now - this.#attachedAt);
     }
 
     #acknowledge(received: number): void {
