Log and count decisions on requests by the age of their version

Change: VersionFreshness keeps when each version was confirmed, also newer ones that are not in force yet, so that a version that arrives as a copy has its age at once; an age that was never known is infinite. The line of each request has confirmedAgeMs, the metrics count decisions by age as a share of the deadline. The search can leave out a rule and combine mutants. The mutant 'a confirmation of a newer version counts for the own one' follows its text; the tests of VersionFreshness name the version of each confirmation, their bounds are the same. Unit tests of the changed modules pass.

--- a/src/coordination/distribution/index.ts
+++ b/src/coordination/distribution/index.ts
@@ -1,3 +1,4 @@
+export { DecisionAges } from "./DecisionAges.js";
 export { findMissingDependencies } from "./Dependencies.js";
 export { deriveFreshnessLimits } from "./FreshnessLimits.js";
 export type { FreshnessLimits } from "./FreshnessLimits.js";
@@ -10,7 +11,7 @@
 export { computeTreePosition, listDomainRelays, listRegions, TREE_FANOUT, UNJOINED_POSITION } from "./Tree.js";
 export type { TreePosition } from "./Tree.js";
 export { VersionFreshness } from "./VersionFreshness.js";
-export type { Confirmation } from "./VersionFreshness.js";
+export type { Confirmation, ConfirmedVersion } from "./VersionFreshness.js";
 export { OWN_DECISION_LIMIT_MS, VersionLag } from "./VersionLag.js";
 export {
     addSnapshot,
--- a/src/coordination/recording/RequestRecorder.ts
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -36,6 +36,8 @@
     readonly detail?: string | undefined;
     /** Version of the configuration that routed the request. */
     readonly version?: number | undefined;
+    /** Time since no newer version was known to be in the store when the request was routed; undefined when unknown. */
+    readonly confirmedAgeMs?: number | undefined;
     /** Revision of that version in the store. */
     readonly revision?: number | undefined;
     /** Placements of the request, unless the first owner answered it. */
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -136,6 +136,11 @@
         return this.#freshness.readAgeMs(this.#options.now());
     }
 
+    /** Time since no version newer than `version` was known to be in the store; Infinity while that isn't known. */
+    readVersionAgeMs(version: number): number {
+        return this.#freshness.readVersionAgeMs(version, this.#options.now());
+    }
+
     /** Copies of versions that were sent to other daemons, and requests for them. */
     get copies(): CopySender {
         return this.#copies;
@@ -199,8 +204,8 @@
         }
         if (version !== undefined) {
             this.recordVersion(id, version);
-            if (confirmation !== undefined && !this.#isNewer(version)) {
-                this.#recordConfirmation(confirmation.position, now - Math.max(0, confirmation.ageMs));
+            if (confirmation !== undefined) {
+                this.#recordConfirmation(version, confirmation.position, now - Math.max(0, confirmation.ageMs));
             }
         }
     }
@@ -248,6 +253,7 @@
                 const { lag, now } = this.#options;
                 const behindMs = lag.readBehindMs(now());
                 lag.recordOwn(configuration.version);
+                this.#freshness.recordOwn(configuration.version);
                 this.#copies.setVersion(configuration.version, text);
                 this.#options.log.info(`version ${configuration.version} is in force.`, {
                     before,
@@ -310,13 +316,13 @@
 
     /** Records a reading of this daemon, after which its version is the newest that the store had. */
     #confirm({ at, position }: TimedReading): void {
-        if (this.#recordConfirmation(position, at)) {
+        if (this.#recordConfirmation(this.#configuration?.version ?? -Infinity, position, at)) {
             this.#options.onConfirmed(this.#watchers.listOtherWatchers(this.#options.now()));
         }
     }
 
-    #recordConfirmation(position: StorePosition, at: number): boolean {
-        const isNews = this.#freshness.recordConfirmation(position, at);
+    #recordConfirmation(version: number, position: StorePosition, at: number): boolean {
+        const isNews = this.#freshness.recordConfirmation(version, position, at);
         if (isNews) {
             this.#confirmationJitter = this.#options.random() * CONFIRMATION_JITTER;
         }
--- a/src/transport/directory/__tests__/unit/StoreFollower.test.ts
+++ b/src/transport/directory/__tests__/unit/StoreFollower.test.ts
@@ -23,7 +23,8 @@
 function createFollower(error: StoreError | undefined) {
     const calls: string[] = [];
     const freshness = new VersionFreshness(0);
-    freshness.recordConfirmation(CONFIRMED, 1);
+    freshness.recordOwn(CONFIRMED.revision);
+    freshness.recordConfirmation(CONFIRMED.revision, CONFIRMED, 1);
     const store = {
         readConfiguration: async () => {
             calls.push("listing");
--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -2,7 +2,7 @@
  * Finds the routes of requests: by the own version of the configuration, or by that of another daemon while the own one is
  * outdated. Decisions never go back to an older version.
  */
-import type { VersionLag } from "../../coordination/distribution/index.js";
+import type { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
 import { findRoute } from "../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
@@ -14,6 +14,16 @@
     readonly revision: number;
     /** Undefined when the version has no route for the request. */
     readonly route: RoutePolicy | undefined;
+    /** Time since no newer version was known to be in the store; undefined while that wasn't known. */
+    readonly confirmedAgeMs: number | undefined;
+}
+
+/** A request whose route is asked for. */
+export interface RouteQuestion {
+    readonly requestId: string;
+    readonly host: string | undefined;
+    /** Without the query. */
+    readonly path: string;
 }
 
 /** A daemon that can be reached, the nearer the lower its distance. */
@@ -23,6 +33,7 @@
 }
 
 export interface RouteResolverOptions {
+    readonly ages: DecisionAges;
     readonly lag: VersionLag;
     readonly log: PartLogger;
     readonly queries: RouteQueries;
@@ -30,8 +41,12 @@
     readonly random: () => number;
     listReachable(): readonly RouteSource[];
     readConfiguration(): TrafficConfiguration | undefined;
+    /** Time since no version newer than `version` was known to be in the store; Infinity while that isn't known. */
+    readAgeMs(version: number): number;
 }
 
+type ResolvedRoute = Omit<RouteDecision, "confirmedAgeMs">;
+
 /** Rounds of queries for a request whose route no answer names, while newer versions become known. */
 const MAXIMUM_ROUNDS = 3;
 
@@ -51,68 +66,84 @@
     }
 
     /** Finds the route of a request; undefined when no version that may decide could be asked. */
-    resolveRoute(
-        requestId: string,
-        host: string | undefined,
-        path: string,
-    ): RouteDecision | undefined | Promise<RouteDecision | undefined> {
-        const { lag, now, readConfiguration } = this.#options;
-        const configuration = readConfiguration();
-        if (configuration === undefined) {
+    resolveRoute(question: RouteQuestion): RouteDecision | undefined | Promise<RouteDecision | undefined> {
+        const resolved = this.#resolve(question);
+        return resolved instanceof Promise
+            ? resolved.then(found => this.#recordDecision(found))
+            : this.#recordDecision(resolved);
+    }
+
+    #recordDecision(resolved: ResolvedRoute | undefined): RouteDecision | undefined {
+        if (resolved === undefined) {
             return undefined;
         }
-        const route = findRoute(configuration, host, path);
-        const { revision, version } = configuration;
+        const { ages, readAgeMs } = this.#options;
+        const ageMs = readAgeMs(resolved.version);
+        ages.record(ageMs);
+        return { ...resolved, confirmedAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined };
+    }
+
+    #resolve(question: RouteQuestion): ResolvedRoute | undefined | Promise<ResolvedRoute | undefined> {
+        const configuration = this.#options.readConfiguration();
+        return configuration === undefined ? undefined : this.#resolveByOwn(question, configuration);
+    }
+
+    /** Decides by the own version, unless it is known to be outdated. */
+    #resolveByOwn(
+        question: RouteQuestion,
+        configuration: TrafficConfiguration,
+    ): ResolvedRoute | undefined | Promise<ResolvedRoute | undefined> {
+        const { lag, now } = this.#options;
+        const decision = findDecision(configuration, question);
         if (!lag.isBehind) {
-            return { revision, route, version };
+            return decision;
         }
         const sources = this.#listSources(now());
-        if (this.#isFinal({ revision, route, version }) && lag.mayDecide(sources, now())) {
-            return { revision, route, version };
+        if (this.#isFinal(decision) && lag.mayDecide(sources, now())) {
+            return decision;
         }
-        this.#reportOutdated(version);
-        return this.#resolveElsewhere(requestId, host ?? "", path, sources);
+        this.#reportOutdated(configuration.version);
+        return this.#resolveElsewhere(question, sources, lag.lowestSource);
     }
 
     /** Status 404 is final for callers, so it isn't left to a version that is known to be replaced. */
-    #isFinal({ route, version }: RouteDecision): boolean {
+    #isFinal({ route, version }: ResolvedRoute): boolean {
         const { lag, now } = this.#options;
         return route !== undefined || version >= lag.readNewestBelieved(now());
     }
 
+    /** Asks other daemons for the route by a version that isn't older than `lowest`. */
     async #resolveElsewhere(
-        requestId: string,
-        host: string,
-        path: string,
+        question: RouteQuestion,
         firstSources: readonly string[],
-    ): Promise<RouteDecision | undefined> {
+        lowest: number,
+    ): Promise<ResolvedRoute | undefined> {
         const { lag, now } = this.#options;
         let sources = firstSources;
         for (let round = 0; round < MAXIMUM_ROUNDS; round++) {
-            const decision = await this.#fetchDecision(requestId, host, path, sources);
+            const decision = await this.#fetchDecision(question, sources, Math.max(lowest, lag.lowestSource));
             if (decision === undefined || this.#isFinal(decision)) {
                 return decision;
             }
-            sources = this.#listSources(now(), lag.readNewestBelieved(now()));
+            sources = this.#listSources(now(), Math.max(lowest, lag.readNewestBelieved(now())));
         }
         this.#unresolved++;
         this.#options.log.info("newer versions became known while the route of a request was asked for.", {
             newestKnown: lag.newestKnown,
-            requestId,
+            requestId: question.requestId,
         });
         return undefined;
     }
 
     /** Gets a decision from one of some daemons, or by the own version if it has changed meanwhile. */
     async #fetchDecision(
-        requestId: string,
-        host: string,
-        path: string,
+        question: RouteQuestion,
         sources: readonly string[],
-    ): Promise<RouteDecision | undefined> {
+        lowest: number,
+    ): Promise<ResolvedRoute | undefined> {
         const { lag, log, now, queries, readConfiguration } = this.#options;
+        const { host = "", path, requestId } = question;
         const own = readConfiguration()?.version;
-        const lowest = lag.lowestSource;
         const isUsable = ({ source, version }: RouteAnswer): boolean => {
             lag.recordAnswer(source);
             lag.recordPeer(source, version, now());
@@ -120,10 +151,10 @@
         };
         const answer = await queries.fetchRoute(host, path, sources, isUsable);
         const configuration = readConfiguration();
-        if (configuration !== undefined && configuration.version !== own && !lag.isSuperseded) {
+        const isNew = configuration !== undefined && configuration.version !== own;
+        if (isNew && configuration.version >= lowest && !lag.isSuperseded) {
             // The copy has arrived meanwhile.
-            const { revision, version } = configuration;
-            return { revision, route: findRoute(configuration, host, path), version };
+            return findDecision(configuration, question);
         }
         if (answer === undefined) {
             this.#unresolved++;
@@ -166,3 +197,8 @@
         }
     }
 }
+
+function findDecision(configuration: TrafficConfiguration, { host, path }: RouteQuestion): ResolvedRoute {
+    const { revision, version } = configuration;
+    return { revision, route: findRoute(configuration, host, path), version };
+}
--- a/src/transport/routes/__tests__/unit/RouteResolver.test.ts
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { VersionLag } from "../../../../coordination/distribution/index.js";
+import { DecisionAges, VersionLag } from "../../../../coordination/distribution/index.js";
 import { Distance } from "../../../../coordination/placement/index.js";
 import type { GossipMessage } from "../../../../protocol/session/index.js";
 import { RequestKind } from "../../../../state/traffic/index.js";
@@ -61,6 +61,7 @@
     let now = 0;
     const lag = new VersionLag();
     lag.recordOwn(own.version);
+    const ages = new DecisionAges(OUTDATED_MS);
     const asked: string[] = [];
     const answering = new Map(
         Object.entries(peers).map(([id, configuration]) => [
@@ -90,12 +91,14 @@
         }
     }
     const resolver = new RouteResolver({
+        ages,
         lag,
         listReachable: () => Object.keys(peers).map(id => ({ distance: Distance.SameDomain, id })),
         log: createSilentLogger(),
         now: () => now,
         queries,
         random: () => 0.5,
+        readAgeMs: () => 0,
         readConfiguration: () => own,
     });
     return {
@@ -105,7 +108,8 @@
         },
         asked,
         lag,
-        resolve: async (path = "/stock/1") => describeDecision(await resolver.resolveRoute("r", "mesh.example", path)),
+        resolve: async (path = "/stock/1") =>
+            describeDecision(await resolver.resolveRoute({ host: "mesh.example", path, requestId: "r" })),
         setOwn: configuration => {
             own = configuration;
             lag.recordOwn(configuration.version);
--- a/src/transport/routes/index.ts
+++ b/src/transport/routes/index.ts
@@ -2,4 +2,4 @@
 export { RouteQueries } from "./RouteQueries.js";
 export type { RouteAnswer, RouteQueriesOptions } from "./RouteQueries.js";
 export { RouteResolver } from "./RouteResolver.js";
-export type { RouteDecision, RouteResolverOptions, RouteSource } from "./RouteResolver.js";
+export type { RouteDecision, RouteQuestion, RouteResolverOptions, RouteSource } from "./RouteResolver.js";
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -1,5 +1,5 @@
 /** Values of a daemon's parts that its metrics show. */
-import type { VersionLag } from "../../coordination/distribution/index.js";
+import type { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
 import type { ConfigurationManager, MemberRegistry } from "../directory/index.js";
 import type { CostlyReads } from "../input/index.js";
 import type { AdmissionController } from "../ownership/index.js";
@@ -15,6 +15,7 @@
     readonly admission: AdmissionController;
     readonly costlyReads: CostlyReads;
     readonly configurationManager: ConfigurationManager;
+    readonly decisionAges: DecisionAges;
     readonly delays: DelayMonitor;
     readonly lag: VersionLag;
     readonly memberRegistry: MemberRegistry;
@@ -49,7 +50,7 @@
 }
 
 function listConfigurationGauges(
-    { configurationManager, lag, now, routeQueries, routeResolver }: GaugeSources,
+    { configurationManager, decisionAges, lag, now, routeQueries, routeResolver }: GaugeSources,
 ): readonly Gauge[] {
     const { copies } = configurationManager;
     return [
@@ -66,6 +67,10 @@
         { name: "configuration_requests_ignored_total", read: () => copies.ignoredRequests },
         { name: "route_queries_sent_total", read: () => routeQueries.sentQueries },
         { name: "requests_without_current_route_total", read: () => routeResolver.unresolvedRequests },
+        ...decisionAges.list().map(({ decisions, upToShare }) => ({
+            name: `route_decisions_total{age="${Number.isFinite(upToShare) ? upToShare : "more"}"}`,
+            read: () => decisions,
+        })),
     ];
 }
 
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,6 +1,6 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
-import { deriveFreshnessLimits, VersionLag } from "../../coordination/distribution/index.js";
+import { DecisionAges, deriveFreshnessLimits, VersionLag } from "../../coordination/distribution/index.js";
 import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
@@ -117,6 +117,7 @@
     readonly #metrics = createRequestMetrics();
     readonly #retryBudgets: RetryBudgets;
     readonly #lag = new VersionLag();
+    readonly #decisionAges: DecisionAges;
     readonly #routeQueries: RouteQueries;
     readonly #routeResolver: RouteResolver;
     readonly #endpoints: Server[] = [];
@@ -295,6 +296,7 @@
             store: dependencies.store,
             timers: realTimers,
         });
+        this.#decisionAges = new DecisionAges(settings.configurationDeadlineMs);
         this.#routeQueries = new RouteQueries({
             onUnanswered: id => this.#lag.recordUnanswered(id, now()),
             readConfiguration: () => this.#configurationManager.configuration,
@@ -302,7 +304,9 @@
             timers: realTimers,
         });
         this.#routeResolver = new RouteResolver({
+            ages: this.#decisionAges,
             lag: this.#lag,
+            readAgeMs: version => this.#configurationManager.readVersionAgeMs(version),
             listReachable: () => this.#listReachable(),
             log: createPartLogger("configuration"),
             now,
@@ -340,7 +344,7 @@
             recordRetry: service => this.#retryBudgets.recordRetry(service),
             selfId: settings.id,
             recordRelayedAnswer: bytes => this.#admission.recordLinkUse(bytes),
-            resolveRoute: (requestId, host, path) => this.#routeResolver.resolveRoute(requestId, host, path),
+            resolveRoute: question => this.#routeResolver.resolveRoute(question),
             takeRetry: service => this.#retryBudgets.takeRetry(service),
             timers: realTimers,
             uplink: this.#uplink,
@@ -550,6 +554,7 @@
                 admission: this.#admission,
                 costlyReads: this.#costlyReads,
                 configurationManager: this.#configurationManager,
+                decisionAges: this.#decisionAges,
                 countReachable: () => this.#listReachable().length,
                 delays: this.#delays,
                 lag: this.#lag,
--- a/src/transport/sidecar/__tests__/search/CheckMutants.ts
+++ b/src/transport/sidecar/__tests__/search/CheckMutants.ts
@@ -5,6 +5,7 @@
 import { defineCommand, runMain } from "citty";
 import { join } from "node:path";
 import { MUTANTS } from "./Mutants.js";
+import type { Mutant } from "./Mutants.js";
 import { buildSearch, OUTPUT_FOLDER, runSearch } from "./SearchBuild.js";
 import type { SearchRun } from "./SearchBuild.js";
 
@@ -17,7 +18,12 @@
 }
 
 /** Searches all mutants; returns the number of those that were not found. */
-async function runAll(options: readonly string[], jobs: number, only: string | undefined): Promise<number> {
+async function runAll(
+    options: readonly string[],
+    jobs: number,
+    only: string | undefined,
+    beside: readonly Mutant[],
+): Promise<number> {
     const mutants = MUTANTS.filter(({ name }) => only === undefined || new RegExp(only).test(name));
     const waiting = [...mutants.entries()];
     let found = 0;
@@ -25,7 +31,7 @@
         for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
             const [index, mutant] = next;
             const bundle = join(OUTPUT_FOLDER, `mutant-${index}.mjs`);
-            await buildSearch(mutant, bundle);
+            await buildSearch([mutant, ...beside], bundle);
             try {
                 const run = await runSearch(bundle, options);
                 found += run.isFound ? 1 : 0;
@@ -43,11 +49,13 @@
 
 void runMain(defineCommand({
     args: {
+        beside: { description: "name of a mutant that is in each build besides", type: "string" },
         climb: {
             default: false,
             description: "begin from the histories with the latest versions",
             type: "boolean",
         },
+        ignore: { description: "rule that is not judged, in drawn histories", type: "string" },
         jobs: { default: "4", description: "searches at a time", type: "string" },
         only: { description: "pattern of the names of the mutants that are searched", type: "string" },
         runs: { default: "100", description: "histories for each mutant", type: "string" },
@@ -66,8 +74,10 @@
             "--shorten",
             "0",
             ...args.climb ? ["--climb"] : [],
+            ...args.ignore === undefined ? [] : ["--ignore", args.ignore],
         ];
-        const missed = await runAll(options, Number(args.jobs), args.only);
+        const beside = MUTANTS.filter(({ name }) => name === args.beside);
+        const missed = await runAll(options, Number(args.jobs), args.only, beside);
         process.exitCode = missed > 0 ? MISSED_EXIT_CODE : 0;
     },
 }));
--- a/src/transport/sidecar/__tests__/search/HistorySearch.ts
+++ b/src/transport/sidecar/__tests__/search/HistorySearch.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import { createHistoryArbitrary } from "./History.js";
 import type { History, HistorySize } from "./History.js";
-import type { Violation } from "./RuleJudge.js";
+import type { Rule, Violation } from "./RuleJudge.js";
 import type { Variant } from "./SimulatedDaemon.js";
 import { createVariant, runHistory } from "./SimulatedMesh.js";
 
@@ -15,6 +15,8 @@
     readonly vary?: (variant: Variant) => Variant;
     /** Changes each history before it is played. */
     readonly adapt?: (history: History) => History;
+    /** Rules that are not judged. */
+    readonly ignoredRules?: readonly Rule[];
     /** Time after which a found history is no longer shortened, in milliseconds. */
     readonly shorteningMs?: number;
 }
@@ -31,7 +33,15 @@
 }
 
 export async function findViolation(options: SearchOptions): Promise<SearchResult> {
-    const { adapt = history => history, runs, seed, shorteningMs = 60_000, size, vary = variant => variant } = options;
+    const {
+        adapt = history => history,
+        ignoredRules = [],
+        runs,
+        seed,
+        shorteningMs = 60_000,
+        size,
+        vary = variant => variant,
+    } = options;
     let handled = 0;
     let refused = 0;
     const shares: number[] = [];
@@ -43,8 +53,9 @@
         }
         const adapted = adapt(history);
         const result = await runHistory(adapted, vary(createVariant(adapted.deadlineMs)));
-        if (result.violations.length > 0) {
-            found = { history: adapted, violations: result.violations };
+        const violations = result.violations.filter(({ rule }) => !ignoredRules.includes(rule));
+        if (violations.length > 0) {
+            found = { history: adapted, violations };
             foundAt = Math.min(foundAt, performance.now());
             return false;
         }
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -109,9 +109,9 @@
     },
     {
         file: MANAGER,
-        from: "if (confirmation !== undefined && !this.#isNewer(version)) {",
+        from: "this.#recordConfirmation(version, confirmation.position,",
         name: "a confirmation of a newer version counts for the own one",
-        to: "if (confirmation !== undefined) {",
+        to: "this.#recordConfirmation(this.#options.lag.own ?? version, confirmation.position,",
     },
     {
         file: LAG,
@@ -290,9 +290,9 @@
     },
     {
         file: RESOLVER,
-        from: "configuration.version !== own && !lag.isSuperseded",
+        from: "isNew && configuration.version >= lowest && !lag.isSuperseded",
         name: "the arriving copy decides although a newer version has decided",
-        to: "configuration.version !== own",
+        to: "isNew",
     },
     {
         file: REQUEST,
--- a/src/transport/sidecar/__tests__/search/SearchBuild.ts
+++ b/src/transport/sidecar/__tests__/search/SearchBuild.ts
@@ -12,8 +12,8 @@
 const OWN_FOLDER = dirname(fileURLToPath(import.meta.url));
 const ROOT = resolve(OWN_FOLDER, "../../../../..");
 export const OUTPUT_FOLDER = join(ROOT, "target/search");
-/** Bundles the search with the product or with a mutant of it. */
-export async function buildSearch(mutant: Mutant | undefined, outfile: string): Promise<void> {
+/** Bundles the search with the product or with mutants of it, which may be in one file. */
+export async function buildSearch(mutants: readonly Mutant[], outfile: string): Promise<void> {
     await mkdir(OUTPUT_FOLDER, { recursive: true });
     await build({
         banner: {
@@ -27,28 +27,32 @@
         logLevel: "error",
         outfile,
         platform: "node",
-        plugins: mutant === undefined ? [] : [createReplacement(mutant)],
+        plugins: [createReplacements(mutants)],
         target: "node20",
     });
 }
 
-function createReplacement({ file, from, name, to }: Mutant): Plugin {
-    const path = join(ROOT, file);
+function createReplacements(mutants: readonly Mutant[]): Plugin {
     return {
-        name,
+        name: "mutants",
         setup: ({ onLoad }) => {
             onLoad({ filter: /\.ts$/ }, async args => {
-                if (args.path !== path) {
+                const replacements = mutants.filter(({ file }) => join(ROOT, file) === args.path);
+                if (replacements.length === 0) {
                     return undefined;
                 }
-                const text = await readFile(path, "utf8");
-                invariant(text.split(from).length === 2, `${file} has the text of "${name}" once`);
-                return { contents: text.replace(from, () => to), loader: "ts" };
+                const text = await readFile(args.path, "utf8");
+                return { contents: replacements.reduce(replaceText, text), loader: "ts" };
             });
         },
     };
 }
 
+function replaceText(text: string, { file, from, name, to }: Mutant): string {
+    invariant(text.split(from).length === 2, `${file} has the text of "${name}" once`);
+    return text.replace(from, () => to);
+}
+
 /** Result of a search in a process of its own. */
 export interface SearchRun {
     readonly isFound: boolean;
--- a/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
@@ -64,10 +64,10 @@
             recordRelayedAnswer: () => undefined,
             recordRequest: () => undefined,
             recordRetry: () => undefined,
-            resolveRoute: async (requestId, host, path) => {
-                const decision = await options.resolveRoute(requestId, host, path);
+            resolveRoute: async question => {
+                const decision = await options.resolveRoute(question);
                 if (decision !== undefined) {
-                    this.#decidedBy.set(requestId, decision.version);
+                    this.#decidedBy.set(question.requestId, decision.version);
                 }
                 return decision;
             },
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -1,6 +1,6 @@
 /** A daemon with the parts that decide on versions, on a simulated clock, network and store. */
 import { Right } from "purify-ts/Either";
-import { VersionLag } from "../../../../coordination/distribution/index.js";
+import { DecisionAges, VersionLag } from "../../../../coordination/distribution/index.js";
 import type { FreshnessLimits } from "../../../../coordination/distribution/index.js";
 import type { Member } from "../../../../state/members/index.js";
 import type { Random } from "../../../../state/shared/index.js";
@@ -11,7 +11,7 @@
 import type { PartLogger } from "../../../logging/index.js";
 import type { PeerNetwork } from "../../../peer/index.js";
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../../../routes/index.js";
-import type { RouteDecision } from "../../../routes/index.js";
+import type { RouteDecision, RouteQuestion } from "../../../routes/index.js";
 import { SessionManager } from "../../../sessions/index.js";
 import type { LocalStatus } from "../../../sessions/index.js";
 import { scheduleRepeating } from "../../../timers/index.js";
@@ -54,6 +54,7 @@
     readonly createSessionId: () => string;
     readonly decode: (text: string) => TrafficConfiguration;
     readonly isFirstStart: boolean;
+    readonly deadlineMs: number;
     losesCopies(): boolean;
     readonly observer: RequestObserver;
 }
@@ -62,6 +63,7 @@
     readonly id: string;
     readonly #options: SimulatedDaemonOptions;
     readonly #registry: MemberRegistry;
+    readonly #ages: DecisionAges;
     readonly #lag = new VersionLag();
     readonly #sessions: SessionManager;
     readonly #selector: SessionSelector;
@@ -79,6 +81,7 @@
         const { decode, log, network, process, random, self, store, variant } = options;
         const { now, timers } = process;
         this.id = self.id;
+        this.#ages = new DecisionAges(options.deadlineMs);
         this.#registry = new MemberRegistry({
             firstListingDelayMs: FIRST_LISTING_DELAY_MS,
             isFirstStart: options.isFirstStart,
@@ -211,7 +214,9 @@
             timers,
         });
         this.#resolver = new RouteResolver({
+            ages: this.#ages,
             lag: this.#lag,
+            readAgeMs: version => this.#configuration.readVersionAgeMs(version),
             listReachable: () => this.#listReachable(),
             log,
             now,
@@ -234,7 +239,7 @@
             random,
             readConfiguration: () => this.#configuration.configuration,
             recordOutdated: version => this.#lag.requireVersion(version + 1, now()),
-            resolveRoute: (requestId, host, path) => this.#resolveRoute(requestId, host, path),
+            resolveRoute: question => this.#resolveRoute(question),
             selfId: self.id,
             service: self.server?.service ?? "",
             timers,
@@ -286,17 +291,14 @@
         this.#callers.send(requestId, path);
     }
 
-    #resolveRoute(
-        requestId: string,
-        host: string | undefined,
-        path: string,
-    ): RouteDecision | undefined | Promise<RouteDecision | undefined> {
+    #resolveRoute(question: RouteQuestion): RouteDecision | undefined | Promise<RouteDecision | undefined> {
         const configuration = this.#configuration.configuration;
         if (!this.#options.variant.decidesAlone || configuration === undefined) {
-            return this.#resolver.resolveRoute(requestId, host, path);
+            return this.#resolver.resolveRoute(question);
         }
         const { revision, version } = configuration;
-        return { revision, route: findRoute(configuration, host, path), version };
+        const route = findRoute(configuration, question.host, question.path);
+        return { confirmedAgeMs: undefined, revision, route, version };
     }
 
     #updateSessions(): void {
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -214,6 +214,7 @@
                 invariant(version > 0, "a version has a number");
                 return this.#versions.read(version);
             },
+            deadlineMs: this.#history.deadlineMs,
             isFirstStart,
             log: this.#createLogger(vm.id),
             losesCopies: () => state.copiesLostUntil > this.#clock.now,
--- a/src/transport/sidecar/__tests__/search/main.ts
+++ b/src/transport/sidecar/__tests__/search/main.ts
@@ -4,9 +4,11 @@
  */
 import { defineCommand, runMain } from "citty";
 import { readFileSync } from "node:fs";
+import { invariant } from "../../../../state/shared/index.js";
 import type { History, HistorySize } from "./History.js";
 import { findViolationByClimbing } from "./HistoryClimb.js";
 import { findViolation } from "./HistorySearch.js";
+import { Rule } from "./RuleJudge.js";
 import { FOUND_EXIT_CODE } from "./SearchExitCode.js";
 import { runHistory } from "./SimulatedMesh.js";
 
@@ -19,6 +21,12 @@
     return { daemonsPerDomain, domainsPerRegion, regions };
 }
 
+function parseRule(text: string): Rule {
+    const rule = Object.values(Rule).find(other => other === text);
+    invariant(rule !== undefined, `rule "${text}" is one of ${Object.values(Rule).join(", ")}`);
+    return rule;
+}
+
 /** Tells how much happened: a history in which no replaced version decided can't show a fault. */
 function describeShares(shares: readonly number[]): string {
     const sorted = shares.toSorted((left, right) => left - right);
@@ -35,6 +43,7 @@
         climb: { default: false, description: "begin from the histories with the latest versions", type: "boolean" },
         exact: { default: false, description: "all meshes have the given size", type: "boolean" },
         history: { description: "file with a history to be played with its log", type: "string" },
+        ignore: { description: "rule that is not judged, in drawn histories", type: "string" },
         runs: { default: "200", description: "number of histories", type: "string" },
         seed: { default: "1", description: "seed of the search", type: "string" },
         shorten: { default: "60", description: "seconds for shortening a found history", type: "string" },
@@ -60,6 +69,7 @@
                 shorteningMs: Number(args.shorten) * 1_000,
                 ...args.exact ? { adapt: history => ({ ...history, ...size }) } : {},
                 size,
+                ...args.ignore === undefined ? {} : { ignoredRules: [parseRule(args.ignore)] },
             });
         const seconds = Math.round((performance.now() - startedAt) / 1_000);
         printLine(
--- a/src/transport/sidecar/__tests__/unit/FoundHistories.test.ts
+++ b/src/transport/sidecar/__tests__/unit/FoundHistories.test.ts
@@ -20,7 +20,7 @@
         await mkdir(OUTPUT_FOLDER, { recursive: true });
         const path = join(OUTPUT_FOLDER, `found-${process.pid}-${index}`);
         await writeFile(`${path}.json`, JSON.stringify(history));
-        await buildSearch(MUTANTS.find(({ name }) => name === mutant), `${path}.mjs`);
+        await buildSearch(MUTANTS.filter(({ name }) => name === mutant), `${path}.mjs`);
         const { isFound, output } = await runSearch(`${path}.mjs`, ["--history", `${path}.json`]);
         expect(isFound).toBe(true);
         expect(output).toMatch(/BROKEN (?:late|not in force)/);
--- a/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
+++ b/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
@@ -40,7 +40,7 @@
 async function findMutant({ name, runs = RUNS, seed = SEED }: Omit<FoundMutant, "rules">) {
     const index = MUTANTS.findIndex(mutant => mutant.name === name);
     const bundle = join(OUTPUT_FOLDER, `tested-${process.pid}-${index}.mjs`);
-    await buildSearch(MUTANTS[index], bundle);
+    await buildSearch(MUTANTS.filter(mutant => mutant.name === name), bundle);
     const { isFound, output } = await runSearch(bundle, ["--seed", seed, "--runs", runs, "--shorten", "0"]);
     return { isFound, rule: /"rule":"([^"]+)"/.exec(output)?.[1] };
 }
@@ -60,7 +60,7 @@
 
     it("fails for a mutant that only throws", async () => {
         const bundle = join(OUTPUT_FOLDER, `tested-${process.pid}-throwing.mjs`);
-        await buildSearch(THROWING_MUTANT, bundle);
+        await buildSearch([THROWING_MUTANT], bundle);
         await expect(runSearch(bundle, ["--runs", "1"])).rejects.toThrow("ended with exit code 1");
     }, TEST_TIMEOUT_MS);
 
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -593,6 +593,7 @@
         this.#context.recorder.record({
             attempts: this.#placementCount,
             class: route.name,
+            confirmedAgeMs: this.#plan.confirmedAgeMs,
             detail: detail === "" ? undefined : detail,
             hop: owner === undefined ? undefined : owner.id === this.#context.selfId ? Hop.Local : Hop.Relayed,
             latencyMs: this.#context.now() - arrivedAt,
--- a/src/transport/traffic/ForwardingPlan.ts
+++ b/src/transport/traffic/ForwardingPlan.ts
@@ -38,6 +38,8 @@
     /** Version of the configuration that contains the route, and its revision in the store. */
     readonly version: number;
     readonly revision: number;
+    /** Time since no newer version was known to be in the store, at the decision; undefined while that wasn't known. */
+    readonly confirmedAgeMs: number | undefined;
     /** How often newer versions have led the request elsewhere. */
     readonly reroutes: number;
     readonly service: string;
--- a/src/transport/traffic/RequestRouter.ts
+++ b/src/transport/traffic/RequestRouter.ts
@@ -5,7 +5,7 @@
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest } from "../ownership/index.js";
-import type { RouteDecision } from "../routes/index.js";
+import type { RouteDecision, RouteQuestion } from "../routes/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import { answerClientError, answerUnavailable } from "./DaemonAnswers.js";
 import { ForwardedRequest } from "./ForwardedRequest.js";
@@ -22,11 +22,7 @@
     /** Counts a call of a request that runs again, which is a retry for the service that is called. */
     recordRetry(service: string): void;
     /** Finds the route of a request; undefined when no version that may decide could be asked. */
-    resolveRoute(
-        requestId: string,
-        host: string | undefined,
-        path: string,
-    ): RouteDecision | undefined | Promise<RouteDecision | undefined>;
+    resolveRoute(question: RouteQuestion): RouteDecision | undefined | Promise<RouteDecision | undefined>;
     /** Called when the owner of a server has a newer version, by which a decision of `version` is outdated. */
     recordOutdated(version: number): void;
 }
@@ -90,7 +86,7 @@
     async decide(exchange: CallerExchange, requestId: string, target: string): Promise<FoundRoute | undefined> {
         const { host } = exchange.request.headers;
         const path = getPath(target);
-        const pending = this.#options.resolveRoute(requestId, host, path);
+        const pending = this.#options.resolveRoute({ host, path, requestId });
         const decision = await pending;
         if (pending instanceof Promise && exchange.hasCallerLeft) {
             this.#options.log.info("request dropped: its caller has left.", { requestId });
@@ -105,13 +101,13 @@
             );
             return undefined;
         }
-        const { revision, route, version } = decision;
+        const { confirmedAgeMs, revision, route, version } = decision;
         if (route === undefined) {
             const detail = `version ${version} has no route for ${host ?? "no host"} ${path}`;
             answerClientError(this.#options, exchange, requestId, NOT_FOUND_STATUS, detail);
             return undefined;
         }
-        return { revision, route, version };
+        return { confirmedAgeMs, revision, route, version };
     }
 
     /** Forwards a request to a service of its route, unless its caller has left. */
@@ -142,6 +138,7 @@
             body,
             callerDeadlineAt: arrivedAt + budgetMs,
             callerService: this.#options.readCallerService(),
+            confirmedAgeMs: decision.confirmedAgeMs,
             deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),
             headers: this.#copyHeaders(exchange),
             isNested: parent !== undefined,
@@ -178,10 +175,11 @@
             onComplete();
             return;
         }
-        const { revision, route, version } = decision;
+        const { confirmedAgeMs, revision, route, version } = decision;
         this.#options.recordRequest(service, plan.isNested);
         const next = {
             ...plan,
+            confirmedAgeMs,
             deadlineAt: Math.min(callerDeadlineAt, arrivedAt + route.timeoutMs),
             reroutes: plan.reroutes + 1,
             revision,
