Count the confirmation by a watch from the start of the watch

Cause: a watch that told no version confirmed the version in force at the time at which its answer was read, up to the whole wait of 4 s. The store may cut a watch short ('may be cut off'), and a slow daemon reads the answer late; then the age was younger than it is, by the time that the answer was on its way, and was passed on to other daemons so. Change: such a watch counts from its start, as checks do, which confirm the version meanwhile. A mutant takes that out. The test failed before: an answer that took 300 ms had an age of 0.1 ms. Tests of directory and LostWatches pass.

--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -131,15 +131,9 @@
         const { now, store } = this.#options;
         return await this.#call(async () => {
             const startedAt = now();
+            // The store may cut a watch short, and its answer may be read late, so only its start is certain.
             const watch = store.watchConfiguration(position, WATCH_WAIT_MS).then(result =>
-                // A watch without a version was answered after its whole wait; its answer may have come late.
-                result.map(reading =>
-                    addTime(
-                        reading.configuration === undefined ? Math.min(now(), startedAt + WATCH_WAIT_MS) : startedAt,
-                    )(
-                        reading,
-                    )
-                )
+                result.map(addTime(startedAt))
             );
             return await this.#guard.awaitWatch(watch, () => this.#check(position));
         });
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -223,6 +223,29 @@
     });
 });
 
+/** Guards against a watch that the store cuts short, and whose answer counts as new when it is read late. */
+describe("the confirmation by a watch that tells no version", () => {
+    const ANSWER_MS = 300;
+    const TIMER_TOLERANCE_MS = 2;
+
+    it("is as old as the watch, whose answer may have been on its way for as long", async () => {
+        const read = async (waitMs: number | undefined) => {
+            const isWatch = waitMs !== undefined && waitMs !== CHECK_WAIT_MS;
+            await new Promise(resolve => setTimeout(resolve, isWatch ? ANSWER_MS : READING_MS));
+            const { configuration, position } = createReading(5);
+            return Right({ configuration: isWatch ? undefined : configuration, position });
+        };
+        const ages: number[] = [];
+        const manager = createStoreManager(read, () => undefined, 10_000, () => {
+            ages.push(manager.readConfirmedAgeMs());
+        });
+        manager.start();
+        await expect.poll(() => ages.length, { timeout: 5_000 }).toBeGreaterThan(1);
+        manager.stop();
+        expect(ages[1]).toBeGreaterThanOrEqual(ANSWER_MS - TIMER_TOLERANCE_MS);
+    });
+});
+
 /** Guards against a daemon that goes on with a version that nobody confirms, since the store keeps it from registering. */
 describe("a daemon that has not read the records of the others", () => {
     const DEADLINE_MS = 1_500;
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -264,6 +264,12 @@
         name: "lost watches still delay the turn of those behind them",
         to: "place + 1",
     },
+    {
+        file: FOLLOWER,
+        from: "result.map(addTime(startedAt))\n            );",
+        name: "a watch without a version counts from its answer",
+        to: "result.map(addTime(now()))\n            );",
+    },
     {
         file: FOLLOWER,
         from: "return this.#recordAnswer(result.map(addTime(startedAt)), startedAt);",
