Report a watch as working until its answer, and test how many daemons watch

What was seen: LostWatches.test.ts, four daemons watched the store for 15 s after the start of a region of six, where two are wanted; beside load, once. Cause: dated the confirmation by a watch from its start, rightly, and the report of the watch with it. The second watcher of a region seldom checks the store, so its report became up to 8 s old, more than the 6 s for which reports count, and others took over. Change: a reading has two times: when nothing newer was there (the start), and until when the store has answered, for the report.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -294,7 +294,9 @@
     /** Applies a reading of the watch, which may have just begun. */
     #applyWatchedReading(reading: TimedReading): boolean {
         // A version that a long watch tells shows that it works now; an answer without one may have been read late.
-        this.#watchers.recordOwnWatch(reading.configuration === undefined ? reading.at : this.#options.now());
+        this.#watchers.recordOwnWatch(
+            reading.configuration === undefined ? reading.workedUntil : this.#options.now(),
+        );
         const isTakeover = this.#isConfirmationMissing;
         const isApplied = this.#applyReading(reading);
         if (isTakeover && isApplied) {
--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -133,7 +133,11 @@
             const startedAt = now();
             // The store may cut a watch short, and its answer may be read late, so only its start is certain.
             const watch = store.watchConfiguration(position, WATCH_WAIT_MS).then(result =>
-                result.map(addTime(startedAt))
+                result.map(reading => ({
+                    ...reading,
+                    at: startedAt,
+                    workedUntil: Math.min(now(), startedAt + WATCH_WAIT_MS),
+                }))
             );
             return await this.#guard.awaitWatch(watch, () => this.#check(position));
         });
@@ -196,5 +200,5 @@
 }
 
 function addTime(at: number): (reading: ConfigurationReadResult) => TimedReading {
-    return reading => ({ ...reading, at });
+    return reading => ({ ...reading, at, workedUntil: at });
 }
--- a/src/transport/directory/WatchGuard.ts
+++ b/src/transport/directory/WatchGuard.ts
@@ -7,9 +7,12 @@
 import type { ConfigurationReadResult, StoreError } from "../../state/store/index.js";
 import { MINIMUM_CHECK_PAUSE_MS } from "./DirectoryConstants.js";
 
-/** A reading of the store, with a time at which nothing newer was there. */
+/** A reading of the store. */
 export interface TimedReading extends ConfigurationReadResult {
+    /** Time at which nothing newer was there. */
     readonly at: number;
+    /** Time until which the store has answered; not a confirmation, since the answer may be read late. */
+    readonly workedUntil: number;
 }
 
 export type StoreReading = Either<StoreError, TimedReading>;
--- a/src/transport/directory/__tests__/unit/WatchGuard.test.ts
+++ b/src/transport/directory/__tests__/unit/WatchGuard.test.ts
@@ -24,10 +24,12 @@
 }
 
 function createReading(version?: number): TimedReading {
+    const at = performance.now();
     return {
-        at: performance.now(),
+        at,
         configuration: version === undefined ? undefined : { revision: version, text: "", version },
         position: { era: 0, revision: version ?? 0 },
+        workedUntil: at,
     };
 }
 
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -269,9 +269,9 @@
     },
     {
         file: FOLLOWER,
-        from: "result.map(addTime(startedAt))\n            );",
+        from: "at: startedAt,\n",
         name: "a watch without a version counts from its answer",
-        to: "result.map(addTime(now()))\n            );",
+        to: "at: now(),\n",
     },
     {
         file: FOLLOWER,
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -66,6 +66,8 @@
     readonly handled: number;
     readonly refused: number;
     readonly storeCalls: number;
+    /** Daemons that watch the store at the end. */
+    readonly watching: number;
     /** Longest time, as a share of the deadline, for which a daemon in touch went on with a version after the next one. */
     readonly longestShare: number;
 }
@@ -163,6 +165,7 @@
             refused: this.#refused,
             storeCalls: this.#store.calls,
             violations: this.#violations,
+            watching: this.#vms.filter(({ daemon }) => daemon?.isWatching === true).length,
         };
     }
 
