Let a lease count again as soon as any confirmation has renewed it

Cause: after a renewal that nobody had answered, requests were decided without a confirmation until a later renewal had succeeded. When confirmations returned by pings or a watch, no renewal was needed, so the state stayed, and the next time that confirmations were missing no request waited. Found by reading. Change: each confirmation that renews the lease ends that state. The test failed before (unconfirmable where expired is right).

--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -113,7 +113,10 @@
 
     /** Notes that a confirmation has arrived, of the own version or of a newer one. */
     handleConfirmation(): void {
-        this.#endWait();
+        if (this.#isRenewed(this.#options.now())) {
+            this.#endWait();
+            this.#handleRenewed();
+        }
     }
 
     #renew(): Promise<boolean> {
@@ -149,16 +152,11 @@
             return false;
         }
         await new Promise<void>(resolve => {
-            const end = (): void => {
+            const cancel = timers.after(step.waitMs, resolve);
+            this.#endWait = () => {
                 cancel();
                 resolve();
             };
-            const cancel = timers.after(step.waitMs, end);
-            this.#endWait = () => {
-                if (this.#isRenewed(this.#options.now())) {
-                    end();
-                }
-            };
             this.#askDaemons();
         });
         this.#endWait = () => undefined;
--- a/src/transport/directory/__tests__/unit/VersionLease.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionLease.test.ts
@@ -73,6 +73,7 @@
     return {
         advance: (ms: number) => vi.advanceTimersByTimeAsync(ms),
         asked,
+        confirm,
         check: () => lease.check(OWN, now()),
         lease,
         state,
@@ -159,6 +160,17 @@
         expect(check()).toBe(LeaseState.Unconfirmable);
     });
 
+    it("counts as before once another daemon has confirmed the version unasked, so that requests wait again", async () => {
+        const { advance, check, confirm } = createLease({ answersStore: false });
+        await advance(DEADLINE_MS);
+        check();
+        await advance(300);
+        expect(check()).toBe(LeaseState.Unconfirmable);
+        confirm(OWN);
+        await advance(DEADLINE_MS);
+        expect(check()).toBe(LeaseState.Expired);
+    });
+
     it("is tried again by later requests, and counts as before once the store answers", async () => {
         const { advance, check, state } = createLease({ answersStore: false });
         await advance(DEADLINE_MS);
