Take routes of confirmed newer versions from other daemons also while nobody answers renewals

Cause: a daemon whose last renewal nobody had answered decided by its own version even when another daemon had told meanwhile that it has a newer one, confirmed within the lease; for 0.5 s from then on the decision could break the rule. Found by reading. Change: the resolver looks for such a daemon first, whatever the state of the renewal. The test failed before (version 4 for 6). FoundHistories and MutantSearch pass; the mutant without the lease follows the text.

--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -96,7 +96,17 @@
         if (configuration === undefined) {
             return undefined;
         }
-        return lease.check(configuration.version, now()) === LeaseState.Expired
+        const state = lease.check(configuration.version, now());
+        if (state === LeaseState.Valid) {
+            return this.#resolveByOwn(question, configuration);
+        }
+        const { sources, version } = this.#findConfirmedSources(configuration.version);
+        if (version !== undefined && sources.length > 0) {
+            this.#reportOutdated(configuration.version);
+            return this.#resolveElsewhere(question, sources, version);
+        }
+        // While nobody can confirm a version the own one decides, since callers need the service also then.
+        return state === LeaseState.Expired
             ? this.#resolveAfterRenewal(question, configuration.version)
             : this.#resolveByOwn(question, configuration);
     }
@@ -119,35 +129,25 @@
         return this.#resolveElsewhere(question, sources, lag.lowestSource);
     }
 
-    /**
-     * Decides once the own version is confirmed again, or by a newer one that another daemon has confirmed. Without any
-     * answer the own version decides, since callers need the service also while the store is away.
-     */
+    /** Waits for a renewal of the lease, and decides by what it has confirmed, or by the own version if nobody has answered. */
     async #resolveAfterRenewal(question: RouteQuestion, own: number): Promise<ResolvedRoute | undefined> {
         const { lease, log, now, readConfiguration } = this.#options;
-        let isUnanswered = false;
-        if (this.#findConfirmedSources(own).sources.length === 0) {
-            const timeLeftMs = question.readTimeLeftMs();
-            const limitMs = timeLeftMs === undefined ? RENEWAL_WAIT_MS : timeLeftMs * RENEWAL_WAIT_SHARE;
-            const outcome = await lease.awaitRenewal(limitMs);
-            if (outcome === RenewalOutcome.OutOfTime) {
-                this.#unresolved++;
-                log.info("the version could not be confirmed in the time of a request.", {
-                    limitMs: Math.round(limitMs),
-                    requestId: question.requestId,
-                    version: own,
-                });
-                return undefined;
-            }
-            isUnanswered = outcome === RenewalOutcome.Unanswered;
-        }
+        const timeLeftMs = question.readTimeLeftMs();
+        const limitMs = timeLeftMs === undefined ? RENEWAL_WAIT_MS : timeLeftMs * RENEWAL_WAIT_SHARE;
+        const outcome = await lease.awaitRenewal(limitMs);
         const configuration = readConfiguration();
-        if (configuration === undefined) {
+        if (outcome === RenewalOutcome.OutOfTime || configuration === undefined) {
+            this.#unresolved++;
+            log.info("the version could not be confirmed in the time of a request.", {
+                limitMs: Math.round(limitMs),
+                requestId: question.requestId,
+                version: own,
+            });
             return undefined;
         }
         const { sources, version } = this.#findConfirmedSources(configuration.version);
         const isValid = lease.check(configuration.version, now()) === LeaseState.Valid;
-        if (isValid || isUnanswered || version === undefined) {
+        if (isValid || version === undefined || outcome === RenewalOutcome.Unanswered && sources.length === 0) {
             return await this.#resolveByOwn(question, configuration);
         }
         this.#reportOutdated(configuration.version);
--- a/src/transport/routes/__tests__/unit/RouteResolver.test.ts
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -331,6 +331,20 @@
         expect(countDecisions()).toEqual([0, 0, 0, 0, 1]);
     });
 
+    it("comes from a daemon with the confirmed version also after a renewal that nobody has answered", async () => {
+        const { end, lease, limits } = createExpiredLease();
+        const { lag, resolve } = createResolver(
+            createConfiguration(4, "ledger"),
+            { b: createConfiguration(6, "workroom") },
+            { ...lease, check: () => LeaseState.Unconfirmable },
+        );
+        expect(await resolve()).toBe("4: ledger");
+        lag.recordPeer("b", 6, 0);
+        end(RenewalOutcome.Unanswered, 6);
+        expect(await resolve()).toBe("6: workroom");
+        expect(limits).toEqual([]);
+    });
+
     it("is unknown when the caller's time is over before the renewal", async () => {
         const { end, lease } = createExpiredLease();
         const { resolve } = createResolver(createConfiguration(4, "ledger"), {}, lease);
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -323,8 +323,8 @@
     },
     {
         file: RESOLVER,
-        from: "return lease.check(configuration.version, now()) === LeaseState.Expired",
+        from: "const state = lease.check(configuration.version, now());",
         name: NO_LEASE,
-        to: "return lease === undefined && now() === 0",
+        to: "const state = lease === undefined ? now() : LeaseState.Valid;",
     },
 ];
