Hold no request for a store that is known to be silent

Cause: a daemon that takes over learns that the store is silent at 0.5 to 0.7 of the deadline, but the renewal from 0.8 on waited for another reading, with a timeout that each missed answer doubles. Change: when the store has left a call of this daemon unanswered since the version was last confirmed, the renewal doesn't wait for its reading, so that its outcome is known before the lease ends; the answer renews the lease whenever it comes. A refusal is an answer.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -117,6 +117,7 @@
         this.#lease = new VersionLease({
             ...options,
             freshness: this.#freshness,
+            isStoreSilentSince: at => this.#follower.isStoreSilentSince(at),
             readStore: () => this.#readStore(),
         });
     }
--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -43,6 +43,8 @@
     #position: StorePosition | undefined;
     #isStopping = false;
     #isStoreUnreachable = false;
+    /** When the store has left the last check or reading unanswered; undefined once it has answered or refused one. */
+    #unansweredAt: number | undefined;
 
     constructor(options: StoreFollowerOptions) {
         this.#options = options;
@@ -57,6 +59,11 @@
         return this.#position !== undefined;
     }
 
+    /** Whether the store has left a check or a reading unanswered since a time, and answered none after it. */
+    isStoreSilentSince(at: number): boolean {
+        return this.#unansweredAt !== undefined && this.#unansweredAt >= at;
+    }
+
     start(): void {
         void this.#run();
     }
@@ -152,6 +159,8 @@
     }
 
     #recordAnswer(result: StoreReading, startedAt: number): StoreReading {
+        const isUnanswered = result.swap().map(({ kind }) => kind !== "refused").orDefault(false);
+        this.#unansweredAt = isUnanswered ? this.#options.now() : undefined;
         if (result.isRight()) {
             this.#timeout.recordAnswer(this.#options.now() - startedAt);
         }
--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -50,6 +50,8 @@
     countDaemons(): number;
     /** Asks another daemon for its status, with the confirmation of its version; false when it can't be asked. */
     requestStatus(id: string): boolean;
+    /** Whether the store has left a call of this daemon unanswered since a time, and answered none after it. */
+    isStoreSilentSince(at: number): boolean;
     /** Reads the newest version from the store; resolves with whether it has answered, also by a refusal. */
     readStore(): Promise<boolean>;
 }
@@ -144,9 +146,9 @@
 
     /** Returns whether the step was answered. */
     async #execute(step: RenewalStep): Promise<boolean> {
-        const { countDaemons, readStore, timers } = this.#options;
+        const { countDaemons, timers } = this.#options;
         if (step.kind === RenewalStepKind.ReadStore) {
-            return await readStore();
+            return await this.#readStore();
         }
         if (countDaemons() <= 1) {
             return false;
@@ -163,6 +165,15 @@
         return this.#isRenewed(this.#options.now());
     }
 
+    /** Reads the store, without waiting for one that is known to be silent; its answer renews the lease whenever it comes. */
+    async #readStore(): Promise<boolean> {
+        const { isStoreSilentSince, lag, now, readStore } = this.#options;
+        const confirmedAt = now() - this.readAgeMs(lag.own ?? -Infinity, now());
+        const isSilent = isStoreSilentSince(confirmedAt);
+        const reading = readStore();
+        return isSilent ? false : await reading;
+    }
+
     #askDaemons(): void {
         const { listReachable, random, requestStatus } = this.#options;
         let asked = 0;
--- a/src/transport/directory/__tests__/unit/VersionLease.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionLease.test.ts
@@ -31,7 +31,7 @@
     const startedAt = Date.now();
     const now = (): number => Date.now() - startedAt;
     const asked: string[] = [];
-    const state = { answersStore, storeReads: 0 };
+    const state = { answersStore, isStoreSilent: false, storeReads: 0 };
     const freshness = new VersionFreshness(0);
     freshness.recordOwn(OWN);
     freshness.recordConfirmation(OWN, POSITION, 0);
@@ -44,6 +44,7 @@
     const lease: VersionLease = new VersionLease({
         countDaemons: () => daemons,
         freshness,
+        isStoreSilentSince: () => state.isStoreSilent,
         lag,
         limits: LIMITS,
         listReachable: () => ["a", "b"].map(id => ({ distance: Distance.SameDomain, id })),
@@ -160,6 +161,24 @@
         expect(check()).toBe(LeaseState.Unconfirmable);
     });
 
+    it("holds no request for the answer of a store that is known to be silent, and is renewed when the answer comes", async () => {
+        const { advance, check, state } = createLease({});
+        state.isStoreSilent = true;
+        await advance(LIMITS.renewLeaseAfterMs + 1);
+        expect(check()).toBe(LeaseState.Valid);
+        await advance(DEADLINE_MS - LIMITS.renewLeaseAfterMs);
+        expect([check(), state.storeReads]).toEqual([LeaseState.Valid, 1]);
+    });
+
+    it("is known before it ends when the store is silent, so that no request waits", async () => {
+        const { advance, check, state } = createLease({ answersStore: false });
+        state.isStoreSilent = true;
+        await advance(LIMITS.renewLeaseAfterMs + 1);
+        check();
+        await advance(LIMITS.leaseMs - LIMITS.renewLeaseAfterMs);
+        expect(check()).toBe(LeaseState.Unconfirmable);
+    });
+
     it("counts as before once another daemon has confirmed the version unasked, so that requests wait again", async () => {
         const { advance, check, confirm } = createLease({ answersStore: false });
         await advance(DEADLINE_MS);
