--- a/src/coordination/distribution/DecisionAges.ts
+++ b/src/coordination/distribution/DecisionAges.ts
@@ -1,4 +1,4 @@
-/** Counts decisions on requests by the age of the version that decided, as shares of the time in which versions come into force. */
+/** Counts decisions on requests by the age of the version that decided, as a share of the deadline of versions. */
 
 /** Shares up to which an age belongs to each count; the last count has the rest, and unknown ages. */
 const AGE_SHARES = [0.25, 0.5, 0.8, 1, Infinity] as const;
