--- a/src/transport/sidecar/__tests__/unit/HistorySearch.test.ts
+++ b/src/transport/sidecar/__tests__/unit/HistorySearch.test.ts
@@ -20,6 +20,8 @@
 const REPORTS_COUNT_LONG = { readLateAfterMs: 6_000, takeOverAfterMs: 6_000 };
 /** Limits before the store was checked beside a watch: its end was noticed after its whole wait. */
 const WATCHES_ARE_TRUSTED = { confirmAfterMs: 3_200 };
+/** Limits before versions had leases, which stand behind all of the above. */
+const NO_LEASES = { leaseMs: Infinity, renewLeaseAfterMs: Infinity };
 
 interface Cause {
     readonly name: string;
@@ -40,7 +42,7 @@
         vary: variant =>
             replaceLimits(
                 { ...variant, decidesAlone: true, fillsLinks: true, runsOutdated: true },
-                { ...REPORTS_COUNT_LONG, ...WATCHES_ARE_TRUSTED },
+                { ...REPORTS_COUNT_LONG, ...WATCHES_ARE_TRUSTED, ...NO_LEASES },
             ),
     },
     {
@@ -55,14 +57,14 @@
         name: "a store that is silent for those that watch it",
         runs: 40,
         seed: 1,
-        vary: variant => replaceLimits(variant, WATCHES_ARE_TRUSTED),
+        vary: variant => replaceLimits(variant, { ...WATCHES_ARE_TRUSTED, ...NO_LEASES }),
     },
     {
         faults: [FaultKind.Freeze, FaultKind.PowerOff, FaultKind.Cut],
         name: "silent watchers whose reports still count",
         runs: 120,
         seed: 1,
-        vary: variant => replaceLimits(variant, REPORTS_COUNT_LONG),
+        vary: variant => replaceLimits(variant, { ...REPORTS_COUNT_LONG, ...NO_LEASES }),
     },
 ];
 
