--- a/src/transport/sidecar/__tests__/search/FoundHistories.ts
+++ b/src/transport/sidecar/__tests__/search/FoundHistories.ts
@@ -12,6 +12,40 @@
     readonly history: History;
 }
 
+/** The daemons next in line stand still while a release replaces VMs. */
+const LINE_FROZEN_IN_RELEASE: History = {
+    daemonsPerDomain: 3,
+    deadlineMs: 2000,
+    domainsPerRegion: 3,
+    faults: [
+        {
+            atMs: 1106,
+            count: 6,
+            first: 14,
+            forMs: 5395,
+            kind: FaultKind.Release,
+            strength: 55,
+            target: TargetKind.Daemons,
+        },
+        {
+            atMs: 2466,
+            count: 7,
+            first: 14,
+            forMs: 3486,
+            kind: FaultKind.Freeze,
+            strength: 12,
+            target: TargetKind.Line,
+        },
+    ],
+    firstChangeMs: 1752,
+    isFirstStart: false,
+    regions: 2,
+    seed: 586328234,
+    versionGapsMs: [735, 405, 157, 130, 159],
+    weakShare: 20,
+    weakness: 7,
+};
+
 export const FOUND_HISTORIES: readonly FoundHistory[] = [
     {
         history: {
@@ -164,73 +198,11 @@
         mutants: ["the transit of a confirmation isn't counted"],
     },
     {
-        history: {
-            daemonsPerDomain: 3,
-            deadlineMs: 2000,
-            domainsPerRegion: 3,
-            faults: [
-                {
-                    atMs: 1106,
-                    count: 6,
-                    first: 14,
-                    forMs: 5395,
-                    kind: FaultKind.Release,
-                    strength: 55,
-                    target: TargetKind.Daemons,
-                },
-                {
-                    atMs: 2466,
-                    count: 7,
-                    first: 14,
-                    forMs: 3486,
-                    kind: FaultKind.Freeze,
-                    strength: 12,
-                    target: TargetKind.Line,
-                },
-            ],
-            firstChangeMs: 1752,
-            isFirstStart: false,
-            regions: 2,
-            seed: 586328234,
-            versionGapsMs: [735, 405, 157, 130, 159],
-            weakShare: 20,
-            weakness: 7,
-        },
+        history: LINE_FROZEN_IN_RELEASE,
         mutants: ["reports of watches count although confirmations are missing", NO_LEASE],
     },
     {
-        history: {
-            daemonsPerDomain: 3,
-            deadlineMs: 2000,
-            domainsPerRegion: 3,
-            faults: [
-                {
-                    atMs: 1106,
-                    count: 6,
-                    first: 14,
-                    forMs: 5395,
-                    kind: FaultKind.Release,
-                    strength: 55,
-                    target: TargetKind.Daemons,
-                },
-                {
-                    atMs: 2466,
-                    count: 7,
-                    first: 14,
-                    forMs: 3486,
-                    kind: FaultKind.Freeze,
-                    strength: 12,
-                    target: TargetKind.Line,
-                },
-            ],
-            firstChangeMs: 1752,
-            isFirstStart: false,
-            regions: 2,
-            seed: 586328234,
-            versionGapsMs: [735, 405, 157, 130, 159],
-            weakShare: 20,
-            weakness: 7,
-        },
+        history: LINE_FROZEN_IN_RELEASE,
         mutants: ["watches are trusted whatever was lost", NO_LEASE],
     },
     {
