Count the time that a suspended VM's steady clock doesn't into the ages of versions

What callers would see: requests that a replaced version decides after its deadline, at daemons in touch. Change: AgeClock goes ahead by what the time of day has advanced beyond the steady clock; versions, leases and transits use it. Sent times stay on the steady clock, since a step ahead would make messages seem younger at the other side.

--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -166,9 +166,9 @@
     }
 
     #measureTransit(sentAt: number): number {
-        const now = this.#dependencies.now();
+        const { measureSince, now } = this.#dependencies.ageClock;
         // The other side sends nothing but its hello before it has the welcome.
-        return Math.min(this.#transit.measureTransit(sentAt, now), now - this.#attachedAt);
+        return Math.min(this.#transit.measureTransit(sentAt, now()), measureSince(this.#attachedAt));
     }
 
     #acknowledge(received: number): void {
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -373,10 +373,11 @@
     }
 
     #handlePong(message: SessionMessageOf<"pong">): void {
-        const roundTripMs = this.#options.now() - message.sentAt;
-        this.#transit.recordRoundTrip(roundTripMs);
-        this.#options.onStatus({ ...addTransit(message, roundTripMs), id: this.#member.id });
-        this.#options.onRoundTrip(this.#member.id, roundTripMs);
+        const { ageClock, now, onRoundTrip, onStatus } = this.#options;
+        const transitMs = ageClock.measureSince(message.sentAt);
+        this.#transit.recordRoundTrip(transitMs);
+        onStatus({ ...addTransit(message, transitMs), id: this.#member.id });
+        onRoundTrip(this.#member.id, now() - message.sentAt);
     }
 
     #recordLoad(load: OwnerLoad): void {
@@ -410,7 +411,7 @@
         this.#server = welcome.server ?? (welcome.isResumed ? undefined : this.#server);
         this.#options.onMembers([welcome.member]);
         this.#options.onLoad(this.#member.id, welcome.load);
-        const handshakeMs = this.#options.now() - this.#helloSentAt;
+        const handshakeMs = this.#options.ageClock.measureSince(this.#helloSentAt);
         this.#options.onStatus({ ...addTransit(welcome, handshakeMs), id: this.#member.id });
         this.#options.onConnected(this.#member.id);
         for (const pending of this.#pending.values()) {
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -5,7 +5,7 @@
 import type { Member } from "../../state/members/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
-import type { Timers } from "../timers/index.js";
+import type { AgeClock, Timers } from "../timers/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 
 /** Status that a daemon sends with each ping and pong. */
@@ -30,6 +30,8 @@
     readonly log: PartLogger;
     /** Monotonic clock, in milliseconds. */
     readonly now: () => number;
+    /** Measures how long messages were on their way, for the ages that they tell. */
+    readonly ageClock: Pick<AgeClock, "measureSince" | "now">;
     readonly random: () => number;
     readonly timers: Timers;
     readSelf(): Member;
--- a/src/transport/sessions/TransitBound.ts
+++ b/src/transport/sessions/TransitBound.ts
@@ -19,7 +19,8 @@
 
     /**
      * Returns the longest time that a message can have been on its way, from its time by the other clock; Infinity while no
-     * round trip is known. The fastest message took at most the shortest round trip.
+     * round trip is known. The fastest message took at most the shortest round trip. The other clock may stand still and
+     * `now` may go ahead, which make the result longer; neither may do the reverse.
      */
     measureTransit(sentAt: number, now: number): number {
         const offsetMs = now - sentAt;
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -7,7 +7,7 @@
 import { UplinkSender } from "../../../uplink/index.js";
 import { CallerSession } from "../../CallerSession.js";
 import type { PeerStatus } from "../../SessionTypes.js";
-import { createMember } from "../fixtures/SessionManagers.js";
+import { createAgeClock, createMember } from "../fixtures/SessionManagers.js";
 
 const LOAD = {
     coldLeftMs: 0,
@@ -43,8 +43,13 @@
     readonly submitted: string[];
 }
 
-function createCallerSession({ statuses, submitted }: SessionCalls, now: () => number): CallerSession {
+function createCallerSession(
+    { statuses, submitted }: SessionCalls,
+    now: () => number,
+    readWallClock = now,
+): CallerSession {
     return new CallerSession("caller", {
+        ageClock: createAgeClock(now, readWallClock),
         log: createSilentLogger(),
         now,
         onConnected: () => undefined,
@@ -116,15 +121,24 @@
         };
     }
 
+    interface ReceivedPing {
+        readonly ping: SessionMessage;
+        readonly receivedAt: number;
+        /** Time for which the receiving VM has been suspended before. */
+        readonly suspendedMs?: number;
+    }
+
     /** Receives pings of a daemon with another clock; returns the statuses that they pass on. */
-    function listStatuses(pings: readonly { readonly ping: SessionMessage; readonly receivedAt: number; }[]) {
+    function listStatuses(pings: readonly ReceivedPing[]) {
         const statuses: PeerStatus[] = [];
         let now = 0;
-        const session = createCallerSession({ statuses, submitted: [] }, () => now);
+        let suspended = 0;
+        const session = createCallerSession({ statuses, submitted: [] }, () => now, () => now + suspended);
         const connection = createConnection();
         session.attach(connection, createHello(0), false);
-        for (const { ping, receivedAt } of pings) {
+        for (const { ping, receivedAt, suspendedMs = 0 } of pings) {
             now = receivedAt;
+            suspended = suspendedMs;
             session.handle(connection, ping, 10);
         }
         return statuses;
@@ -149,6 +163,17 @@
         ]);
     });
 
+    it("gets older by the time for which its message waited while the VM was suspended", () => {
+        const statuses = listStatuses([
+            { ping: createPing(SENT_AT, 3), receivedAt: 1_000 },
+            { ping: createPing(SENT_AT + 500, 3), receivedAt: 1_500, suspendedMs: 2_000 },
+        ]);
+        expect(statuses.map(({ confirmation }) => confirmation?.ageMs)).toEqual([
+            CONFIRMED_AGE_MS + 3,
+            CONFIRMED_AGE_MS + 2_003,
+        ]);
+    });
+
     // Guards against daemons that pass on for ever that a watch works, each time as if they had just heard of it.
     it("leaves the report of a working watch as old as it may be", () => {
         expect(listStatuses(UNKNOWN_TRANSIT).map(({ watches }) => watches.map(({ ageMs }) => ageMs))).toEqual([
--- a/src/transport/sessions/__tests__/unit/Handshake.test.ts
+++ b/src/transport/sessions/__tests__/unit/Handshake.test.ts
@@ -3,7 +3,7 @@
 import { createAdmissionController } from "../../../ownership/__tests__/fixtures/Admission.js";
 import type { SessionManager } from "../../index.js";
 import type { LocalStatus, PeerStatus } from "../../SessionTypes.js";
-import { createMember, createSessionManager, waitUntil } from "../fixtures/SessionManagers.js";
+import { createAgeClock, createMember, createSessionManager, waitUntil } from "../fixtures/SessionManagers.js";
 
 const STATUS: LocalStatus = {
     confirmation: { ageMs: 40, position: { era: 0, revision: 3 } },
@@ -52,3 +52,31 @@
         expect({ confirmation, version, watches }).toEqual({ confirmation: undefined, version: 2, watches: [] });
     });
 });
+
+/** Guards against a version that counts as confirmed since the VM was suspended while the answer was on its way. */
+describe("a status that was asked for", () => {
+    const SUSPENDED_MS = 2_000;
+
+    it("is as old as its question, also when the VM was suspended meanwhile", async () => {
+        const statuses: PeerStatus[] = [];
+        let suspendedMs = 0;
+        const now = (): number => performance.now();
+        const ownerPort = takeTestPort();
+        const owner = createSessionManager(createMember("owner", ownerPort), createAdmissionController(1), {
+            readStatus: () => STATUS,
+        });
+        const caller = createSessionManager(createMember("caller", 1), createAdmissionController(1), {
+            ageClock: createAgeClock(now, () => now() + suspendedMs),
+            onStatus: status => statuses.push(status),
+        });
+        managers.push(owner, caller);
+        await owner.start("127.0.0.1", ownerPort);
+        await caller.start("127.0.0.1", 0);
+        caller.connect(createMember("owner", ownerPort));
+        await waitUntil(() => caller.requestStatus("owner"));
+        suspendedMs = SUSPENDED_MS;
+        const before = statuses.length;
+        await waitUntil(() => statuses.length > before);
+        expect(statuses[before]?.confirmation?.ageMs).toBeGreaterThan(40 + SUSPENDED_MS);
+    });
+});
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -80,6 +80,7 @@
 ): readonly Gauge[] {
     return [
         { name: "longest_round_trip_seconds", read: () => delays.takeLongestRoundTrip() / MS_PER_SECOND },
+        { name: "lost_time_seconds_total", read: () => delays.lostMs / MS_PER_SECOND },
         { name: "longest_timer_delay_seconds", read: () => delays.takeLongestDelay() / MS_PER_SECOND },
         { name: "costly_input_seconds_total", read: () => costlyReads.totalWorkMs / MS_PER_SECOND },
         { name: "costly_input_waiting", read: () => costlyReads.waiting },
--- a/src/transport/sidecar/DelayMonitor.ts
+++ b/src/transport/sidecar/DelayMonitor.ts
@@ -1,4 +1,4 @@
-/** Tells a lack of processor time from a full link: late timers from late pings. */
+/** Tells a lack of processor time from a full link and a suspended VM: late timers, late pings, a steady clock that stood still. */
 import type { PartLogger } from "../logging/index.js";
 
 /** Lateness of a timer, or duration of a round trip, from which the log has a line. */
@@ -13,12 +13,18 @@
     #longestDelayMs = 0;
     #longestRoundTripMs = 0;
     #roundTripReportedAt = -Infinity;
+    #lostMs = 0;
 
     constructor(log: PartLogger, countBufferedBytes: () => number) {
         this.#log = log;
         this.#countBufferedBytes = countBufferedBytes;
     }
 
+    /** Time since the start that the steady clock has not counted. */
+    get lostMs(): number {
+        return this.#lostMs;
+    }
+
     /** Records how late a timer has run. */
     recordTimer(delayMs: number): void {
         this.#longestDelayMs = Math.max(this.#longestDelayMs, delayMs);
@@ -27,6 +33,17 @@
         }
     }
 
+    /** Records time that the steady clock has not counted, as the time of day tells. */
+    recordLostTime(lostMs: number): void {
+        this.#lostMs += lostMs;
+        this.#log.warn(
+            `the time of day went ${
+                Math.round(lostMs)
+            } ms further than the steady clock: the VM was suspended, or its time was set.`,
+            { lostMs: Math.round(lostMs) },
+        );
+    }
+
     /** Records the round trip of a ping; one that is late while timers are on time shows a full link. */
     recordRoundTrip(peer: string, roundTripMs: number, now: number): void {
         this.#longestRoundTripMs = Math.max(this.#longestRoundTripMs, roundTripMs);
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -19,7 +19,7 @@
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
 import type { HostAndPort } from "../settings/index.js";
-import { realTimers } from "../timers/index.js";
+import { AgeClock, realTimers } from "../timers/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { UplinkSender } from "../uplink/index.js";
 import { listGauges } from "./DaemonGauges.js";
@@ -116,6 +116,7 @@
     readonly #delays: DelayMonitor;
     readonly #metrics = createRequestMetrics();
     readonly #retryBudgets: RetryBudgets;
+    readonly #ageClock: AgeClock;
     readonly #lag = new VersionLag();
     readonly #decisionAges: DecisionAges;
     readonly #routeQueries: RouteQueries;
@@ -141,6 +142,11 @@
         );
         this.#log = createPartLogger("daemon");
         this.#delays = new DelayMonitor(this.#log, () => this.#sessions.countBufferedBytes());
+        this.#ageClock = new AgeClock({
+            now,
+            onLost: ms => this.#delays.recordLostTime(ms),
+            readWallClock: dependencies.readWallClock,
+        });
         const self = buildMember(settings, dependencies.readWallClock());
         this.#quarantine = new QuarantineManager({
             deleteQuarantine: fingerprint => void this.#quarantineArchive.delete(fingerprint),
@@ -206,6 +212,7 @@
             timers: realTimers,
         });
         this.#sessions = new SessionManager({
+            ageClock: this.#ageClock,
             createSessionId: dependencies.createSessionId,
             isNeighbour: id => this.#sessionSelector.neighbours.has(id),
             log: createPartLogger("sessions"),
@@ -275,7 +282,7 @@
             lag: this.#lag,
             listReachable: () => this.#listReachable(),
             log: createPartLogger("configuration"),
-            now,
+            now: this.#ageClock.now,
             onChange: configuration => {
                 this.#callerListener.applyConfiguration(configuration);
                 this.#announceStatus();
@@ -299,7 +306,7 @@
         });
         this.#decisionAges = new DecisionAges(settings.configurationDeadlineMs);
         this.#routeQueries = new RouteQueries({
-            onUnanswered: id => this.#lag.recordUnanswered(id, now()),
+            onUnanswered: id => this.#lag.recordUnanswered(id, this.#ageClock.now()),
             readConfiguration: () => this.#configurationManager.configuration,
             send: (id, message) => this.#sessions.sendGossip(id, message),
             timers: realTimers,
@@ -310,7 +317,7 @@
             lease: this.#configurationManager.lease,
             listReachable: () => this.#listReachable(),
             log: createPartLogger("configuration"),
-            now,
+            now: this.#ageClock.now,
             queries: this.#routeQueries,
             random,
             readConfiguration: () => this.#configurationManager.configuration,
@@ -341,7 +348,7 @@
                     this.#retryBudgets.recordRequest(service);
                 }
             },
-            recordOutdated: version => this.#lag.requireVersion(version + 1, now()),
+            recordOutdated: version => this.#lag.requireVersion(version + 1, this.#ageClock.now()),
             recordRetry: service => this.#retryBudgets.recordRetry(service),
             selfId: settings.id,
             recordRelayedAnswer: bytes => this.#admission.recordLinkUse(bytes),
@@ -560,7 +567,7 @@
                 delays: this.#delays,
                 lag: this.#lag,
                 memberRegistry: this.#memberRegistry,
-                now: this.#dependencies.now,
+                now: this.#ageClock.now,
                 quarantine: this.#quarantine,
                 readDroppedLines: this.#dependencies.readDroppedLines,
                 routeQueries: this.#routeQueries,
--- a/src/transport/sidecar/__tests__/search/FaultInjector.ts
+++ b/src/transport/sidecar/__tests__/search/FaultInjector.ts
@@ -14,6 +14,7 @@
 const REPLACEMENT_MS = 900;
 const SLOW_COPY_UNIT_MS = 5;
 const FULL_LINK_UNIT_MS = 25;
+const CLOCK_STEP_UNIT_MS = 25;
 const STORE_SLOW_UNIT_MS = 10;
 const MAXIMUM_LOSS_SHARE = 0.4;
 const MAXIMUM_STORE_FAILURE_SHARE = 0.5;
@@ -23,6 +24,7 @@
 
 /** Faults that excuse the VMs that they hit, by the users' rules. */
 const EXCUSING_KINDS: ReadonlySet<FaultKind> = new Set([
+    FaultKind.ClockStep,
     FaultKind.Cut,
     FaultKind.Freeze,
     FaultKind.FullLink,
@@ -31,6 +33,7 @@
     FaultKind.PowerOff,
     FaultKind.Slow,
     FaultKind.Stop,
+    FaultKind.Suspend,
 ]);
 const STORE_KINDS: ReadonlySet<FaultKind> = new Set([
     FaultKind.StoreAnswersLost,
@@ -122,6 +125,18 @@
                 vm.slowTimes.push({ from: now, to: until });
                 node?.process.pauseUntil(until);
                 return;
+            case FaultKind.Suspend:
+                this.#excuse(vm, until);
+                vm.slowTimes.push({ from: now, to: until });
+                node?.process.suspendUntil(until);
+                return;
+            case FaultKind.ClockStep: {
+                this.#excuse(vm, until);
+                const stepMs = strength * CLOCK_STEP_UNIT_MS;
+                node?.process.stepTimeOfDay(stepMs);
+                this.#schedule(until, () => node?.process.stepTimeOfDay(-stepMs));
+                return;
+            }
             case FaultKind.PowerOff:
             case FaultKind.Kill:
                 this.#excuse(vm, until);
--- a/src/transport/sidecar/__tests__/search/FoundHistories.ts
+++ b/src/transport/sidecar/__tests__/search/FoundHistories.ts
@@ -4,7 +4,7 @@
  */
 import { FaultKind, TargetKind } from "./History.js";
 import type { History } from "./History.js";
-import { NO_LEASE } from "./Mutants.js";
+import { NO_LEASE, STEADY_AGES } from "./Mutants.js";
 
 export interface FoundHistory {
     /** Names of the mutants that together break a rule. */
@@ -12,6 +12,18 @@
     readonly history: History;
 }
 
+/** Nothing but the lease of versions protects callers of a build with all of these. */
+const SPOILT_BACKGROUND: readonly string[] = [
+    "takeovers begin twice as late",
+    "takeovers are spread five times as long",
+    "reports of watches count although confirmations are missing",
+    "watches are trusted whatever was lost",
+    "checks of the store are four times as late",
+    "late versions are read four times as late",
+    "no version is overdue",
+    "a daemon without copies waits 9 s before it reads the store",
+];
+
 /** The daemons next in line stand still while a release replaces VMs. */
 const LINE_FROZEN_IN_RELEASE: History = {
     daemonsPerDomain: 3,
@@ -256,4 +268,119 @@
         },
         mutants: ["takeovers are spread five times as long", NO_LEASE],
     },
+    {
+        history: {
+            daemonsPerDomain: 3,
+            deadlineMs: 2000,
+            domainsPerRegion: 3,
+            faults: [
+                {
+                    atMs: 700,
+                    count: 1,
+                    first: 0,
+                    forMs: 2000,
+                    kind: FaultKind.WatchesHang,
+                    strength: 1,
+                    target: TargetKind.Watchers,
+                },
+                {
+                    atMs: 700,
+                    count: 1,
+                    first: 0,
+                    forMs: 2000,
+                    kind: FaultKind.Slow,
+                    strength: 1,
+                    target: TargetKind.Line,
+                },
+                {
+                    atMs: 700,
+                    count: 1,
+                    first: 0,
+                    forMs: 545,
+                    kind: FaultKind.Suspend,
+                    strength: 1,
+                    target: TargetKind.Line,
+                },
+                {
+                    atMs: 700,
+                    count: 1,
+                    first: 0,
+                    forMs: 100,
+                    kind: FaultKind.WatchesHang,
+                    strength: 1,
+                    target: TargetKind.Line,
+                },
+                {
+                    atMs: 700,
+                    count: 1,
+                    first: 0,
+                    forMs: 4873,
+                    kind: FaultKind.LateCopies,
+                    strength: 100,
+                    target: TargetKind.Line,
+                },
+            ],
+            firstChangeMs: 700,
+            isFirstStart: false,
+            regions: 2,
+            seed: 970710488,
+            versionGapsMs: [40, 33],
+            weakShare: 100,
+            weakness: 6,
+        },
+        mutants: [STEADY_AGES, ...SPOILT_BACKGROUND],
+    },
+    {
+        history: {
+            daemonsPerDomain: 3,
+            deadlineMs: 2000,
+            domainsPerRegion: 2,
+            faults: [
+                {
+                    atMs: 3089,
+                    count: 2,
+                    first: 20,
+                    forMs: 954,
+                    kind: FaultKind.Suspend,
+                    strength: 1,
+                    target: TargetKind.Domains,
+                },
+                {
+                    atMs: 3089,
+                    count: 6,
+                    first: 1,
+                    forMs: 3656,
+                    kind: FaultKind.WatchesHang,
+                    strength: 65,
+                    target: TargetKind.Domains,
+                },
+                {
+                    atMs: 3089,
+                    count: 5,
+                    first: 0,
+                    forMs: 3033,
+                    kind: FaultKind.LostCopies,
+                    strength: 91,
+                    target: TargetKind.Line,
+                },
+                {
+                    atMs: 2849,
+                    count: 12,
+                    first: 18,
+                    forMs: 5290,
+                    kind: FaultKind.Kill,
+                    strength: 26,
+                    target: TargetKind.Sources,
+                },
+            ],
+            firstChangeMs: 700,
+            isFirstStart: true,
+            regions: 3,
+            seed: 2091133486,
+            versionGapsMs: [130, 259, 66, 119, 167],
+            weakShare: 100,
+            weakness: 5,
+        },
+        mutants: [STEADY_AGES, ...SPOILT_BACKGROUND],
+    },
 ];
--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -4,6 +4,10 @@
 export const FaultKind = {
     /** The process stands still. */
     Freeze: "freeze",
+    /** The VM is suspended: the process stands still, and so does its steady clock, but not the time of day. */
+    Suspend: "suspend",
+    /** The time of day is `strength` times 25 ms ahead. */
+    ClockStep: "clockStep",
     /** The process and its connections vanish without a word; it starts again at the end. */
     PowerOff: "powerOff",
     /** The process ends and its connections are closed; it starts again at the end. */
@@ -145,6 +149,8 @@
 
 /** The shorter before a version, the less of its deadline has passed when confirmations are missing. */
 const BEFORE_VERSION_MS: readonly Range[] = [{ max: 0, min: -40 }, { max: 0, min: -40 }, { max: 0, min: -1_200 }];
+/** Around a version, so that what is known from before it may seem to be from after it. */
+const SUSPENSION_MS: readonly Range[] = [{ max: 100, min: -100 }, { max: 1_500, min: -1_500 }];
 const AFTER_VERSION_MS: readonly Range[] = [{ max: 80, min: 1 }];
 
 const SCENE_KINDS: readonly SceneKind[] = [
@@ -171,6 +177,19 @@
         targets: [TargetKind.Watchers, TargetKind.Line, TargetKind.Line, TargetKind.Domains],
         weight: 4,
     },
+    {
+        // Daemons that were suspended take what they knew for as young as before, and tell the others.
+        firstForMs: { max: 2_500, min: 300 },
+        laterTargets: [TargetKind.Line, TargetKind.Watchers, TargetKind.Domains, TargetKind.All],
+        offsetsMs: SUSPENSION_MS,
+        parts: [
+            [FaultKind.Suspend, FaultKind.Suspend, FaultKind.Suspend, FaultKind.ClockStep],
+            [FaultKind.WatchesHang, FaultKind.WatchesHang, FaultKind.StoreSilent, FaultKind.StoreAnswersLost],
+            [FaultKind.LostCopies, FaultKind.LateCopies, FaultKind.StoreSlow, FaultKind.CutFromDaemons],
+        ],
+        targets: [TargetKind.Watchers, TargetKind.Line, TargetKind.Domains, TargetKind.All],
+        weight: 3,
+    },
     {
         // Daemons get no copies and no answer of the store.
         offsetsMs: BEFORE_VERSION_MS,
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -25,6 +25,9 @@
 /** Without the lease a version decides however long nobody has confirmed it; what else is wrong in the background shows then. */
 export const NO_LEASE = "no decision asks how old its version is";
 
+/** To a suspended daemon what it knew before is as young as then; the others believe it. */
+export const STEADY_AGES = "ages are counted by the steady clock alone";
+
 export const MUTANTS: readonly Mutant[] = [
     {
         file: GOSSIP,
@@ -321,6 +324,12 @@
         name: "a request that has reached a server is routed anew",
         to: "const hasReachedServer = this.#attempts.size > 0;",
     },
+    {
+        file: "src/transport/timers/AgeClock.ts",
+        from: "if (lostMs <= TOLERANCE_MS) {",
+        name: STEADY_AGES,
+        to: "if (lostMs <= Infinity) {",
+    },
     {
         file: RESOLVER,
         from: "const state = lease.check(configuration.version, now());",
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -14,7 +14,7 @@
 import type { RouteDecision, RouteQuestion } from "../../../routes/index.js";
 import { SessionManager } from "../../../sessions/index.js";
 import type { LocalStatus } from "../../../sessions/index.js";
-import { scheduleRepeating } from "../../../timers/index.js";
+import { AgeClock, scheduleRepeating } from "../../../timers/index.js";
 import { computeDistance, ServerDirectory } from "../../../traffic/index.js";
 import { UplinkSender } from "../../../uplink/index.js";
 import { SessionSelector } from "../../SessionSelector.js";
@@ -65,6 +65,7 @@
     readonly #registry: MemberRegistry;
     readonly #ages: DecisionAges;
     readonly #lag = new VersionLag();
+    readonly #readAgeTime: () => number;
     readonly #sessions: SessionManager;
     readonly #selector: SessionSelector;
     readonly #gossip: MemberGossip;
@@ -79,7 +80,13 @@
     constructor(options: SimulatedDaemonOptions) {
         this.#options = options;
         const { decode, log, network, process, random, self, store, variant } = options;
-        const { now, timers } = process;
+        const { now, readWallClock, timers } = process;
+        const ageClock = new AgeClock({
+            now,
+            onLost: ms => log.warn("the steady clock has not counted some time.", { ms: Math.round(ms) }),
+            readWallClock,
+        });
+        this.#readAgeTime = ageClock.now;
         this.id = self.id;
         this.#ages = new DecisionAges(options.deadlineMs);
         this.#registry = new MemberRegistry({
@@ -117,6 +124,7 @@
             timers,
         });
         this.#sessions = new SessionManager({
+            ageClock,
             createSessionId: options.createSessionId,
             isNeighbour: id => this.#selector.neighbours.has(id),
             log,
@@ -191,7 +199,7 @@
             limits: variant.limits,
             listReachable: () => this.#listReachable(),
             log,
-            now,
+            now: ageClock.now,
             onChange: configuration => {
                 this.#callers.applyConfiguration(configuration);
                 this.#announceStatus();
@@ -209,7 +217,7 @@
             timers,
         });
         this.#queries = new RouteQueries({
-            onUnanswered: id => this.#lag.recordUnanswered(id, now()),
+            onUnanswered: id => this.#lag.recordUnanswered(id, ageClock.now()),
             readConfiguration: () => this.#configuration.configuration,
             send: (id, message) => this.#sessions.sendGossip(id, message),
             timers,
@@ -220,7 +228,7 @@
             lease: this.#configuration.lease,
             listReachable: () => this.#listReachable(),
             log,
-            now,
+            now: ageClock.now,
             queries: this.#queries,
             random,
             readConfiguration: () => this.#configuration.configuration,
@@ -239,7 +247,7 @@
             onAnswered: (requestId, status, version) => options.observer.onAnswered(requestId, status, version),
             random,
             readConfiguration: () => this.#configuration.configuration,
-            recordOutdated: version => this.#lag.requireVersion(version + 1, now()),
+            recordOutdated: version => this.#lag.requireVersion(version + 1, ageClock.now()),
             resolveRoute: question => this.#resolveRoute(question),
             selfId: self.id,
             service: self.server?.service ?? "",
@@ -254,7 +262,7 @@
 
     /** Newest version that is known to be in force at a daemon that answers queries. */
     get newestBelieved(): number {
-        return this.#lag.readNewestBelieved(this.#options.process.now());
+        return this.#lag.readNewestBelieved(this.#readAgeTime());
     }
 
     get isRegistered(): boolean {
--- a/src/transport/sidecar/__tests__/search/SimulatedProcess.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedProcess.ts
@@ -1,4 +1,4 @@
-/** A process that may be paused, slow or ended: what happens to it meanwhile waits, or is lost. */
+/** A process that may be paused, suspended, slow or ended: what happens to it meanwhile waits, or is lost. */
 import type { Timers } from "../../../timers/index.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
 
@@ -12,6 +12,9 @@
     Copy: 3,
 } as const;
 
+/** Largest error of times that are computed differently. */
+const TIMER_RESOLUTION_MS = 1e-6;
+
 export class SimulatedProcess {
     readonly #clock: SimulatedClock;
     /** Difference between the steady clock of this process and the simulated one. */
@@ -24,6 +27,9 @@
     #pausedUntil = -Infinity;
     #busyUntil = -Infinity;
     #slowness = 1;
+    #timeOfDayErrorMs = 0;
+    /** Times that the steady clock doesn't count, in order. */
+    readonly #suspensions: { readonly from: number; readonly to: number; }[] = [];
 
     constructor(clock: SimulatedClock, originMs: number, weakness = 1) {
         this.#clock = clock;
@@ -39,17 +45,30 @@
         return this.#clock.now < this.#pausedUntil;
     }
 
-    readonly now = (): number => this.#clock.now + this.#originMs;
+    /** Steady clock, which stands still while the VM is suspended. */
+    readonly now = (): number => this.#clock.now + this.#originMs - this.#measureSuspensions();
+
+    /** Time of day, which goes on meanwhile. */
+    readonly readWallClock = (): number => this.#clock.now + this.#timeOfDayErrorMs;
 
     readonly timers: Timers = {
         after: (delayMs, action) => {
+            const dueAt = this.now() + delayMs;
             let isCancelled = false;
-            const cancel = this.#clock.schedule(this.#clock.now + delayMs, () =>
-                this.handle(() => {
-                    if (!isCancelled) {
-                        action();
-                    }
-                }));
+            let cancel = (): void => undefined;
+            const run = (): void => {
+                const leftMs = dueAt - this.now();
+                if (leftMs > TIMER_RESOLUTION_MS) {
+                    schedule(leftMs);
+                }
+                else if (!isCancelled) {
+                    action();
+                }
+            };
+            const schedule = (ms: number): void => {
+                cancel = this.#clock.schedule(this.#clock.now + ms, () => this.handle(run));
+            };
+            schedule(delayMs);
             return () => {
                 isCancelled = true;
                 cancel();
@@ -70,6 +89,17 @@
         this.#pausedUntil = Math.max(this.#pausedUntil, at);
     }
 
+    /** Pauses the process as its VM is suspended: its steady clock stands still, the time of day goes on. */
+    suspendUntil(at: number): void {
+        this.#suspensions.push({ from: Math.max(this.#clock.now, this.#suspensions.at(-1)?.to ?? -Infinity), to: at });
+        this.pauseUntil(at);
+    }
+
+    /** Sets the time of day ahead, or back. */
+    stepTimeOfDay(ms: number): void {
+        this.#timeOfDayErrorMs += ms;
+    }
+
     /** Sets by how much longer each event takes for a time. */
     setSlowness(factor: number): void {
         this.#slowness = factor;
@@ -80,6 +110,11 @@
         this.#waiting.length = 0;
     }
 
+    #measureSuspensions(): number {
+        const { now } = this.#clock;
+        return this.#suspensions.reduce((sum, { from, to }) => sum + Math.max(0, Math.min(to, now) - from), 0);
+    }
+
     #drain(): void {
         if (this.#isDraining) {
             return;
--- a/src/transport/sidecar/__tests__/search/main.ts
+++ b/src/transport/sidecar/__tests__/search/main.ts
@@ -5,7 +5,8 @@
 import { defineCommand, runMain } from "citty";
 import { readFileSync } from "node:fs";
 import { invariant } from "../../../../state/shared/index.js";
-import type { History, HistorySize } from "./History.js";
+import { FaultKind } from "./History.js";
+import type { Fault, History, HistorySize } from "./History.js";
 import { findViolationByClimbing } from "./HistoryClimb.js";
 import { findViolation } from "./HistorySearch.js";
 import { Rule } from "./RuleJudge.js";
@@ -27,6 +28,11 @@
     return rule;
 }
 
+/** Makes VMs that stand still suspended ones, whose steady clocks stand still too. */
+function replaceFreeze(fault: Fault): Fault {
+    return fault.kind === FaultKind.Freeze ? { ...fault, kind: FaultKind.Suspend } : fault;
+}
+
 /** Tells how much happened: a history in which no replaced version decided can't show a fault. */
 function describeShares(shares: readonly number[]): string {
     const sorted = shares.toSorted((left, right) => left - right);
@@ -51,6 +57,7 @@
             description: "regions x domains x daemons of the largest meshes; without it, meshes like the users'",
             type: "string",
         },
+        suspend: { default: false, description: "VMs that stand still are suspended", type: "boolean" },
     },
     meta: { description: "Searches histories on which a rule is broken.", name: "search" },
     run: async ({ args }) => {
@@ -67,7 +74,11 @@
                 runs: Number(args.runs),
                 seed: Number(args.seed),
                 shorteningMs: Number(args.shorten) * 1_000,
-                ...args.exact ? { adapt: history => ({ ...history, ...size }) } : {},
+                adapt: history => ({
+                    ...history,
+                    ...args.exact ? size : {},
+                    faults: args.suspend ? history.faults.map(replaceFreeze) : history.faults,
+                }),
                 size,
                 ...args.ignore === undefined ? {} : { ignoredRules: [parseRule(args.ignore)] },
             });
--- a/src/transport/sidecar/__tests__/unit/FoundHistories.test.ts
+++ b/src/transport/sidecar/__tests__/unit/FoundHistories.test.ts
@@ -2,17 +2,21 @@
 import { join } from "node:path";
 import { describe, expect, it } from "vitest";
 import { FOUND_HISTORIES } from "../search/FoundHistories.js";
-import { MUTANTS, NO_LEASE } from "../search/Mutants.js";
+import { MUTANTS, NO_LEASE, STEADY_AGES } from "../search/Mutants.js";
 import { buildSearch, OUTPUT_FOLDER, runSearch } from "../search/SearchBuild.js";
 import { runHistory } from "../search/SimulatedMesh.js";
 
 const TEST_TIMEOUT_MS = 60_000;
 const CASES = FOUND_HISTORIES.map((found, index) => ({ ...found, index, name: found.mutants[0] }));
+/** What the lease of versions relies on, without which it doesn't protect callers. */
+const LEASE_MUTANTS: readonly string[] = [NO_LEASE, STEADY_AGES];
 /** What keeps versions fresh is wrong, but the lease of versions is in force. */
-const BACKGROUND_CASES = CASES.filter(({ mutants }) => mutants.includes(NO_LEASE)).map(found => ({
-    ...found,
-    mutants: found.mutants.filter(name => name !== NO_LEASE),
-}));
+const BACKGROUND_CASES = CASES.filter(({ mutants }) => mutants.some(name => LEASE_MUTANTS.includes(name))).map(
+    found => ({
+        ...found,
+        mutants: found.mutants.filter(name => !LEASE_MUTANTS.includes(name)),
+    }),
+);
 
 async function runMutants({ history, index, mutants }: Pick<typeof CASES[number], "history" | "index" | "mutants">) {
     await mkdir(OUTPUT_FOLDER, { recursive: true });
