Log requests that the version in force leads elsewhere, and the age of the version on 404 and refusals

The server's daemon now checks decisions of its own version as well, logs a mismatch as an error and runs the request as before; the search judges the same as 'misplaced'. Lines of requests that the daemon answers itself have confirmedAgeMs and version if there was a decision. A mutant that keeps the service of a request that is routed anew is added.

--- a/src/coordination/routing/RouteCurrency.ts
+++ b/src/coordination/routing/RouteCurrency.ts
@@ -14,19 +14,29 @@
 
 const HOST_HEADER = "host";
 
-/**
- * Whether a request may still go to the service that an older version has chosen for it. A decision by the same or a newer
- * version than `configuration` holds.
- */
-export function isRouteCurrent(
+export const RouteCheck = {
+    /** `configuration` leads the request to its service, or a newer version has decided. */
+    Current: "current",
+    /** An older version has decided, and `configuration` leads the request elsewhere. */
+    Outdated: "outdated",
+    /** The same version has decided, and yet leads the request elsewhere: the other daemon has misplaced it. */
+    Misplaced: "misplaced",
+} as const;
+export type RouteCheck = (typeof RouteCheck)[keyof typeof RouteCheck];
+
+/** Compares the service that has been chosen for a request with those to which a configuration leads it. */
+export function checkRoute(
     { headers, service, target, version }: RoutedRequest,
     configuration: TrafficConfiguration,
-): boolean {
-    if (version >= configuration.version) {
-        return true;
+): RouteCheck {
+    if (version > configuration.version) {
+        return RouteCheck.Current;
     }
     const route = findRoute(configuration, findHost(headers), getPath(target));
-    return route?.targets.some(other => other.service === service && other.weight > 0) === true;
+    if (route?.targets.some(other => other.service === service && other.weight > 0) === true) {
+        return RouteCheck.Current;
+    }
+    return version < configuration.version ? RouteCheck.Outdated : RouteCheck.Misplaced;
 }
 
 /** Returns the path of a request target without its query. */
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -177,7 +177,7 @@
             costlyReads: this.#costlyReads,
             dialect: dependencies.dialect,
             findRestriction: request =>
-                findOutdatedRefusal(request, this.#configurationManager.configuration)
+                findOutdatedRefusal(request, this.#configurationManager.configuration, this.#log)
                     ?? this.#quarantine.findRestriction(request),
             findTrial: request => {
                 const suspicion = this.#quarantine.findSuspicion(request);
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -79,7 +79,7 @@
     },
     {
         file: "src/coordination/routing/RouteCurrency.ts",
-        from: "if (version >= configuration.version) {",
+        from: "if (version > configuration.version) {",
         name: "servers run what a replaced version leads to them",
         to: "if (version >= 0) {",
     },
@@ -198,6 +198,12 @@
         name: "requests that a newer version leads elsewhere aren't routed anew",
         to: "if (refusal.detail === \"\" && this.#tryReroute()) {",
     },
+    {
+        file: "src/transport/traffic/RequestRouter.ts",
+        from: "reroutes: plan.reroutes + 1,\n            revision,\n            route,\n            service,",
+        name: "a request that is routed anew keeps its service",
+        to: "reroutes: plan.reroutes + 1,\n            revision,\n            route,\n            service: plan.service,",
+    },
     {
         file: "src/transport/sessions/SessionConstants.ts",
         from: "export const NEIGHBOUR_PING_INTERVAL_MS = 1_500;",
--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -26,6 +26,8 @@
     NotInForce: "not in force",
     /** A server runs what the version in force at its own daemon doesn't lead to it. */
     OutdatedRun: "outdated run",
+    /** A server runs what other versions than the one that decided lead to it. */
+    Misplaced: "misplaced",
     /** A request is answered with 404 although the daemon knows of a newer version that has its route. */
     Denied: "denied",
     Twice: "twice",
@@ -123,7 +125,8 @@
         }
         const { path } = state.request;
         state.runs++;
-        const kind = this.#options.versions.findRoute(version, path)?.kind;
+        const { versions } = this.#options;
+        const kind = versions.findRoute(version, path)?.kind;
         if (kind === RequestKind.AtMostOnce && state.runs > 1) {
             this.#report(Rule.Twice, at, state.request, "runs once more");
         }
@@ -131,7 +134,7 @@
             this.#report(Rule.Refused, at, state.request, `runs after ${state.status}`);
         }
         const inForce = owner.daemon?.version;
-        if (inForce !== undefined && inForce > version && !this.#options.versions.isAllowed(inForce, path, service)) {
+        if (inForce !== undefined && inForce > version && !versions.isAllowed(inForce, path, service)) {
             this.#report(
                 Rule.OutdatedRun,
                 at,
@@ -188,6 +191,9 @@
             this.#report(Rule.NeverAllowed, at, request, `${outcome ?? NOT_FOUND_STATUS} by version ${decidedBy}`);
             return;
         }
+        if (outcome !== undefined && !versions.isAllowed(decidedBy, path, outcome)) {
+            this.#report(Rule.Misplaced, at, request, `decided by version ${decidedBy}, runs at ${outcome}`);
+        }
         const floor = this.#readFloor(request);
         if (floor !== undefined && allowing.every(({ version }) => version < floor)) {
             this.#report(Rule.GoingBack, at, request, `decided by ${decidedBy} after ${floor}`);
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -113,7 +113,7 @@
         });
         this.#server = new SimulatedServer({
             findRestriction: request =>
-                variant.runsOutdated ? undefined : findOutdatedRefusal(request, this.#configuration.configuration),
+                variant.runsOutdated ? undefined : findOutdatedRefusal(request, this.#configuration.configuration, log),
             onChange: load => {
                 this.#directory.recordLoad(self.id, load);
                 this.#sessions.announceLoad();
--- a/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
+++ b/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
@@ -130,6 +130,14 @@
         expect(broken).toEqual(["never allowed", "outdated run"]);
     });
 
+    it("finds runs that another version than the one that decided allows", () => {
+        const { broken, run } = createJudge();
+        run(MOVING_PATH, CHANGED_AT, 2, "s2");
+        expect(broken).toEqual([]);
+        run(MOVING_PATH, CHANGED_AT, 1, "s2");
+        expect(broken).toEqual(["misplaced"]);
+    });
+
     it("finds 404 by a version that is known to be replaced, and late 404", () => {
         const { answer, broken } = createJudge();
         answer(formatAddedPath(2), CHANGED_AT + 10, 404, 2);
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -9,6 +9,7 @@
 import type { UplinkSender } from "../uplink/index.js";
 import { CallerExchange } from "./CallerExchange.js";
 import { answerClientError, answerUnavailable } from "./DaemonAnswers.js";
+import type { AnsweredRequest } from "./DaemonAnswers.js";
 import { BodyReadFault, RequestBodyReader } from "./RequestBodyReader.js";
 import type { BodyReadResult } from "./RequestBodyReader.js";
 import { RequestRouter } from "./RequestRouter.js";
@@ -162,21 +163,26 @@
         );
         if (!isValidHeaderList(request.rawHeaders)) {
             response.shouldKeepAlive = false;
-            this.#reject(exchange, undefined, BAD_REQUEST_STATUS, "the name or the value of a header is malformed");
+            this.#reject(
+                exchange,
+                { requestId: undefined },
+                BAD_REQUEST_STATUS,
+                "the name or the value of a header is malformed",
+            );
             return;
         }
         const configuration = this.#options.readConfiguration();
         const requestId = this.#options.dialect.parseCallerHeaders(request.headers).requestId;
         if (configuration === undefined) {
-            this.#refuse(exchange, requestId, "no configuration is in force on this daemon yet");
+            this.#refuse(exchange, { requestId }, "no configuration is in force on this daemon yet");
             return;
         }
         if (requestId === undefined) {
-            this.#reject(exchange, requestId, BAD_REQUEST_STATUS, "the request has no id");
+            this.#reject(exchange, { requestId }, BAD_REQUEST_STATUS, "the request has no id");
             return;
         }
         if (countHeaderBytes(request) > configuration.limits.headerBytes) {
-            this.#reject(exchange, requestId, HEADERS_TOO_LARGE_STATUS, "the headers are too large");
+            this.#reject(exchange, { requestId }, HEADERS_TOO_LARGE_STATUS, "the headers are too large");
             return;
         }
         const target = request.url ?? "";
@@ -185,14 +191,14 @@
             return;
         }
         if (this.#isRefusing(decision.route, arrivedAt)) {
-            this.#refuse(exchange, requestId, "this daemon is stopping");
+            this.#refuse(exchange, { decision, requestId }, "this daemon is stopping");
             return;
         }
         const body = await this.#bodyReader.read(request, configuration.limits.bodyBytes);
         await waitForPendingReads();
         if (body.kind === "body" && this.#isRefusing(decision.route, this.#options.now())) {
             this.#bodyReader.release(body.bytes);
-            this.#refuse(exchange, requestId, "this daemon is stopping");
+            this.#refuse(exchange, { decision, requestId }, "this daemon is stopping");
             return;
         }
         this.#forward(exchange, body, { arrivedAt, decision, requestId, target });
@@ -203,15 +209,14 @@
         body: BodyReadResult,
         request: Pick<RoutableRequest, "arrivedAt" | "decision" | "requestId" | "target">,
     ): void {
-        const { requestId } = request;
         switch (body.kind) {
             case BodyReadFault.CallerDisconnected:
                 return;
             case BodyReadFault.TooLarge:
-                this.#reject(exchange, requestId, TOO_LARGE_STATUS, "the body is too large");
+                this.#reject(exchange, request, TOO_LARGE_STATUS, "the body is too large");
                 return;
             case BodyReadFault.MemoryLimit:
-                this.#refuse(exchange, requestId, "too many bodies are being read");
+                this.#refuse(exchange, request, "too many bodies are being read");
                 return;
         }
         this.#router.forward(exchange, {
@@ -221,12 +226,12 @@
         });
     }
 
-    #refuse(exchange: CallerExchange, requestId: string | undefined, detail: string): void {
-        answerUnavailable(this.#options, exchange, requestId, detail);
+    #refuse(exchange: CallerExchange, request: AnsweredRequest, detail: string): void {
+        answerUnavailable(this.#options, exchange, request, detail);
     }
 
-    #reject(exchange: CallerExchange, requestId: string | undefined, status: number, detail: string): void {
-        answerClientError(this.#options, exchange, requestId, status, detail);
+    #reject(exchange: CallerExchange, request: AnsweredRequest, status: number, detail: string): void {
+        answerClientError(this.#options, exchange, request, status, detail);
     }
 }
 
--- a/src/transport/traffic/RequestRouter.ts
+++ b/src/transport/traffic/RequestRouter.ts
@@ -101,7 +101,7 @@
             answerUnavailable(
                 this.#options,
                 exchange,
-                requestId,
+                { requestId },
                 "the version in force on this daemon is outdated or unconfirmed, and no other daemon has told the route",
             );
             return undefined;
@@ -109,7 +109,7 @@
         const { confirmedAgeMs, revision, route, version } = decision;
         if (route === undefined) {
             const detail = `version ${version} has no route for ${host ?? "no host"} ${path}`;
-            answerClientError(this.#options, exchange, requestId, NOT_FOUND_STATUS, detail);
+            answerClientError(this.#options, exchange, { decision, requestId }, NOT_FOUND_STATUS, detail);
             return undefined;
         }
         return { confirmedAgeMs, revision, route, version };
@@ -126,7 +126,7 @@
             return;
         }
         if (service === undefined) {
-            answerUnavailable(this.#options, exchange, requestId, `route ${route.name} has no service`);
+            answerUnavailable(this.#options, exchange, { decision, requestId }, `route ${route.name} has no service`);
             release();
             return;
         }
@@ -180,7 +180,8 @@
         const service = decision === undefined ? undefined : this.#roundRobin.selectService(decision.route);
         if (decision === undefined || service === undefined) {
             if (decision !== undefined) {
-                answerUnavailable(this.#options, exchange, requestId, `route ${decision.route.name} has no service`);
+                const detail = `route ${decision.route.name} has no service`;
+                answerUnavailable(this.#options, exchange, { decision, requestId }, detail);
             }
             onComplete();
             return;
