Wait in tests for what they assert, and bound times by simulated clocks

Class of failures beside load: an assertion after a fixed sleep on something that has to happen first. Sleeps after which something must not have happened are left as they are.

--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -1,6 +1,6 @@
 import type { Either } from "purify-ts/Either";
 import { Left, Right } from "purify-ts/Either";
-import { describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import { deriveFreshnessLimits, VersionLag } from "../../../../coordination/distribution/index.js";
 import type {
     ConfigurationReadResult,
@@ -16,6 +16,15 @@
 
 const READING_MS = 20;
 
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+/** For tests whose bound is a time, which would depend on the machine's load otherwise. */
+function useSimulatedTime(): void {
+    vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "performance"] });
+}
+
 function createConfiguration(version: number): TrafficConfiguration {
     return {
         limits: { bodyBytes: 1, headerBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
@@ -153,6 +162,7 @@
     const WATCHER_IDS = Array.from({ length: 16 }, (_value, index) => `watcher-${index}`);
 
     it("is read from the store in time, though the daemon has just learned of it", async () => {
+        useSimulatedTime();
         const read = async () => {
             await new Promise(resolve => setTimeout(resolve, READING_MS));
             return Right(createReading(9));
@@ -169,13 +179,12 @@
                 watches: WATCHER_IDS.map(id => ({ ageMs: 0, id, isWorking: true })),
             });
         recordStatus(5);
-        const confirmedAt = performance.now();
         manager.start();
-        await new Promise(resolve => setTimeout(resolve, SHORT_DEADLINE_MS / 2));
+        await vi.advanceTimersByTimeAsync(SHORT_DEADLINE_MS / 2);
         recordStatus(9);
-        await expect.poll(() => manager.configuration?.version, { interval: 10 }).toBe(9);
+        await vi.advanceTimersByTimeAsync(SHORT_DEADLINE_MS / 2);
         manager.stop();
-        expect(performance.now() - confirmedAt).toBeLessThanOrEqual(SHORT_DEADLINE_MS);
+        expect(manager.configuration?.version).toBe(9);
     });
 });
 
@@ -262,11 +271,13 @@
     }
 
     it("reads the store in time once nobody confirms the version that it has", async () => {
+        useSimulatedTime();
         const { manager } = createUnregisteredManager();
         manager.start();
         manager.applyVersion({ revision: 5, text: "5", version: 5 }, "other");
-        await expect.poll(() => manager.configuration?.version, { interval: 10, timeout: DEADLINE_MS }).toBe(9);
+        await vi.advanceTimersByTimeAsync(DEADLINE_MS);
         manager.stop();
+        expect(manager.configuration?.version).toBe(9);
     });
 
     it("leaves the store to the registration as long as it has no version", async () => {
--- a/src/transport/directory/__tests__/unit/VersionLease.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionLease.test.ts
@@ -120,6 +120,25 @@
         expect(state.storeReads).toBe(0);
     });
 
+    it("isn't renewed by a newer version that no daemon can be asked for", async () => {
+        const { advance, confirm, lease, state } = createLease({});
+        await advance(DEADLINE_MS);
+        const outcome = lease.awaitRenewal(1_000);
+        confirm(OWN + 2);
+        await advance(200);
+        expect(await outcome).toBe(RenewalOutcome.Renewed);
+        expect(state.storeReads).toBe(1);
+    });
+
+    it("names a newer version that was confirmed for the time of a lease only", async () => {
+        const CONFIRMED_AT = 10;
+        const { advance, confirm, lease } = createLease({});
+        await advance(CONFIRMED_AT);
+        confirm(OWN + 2);
+        expect(lease.readNewest(CONFIRMED_AT + LIMITS.leaseMs)?.version).toBe(OWN + 2);
+        expect(lease.readNewest(CONFIRMED_AT + LIMITS.leaseMs + 1)).toBeUndefined();
+    });
+
     it("asks nobody for further requests while a daemon with a newer version can be asked for routes", async () => {
         const { advance, asked, check, lease } = createLease({ confirmedByOthers: OWN + 2 });
         await advance(DEADLINE_MS);
--- a/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
+++ b/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
@@ -150,6 +150,7 @@
         const { admission, server } = await openAdmission((socket, id) => socket.write(formatAnswer(id, "ok")));
         const request = recordRequest();
         const handle = admission.submit(createOwnedRequest("a", nonIdempotent), request.listener);
+        await expect.poll(() => request.events).toEqual(["offer"]);
         await new Promise(resolve => setTimeout(resolve, 50));
         expect(request.events).toEqual(["offer"]);
         expect(server.requests).toEqual([]);
--- a/src/transport/sidecar/__tests__/search/CheckMutants.ts
+++ b/src/transport/sidecar/__tests__/search/CheckMutants.ts
@@ -4,6 +4,7 @@
  */
 import { defineCommand, runMain } from "citty";
 import { join } from "node:path";
+import { LEASE_MUTANTS, SPOILT_BACKGROUND } from "./LeaseMutants.js";
 import { MUTANTS } from "./Mutants.js";
 import type { Mutant } from "./Mutants.js";
 import { buildSearch, OUTPUT_FOLDER, runSearch } from "./SearchBuild.js";
@@ -25,14 +26,16 @@
     only: string | undefined,
     beside: readonly Mutant[],
 ): Promise<number> {
-    const mutants = MUTANTS.filter(({ name }) => only === undefined || new RegExp(only).test(name));
+    const mutants = [...MUTANTS, ...LEASE_MUTANTS].filter(({ name }) =>
+        only === undefined || new RegExp(only).test(name)
+    );
     const waiting = [...mutants.entries()];
     let found = 0;
     const work = async (): Promise<void> => {
         for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
             const [index, mutant] = next;
             const bundle = join(OUTPUT_FOLDER, `mutant-${index}.mjs`);
-            await buildSearch([mutant, ...beside], bundle);
+            await buildSearch([mutant, ...beside.filter(other => other !== mutant)], bundle);
             try {
                 const run = await runSearch(bundle, options);
                 found += run.isFound ? 1 : 0;
@@ -61,6 +64,7 @@
         only: { description: "pattern of the names of the mutants that are searched", type: "string" },
         runs: { default: "100", description: "histories for each mutant", type: "string" },
         seed: { default: "1", description: "seed of the searches", type: "string" },
+        spoilt: { default: false, description: "the background is spoilt in each build besides", type: "boolean" },
     },
     meta: {
         description: "Counts the histories until the search finds mutants of the product.",
@@ -77,7 +81,9 @@
             ...args.climb ? ["--climb"] : [],
             ...args.ignore === undefined ? [] : ["--ignore", args.ignore],
         ];
-        const beside = MUTANTS.filter(({ name }) => name === args.beside);
+        const beside = MUTANTS.filter(({ name }) =>
+            name === args.beside || args.spoilt && SPOILT_BACKGROUND.includes(name)
+        );
         const missed = await runAll(options, Number(args.jobs), args.only, beside);
         process.exitCode = missed > 0 ? MISSED_EXIT_CODE : 0;
     },
--- a/src/transport/sidecar/__tests__/search/FoundHistories.ts
+++ b/src/transport/sidecar/__tests__/search/FoundHistories.ts
@@ -4,6 +4,7 @@
  */
 import { FaultKind, TargetKind } from "./History.js";
 import type { History } from "./History.js";
+import { SPOILT_BACKGROUND } from "./LeaseMutants.js";
 import { NO_LEASE, STEADY_AGES } from "./Mutants.js";
 
 export interface FoundHistory {
@@ -12,18 +13,6 @@
     readonly history: History;
 }
 
-/** Nothing but the lease of versions protects callers of a build with all of these. */
-const SPOILT_BACKGROUND: readonly string[] = [
-    "takeovers begin twice as late",
-    "takeovers are spread five times as long",
-    "reports of watches count although confirmations are missing",
-    "watches are trusted whatever was lost",
-    "checks of the store are four times as late",
-    "late versions are read four times as late",
-    "no version is overdue",
-    "a daemon without copies waits 9 s before it reads the store",
-];
-
 /** The daemons next in line stand still while a release replaces VMs. */
 const LINE_FROZEN_IN_RELEASE: History = {
     daemonsPerDomain: 3,
--- /dev/null
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -0,0 +1,90 @@
+/**
+ * Mutants of the lease of versions, and of what it is taken for. While the background keeps versions fresh hardly any of them
+ * harms a caller; each is searched together with the spoilt background.
+ */
+import type { Mutant } from "./Mutants.js";
+
+const LEASE = "src/transport/directory/VersionLease.ts";
+const RESOLVER = "src/transport/routes/RouteResolver.ts";
+
+/** Names of mutants of the background. Nothing but the lease of versions protects the callers of a build with all of them. */
+export const SPOILT_BACKGROUND: readonly string[] = [
+    "takeovers begin twice as late",
+    "takeovers are spread five times as long",
+    "reports of watches count although confirmations are missing",
+    "watches are trusted whatever was lost",
+    "checks of the store are four times as late",
+    "late versions are read four times as late",
+    "no version is overdue",
+    "a daemon without copies waits 9 s before it reads the store",
+];
+
+export const LEASE_MUTANTS: readonly Mutant[] = [
+    {
+        file: LEASE,
+        from: "if (this.readAgeMs(own, now) <= limits.renewLeaseAfterMs) {",
+        name: "a renewal counts whatever the age",
+        to: "if (this.readAgeMs(own, now) <= Infinity) {",
+    },
+    {
+        file: LEASE,
+        from: "const reading = readStore();",
+        name: "no renewal reads the store",
+        to: "const reading = Promise.resolve(readStore === undefined);",
+    },
+    {
+        file: LEASE,
+        from: "this.#retryAt = now + this.#retryDelays.next().value;",
+        name: "a renewal that nobody has answered is never tried again",
+        to: "this.#retryAt = Infinity;",
+    },
+    {
+        file: LEASE,
+        from: "return newest !== undefined && now - newest.at <= limits.leaseMs ? newest : undefined;",
+        name: "a confirmed version counts at any age",
+        to: "return now - limits.leaseMs < Infinity ? newest : undefined;",
+    },
+    {
+        file: LEASE,
+        from: "&& lag.listSources(listReachable(), now, newest.version).length > 0;",
+        name: "a renewal counts although no daemon with the newer version can be asked",
+        to: "&& lag.listSources(listReachable(), now, newest.version).length >= 0;",
+    },
+    {
+        file: LEASE,
+        from: "const isSilent = isStoreSilentSince(confirmedAt);",
+        name: "no renewal waits for the store",
+        to: "const isSilent = isStoreSilentSince(confirmedAt) || confirmedAt < Infinity;",
+    },
+    {
+        file: LEASE,
+        from: "if (countDaemons() <= 1) {",
+        name: "no renewal asks other daemons",
+        to: "if (countDaemons() <= Infinity) {",
+    },
+    {
+        file: "src/transport/directory/StoreFollower.ts",
+        from: "this.#unansweredAt = isUnanswered ? this.#options.now() : undefined;",
+        name: "a call that the store has left without an answer is never forgotten",
+        to: "this.#unansweredAt = isUnanswered ? this.#options.now() : this.#unansweredAt;",
+    },
+    {
+        file: RESOLVER,
+        from:
+            "if (isValid || version === undefined || outcome === RenewalOutcome.Unanswered && sources.length === 0) {",
+        name: "the own version decides after each wait for a renewal",
+        to: "if (isValid || version === undefined || sources.length >= 0) {",
+    },
+    {
+        file: RESOLVER,
+        from: "if (outcome === RenewalOutcome.OutOfTime || configuration === undefined) {",
+        name: "the own version decides when the time for a renewal is over",
+        to: "if (configuration === undefined) {",
+    },
+    {
+        file: RESOLVER,
+        from: ": { sources: this.#listSources(now(), newest.version), version: newest.version };",
+        name: "daemons of any newer version stand in beyond the lease",
+        to: ": { sources: this.#listSources(now()), version: own };",
+    },
+];
