--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -21,7 +21,7 @@
 });
 
 /** For tests whose bound is a time, which would depend on the machine's load otherwise. */
-function useSimulatedTime(): void {
+function startSimulatedTime(): void {
     vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "performance"] });
 }
 
@@ -162,7 +162,7 @@
     const WATCHER_IDS = Array.from({ length: 16 }, (_value, index) => `watcher-${index}`);
 
     it("is read from the store in time, though the daemon has just learned of it", async () => {
-        useSimulatedTime();
+        startSimulatedTime();
         const read = async () => {
             await new Promise(resolve => setTimeout(resolve, READING_MS));
             return Right(createReading(9));
@@ -271,7 +271,7 @@
     }
 
     it("reads the store in time once nobody confirms the version that it has", async () => {
-        useSimulatedTime();
+        startSimulatedTime();
         const { manager } = createUnregisteredManager();
         manager.start();
         manager.applyVersion({ revision: 5, text: "5", version: 5 }, "other");
