Believe for a second only that the store is silent when a lease needs it

What callers would see: a request decided by a replaced version after its deadline, at a daemon that reaches the store. Cause: a renewal doesn't wait for a store that has left a call of the daemon unanswered since the last confirmation, however long ago; a daemon that seldom calls the store keeps that belief, and the own version decides without a confirmation. The same class as the lease itself: knowledge that is used without its age.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -117,7 +117,7 @@
         this.#lease = new VersionLease({
             ...options,
             freshness: this.#freshness,
-            isStoreSilentSince: at => this.#follower.isStoreSilentSince(at),
+            isStoreSilentSince: (at, now) => this.#follower.isStoreSilentSince(at, now),
             readStore: () => this.#readStore(),
         });
     }
--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -9,7 +9,12 @@
 import { sleepFor } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
 import { AnswerTimeout } from "./AnswerTimeout.js";
-import { CHECK_WAIT_MS, WATCH_WAIT_MS, WATCHER_CHECK_INTERVAL_MS } from "./DirectoryConstants.js";
+import {
+    CHECK_WAIT_MS,
+    STORE_SILENCE_MEMORY_MS,
+    WATCH_WAIT_MS,
+    WATCHER_CHECK_INTERVAL_MS,
+} from "./DirectoryConstants.js";
 import { generateStoreDelays } from "./StoreDelays.js";
 import { WatchGuard } from "./WatchGuard.js";
 import type { StoreReading, TimedReading } from "./WatchGuard.js";
@@ -59,9 +64,10 @@
         return this.#position !== undefined;
     }
 
-    /** Whether the store has left a check or a reading unanswered since a time, and answered none after it. */
-    isStoreSilentSince(at: number): boolean {
-        return this.#unansweredAt !== undefined && this.#unansweredAt >= at;
+    /** Whether the store has left a check or a reading unanswered since a time, and so lately that it is likely silent still. */
+    isStoreSilentSince(at: number, now: number): boolean {
+        return this.#unansweredAt !== undefined && this.#unansweredAt >= at
+            && now - this.#unansweredAt <= STORE_SILENCE_MEMORY_MS;
     }
 
     start(): void {
--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -50,8 +50,8 @@
     countDaemons(): number;
     /** Asks another daemon for its status, with the confirmation of its version; false when it can't be asked. */
     requestStatus(id: string): boolean;
-    /** Whether the store has left a call of this daemon unanswered since a time, and answered none after it. */
-    isStoreSilentSince(at: number): boolean;
+    /** Whether the store has left a call of this daemon unanswered since a time, lately, and answered none after it. */
+    isStoreSilentSince(at: number, now: number): boolean;
     /** Reads the newest version from the store; resolves with whether it has answered, also by a refusal. */
     readStore(): Promise<boolean>;
 }
@@ -169,7 +169,7 @@
     async #readStore(): Promise<boolean> {
         const { isStoreSilentSince, lag, now, readStore } = this.#options;
         const confirmedAt = now() - this.readAgeMs(lag.own ?? -Infinity, now());
-        const isSilent = isStoreSilentSince(confirmedAt);
+        const isSilent = isStoreSilentSince(confirmedAt, now());
         const reading = readStore();
         return isSilent ? false : await reading;
     }
--- a/src/transport/directory/__tests__/unit/StoreFollower.test.ts
+++ b/src/transport/directory/__tests__/unit/StoreFollower.test.ts
@@ -19,8 +19,11 @@
     return { configuration: { revision, text: "", version: revision }, position: { era: 0, revision } };
 }
 
-/** A daemon whose version was confirmed at `CONFIRMED`, and a store that answers checks with `error` or a version. */
-function createFollower(error: StoreError | undefined) {
+/**
+ * A daemon whose version was confirmed at `CONFIRMED`, and a store that answers each check with the next of `errors` or, where
+ * that is undefined, with a version; the last one is repeated.
+ */
+function createFollower(...errors: readonly (StoreError | undefined)[]) {
     const calls: string[] = [];
     const freshness = new VersionFreshness(0);
     freshness.recordOwn(CONFIRMED.revision);
@@ -31,6 +34,7 @@
             return Right(createReading(9));
         },
         watchConfiguration: async (position: StorePosition, waitMs: number, timeoutMs?: number) => {
+            const error = errors[Math.min(calls.length, errors.length - 1)];
             calls.push(`after ${position.revision}, ${waitMs} ms, at most ${timeoutMs} ms`);
             return error === undefined ? Right(createReading(8)) : Left(error);
         },
@@ -86,6 +90,25 @@
     ])("counts as silent since the call that it left unanswered: $isSilent", async ({ error, isSilent }) => {
         const { follower } = createFollower(error);
         await follower.readNewest();
-        expect([follower.isStoreSilentSince(100), follower.isStoreSilentSince(101)]).toEqual([isSilent, false]);
+        const results = [follower.isStoreSilentSince(100, 100), follower.isStoreSilentSince(101, 101)];
+        expect(results).toEqual([isSilent, false]);
+    });
+
+    it("no longer counts as silent once it has answered", async () => {
+        const { follower } = createFollower(SILENT, undefined);
+        await follower.readNewest();
+        expect(follower.isStoreSilentSince(100, 100)).toBe(true);
+        await follower.readNewest();
+        expect(follower.isStoreSilentSince(100, 100)).toBe(false);
+    });
+
+    // Guards against requests that are decided by a replaced version since the store was silent some seconds before.
+    it("counts as silent for a second only", async () => {
+        const { follower } = createFollower(SILENT);
+        await follower.readNewest();
+        expect([follower.isStoreSilentSince(100, 1_100), follower.isStoreSilentSince(100, 1_101)]).toEqual([
+            true,
+            false,
+        ]);
     });
 });
--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -100,6 +100,8 @@
     /** Percentage of the VMs whose processors are weak, and by how much longer each event takes there. */
     readonly weakShare: number;
     readonly weakness: number;
+    /** Factor of the times between the requests of a VM; 1 if it isn't given. */
+    readonly requestSpacing?: number;
     readonly faults: readonly Fault[];
 }
 
--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -52,9 +52,15 @@
     },
     {
         file: LEASE,
-        from: "const isSilent = isStoreSilentSince(confirmedAt);",
+        from: "const isSilent = isStoreSilentSince(confirmedAt, now());",
         name: "no renewal waits for the store",
-        to: "const isSilent = isStoreSilentSince(confirmedAt) || confirmedAt < Infinity;",
+        to: "const isSilent = isStoreSilentSince(confirmedAt, now()) || confirmedAt < Infinity;",
+    },
+    {
+        file: "src/transport/directory/StoreFollower.ts",
+        from: "&& now - this.#unansweredAt <= STORE_SILENCE_MEMORY_MS;",
+        name: "a store that was silent once counts as silent until it answers",
+        to: "&& now - this.#unansweredAt <= Infinity;",
     },
     {
         file: LEASE,
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -296,7 +296,7 @@
     #sendRequests(vm: SimulatedVm): void {
         const { now } = this.#clock;
         this.#clock.schedule(
-            now + this.#computeRequestInterval(now) * (0.5 + this.#random()),
+            now + this.#computeRequestInterval(now) * (this.#history.requestSpacing ?? 1) * (0.5 + this.#random()),
             () => this.#sendRequests(vm),
         );
         const { daemon, incarnation, node } = vm;
--- a/src/transport/sidecar/__tests__/search/main.ts
+++ b/src/transport/sidecar/__tests__/search/main.ts
@@ -48,6 +48,7 @@
     args: {
         climb: { default: false, description: "begin from the histories with the latest versions", type: "boolean" },
         exact: { default: false, description: "all meshes have the given size", type: "boolean" },
+        faults: { description: "file with a list of faults that each history has besides", type: "string" },
         history: { description: "file with a history to be played with its log", type: "string" },
         ignore: { description: "rule that is not judged, in drawn histories", type: "string" },
         runs: { default: "200", description: "number of histories", type: "string" },
@@ -57,6 +58,7 @@
             description: "regions x domains x daemons of the largest meshes; without it, meshes like the users'",
             type: "string",
         },
+        spacing: { default: "1", description: "factor of the times between requests", type: "string" },
         suspend: { default: false, description: "VMs that stand still are suspended", type: "boolean" },
     },
     meta: { description: "Searches histories on which a rule is broken.", name: "search" },
@@ -68,6 +70,9 @@
             return;
         }
         const size = args.size === undefined ? undefined : parseSize(args.size);
+        const addedFaults = args.faults === undefined
+            ? []
+            : JSON.parse(readFileSync(args.faults, "utf8")) as readonly Fault[];
         const startedAt = performance.now();
         const { found, handled, latest, refused, runs, shares } =
             await (args.climb ? findViolationByClimbing : findViolation)({
@@ -77,7 +82,8 @@
                 adapt: history => ({
                     ...history,
                     ...args.exact ? size : {},
-                    faults: args.suspend ? history.faults.map(replaceFreeze) : history.faults,
+                    requestSpacing: Number(args.spacing),
+                    faults: [...args.suspend ? history.faults.map(replaceFreeze) : history.faults, ...addedFaults],
                 }),
                 size,
                 ...args.ignore === undefined ? {} : { ignoredRules: [parseRule(args.ignore)] },
--- a/src/transport/sidecar/__tests__/unit/FoundHistories.test.ts
+++ b/src/transport/sidecar/__tests__/unit/FoundHistories.test.ts
@@ -2,6 +2,7 @@
 import { join } from "node:path";
 import { describe, expect, it } from "vitest";
 import { FOUND_HISTORIES } from "../search/FoundHistories.js";
+import { LEASE_MUTANTS } from "../search/LeaseMutants.js";
 import { MUTANTS, NO_LEASE, STEADY_AGES } from "../search/Mutants.js";
 import { buildSearch, OUTPUT_FOLDER, runSearch } from "../search/SearchBuild.js";
 import { runHistory } from "../search/SimulatedMesh.js";
@@ -9,12 +10,12 @@
 const TEST_TIMEOUT_MS = 60_000;
 const CASES = FOUND_HISTORIES.map((found, index) => ({ ...found, index, name: found.mutants[0] }));
 /** What the lease of versions relies on, without which it doesn't protect callers. */
-const LEASE_MUTANTS: readonly string[] = [NO_LEASE, STEADY_AGES];
+const LEASE_NAMES: readonly string[] = [NO_LEASE, STEADY_AGES, ...LEASE_MUTANTS.map(({ name }) => name)];
 /** What keeps versions fresh is wrong, but the lease of versions is in force. */
-const BACKGROUND_CASES = CASES.filter(({ mutants }) => mutants.some(name => LEASE_MUTANTS.includes(name))).map(
+const BACKGROUND_CASES = CASES.filter(({ mutants }) => mutants.some(name => LEASE_NAMES.includes(name))).map(
     found => ({
         ...found,
-        mutants: found.mutants.filter(name => !LEASE_MUTANTS.includes(name)),
+        mutants: found.mutants.filter(name => !LEASE_NAMES.includes(name)),
     }),
 );
 
@@ -22,7 +23,7 @@
     await mkdir(OUTPUT_FOLDER, { recursive: true });
     const path = join(OUTPUT_FOLDER, `found-${process.pid}-${index}-${mutants.length}`);
     await writeFile(`${path}.json`, JSON.stringify(history));
-    await buildSearch(MUTANTS.filter(({ name }) => mutants.includes(name)), `${path}.mjs`);
+    await buildSearch([...MUTANTS, ...LEASE_MUTANTS].filter(({ name }) => mutants.includes(name)), `${path}.mjs`);
     return await runSearch(`${path}.mjs`, ["--history", `${path}.json`]);
 }
 
