Renew a lease that nobody has answered within 2 s instead of 8 s

What callers would see: for some seconds after the store is back, requests decided by a replaced version. Cause: after a renewal that nobody has answered the own version decides until the next one, up to 8 s later; the users' rule counts a VM as in touch 3 s after its store is back. Confirmations of other daemons end this earlier, but nothing ensures that another daemon asks.

--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -38,9 +38,12 @@
 export const STORE_REREAD_MAXIMUM_MS = 30_000;
 /** Time for which a call that the store has left unanswered tells that it is silent; it may answer again since. */
 export const STORE_SILENCE_MEMORY_MS = 1_000;
-/** Backoff after a renewal of the lease that nobody has answered, doubled after each, with full jitter. */
+/**
+ * Backoff after a renewal of the lease that nobody has answered, doubled after each, with full jitter. Shorter than the time after
+ * which the users' rules count a VM as in touch again, since its version decides unconfirmed until then.
+ */
 export const LEASE_RETRY_BASE_MS = 1_000;
-export const LEASE_RETRY_MAXIMUM_MS = 8_000;
+export const LEASE_RETRY_MAXIMUM_MS = 2_000;
 /** Rate and burst of the copies of versions that a daemon sends: about half of the link of the weakest VMs. */
 export const COPY_BYTES_PER_MS = 375;
 export const COPY_BURST_BYTES = 75_000;
--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -38,6 +38,12 @@
         name: "a renewal that nobody has answered is never tried again",
         to: "this.#retryAt = Infinity;",
     },
+    {
+        file: "src/transport/directory/DirectoryConstants.ts",
+        from: "export const LEASE_RETRY_MAXIMUM_MS = 2_000;",
+        name: "a renewal that nobody has answered is tried again after up to 8 s",
+        to: "export const LEASE_RETRY_MAXIMUM_MS = 8_000;",
+    },
     {
         file: LEASE,
         from: "return newest !== undefined && now - newest.at <= limits.leaseMs ? newest : undefined;",
