Let slot leases end while their holder's VM is suspended

What callers would see: a server beyond its slots for up to 2 s. The holder's leases now go by an age clock; Slots.test.ts has the case, which fails with the loss ignored. A step of the time of day ahead ends leases early, after which requests are relayed until the next renewal.

--- a/src/coordination/balancing/LoadBalancer.ts
+++ b/src/coordination/balancing/LoadBalancer.ts
@@ -31,7 +31,7 @@
     readonly readView: () => MeshView;
     readonly random: Random;
     /** Whether a request sent now would reach the server in one hop. */
-    readonly isOneHop: (memberId: string, now: number) => boolean;
+    readonly isOneHop: (memberId: string) => boolean;
 }
 
 interface CachedGroups {
@@ -181,7 +181,7 @@
 
     #selectByTwoChoices(group: readonly Member[], query: SelectionQuery): Member | undefined {
         // The first candidate is in one hop if there is one; the second may be any, so that load can spread.
-        const oneHop = group.filter(member => this.#options.isOneHop(member.id, query.now));
+        const oneHop = group.filter(member => this.#options.isOneHop(member.id));
         const first = this.#selectRandomMember(oneHop.length > 0 ? oneHop : group);
         const second = this.#selectRandomMember(group.filter(member => member !== first));
         if (first === undefined || second === undefined) {
@@ -199,7 +199,7 @@
         const statistics = this.getStatistics(member.id, query.now);
         const utilization = statistics.estimateUtilization(member.server?.slots ?? 1, query.now);
         const latency = Math.max(1, statistics.latencyMs ?? 1);
-        const hops = this.#options.isOneHop(member.id, query.now) ? 1 : RELAY_COST_FACTOR;
+        const hops = this.#options.isOneHop(member.id) ? 1 : RELAY_COST_FACTOR;
         return hops * (statistics.inFlight + 1) * (1 + utilization) * Math.sqrt(latency)
             / statistics.computeWeight(query.slowStartMs, query.now);
     }
--- a/src/transport/daemon/RequestPath.ts
+++ b/src/transport/daemon/RequestPath.ts
@@ -102,6 +102,7 @@
         now,
         random,
         readView,
+        readWallClock: () => Date.now(),
         recorder: combineRecorders([metrics, createAccessLog(createPartLogger("access"))]),
         region: settings.region,
         relayAddress: settings.address,
--- a/src/transport/proxy/Explanation.ts
+++ b/src/transport/proxy/Explanation.ts
@@ -62,7 +62,7 @@
 
 function describeServer(context: ProxyContext, member: Member, distance: number, now: number): ExplainedServer {
     const statistics = context.balancer.getStatistics(member.id, now);
-    const leasedSlots = context.leases.countGranted(member.id, now);
+    const leasedSlots = context.leases.countGranted(member.id, context.readLeaseTime());
     return {
         id: member.id,
         failureDomain: member.failureDomain,
--- a/src/transport/proxy/LeaseRenewer.ts
+++ b/src/transport/proxy/LeaseRenewer.ts
@@ -26,7 +26,7 @@
     const renew = (owner: string): void => {
         if (options.isLeasing !== false && !pending.has(owner)) {
             pending.add(owner);
-            const plan = leases.planRenewal(owner, options.now());
+            const plan = leases.planRenewal(owner, context.readLeaseTime());
             void renewLease(context, plan).finally(() => pending.delete(owner));
         }
     };
@@ -56,7 +56,7 @@
         leases.revoke(plan.owner);
         return;
     }
-    const sentAt = options.now();
+    const sentAt = context.readLeaseTime();
     const answer = await sendRenewal(context, owner, {
         holder: options.selfId,
         owner: owner.id,
@@ -64,7 +64,7 @@
         wanted: plan.wanted,
         inUse: plan.inUse,
         sent: plan.sent,
-    }, sentAt);
+    }, options.now());
     if (answer !== undefined) {
         leases.applyGrant(owner.id, answer.granted, sentAt);
         balancer.recordLoad(owner.id, answer.load, options.now());
@@ -76,7 +76,7 @@
     context: ProxyContext,
     owner: Member,
     renewal: LeaseRenewal,
-    sentAt: number,
+    now: number,
 ): Promise<LeaseAnswer | undefined> {
     const pool = context.pools.get({
         address: owner.address,
@@ -84,7 +84,7 @@
         connections: 1,
         connectTimeoutMs: RELAY_CONNECT_TIMEOUT_MS,
         purpose: "leases",
-    }, sentAt);
+    }, now);
     try {
         const answer = await pool.request({
             method: "POST",
--- a/src/transport/proxy/ProxyContext.ts
+++ b/src/transport/proxy/ProxyContext.ts
@@ -46,6 +46,8 @@
     readonly meshKey: string;
     /** Current time in milliseconds, from a clock that does not jump. */
     readonly now: () => number;
+    /** Unix milliseconds; tells for how long the VM was suspended. `now` when omitted. */
+    readonly readWallClock?: () => number;
     readonly random: Random;
     readonly log: ProxyLog;
     /** Called when the local backend server refuses connections, so that it can be announced as dead. */
@@ -64,6 +66,8 @@
     readonly pools: ConnectionPools;
     readonly balancer: LoadBalancer;
     readonly leases: HeldLeases;
+    /** Clock of `leases`, which end at their owners also while this VM is suspended. */
+    readonly readLeaseTime: () => number;
     readonly ownServer: OwnServer;
     readonly selectServer: SelectServer;
     readonly takeRetry: TakeRetry;
--- a/src/transport/proxy/RequestAttempts.ts
+++ b/src/transport/proxy/RequestAttempts.ts
@@ -184,7 +184,7 @@
         if (member.id === context.options.selfId) {
             return { hop: Hop.Local, result: executeLocally(context, request) };
         }
-        return member.server !== undefined && context.leases.acquireSlot(member.id, sharing, context.options.now())
+        return member.server !== undefined && context.leases.acquireSlot(member.id, sharing, context.readLeaseTime())
             ? { hop: Hop.Direct, result: sendUnderLease(context, member, member.server, request) }
             : { hop: Hop.Relayed, result: relayToOwner(context, member, request, false) };
     });
@@ -237,7 +237,7 @@
     attempts.count++;
     attempts.server = member.id;
     balancer.recordStart(member.id, startedAt);
-    if (isLeasable && leases.recordStart(member.id, startedAt)) {
+    if (isLeasable && leases.recordStart(member.id, context.readLeaseTime())) {
         context.requestLease(member.id);
     }
     const { hop, result: started } = start();
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -6,6 +6,7 @@
 import { deriveRelayToken, isValidHeaderList, RefusalReason } from "../../protocol/request/index.js";
 import type { LoadReport } from "../../protocol/request/index.js";
 import type { MemberState } from "../../state/members/index.js";
+import { AgeClock } from "../timers/index.js";
 import { handleCallerRequest } from "./CallerRequestHandler.js";
 import { ConnectionPools } from "./ConnectionPools.js";
 import { DeadlineQueue } from "./DeadlineQueue.js";
@@ -107,13 +108,22 @@
 
 function createContext(options: RequestProxyOptions, state: ProxyState): ProxyContext {
     const leases = new HeldLeases();
+    const leaseClock = new AgeClock({
+        now: options.now,
+        onLost: ms => {
+            options.log("warn", "proxy: the steady clock has not counted some time, in which leases may have ended.", {
+                lostMs: Math.round(ms),
+            });
+        },
+        readWallClock: options.readWallClock ?? options.now,
+    });
     const startedAt = options.now();
     const retryBudgets = new RetryBudgets(options.readView);
     const balancer = new LoadBalancer({
         locality: { id: options.selfId, failureDomain: options.failureDomain, region: options.region },
         readView: options.readView,
         random: options.random,
-        isOneHop: (memberId, now) => memberId === options.selfId || leases.hasFreeSlot(memberId, now),
+        isOneHop: memberId => memberId === options.selfId || leases.hasFreeSlot(memberId, leaseClock.now()),
     });
     // The start time keeps ids unique across restarts of the daemon.
     const idPrefix = `${options.selfId}-${Math.floor(startedAt).toString(36)}-`;
@@ -125,6 +135,7 @@
         pools: new ConnectionPools(),
         balancer,
         leases,
+        readLeaseTime: leaseClock.now,
         ownServer: new OwnServer(options.selfId, options.readView, startedAt),
         selectServer: options.selectServer ?? (query => balancer.selectServer(query)),
         takeRetry: options.takeRetry ?? ((service, now) => retryBudgets.takeRetry(service, now)),
--- a/src/transport/proxy/__tests__/unit/Slots.test.ts
+++ b/src/transport/proxy/__tests__/unit/Slots.test.ts
@@ -10,13 +10,13 @@
 const SLOTS = 6;
 
 /** Starts four daemons that share one server with `SLOTS` slots; each answer takes 4 ms. */
-async function startSharedServer(isColdStart: boolean) {
+async function startSharedServer(isColdStart: boolean, readWallClock?: () => number) {
     const backend = await startBackend((_received, _request, response) => {
         setTimeout(() => response.end("ok"), 4);
     });
     const mesh = await startMesh(buildDocument({ queue: { length: 100, deadlineMs: 5_000 } }, { timeoutMs: 5_000 }), [
         { id: "owner", serverPort: backend.port, slots: SLOTS },
-        { id: "d1" },
+        { id: "d1", ...readWallClock === undefined ? {} : { options: { readWallClock } } },
         { id: "d2" },
         { id: "d3", failureDomain: "erie-b" },
     ], isColdStart);
@@ -56,16 +56,29 @@
         expect(backend.highestConcurrency()).toBeLessThanOrEqual(SLOTS);
     });
 
-    it("relays a request after the lease expired while its holder was paused", async () => {
-        const { mesh } = await startSharedServer(false);
+    /** Waits until the daemon `d1` holds a lease, and until it is over after a `pause`; then the next request is relayed. */
+    async function expectRelayedAfter(mesh: TestMesh, pause: () => void): Promise<void> {
         await sendRequest(`${mesh.getUrl("d1")}/status`);
         const isLeased = () =>
             (mesh.getProxy("d1").explain({ method: "GET", path: "/status" }).servers[0]?.leasedSlots ?? 0) > 0;
         await waitUntil(isLeased);
-        mesh.advance(2_000);
+        pause();
         expect(isLeased()).toBe(false);
         await sendRequest(`${mesh.getUrl("d1")}/status`);
         expect(mesh.records.at(-1)?.hop).toBe("relayed");
+    }
+
+    it("relays a request after the lease expired while its holder was paused", async () => {
+        const { mesh } = await startSharedServer(false);
+        await expectRelayedAfter(mesh, () => mesh.advance(2_000));
+    });
+
+    it("relays a request after the lease expired while its holder's VM was suspended", async () => {
+        let suspendedMs = 0;
+        const { mesh } = await startSharedServer(false, () => performance.now() + suspendedMs);
+        await expectRelayedAfter(mesh, () => {
+            suspendedMs = 2_000;
+        });
     });
 });
 
