Judge missing answers by whether the VM is in touch when they are missing

The users' rule counts answers that are missing half a second later at machines in touch; a killed one isn't. The judge looked at the VM up to the timeout only. RuleJudge has both sides: an impairment after the half second changes nothing. No narrower otherwise.

--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -329,9 +329,11 @@
             const timeoutMs = this.#readLongestTimeout(path, sentAt);
             const endsAt = sentAt + timeoutMs;
             const isLong = path.startsWith(SLOW_PATH) && (answeredAt ?? Infinity) > endsAt;
-            if (isLong && endsAt + TIMEOUT_SLACK_MS < now && this.#isInTouch([caller], [sentAt, endsAt])) {
+            const judgedAt = endsAt + TIMEOUT_SLACK_MS;
+            // A daemon that ends in the meantime isn't in touch when its answer is missing.
+            if (isLong && judgedAt < now && this.#isInTouch([caller], [sentAt, endsAt, judgedAt])) {
                 long++;
-                unanswered += (answeredAt ?? Infinity) > endsAt + TIMEOUT_SLACK_MS ? 1 : 0;
+                unanswered += (answeredAt ?? Infinity) > judgedAt ? 1 : 0;
             }
         }
         if (long >= MINIMUM_TIMEOUT_REQUESTS && unanswered / long > MAXIMUM_UNANSWERED_SHARE) {
--- a/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
+++ b/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
@@ -170,6 +170,23 @@
         expect([late.broken, few.broken]).toEqual([["timeouts"], []]);
     });
 
+    it.each([
+        { expected: [], impairedAfterMs: 700 },
+        { expected: ["timeouts"], impairedAfterMs: 1_200 },
+    ])("judges answers that are missing half a second after timeouts by the VM at that time: $impairedAfterMs ms", ({
+        expected,
+        impairedAfterMs,
+    }) => {
+        const { answer, broken, caller, judge } = createJudge();
+        const at = OVERDUE_AT + impairedAfterMs;
+        caller.impairments.push({ from: at, to: at });
+        for (let count = 0; count < 12; count++) {
+            answer(SLOW_PATH, OVERDUE_AT, 504, undefined, 1_300);
+        }
+        judge.complete(OVERDUE_AT + 5_000);
+        expect(broken).toEqual(expected);
+    });
+
     it("finds a part of a split whose share is more than a fifth off, and of a settled version only", () => {
         const { broken, judge, run } = createJudge();
         for (let count = 0; count < 400; count++) {
