--- a/src/transport/sidecar/__tests__/search/CheckMutants.ts
+++ b/src/transport/sidecar/__tests__/search/CheckMutants.ts
@@ -64,6 +64,7 @@
         only: { description: "pattern of the names of the mutants that are searched", type: "string" },
         runs: { default: "100", description: "histories for each mutant", type: "string" },
         seed: { default: "1", description: "seed of the searches", type: "string" },
+        spacing: { description: "factor of the times between requests", type: "string" },
         spoilt: { default: false, description: "the background is spoilt in each build besides", type: "boolean" },
     },
     meta: {
@@ -80,6 +81,7 @@
             "0",
             ...args.climb ? ["--climb"] : [],
             ...args.ignore === undefined ? [] : ["--ignore", args.ignore],
+            ...args.spacing === undefined ? [] : ["--spacing", args.spacing],
         ];
         const beside = MUTANTS.filter(({ name }) =>
             name === args.beside || args.spoilt && SPOILT_BACKGROUND.includes(name)
--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -125,6 +125,9 @@
 const MAXIMUM_CHANGES = 5;
 const SCENES = { maxLength: 4, minLength: 2 } as const;
 const LONGEST_FAULT_MS = 6_000;
+/** One of so many histories has requests so rare that leases end before the next one. */
+const SPARSE_SHARE = 5;
+const SPARSE_SPACING = 10;
 const MAXIMUM_WEAKNESS = 12;
 
 /** Range of the time between two events. */
@@ -364,6 +367,7 @@
     }).map(({ layout, scenes, ...history }) => ({
         ...history,
         ...layout,
+        requestSpacing: history.seed % SPARSE_SHARE === 0 ? SPARSE_SPACING : 1,
         faults: scenes.flatMap(({ isAtStart, laterByMs, offsetMs, parts, version }) => {
             const changeMs = computeChangeTime(history, version % history.versionGapsMs.length);
             const atMs = Math.max(0, (isAtStart ? 0 : changeMs) + offsetMs);
--- a/src/transport/sidecar/__tests__/search/main.ts
+++ b/src/transport/sidecar/__tests__/search/main.ts
@@ -58,7 +58,7 @@
             description: "regions x domains x daemons of the largest meshes; without it, meshes like the users'",
             type: "string",
         },
-        spacing: { default: "1", description: "factor of the times between requests", type: "string" },
+        spacing: { description: "factor of the times between requests", type: "string" },
         suspend: { default: false, description: "VMs that stand still are suspended", type: "boolean" },
     },
     meta: { description: "Searches histories on which a rule is broken.", name: "search" },
@@ -82,7 +82,7 @@
                 adapt: history => ({
                     ...history,
                     ...args.exact ? size : {},
-                    requestSpacing: Number(args.spacing),
+                    ...args.spacing === undefined ? {} : { requestSpacing: Number(args.spacing) },
                     faults: [...args.suspend ? history.faults.map(replaceFreeze) : history.faults, ...addedFaults],
                 }),
                 size,
