Judge in the search whether daemons come to know each other

The search had no rule for what MemberRegistry is for. 'unknown member': at the end of a history two daemons that have been in touch with the store and each other for 4 s know each other.

--- a/src/transport/sidecar/__tests__/search/CheckMutants.ts
+++ b/src/transport/sidecar/__tests__/search/CheckMutants.ts
@@ -5,6 +5,7 @@
 import { defineCommand, runMain } from "citty";
 import { join } from "node:path";
 import { LEASE_MUTANTS, SPOILT_BACKGROUND } from "./LeaseMutants.js";
+import { MEMBER_MUTANTS } from "./MemberMutants.js";
 import { MUTANTS } from "./Mutants.js";
 import type { Mutant } from "./Mutants.js";
 import { buildSearch, OUTPUT_FOLDER, runSearch } from "./SearchBuild.js";
@@ -26,7 +27,7 @@
     only: string | undefined,
     beside: readonly Mutant[],
 ): Promise<number> {
-    const mutants = [...MUTANTS, ...LEASE_MUTANTS].filter(({ name }) =>
+    const mutants = [...MUTANTS, ...LEASE_MUTANTS, ...MEMBER_MUTANTS].filter(({ name }) =>
         only === undefined || new RegExp(only).test(name)
     );
     const waiting = [...mutants.entries()];
--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -30,6 +30,8 @@
     Misplaced: "misplaced",
     /** A request is answered with 404 although the daemon knows of a newer version that has its route. */
     Denied: "denied",
+    /** A daemon doesn't know another one, although both have reached the store and each other for long. */
+    UnknownMember: "unknown member",
     Twice: "twice",
     /** A request ran that was refused as not run. */
     Refused: "refused",
@@ -81,6 +83,8 @@
 const MINIMUM_SPLIT_REQUESTS = 200;
 const MAXIMUM_SPLIT_ERROR = 0.2;
 const NOT_FOUND_STATUS = 404;
+/** Time in which two daemons that reach the store and each other know of each other. */
+const KNOWN_AFTER_MS = 4_000;
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const SUCCESS_STATUS = 200;
 
@@ -242,6 +246,26 @@
         }
     }
 
+    /** Judges whether daemons know each other. */
+    judgeMembers(vms: readonly SimulatedVm[], now: number): void {
+        const settled = vms.filter(({ daemon, impairments, settledAt, state, storeLostAt }) =>
+            daemon !== undefined
+            && Math.max(settledAt, storeLostAt, state.cutUntil) + KNOWN_AFTER_MS < now
+            && !isImpaired(impairments, now) && !isImpaired(impairments, now - KNOWN_AFTER_MS)
+            && impairments.every(({ from, to }) => to < now - KNOWN_AFTER_MS || from > now)
+        );
+        for (const vm of settled) {
+            const unknown = settled.filter(({ id }) => vm.daemon?.hasMember(id) === false);
+            if (unknown.length > 0) {
+                this.#options.onViolation({
+                    at: now,
+                    detail: `${vm.id} doesn't know ${unknown.map(({ id }) => id).join(" ")}`,
+                    rule: Rule.UnknownMember,
+                });
+            }
+        }
+    }
+
     /** Version that has to be in force for a request that is sent at a time. */
     #readRequired(sentAt: number): number {
         const dueBefore = sentAt - this.#options.deadlineMs;
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -269,6 +269,11 @@
         return this.#registry.isRegistered;
     }
 
+    /** Whether the daemon knows that another one is there. */
+    hasMember(id: string): boolean {
+        return this.#registry.list().some(member => member.id === id);
+    }
+
     get isWatching(): boolean {
         return this.#configuration.isWatching;
     }
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -158,6 +158,7 @@
         }
         const end = (this.#changes.at(-1) ?? 0) + deadlineMs + TAIL_MS;
         await this.#clock.runUntil(end);
+        this.#judge.judgeMembers(this.#vms, end);
         this.#judge.complete(end);
         return {
             handled: this.#judge.handled,
--- a/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
+++ b/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
@@ -206,6 +206,23 @@
         expect(broken).toEqual(["twice", "refused", "refused"]);
     });
 
+    it.each([
+        { expected: ["unknown member"], sinceMs: 4_100 },
+        { expected: [], sinceMs: 3_900 },
+    ])("finds a daemon that doesn't know another one once both have been sound for 4 s: $sinceMs ms", ({
+        expected,
+        sinceMs,
+    }) => {
+        const { broken, caller, judge, owner } = createJudge();
+        for (const vm of [caller, owner]) {
+            vm.settledAt = OVERDUE_AT;
+        }
+        caller.daemon = { hasMember: () => true } as Partial<SimulatedDaemon> as SimulatedDaemon;
+        owner.daemon = { hasMember: (id: string) => id === owner.id } as Partial<SimulatedDaemon> as SimulatedDaemon;
+        judge.judgeMembers([caller, owner], OVERDUE_AT + sinceMs);
+        expect(broken).toEqual(expected);
+    });
+
     it("finds a daemon that reaches the store and lacks a version after its deadline", () => {
         const { broken, judge, owner } = createJudge();
         judge.judgeVersions([owner], CHANGED_AT + DEADLINE_MS);
