Log how long a wait for an answer really lasted, and what a failed renewal has asked

A wait that ends without an answer looked the same whether the other side was silent or this daemon's event loop was held for longer than the limit.

--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -62,6 +62,8 @@
 export class VersionLease {
     readonly #options: VersionLeaseOptions;
     #renewal: Promise<boolean> | undefined;
+    /** Questions to other daemons in the present renewal, or the last one. */
+    #askedDaemons = 0;
     /** Ends the wait for the answers of other daemons. */
     #endWait: () => void = () => undefined;
     #retryDelays: Iterator<number, never>;
@@ -130,12 +132,14 @@
 
     async #runRenewal(): Promise<boolean> {
         const { countDaemons, now, random } = this.#options;
+        const startedAt = now();
+        this.#askedDaemons = 0;
         const storeTurnMs = random() * countDaemons() * STORE_READ_SPREAD_PER_DAEMON_MS;
         const steps = generateRenewalSteps(storeTurnMs);
         let step = steps.next();
         while (!this.#isRenewed(now())) {
             if (step.done === true) {
-                this.#handleUnanswered(now());
+                this.#handleUnanswered(startedAt, now());
                 return false;
             }
             step = steps.next(await this.#execute(step.value));
@@ -180,9 +184,10 @@
         for (const { id } of rankPeers(listReachable(), random)) {
             asked += requestStatus(id) ? 1 : 0;
             if (asked === ASKED_DAEMONS) {
-                return;
+                break;
             }
         }
+        this.#askedDaemons += asked;
     }
 
     /** Whether the own version may decide, or a daemon with a newer one can be asked. */
@@ -205,11 +210,11 @@
         }
     }
 
-    #handleUnanswered(now: number): void {
+    #handleUnanswered(startedAt: number, now: number): void {
         if (this.#retryAt === undefined) {
             this.#options.log.warn(
                 "the lease of the version can't be renewed: requests are decided by it without a confirmation.",
-                this.#describe(),
+                { ...this.#describe(), askedDaemons: this.#askedDaemons, tookMs: Math.round(now - startedAt) },
             );
         }
         this.#retryAt = now + this.#retryDelays.next().value;
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -181,7 +181,10 @@
             return;
         }
         if (this.#isSilent(now)) {
-            this.#options.log.warn(`${this.#member.id} stopped responding, reconnecting.`, { peer: this.#member.id });
+            this.#options.log.warn(`${this.#member.id} stopped responding, reconnecting.`, {
+                peer: this.#member.id,
+                unansweredMs: Math.round(now - (this.#unansweredSince ?? now)),
+            });
             this.#handleOwnerTimeout();
             this.#connection.close();
             this.#detachConnection(this.#connection);
