Act on expired timers after reading, and count no own delay as the silence of others

What callers could see: a version that decides without a confirmation at a daemon that is in touch and whose store and neighbours have all answered. Node.js runs expired timers before it reads sockets, so a daemon whose event loop was held for longer than a wait ended it although the answer lay in the socket.

Timers act once the sockets were read after their time. Sessions count their checks besides the time. Times of requests are not prolonged, but an answer that was there is delivered before their end.

--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -13,6 +13,7 @@
 } from "../../coordination/distribution/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type { PartLogger } from "../logging/index.js";
+import { scheduleTimeout } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
 import { LEASE_RETRY_BASE_MS, LEASE_RETRY_MAXIMUM_MS, STORE_READ_SPREAD_PER_DAEMON_MS } from "./DirectoryConstants.js";
 import type { ReachablePeer } from "./VersionFetcher.js";
@@ -158,7 +159,7 @@
             return false;
         }
         await new Promise<void>(resolve => {
-            const cancel = timers.after(step.waitMs, resolve);
+            const cancel = scheduleTimeout(timers, step.waitMs, resolve);
             this.#endWait = () => {
                 cancel();
                 resolve();
--- a/src/transport/ownership/HealthCheck.ts
+++ b/src/transport/ownership/HealthCheck.ts
@@ -5,6 +5,7 @@
 import type { RegisteredServer } from "../../coordination/registration/index.js";
 import type { Dialect, HealthAnswer } from "../../protocol/dialect/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
+import { realTimers, scheduleTimeout } from "../timers/index.js";
 import { HEALTH_CHECK_TIMEOUT_MS } from "./OwnershipConstants.js";
 
 const PATH_PATTERN = /^\/[\x21-\x7e]*$/;
@@ -20,13 +21,13 @@
             resolve(Left(`the health path ${JSON.stringify(path)} is no path of a request`));
             return;
         }
-        const call = request({
-            agent: false,
-            host: server.address,
-            path,
-            port: server.port,
-            signal: AbortSignal.timeout(HEALTH_CHECK_TIMEOUT_MS),
-        });
+        const call = request({ agent: false, host: server.address, path, port: server.port });
+        const cancelTimeout = scheduleTimeout(
+            realTimers,
+            HEALTH_CHECK_TIMEOUT_MS,
+            () => call.destroy(new Error("no answer in time")),
+        );
+        call.once("close", cancelTimeout);
         call.once("response", response => {
             // The head holds the whole result, so errors within the body are ignored.
             response.on("error", () => undefined);
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -5,6 +5,7 @@
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { copyAnswerHeaders, RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
+import { realTimers, scheduleTimeout } from "../timers/index.js";
 import type { RunningRequest } from "./CrashDetector.js";
 import type { AnswerHead, OwnedRequest, OwnerRefusal, RequestEvents, RequestHandle } from "./OwnedRequest.js";
 import {
@@ -60,7 +61,7 @@
     #connection: ServerConnection | undefined;
     /** Server to which the request was sent. */
     #server: RegisteredServer | undefined;
-    #timer: NodeJS.Timeout | undefined;
+    #cancelTimer: () => void = () => undefined;
     #startedAt = 0;
     #head: AnswerHead | undefined;
     #isHeadForwarded = false;
@@ -99,13 +100,13 @@
             return;
         }
         this.#phase = Phase.Offered;
-        this.#timer = setTimeout(() => this.withdrawOffer(), OFFER_TIMEOUT_MS);
+        this.#cancelTimer = scheduleTimeout(realTimers, OFFER_TIMEOUT_MS, () => this.withdrawOffer());
         this.events.onOffer();
     }
 
     proceed(): void {
         if (this.#phase === Phase.Offered) {
-            clearTimeout(this.#timer);
+            this.#cancelTimer();
             this.#run();
         }
     }
@@ -167,7 +168,7 @@
         this.#startedAt = now;
         this.#connection = connection;
         this.#server = server;
-        this.#timer = setTimeout(() => this.#handleTimeout(), Math.max(0, timeLeftMs) + ANSWER_GRACE_MS);
+        this.#cancelTimer = realTimers.after(timeLeftMs + ANSWER_GRACE_MS, () => this.#handleTimeout());
         const { callerService, method, requestId } = this.request;
         const instruction = { callerService, serverId: server.serverId, timeLeftMs };
         connection.send(requestId, method === "HEAD", encodeRequest(this.request, instruction, this.context.dialect), {
@@ -305,7 +306,7 @@
     /** Ends the execution and releases its slot, before the result is reported. */
     #end(): void {
         const hadSlot = this.#phase === Phase.Offered || this.#phase === Phase.Running;
-        clearTimeout(this.#timer);
+        this.#cancelTimer();
         this.#phase = Phase.Ended;
         this.#connection = undefined;
         this.context.onExecutionEnd(this, hadSlot);
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -9,6 +9,7 @@
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
+import { realTimers, scheduleTimeout } from "../timers/index.js";
 import { createAnswerParser, readPieceBytes } from "./AnswerParser.js";
 import type { AnswerParser } from "./AnswerParser.js";
 import {
@@ -108,9 +109,13 @@
         this.#onClose = onClose;
         this.#parser = this.#createParser();
         this.#socket = connect({ host: address, noDelay: true, port });
-        const timer = setTimeout(() => this.#socket.destroy(new Error("connecting timed out")), CONNECT_TIMEOUT_MS);
+        const cancelTimeout = scheduleTimeout(
+            realTimers,
+            CONNECT_TIMEOUT_MS,
+            () => this.#socket.destroy(new Error("connecting timed out")),
+        );
         this.#socket.once("connect", () => {
-            clearTimeout(timer);
+            cancelTimeout();
             this.#isConnected = true;
             this.#write();
         });
@@ -121,7 +126,7 @@
         this.#socket.on("data", chunk => this.#handleData(chunk));
         this.#socket.on("end", () => this.#runAfterUnparsed(() => this.#handleSocketEnd()));
         this.#socket.on("close", () => {
-            clearTimeout(timer);
+            cancelTimeout();
             const detail = error?.message ?? "the server closed the connection";
             this.#runAfterUnparsed(() => this.#handleSocketClose(detail));
         });
--- a/src/transport/peer/WebSocketNetwork.ts
+++ b/src/transport/peer/WebSocketNetwork.ts
@@ -4,6 +4,7 @@
 import { WebSocket, WebSocketServer } from "ws";
 import { FRAME_LIMIT_BYTES, FrameQueue } from "../../protocol/peer/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
+import { realTimers, scheduleTimeout } from "../timers/index.js";
 import type { PeerListener, PeerNetwork } from "./PeerNetwork.js";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 2_000;
@@ -72,7 +73,7 @@
 async function connect(
     address: string,
     port: number,
-    handshakeTimeout: number,
+    timeoutMs: number,
     options: SocketOptions,
 ): Promise<FrameConnection> {
     const host = address.includes(":") ? `[${address}]` : address;
@@ -80,16 +81,22 @@
         ...options,
         // Masking protects proxies between browsers and servers; a zero mask, with which frames are not copied, is valid.
         generateMask: () => undefined,
-        handshakeTimeout,
     });
     const connection = wrapSocket(socket);
     await new Promise<void>((resolve, reject) => {
-        socket.once("open", resolve);
+        const cancelTimeout = scheduleTimeout(realTimers, timeoutMs, () => {
+            reject(new Error(`the opening handshake with ${host}:${port} has timed out`));
+            socket.terminate();
+        });
+        socket.once("open", () => {
+            cancelTimeout();
+            resolve();
+        });
         socket.once("error", reject);
-        socket.once(
-            "close",
-            () => reject(new Error(`the connection to ${host}:${port} was closed before it was open`)),
-        );
+        socket.once("close", () => {
+            cancelTimeout();
+            reject(new Error(`the connection to ${host}:${port} was closed before it was open`));
+        });
     });
     return connection;
 }
--- a/src/transport/routes/RouteQueries.ts
+++ b/src/transport/routes/RouteQueries.ts
@@ -2,6 +2,7 @@
 import type { GossipMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import { findRoute } from "../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import { scheduleTimeout } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
 
 /** Time after which a second daemon is asked; above a round trip between regions. */
@@ -80,7 +81,7 @@
             const cancelSecond = second === undefined
                 ? () => undefined
                 : timers.after(SECOND_QUERY_DELAY_MS, () => ask(second));
-            const cancelTimeout = timers.after(QUERY_TIMEOUT_MS, () => {
+            const cancelTimeout = scheduleTimeout(timers, QUERY_TIMEOUT_MS, () => {
                 waitingFor.forEach(id => this.#options.onUnanswered(id));
                 end(undefined);
             });
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -11,13 +11,15 @@
 import { isRepeatable } from "../../state/traffic/index.js";
 import type { OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
+import { scheduleTimeout } from "../timers/index.js";
 import { consumeFrames } from "./ConsumeFrames.js";
 import { addTransit, handleGossip } from "./HandleGossip.js";
 import {
-    DISCONNECTED_OWNER_TIMEOUT_MS,
+    DISCONNECTED_OWNER_TICKS,
     HANDSHAKE_TIMEOUT_MS,
     PENDING_PING_INTERVAL_MS,
     PING_TIMEOUT_MS,
+    PING_TIMEOUT_TICKS,
     RECONNECT_BASE_MS,
     RECONNECT_MAXIMUM_MS,
     SESSION_RETENTION_MS,
@@ -68,7 +70,10 @@
     #lastPingAt = -Infinity;
     /** Time of the first ping after the last message; undefined while none is unanswered. */
     #unansweredSince: number | undefined;
+    /** Checks since then. */
+    #unansweredTicks = 0;
     #disconnectedAt: number;
+    #disconnectedTicks = 0;
     #isClosed = false;
     #isConnecting = false;
     #connectAttempts = 0;
@@ -172,7 +177,7 @@
     /** Sends a ping, and handles the timeouts of the connection and the session. */
     tick(now: number): void {
         if (this.#connection === undefined) {
-            if (now - this.#disconnectedAt > DISCONNECTED_OWNER_TIMEOUT_MS) {
+            if (++this.#disconnectedTicks >= DISCONNECTED_OWNER_TICKS) {
                 this.#handleOwnerTimeout();
             }
             if (this.#isEstablished && now - this.#disconnectedAt > SESSION_RETENTION_MS) {
@@ -180,6 +185,9 @@
             }
             return;
         }
+        if (this.#unansweredSince !== undefined) {
+            this.#unansweredTicks++;
+        }
         if (this.#isSilent(now)) {
             this.#options.log.warn(`${this.#member.id} stopped responding, reconnecting.`, {
                 peer: this.#member.id,
@@ -243,7 +251,8 @@
     }
 
     #isSilent(now: number): boolean {
-        return this.#unansweredSince !== undefined && now - this.#unansweredSince > PING_TIMEOUT_MS;
+        return this.#unansweredSince !== undefined && now - this.#unansweredSince > PING_TIMEOUT_MS
+            && this.#unansweredTicks >= PING_TIMEOUT_TICKS;
     }
 
     async #connect(): Promise<void> {
@@ -308,7 +317,7 @@
             target: this.#member.id,
         }));
         // Only one connection at a time may be in its handshake: another one would make its message counts stale.
-        const cancelTimeout = this.#options.timers.after(HANDSHAKE_TIMEOUT_MS, () => {
+        const cancelTimeout = scheduleTimeout(this.#options.timers, HANDSHAKE_TIMEOUT_MS, () => {
             if (this.#connection !== connection) {
                 connection.close();
             }
@@ -317,6 +326,7 @@
             await consumeFrames(connection, (message, bytes) => {
                 this.#lastHeardAt = this.#options.now();
                 this.#unansweredSince = undefined;
+                this.#unansweredTicks = 0;
                 this.#handle(connection, message, bytes);
             });
         }
@@ -331,6 +341,7 @@
         if (this.#connection === connection) {
             this.#connection = undefined;
             this.#disconnectedAt = this.#options.now();
+            this.#disconnectedTicks = 0;
             if (!this.#isClosed) {
                 this.#scheduleReconnect();
             }
--- a/src/transport/sessions/SessionConstants.ts
+++ b/src/transport/sessions/SessionConstants.ts
@@ -20,7 +20,9 @@
 export const PING_TIMEOUT_MS = 1_250;
 /** Interval at which the sessions are checked. */
 export const SESSION_TICK_MS = 250;
-/** Time after which repeatable requests on a lost connection may be placed elsewhere. */
-export const DISCONNECTED_OWNER_TIMEOUT_MS = 250;
+/** Checks that a connection has to stay unresponsive for: one ends however long this daemon itself was held. */
+export const PING_TIMEOUT_TICKS = PING_TIMEOUT_MS / SESSION_TICK_MS;
+/** Checks on a lost connection after which repeatable requests may be placed elsewhere. */
+export const DISCONNECTED_OWNER_TICKS = 2;
 /** Time for which both sides keep the state of a session without a connection. */
 export const SESSION_RETENTION_MS = 6_000;
--- a/src/transport/sessions/__tests__/unit/Handshake.test.ts
+++ b/src/transport/sessions/__tests__/unit/Handshake.test.ts
@@ -1,7 +1,8 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { takeTestPort } from "../../../../../standins/ports/index.js";
 import { createAdmissionController } from "../../../ownership/__tests__/fixtures/Admission.js";
-import type { SessionManager } from "../../index.js";
+import type { OwnerSession, SessionManager } from "../../index.js";
+import { PING_TIMEOUT_TICKS } from "../../SessionConstants.js";
 import type { LocalStatus, PeerStatus } from "../../SessionTypes.js";
 import { createAgeClock, createMember, createSessionManager, waitUntil } from "../fixtures/SessionManagers.js";
 
@@ -80,3 +81,28 @@
         expect(statuses[before]?.confirmation?.ageMs).toBeGreaterThan(40 + SUSPENDED_MS);
     });
 });
+
+/** Guards against a daemon that gives up a session since it was held itself, while the answer lies in its socket. */
+describe("a session whose daemon was held while it waited for an answer", () => {
+    it("is used on, and ended only if the other daemon stays silent", async () => {
+        const HELD_MS = 5_000;
+        let heldMs = 0;
+        const now = (): number => performance.now() + heldMs;
+        const ownerPort = takeTestPort();
+        const owner = createSessionManager(createMember("owner", ownerPort), createAdmissionController(1));
+        const caller = createSessionManager(createMember("caller", 1), createAdmissionController(1), { now });
+        managers.push(owner, caller);
+        await owner.start("127.0.0.1", ownerPort);
+        caller.connect(createMember("owner", ownerPort));
+        await waitUntil(() => caller.requestStatus("owner"));
+        const session = caller.getOwnerSession("owner") as OwnerSession;
+        heldMs = HELD_MS;
+        session.tick(now());
+        expect(session.isUsable(now())).toBe(true);
+        // Nothing is read in between, as from a daemon that is silent.
+        for (let tick = 0; tick < PING_TIMEOUT_TICKS; tick++) {
+            session.tick(now());
+        }
+        expect(session.isUsable(now())).toBe(false);
+    });
+});
--- a/src/transport/timers/index.ts
+++ b/src/transport/timers/index.ts
@@ -1,4 +1,4 @@
 export { AgeClock } from "./AgeClock.js";
 export type { AgeClockOptions } from "./AgeClock.js";
-export { realTimers, scheduleRepeating, sleepFor, withTimeout } from "./Timers.js";
-export type { Timers } from "./Timers.js";
+export { createTimers, realTimers, scheduleRepeating, scheduleTimeout, sleepFor, withTimeout } from "./Timers.js";
+export type { EventLoop, Timers } from "./Timers.js";
