--- a/src/transport/daemon/ServerProbe.ts
+++ b/src/transport/daemon/ServerProbe.ts
@@ -2,6 +2,7 @@
 import type { ServerStateTracker } from "../../coordination/renewal/index.js";
 import type { ServerRecord } from "../../state/members/index.js";
 import type { ReadMeshView } from "../../state/view/index.js";
+import { realTimers, withTimeoutSignal } from "../timers/index.js";
 
 const TICK_INTERVAL_MS = 500;
 /** Used until a document that configures the service's probe is in force. */
@@ -19,11 +20,11 @@
     const probe = readView().configuration?.document.services[server.service]?.probe ?? DEFAULT_PROBE_SETTINGS;
     const host = server.address.includes(":") ? `[${server.address}]` : server.address;
     try {
-        const response = await request(`http://${host}:${server.port}${probe.path}`, {
-            signal: AbortSignal.timeout(probe.timeoutMs),
+        return await withTimeoutSignal(realTimers, probe.timeoutMs, async signal => {
+            const response = await request(`http://${host}:${server.port}${probe.path}`, { signal });
+            await response.body.dump();
+            return response.statusCode < SERVER_ERROR_STATUS;
         });
-        await response.body.dump();
-        return response.statusCode < SERVER_ERROR_STATUS;
     }
     catch {
         return false;
--- a/src/transport/proxy/LeaseRenewer.ts
+++ b/src/transport/proxy/LeaseRenewer.ts
@@ -3,6 +3,7 @@
 import { LEASE_RENEWAL_PATH, MeshHeader, parseLeaseAnswer } from "../../protocol/request/index.js";
 import type { LeaseAnswer, LeaseRenewal } from "../../protocol/request/index.js";
 import type { Member } from "../../state/members/index.js";
+import { realTimers, withTimeoutSignal } from "../timers/index.js";
 import { LEASE_RENEWAL_TIMEOUT_MS, RELAY_CONNECT_TIMEOUT_MS } from "./ProxyConstants.js";
 import type { ProxyContext } from "./ProxyContext.js";
 
@@ -86,16 +87,20 @@
         purpose: "leases",
     }, now);
     try {
-        const answer = await pool.request({
-            method: "POST",
-            path: LEASE_RENEWAL_PATH,
-            headers: { [MeshHeader.Token]: context.relayToken },
-            body: JSON.stringify(renewal),
-            signal: AbortSignal.timeout(LEASE_RENEWAL_TIMEOUT_MS),
+        return await withTimeoutSignal(realTimers, LEASE_RENEWAL_TIMEOUT_MS, async signal => {
+            const answer = await pool.request({
+                method: "POST",
+                path: LEASE_RENEWAL_PATH,
+                headers: { [MeshHeader.Token]: context.relayToken },
+                body: JSON.stringify(renewal),
+                signal,
+            });
+            const text = await answer.body.text();
+            const load = answer.headers[MeshHeader.Load];
+            return answer.statusCode === OK_STATUS && typeof load === "string"
+                ? parseLeaseAnswer(text, load)
+                : undefined;
         });
-        const text = await answer.body.text();
-        const load = answer.headers[MeshHeader.Load];
-        return answer.statusCode === OK_STATUS && typeof load === "string" ? parseLeaseAnswer(text, load) : undefined;
     }
     catch (error) {
         context.options.log("info", "proxy: lease renewal failed.", { owner: owner.id, error: String(error) });
--- a/src/transport/store/StoreClient.ts
+++ b/src/transport/store/StoreClient.ts
@@ -13,6 +13,7 @@
     StoreResult,
 } from "../../state/store/index.js";
 import { MAXIMUM_VALUE_BYTES } from "../../state/store/index.js";
+import { realTimers, withTimeoutSignal } from "../timers/index.js";
 import { classifyFailure, classifyStatus } from "./StoreErrors.js";
 import type { TransferredBytes } from "./TransferCounter.js";
 import { createTransferCounter } from "./TransferCounter.js";
@@ -60,19 +61,20 @@
     if (request.signal?.aborted === true) {
         return Left({ detail: "The request was cancelled before it was sent.", kind: "unreachable" });
     }
-    const deadline = AbortSignal.timeout(request.timeoutMs);
     try {
-        const response = await pool.request({
-            body: request.body ?? null,
-            headers: request.headers ?? {},
-            method: request.method,
-            path: request.path,
-            signal: request.signal === undefined ? deadline : AbortSignal.any([request.signal, deadline]),
+        return await withTimeoutSignal(realTimers, request.timeoutMs, async deadline => {
+            const response = await pool.request({
+                body: request.body ?? null,
+                headers: request.headers ?? {},
+                method: request.method,
+                path: request.path,
+                signal: request.signal === undefined ? deadline : AbortSignal.any([request.signal, deadline]),
+            });
+            const text = await response.body.text();
+            return request.successStatuses.includes(response.statusCode)
+                ? Right({ status: response.statusCode, text, version: parseEntityTag(response.headers) })
+                : Left(classifyStatus(response.statusCode, text));
         });
-        const text = await response.body.text();
-        return request.successStatuses.includes(response.statusCode)
-            ? Right({ status: response.statusCode, text, version: parseEntityTag(response.headers) })
-            : Left(classifyStatus(response.statusCode, text));
     }
     catch (error) {
         return Left(classifyFailure(error));
--- a/src/transport/timers/Timers.ts
+++ b/src/transport/timers/Timers.ts
@@ -77,6 +77,26 @@
     });
 }
 
+/** Calls `send` with a signal that is aborted once the other process has left this one without an answer for `timeoutMs`. */
+export async function withTimeoutSignal<T>(
+    timers: Timers,
+    timeoutMs: number,
+    send: (signal: AbortSignal) => Promise<T>,
+): Promise<T> {
+    const controller = new AbortController();
+    const cancel = scheduleTimeout(
+        timers,
+        timeoutMs,
+        () => controller.abort(new DOMException("no answer in time", "TimeoutError")),
+    );
+    try {
+        return await send(controller.signal);
+    }
+    finally {
+        cancel();
+    }
+}
+
 /** Runs `action` every `intervalMs`, first after `initialDelayMs`; returns a function that stops it. */
 export function scheduleRepeating(
     timers: Timers,
--- a/src/transport/timers/__tests__/unit/Timers.test.ts
+++ b/src/transport/timers/__tests__/unit/Timers.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { createTimers, scheduleTimeout, withTimeout } from "../../index.js";
+import { createTimers, scheduleTimeout, withTimeout, withTimeoutSignal } from "../../index.js";
 
 interface Timer {
     readonly dueAt: number;
@@ -105,6 +105,24 @@
         },
     );
 
+    it("aborts a call by its signal once the other process was silent for its time", async () => {
+        const { hold, run, timers } = createEventLoop();
+        const call = withTimeoutSignal(
+            timers,
+            400,
+            signal =>
+                new Promise<never>((_, reject) =>
+                    signal.addEventListener("abort", () => reject(signal.reason as Error))
+                ),
+        );
+        hold(1_000);
+        run(290);
+        const isOver = await Promise.race([call.catch(() => true), Promise.resolve(false)]);
+        run(110);
+        await expect(call).rejects.toMatchObject({ name: "TimeoutError" });
+        expect(isOver).toBe(false);
+    });
+
     it("takes an answer that comes in the meantime", async () => {
         const { arrive, hold, run, timers } = createEventLoop();
         const answer = withTimeout(
