Wait for the store's usual time in a renewal, instead of remembering when it was silent

What callers could see: a decision by a version that nobody has confirmed, although the store answers within milliseconds. Class: knowledge that is dated by when it arrived, not by when it was true.

The memory of a silent store goes. A renewal waits for the store's usual time (0.4 s), whatever was before; an answer that comes later renews the lease all the same. The kept history of one of these mutants now shows 'no renewal waits for the store'.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -117,7 +117,6 @@
         this.#lease = new VersionLease({
             ...options,
             freshness: this.#freshness,
-            isStoreSilentSince: (at, now) => this.#follower.isStoreSilentSince(at, now),
             readStore: () => this.#readStore(),
         });
     }
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -36,8 +36,6 @@
 /** Pause before the store is read again, doubled after each reading. */
 export const STORE_REREAD_BASE_MS = 1_000;
 export const STORE_REREAD_MAXIMUM_MS = 30_000;
-/** Time for which a call that the store has left unanswered tells that it is silent; it may answer again since. */
-export const STORE_SILENCE_MEMORY_MS = 1_000;
 /**
  * Backoff after a renewal of the lease that nobody has answered, doubled after each, with full jitter. Shorter than the time after
  * which the users' rules count a VM as in touch again, since its version decides unconfirmed until then.
--- a/src/transport/directory/StoreFollower.ts
+++ b/src/transport/directory/StoreFollower.ts
@@ -9,12 +9,7 @@
 import { sleepFor } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
 import { AnswerTimeout } from "./AnswerTimeout.js";
-import {
-    CHECK_WAIT_MS,
-    STORE_SILENCE_MEMORY_MS,
-    WATCH_WAIT_MS,
-    WATCHER_CHECK_INTERVAL_MS,
-} from "./DirectoryConstants.js";
+import { CHECK_WAIT_MS, WATCH_WAIT_MS, WATCHER_CHECK_INTERVAL_MS } from "./DirectoryConstants.js";
 import { generateStoreDelays } from "./StoreDelays.js";
 import { WatchGuard } from "./WatchGuard.js";
 import type { StoreReading, TimedReading } from "./WatchGuard.js";
@@ -48,8 +43,6 @@
     #position: StorePosition | undefined;
     #isStopping = false;
     #isStoreUnreachable = false;
-    /** When the store has left the last check or reading unanswered; undefined once it has answered or refused one. */
-    #unansweredAt: number | undefined;
 
     constructor(options: StoreFollowerOptions) {
         this.#options = options;
@@ -64,12 +57,6 @@
         return this.#position !== undefined;
     }
 
-    /** Whether the store has left a check or a reading unanswered since a time, and so lately that it is likely silent still. */
-    isStoreSilentSince(at: number, now: number): boolean {
-        return this.#unansweredAt !== undefined && this.#unansweredAt >= at
-            && now - this.#unansweredAt <= STORE_SILENCE_MEMORY_MS;
-    }
-
     start(): void {
         void this.#run();
     }
@@ -165,8 +152,6 @@
     }
 
     #recordAnswer(result: StoreReading, startedAt: number): StoreReading {
-        const isUnanswered = result.swap().map(({ kind }) => kind !== "refused").orDefault(false);
-        this.#unansweredAt = isUnanswered ? this.#options.now() : undefined;
         if (result.isRight()) {
             this.#timeout.recordAnswer(this.#options.now() - startedAt);
         }
--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -13,9 +13,14 @@
 } from "../../coordination/distribution/index.js";
 import { generateBackoffDelays } from "../../coordination/retries/index.js";
 import type { PartLogger } from "../logging/index.js";
-import { scheduleTimeout } from "../timers/index.js";
+import { scheduleTimeout, withTimeout } from "../timers/index.js";
 import type { Timers } from "../timers/index.js";
-import { LEASE_RETRY_BASE_MS, LEASE_RETRY_MAXIMUM_MS, STORE_READ_SPREAD_PER_DAEMON_MS } from "./DirectoryConstants.js";
+import {
+    LEASE_RETRY_BASE_MS,
+    LEASE_RETRY_MAXIMUM_MS,
+    MINIMUM_ANSWER_TIMEOUT_MS,
+    STORE_READ_SPREAD_PER_DAEMON_MS,
+} from "./DirectoryConstants.js";
 import type { ReachablePeer } from "./VersionFetcher.js";
 
 export const LeaseState = {
@@ -51,8 +56,6 @@
     countDaemons(): number;
     /** Asks another daemon for its status, with the confirmation of its version; false when it can't be asked. */
     requestStatus(id: string): boolean;
-    /** Whether the store has left a call of this daemon unanswered since a time, lately, and answered none after it. */
-    isStoreSilentSince(at: number, now: number): boolean;
     /** Reads the newest version from the store; resolves with whether it has answered, also by a refusal. */
     readStore(): Promise<boolean>;
 }
@@ -170,13 +173,10 @@
         return this.#isRenewed(this.#options.now());
     }
 
-    /** Reads the store, without waiting for one that is known to be silent; its answer renews the lease whenever it comes. */
+    /** Reads the store, and waits for its usual time only, since requests wait too; its answer renews the lease whenever it comes. */
     async #readStore(): Promise<boolean> {
-        const { isStoreSilentSince, lag, now, readStore } = this.#options;
-        const confirmedAt = now() - this.readAgeMs(lag.own ?? -Infinity, now());
-        const isSilent = isStoreSilentSince(confirmedAt, now());
-        const reading = readStore();
-        return isSilent ? false : await reading;
+        const { readStore, timers } = this.#options;
+        return await withTimeout(timers, MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;
     }
 
     #askDaemons(): void {
--- a/src/transport/sidecar/__tests__/search/FoundHistories.ts
+++ b/src/transport/sidecar/__tests__/search/FoundHistories.ts
@@ -451,7 +451,7 @@
             weakShare: 100,
             weakness: 9,
         },
-        mutants: ["a store that was silent once counts as silent until it answers", ...SPOILT_BACKGROUND],
+        mutants: ["no renewal waits for the store", ...SPOILT_BACKGROUND],
     },
     {
         history: {
--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -28,9 +28,9 @@
     },
     {
         file: LEASE,
-        from: "const reading = readStore();",
+        from: "MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
         name: "no renewal reads the store",
-        to: "const reading = Promise.resolve(readStore === undefined);",
+        to: "MINIMUM_ANSWER_TIMEOUT_MS, Promise.resolve(readStore === undefined)) === true;",
     },
     {
         file: LEASE,
@@ -58,15 +58,9 @@
     },
     {
         file: LEASE,
-        from: "const isSilent = isStoreSilentSince(confirmedAt, now());",
+        from: "return await withTimeout(timers, MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
         name: "no renewal waits for the store",
-        to: "const isSilent = isStoreSilentSince(confirmedAt, now()) || confirmedAt < Infinity;",
-    },
-    {
-        file: "src/transport/directory/StoreFollower.ts",
-        from: "&& now - this.#unansweredAt <= STORE_SILENCE_MEMORY_MS;",
-        name: "a store that was silent once counts as silent until it answers",
-        to: "&& now - this.#unansweredAt <= Infinity;",
+        to: "return await withTimeout(timers, 0 * MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
     },
     {
         file: LEASE,
@@ -74,12 +68,6 @@
         name: "no renewal asks other daemons",
         to: "if (countDaemons() <= Infinity) {",
     },
-    {
-        file: "src/transport/directory/StoreFollower.ts",
-        from: "this.#unansweredAt = isUnanswered ? this.#options.now() : undefined;",
-        name: "a call that the store has left without an answer is never forgotten",
-        to: "this.#unansweredAt = isUnanswered ? this.#options.now() : this.#unansweredAt;",
-    },
     {
         file: RESOLVER,
         from:
