Play event loops with the phases of Node.js in the search, and judge decisions without a confirmation

A simulated process handled what waited in the order of its arrival, so that an answer always came before the timer behind it. Now it has the phases of Node.js, and the new fault 'held' keeps it at one event for up to 450 ms again and again, which excuses no decision. The new rule 'unconfirmed' finds a version that decides although nobody has confirmed it within its lease, at a daemon in touch that reaches the store, whether or not a version was replaced just then.

--- a/src/transport/sidecar/__tests__/search/CheckMutants.ts
+++ b/src/transport/sidecar/__tests__/search/CheckMutants.ts
@@ -60,7 +60,7 @@
             description: "begin from the histories with the latest versions",
             type: "boolean",
         },
-        ignore: { description: "rule that is not judged, in drawn histories", type: "string" },
+        ignore: { description: "rules that are not judged, in drawn histories, separated by commas", type: "string" },
         jobs: { default: "4", description: "searches at a time", type: "string" },
         only: { description: "pattern of the names of the mutants that are searched", type: "string" },
         runs: { default: "100", description: "histories for each mutant", type: "string" },
--- a/src/transport/sidecar/__tests__/search/FaultInjector.ts
+++ b/src/transport/sidecar/__tests__/search/FaultInjector.ts
@@ -19,6 +19,8 @@
 const MAXIMUM_LOSS_SHARE = 0.4;
 const MAXIMUM_STORE_FAILURE_SHARE = 0.5;
 const MAXIMUM_SLOWNESS = 30;
+const SHORTEST_HOLD_MS = 50;
+const HOLD_UNIT_MS = 4;
 /** Largest share of the VMs that are excused, or don't reach the store, at a time: else the rules say nothing of the others. */
 const MAXIMUM_HIT_SHARE = 0.6;
 
@@ -168,6 +170,13 @@
                 node?.process.setSlowness(1 + strength / 100 * MAXIMUM_SLOWNESS);
                 this.#schedule(until, () => node?.process.setSlowness(1));
                 return;
+            case FaultKind.Held:
+                // Two of them at once would hold the process all the time, as a freeze does.
+                if (vm.heldTimes.every(({ to }) => to < now)) {
+                    vm.heldTimes.push({ from: now, to: until });
+                    this.#hold(vm, until, SHORTEST_HOLD_MS + strength * HOLD_UNIT_MS);
+                }
+                return;
             case FaultKind.FullLink:
                 if (!this.#options.fillsLinks) {
                     this.#excuse(vm, until);
@@ -238,6 +247,15 @@
         this.#options.clock.schedule(at, action);
     }
 
+    /** Holds the process of a VM again and again, and leaves it as much time in between. */
+    #hold(vm: SimulatedVm, until: number, ms: number): void {
+        const { now } = this.#options.clock;
+        if (now < until) {
+            vm.node?.process.hold(ms);
+            this.#schedule(now + 2 * ms, () => this.#hold(vm, until, ms));
+        }
+    }
+
     /** Replaces VMs one after the other. */
     #release({ count, first, strength }: Fault): void {
         const { addVm, clock, log, vms } = this.#options;
--- a/src/transport/sidecar/__tests__/search/History.ts
+++ b/src/transport/sidecar/__tests__/search/History.ts
@@ -22,6 +22,8 @@
     Loss: "loss",
     /** Each event takes `strength` times as long. */
     Slow: "slow",
+    /** Again and again one event takes 50 ms and `strength` times 4 ms; another such time goes by in between. */
+    Held: "held",
     StoreSilent: "storeSilent",
     StoreRefused: "storeRefused",
     /** The store takes `strength` times 10 ms longer. */
@@ -122,6 +124,8 @@
 /** Wait of the daemons at the first start of the whole mesh, as in the settings of the product. */
 export const FIRST_LISTING_DELAY_MS = 2_000;
 const SHORTEST_GAP_MS = 30;
+/** Pause after an early first change, without which the others are read at the start and replace nothing. */
+const EARLY_PAUSE_MS = 900;
 const MAXIMUM_CHANGES = 5;
 const SCENES = { maxLength: 4, minLength: 2 } as const;
 const LONGEST_FAULT_MS = 6_000;
@@ -195,6 +199,25 @@
         targets: [TargetKind.Watchers, TargetKind.Line, TargetKind.Domains, TargetKind.All],
         weight: 3,
     },
+    {
+        // Daemons that nobody answers until their leases have ended; later the store does.
+        firstForMs: { max: 4_500, min: 2_500 },
+        offsetsMs: [{ max: 500, min: -3_500 }],
+        parts: [[FaultKind.StoreSilent], [FaultKind.CutFromDaemons]],
+        targets: [TargetKind.Line, TargetKind.Domains, TargetKind.Daemons, TargetKind.All],
+        weight: 2,
+    },
+    {
+        // Daemons without the processor for times that are longer than their waits for others, while these answer.
+        laterTargets: [TargetKind.Same, TargetKind.Line, TargetKind.Domains, TargetKind.All],
+        offsetsMs: [{ max: 1_500, min: -1_500 }],
+        parts: [
+            [FaultKind.Held],
+            [FaultKind.WatchesHang, FaultKind.LostCopies, FaultKind.CutFromDaemons, FaultKind.Freeze, FaultKind.Held],
+        ],
+        targets: [TargetKind.Watchers, TargetKind.Line, TargetKind.Domains, TargetKind.Daemons, TargetKind.All],
+        weight: 3,
+    },
     {
         // Daemons get no copies and no answer of the store.
         offsetsMs: BEFORE_VERSION_MS,
@@ -364,7 +387,7 @@
         ),
         weakness: fc.integer({ max: MAXIMUM_WEAKNESS, min: 1 }),
         weakShare: fc.constantFrom(0, 20, 50, 100),
-    }).map(({ layout, scenes, ...history }) => ({
+    }).map(addEarlyPause).map(({ layout, scenes, ...history }) => ({
         ...history,
         ...layout,
         requestSpacing: history.seed % SPARSE_SHARE === 0 ? SPARSE_SPACING : 1,
@@ -376,6 +399,13 @@
     }));
 }
 
+function addEarlyPause<T extends Pick<History, "firstChangeMs" | "versionGapsMs">>(history: T): T {
+    const [firstGapMs = 0, ...gaps] = history.versionGapsMs;
+    const isEarly = history.firstChangeMs <= EARLY_CHANGE.max;
+    const others = gaps.length > 0 ? gaps : [SHORTEST_GAP_MS];
+    return isEarly ? { ...history, versionGapsMs: [firstGapMs + EARLY_PAUSE_MS, ...others] } : history;
+}
+
 /** Returns the time of a change by its place. */
 export function computeChangeTime(
     { firstChangeMs, isFirstStart, versionGapsMs }: Pick<History, "firstChangeMs" | "isFirstStart" | "versionGapsMs">,
--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -19,7 +19,25 @@
     "a daemon without copies waits 9 s before it reads the store",
 ];
 
+const TIMERS = "src/transport/timers/Timers.ts";
+
+/** Together they are the order of Node.js: a daemon that was held takes its own delay for the silence of others. */
+export const ACTS_BEFORE_READING = "an expired timer acts before what has arrived is read";
+export const COUNTS_OWN_DELAY = "the time for which a daemon is held counts as the silence of others";
+
 export const LEASE_MUTANTS: readonly Mutant[] = [
+    {
+        file: TIMERS,
+        from: "cancel = runAfterReading(action);",
+        name: ACTS_BEFORE_READING,
+        to: "cancel = runAfterReading === undefined ? cancel : () => undefined; action();",
+    },
+    {
+        file: TIMERS,
+        from: "const TIMEOUT_STEPS = 4;",
+        name: COUNTS_OWN_DELAY,
+        to: "const TIMEOUT_STEPS = 1;",
+    },
     {
         file: LEASE,
         from: "if (this.readAgeMs(own, now) <= limits.renewLeaseAfterMs) {",
--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -28,6 +28,8 @@
     OutdatedRun: "outdated run",
     /** A server runs what other versions than the one that decided lead to it. */
     Misplaced: "misplaced",
+    /** A version decides that nobody has confirmed within its lease, although the daemon and the store are sound. */
+    Unconfirmed: "unconfirmed",
     /** A request is answered with 404 although the daemon knows of a newer version that has its route. */
     Denied: "denied",
     /** A daemon doesn't know another one, although both have reached the store and each other for long. */
@@ -69,6 +71,8 @@
 
 export interface JudgeOptions {
     readonly deadlineMs: number;
+    /** Time after its confirmation for which a version decides. */
+    readonly leaseMs: number;
     readonly versions: SimulatedVersions;
     onViolation(violation: Violation): void;
 }
@@ -121,6 +125,19 @@
         this.#requests.set(request.id, { answeredAt: undefined, request, runs: 0, status: undefined });
     }
 
+    /** Records how long before a decision its version was confirmed; undefined when that isn't known. */
+    recordDecision(id: string, confirmedAgeMs: number | undefined, at: number): void {
+        const request = this.#requests.get(id)?.request;
+        if (request?.caller.hasStore !== true || !this.#isInTouch([request.caller], [request.sentAt, at])) {
+            return;
+        }
+        // The users' rule speaks of the time at which a request is sent, which the answer of another daemon may follow late.
+        const ageMs = request.sentAt - (at - (confirmedAgeMs ?? Infinity));
+        if (ageMs > this.#options.leaseMs) {
+            this.#report(Rule.Unconfirmed, at, request, `its version was confirmed ${ageMs} ms before that`);
+        }
+    }
+
     /** Records that a server begins to run a request that `version` has led to it. */
     recordRun(id: string, service: string, version: number, owner: SimulatedVm, at: number): void {
         const state = this.#requests.get(id);
@@ -235,7 +252,7 @@
         const required = this.#readRequired(now);
         for (const vm of vms) {
             const version = vm.daemon?.version;
-            const isLate = version !== undefined && version < required;
+            const isLate = version !== undefined && version < required && !isImpaired(vm.heldTimes, now);
             if (isLate && vm.hasStore && this.#isInTouch([vm], [now])) {
                 this.#options.onViolation({
                     at: now,
@@ -355,7 +372,8 @@
             const isLong = path.startsWith(SLOW_PATH) && (answeredAt ?? Infinity) > endsAt;
             const judgedAt = endsAt + TIMEOUT_SLACK_MS;
             // A daemon that ends in the meantime isn't in touch when its answer is missing.
-            if (isLong && judgedAt < now && this.#isInTouch([caller], [sentAt, endsAt, judgedAt])) {
+            const isHeld = isImpaired(caller.heldTimes, judgedAt);
+            if (isLong && judgedAt < now && !isHeld && this.#isInTouch([caller], [sentAt, endsAt, judgedAt])) {
                 long++;
                 unanswered += (answeredAt ?? Infinity) > judgedAt ? 1 : 0;
             }
--- a/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
@@ -12,8 +12,10 @@
 import { UplinkSender } from "../../../uplink/index.js";
 import { HOST } from "./SimulatedVersions.js";
 
-/** Time for which callers wait for an answer. */
+/** Time for which callers wait for an answer; one of some has too little for a renewal of the lease that the store leaves unanswered. */
 const CALLER_BUDGET_MS = 2_500;
+const SHORT_BUDGET_MS = 500;
+const SHORT_BUDGET_SHARE = 4;
 const ID_HEADER = "id";
 const UNAVAILABLE_STATUS = 503;
 
@@ -36,11 +38,11 @@
 const DIALECT = {
     buildRetryAfterHeaders: () => [],
     isSystemHeader: (name: string) => name === ID_HEADER,
-    parseCallerHeaders: (headers: IncomingMessage["headers"]) => ({
-        parentId: undefined,
-        requestId: headers[ID_HEADER] as string,
-        timeLeftMs: CALLER_BUDGET_MS,
-    }),
+    parseCallerHeaders: (headers: IncomingMessage["headers"]) => {
+        const requestId = headers[ID_HEADER] as string;
+        const isShort = Number(/\d+$/.exec(requestId)?.[0]) % SHORT_BUDGET_SHARE === 0;
+        return { parentId: undefined, requestId, timeLeftMs: isShort ? SHORT_BUDGET_MS : CALLER_BUDGET_MS };
+    },
 } as unknown as Dialect;
 
 export class SimulatedCallers {
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -38,6 +38,8 @@
 
 /** What a daemon tells of the requests of its callers and of those that its server runs. */
 export interface RequestObserver {
+    /** `confirmedAgeMs` is undefined while the age of the version that has decided isn't known. */
+    onDecided(requestId: string, confirmedAgeMs: number | undefined): void;
     onRun(requestId: string, version: number): void;
     /** `version` is the one that has decided; undefined when none has. */
     onAnswered(requestId: string, status: number, version: number | undefined): void;
@@ -305,7 +307,15 @@
         this.#callers.send(requestId, path);
     }
 
-    #resolveRoute(question: RouteQuestion): RouteDecision | undefined | Promise<RouteDecision | undefined> {
+    async #resolveRoute(question: RouteQuestion): Promise<RouteDecision | undefined> {
+        const decision = await this.#decide(question);
+        if (decision !== undefined) {
+            this.#options.observer.onDecided(question.requestId, decision.confirmedAgeMs);
+        }
+        return decision;
+    }
+
+    #decide(question: RouteQuestion): RouteDecision | undefined | Promise<RouteDecision | undefined> {
         const configuration = this.#configuration.configuration;
         if (!this.#options.variant.decidesAlone || configuration === undefined) {
             return this.#resolver.resolveRoute(question);
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -122,6 +122,7 @@
         this.#versions = new SimulatedVersions(daemons, this.#changes.length + 1);
         this.#judge = new RuleJudge({
             deadlineMs: history.deadlineMs,
+            leaseMs: variant.limits.leaseMs,
             onViolation: violation => {
                 this.#violations.push(violation);
                 this.#log?.(`${Math.round(violation.at)} BROKEN ${violation.rule}: ${violation.detail}`);
@@ -156,7 +157,7 @@
         for (const fault of faults) {
             this.#clock.schedule(fault.atMs, () => this.#injector.begin(fault));
         }
-        const end = (this.#changes.at(-1) ?? 0) + deadlineMs + TAIL_MS;
+        const end = Math.max((this.#changes.at(-1) ?? 0) + deadlineMs, this.#computeRecoveryTime()) + TAIL_MS;
         await this.#clock.runUntil(end);
         this.#judge.judgeMembers(this.#vms, end);
         this.#judge.complete(end);
@@ -170,6 +171,14 @@
         };
     }
 
+    /** Time at which nothing excuses any VM any more, for histories whose rare requests show what comes after troubles. */
+    #computeRecoveryTime(): number {
+        const { deadlineMs, faults, requestSpacing = 1 } = this.#history;
+        return requestSpacing === 1
+            ? 0
+            : Math.max(0, ...faults.map(({ atMs, forMs }) => atMs + forMs + Math.max(STABLE_WINDOW_MS, deadlineMs)));
+    }
+
     #addVm(domain: number): SimulatedVm {
         const index = this.#vms.length;
         const { regions, weakness, weakShare } = this.#history;
@@ -234,6 +243,8 @@
                     this.#refused += status === REFUSAL_STATUS ? 1 : 0;
                     this.#judge.recordAnswer(requestId, status, version, this.#clock.now);
                 },
+                onDecided: (requestId, confirmedAgeMs) =>
+                    this.#judge.recordDecision(requestId, confirmedAgeMs, this.#clock.now),
                 onRun: (requestId, version) =>
                     this.#judge.recordRun(requestId, vm.service, version, vm, this.#clock.now),
             },
--- a/src/transport/sidecar/__tests__/search/SimulatedNetwork.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedNetwork.ts
@@ -3,6 +3,7 @@
 import type { FrameConnection } from "../../../../protocol/peer/index.js";
 import type { Random } from "../../../../state/shared/index.js";
 import type { PeerNetwork } from "../../../peer/index.js";
+import { scheduleTimeout } from "../../../timers/index.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
 import { EventCost } from "./SimulatedProcess.js";
 import type { SimulatedProcess } from "./SimulatedProcess.js";
@@ -133,7 +134,8 @@
                         action();
                     }
                 };
-                const cancelTimeout = self.process.timers.after(
+                const cancelTimeout = scheduleTimeout(
+                    self.process.timers,
                     CONNECT_TIMEOUT_MS,
                     () => settle(() => reject(new Error("connecting timed out"))),
                 );
--- a/src/transport/sidecar/__tests__/search/SimulatedProcess.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedProcess.ts
@@ -1,5 +1,8 @@
-/** A process that may be paused, suspended, slow or ended: what happens to it meanwhile waits, or is lost. */
-import type { Timers } from "../../../timers/index.js";
+/**
+ * A process that may be paused, suspended, slow or ended: what happens to it meanwhile waits, or is lost. Its event loop has the
+ * phases of that of Node.js, so that after a long callback expired timers run before what has arrived meanwhile is read.
+ */
+import { createTimers } from "../../../timers/index.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
 
 /** Processor time that events take on a VM with a strong processor, in milliseconds. */
@@ -15,13 +18,32 @@
 /** Largest error of times that are computed differently. */
 const TIMER_RESOLUTION_MS = 1e-6;
 
+/** Phases of the event loop in their order; each handles what was there when it began. */
+const Phase = {
+    /** Messages, answers and requests that have arrived. */
+    Poll: 0,
+    /** What waits for the phase before. */
+    Check: 1,
+    Timers: 2,
+} as const;
+const PHASES = 3;
+
+interface Work {
+    readonly action: () => void;
+    readonly costMs: number;
+}
+
 export class SimulatedProcess {
     readonly #clock: SimulatedClock;
     /** Difference between the steady clock of this process and the simulated one. */
     readonly #originMs: number;
     /** By how much longer each event takes, since the processor is weak. */
     readonly #weakness: number;
-    readonly #waiting: { readonly action: () => void; readonly costMs: number; }[] = [];
+    /** What waits for each phase. */
+    readonly #queues: readonly Work[][] = [[], [], []];
+    #phase: number = Phase.Timers;
+    /** What is left of the present phase. */
+    #batch: Work[] = [];
     #isEnded = false;
     #isDraining = false;
     #pausedUntil = -Infinity;
@@ -51,8 +73,20 @@
     /** Time of day, which goes on meanwhile. */
     readonly readWallClock = (): number => this.#clock.now + this.#timeOfDayErrorMs;
 
-    readonly timers: Timers = {
-        after: (delayMs, action) => {
+    readonly timers = createTimers({
+        runAfterReading: action => {
+            let isCancelled = false;
+            const run = (): void => {
+                if (!isCancelled) {
+                    action();
+                }
+            };
+            this.#enqueue(Phase.Check, { action: run, costMs: EventCost.Small });
+            return () => {
+                isCancelled = true;
+            };
+        },
+        startTimer: (delayMs, action) => {
             const dueAt = this.now() + delayMs;
             let isCancelled = false;
             let cancel = (): void => undefined;
@@ -66,7 +100,10 @@
                 }
             };
             const schedule = (ms: number): void => {
-                cancel = this.#clock.schedule(this.#clock.now + ms, () => this.handle(run));
+                cancel = this.#clock.schedule(
+                    this.#clock.now + ms,
+                    () => this.#enqueue(Phase.Timers, { action: run, costMs: 0 }),
+                );
             };
             schedule(delayMs);
             return () => {
@@ -74,15 +111,16 @@
                 cancel();
             };
         },
-    };
+    });
 
-    /** Handles an event now, or once the process is free; it takes `costMs` of a strong processor. */
+    /** Handles an event that has arrived, now or once the process is free; it takes `costMs` of a strong processor. */
     handle(action: () => void, costMs: number = EventCost.Small): void {
-        if (this.#isEnded) {
-            return;
-        }
-        this.#waiting.push({ action, costMs });
-        this.#drain();
+        this.#enqueue(Phase.Poll, { action, costMs });
+    }
+
+    /** Keeps the process at one event for a time, whatever its processor. */
+    hold(ms: number): void {
+        this.handle(() => this.pauseUntil(this.#clock.now + ms), 0);
     }
 
     pauseUntil(at: number): void {
@@ -107,7 +145,8 @@
 
     end(): void {
         this.#isEnded = true;
-        this.#waiting.length = 0;
+        this.#batch = [];
+        this.#queues.forEach(queue => queue.splice(0));
     }
 
     #measureSuspensions(): number {
@@ -115,6 +154,26 @@
         return this.#suspensions.reduce((sum, { from, to }) => sum + Math.max(0, Math.min(to, now) - from), 0);
     }
 
+    #enqueue(phase: number, work: Work): void {
+        if (!this.#isEnded) {
+            this.#queues[phase]?.push(work);
+            this.#drain();
+        }
+    }
+
+    /** Returns what the event loop comes to next; an idle one waits before the phase in which it reads. */
+    #takeNext(): Work | undefined {
+        for (let left = PHASES; this.#batch.length === 0 && left > 0; left--) {
+            this.#phase = (this.#phase + 1) % PHASES;
+            this.#batch = this.#queues[this.#phase]?.splice(0) ?? [];
+        }
+        const next = this.#batch.shift();
+        if (next === undefined) {
+            this.#phase = Phase.Timers;
+        }
+        return next;
+    }
+
     #drain(): void {
         if (this.#isDraining) {
             return;
@@ -128,7 +187,7 @@
             });
             return;
         }
-        const next = this.#waiting.shift();
+        const next = this.#takeNext();
         if (next !== undefined) {
             this.#busyUntil = this.#clock.now + next.costMs * this.#slowness * this.#weakness;
             next.action();
--- a/src/transport/sidecar/__tests__/search/SimulatedStore.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedStore.ts
@@ -9,6 +9,7 @@
     StoreError,
     StorePosition,
 } from "../../../../state/store/index.js";
+import { scheduleTimeout } from "../../../timers/index.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
 import { EventCost } from "./SimulatedProcess.js";
 import type { SimulatedProcess } from "./SimulatedProcess.js";
@@ -116,7 +117,7 @@
                     stop();
                     resolve(result);
                 };
-                const cancelTimeout = process.timers.after(timeoutMs, () => settle(Left(SILENT)));
+                const cancelTimeout = scheduleTimeout(process.timers, timeoutMs, () => settle(Left(SILENT)));
                 const delayMs = LATENCY_MS * (0.5 + random());
                 if (readAccess().refusedUntil > this.#clock.now) {
                     this.#clock.schedule(this.#clock.now + delayMs, () => process.handle(() => settle(Left(REFUSED))));
--- a/src/transport/sidecar/__tests__/search/SimulatedVm.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedVm.ts
@@ -22,6 +22,8 @@
     readonly impairments: Impairment[];
     /** Times in which the VM counts as slow, so that decisions may go back for longer. */
     readonly slowTimes: Impairment[];
+    /** Times in which single events of the daemon take long, which excuses no decision, but late answers and copies. */
+    readonly heldTimes: Impairment[];
     readonly state: {
         cutUntil: number;
         storeCutUntil: number;
@@ -55,6 +57,7 @@
     return {
         ...place,
         daemon: undefined,
+        heldTimes: [],
         hasStore: true,
         id: `d${place.index}`,
         impairments: [],
--- a/src/transport/sidecar/__tests__/search/main.ts
+++ b/src/transport/sidecar/__tests__/search/main.ts
@@ -50,7 +50,7 @@
         exact: { default: false, description: "all meshes have the given size", type: "boolean" },
         faults: { description: "file with a list of faults that each history has besides", type: "string" },
         history: { description: "file with a history to be played with its log", type: "string" },
-        ignore: { description: "rule that is not judged, in drawn histories", type: "string" },
+        ignore: { description: "rules that are not judged, in drawn histories, separated by commas", type: "string" },
         runs: { default: "200", description: "number of histories", type: "string" },
         seed: { default: "1", description: "seed of the search", type: "string" },
         shorten: { default: "60", description: "seconds for shortening a found history", type: "string" },
@@ -86,7 +86,7 @@
                     faults: [...args.suspend ? history.faults.map(replaceFreeze) : history.faults, ...addedFaults],
                 }),
                 size,
-                ...args.ignore === undefined ? {} : { ignoredRules: [parseRule(args.ignore)] },
+                ...args.ignore === undefined ? {} : { ignoredRules: args.ignore.split(",").map(parseRule) },
             });
         const seconds = Math.round((performance.now() - startedAt) / 1_000);
         printLine(
--- a/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
+++ b/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
@@ -14,6 +14,7 @@
 import type { SimulatedVm } from "../search/SimulatedVm.js";
 
 const DEADLINE_MS = 2_000;
+const LEASE_MS = 1_900;
 /** Time of the acknowledgement of version 2. */
 const CHANGED_AT = 1_000;
 const OVERDUE_AT = CHANGED_AT + DEADLINE_MS + 100;
@@ -42,6 +43,7 @@
     const broken: string[] = [];
     const judge = new RuleJudge({
         deadlineMs: DEADLINE_MS,
+        leaseMs: LEASE_MS,
         onViolation: ({ rule }) => broken.push(rule),
         versions,
     });
@@ -84,6 +86,23 @@
         expect(broken).toEqual(["late", "late"]);
     });
 
+    it("finds decisions without a confirmation at a sound daemon that has the store", () => {
+        const { answer, broken, caller, judge } = createJudge();
+        const decide = (ageMs: number | undefined): void =>
+            judge.recordDecision(answer(MOVING_PATH, OVERDUE_AT, 200), ageMs, OVERDUE_AT + 50);
+        decide(LEASE_MS + 50);
+        expect(broken).toEqual([]);
+        decide(LEASE_MS + 51);
+        decide(undefined);
+        expect(broken).toEqual(["unconfirmed", "unconfirmed"]);
+        caller.hasStore = false;
+        decide(undefined);
+        caller.hasStore = true;
+        caller.impairments.push({ from: 0, to: OVERDUE_AT });
+        decide(undefined);
+        expect(broken.length).toBe(2);
+    });
+
     it("finds runs by a part whose weight has become 0", () => {
         const { broken, judge, run } = createJudge();
         judge.recordVersion(3, CHANGED_AT);
