Let no answer decide that is older than what has decided while it was on its way

Cause: the answer was compared with the lowest version at the time of the question only, and the own version with it only if no newer one had decided. Class: a decision by knowledge that is older than what the daemon knows when it decides. Callers: the request goes to a server whose daemon refuses it as outdated, and is routed anew; the users' rule isn't broken there, since the request was sent before. Its age was unknown, so nothing bounded it.

An answer now has to be at least as new as the own version and as each version that has decided, when it arrives; else the daemons with such a version are asked. RouteResolver.test.ts failed before ('5: ledger' instead of '7: workroom'); the history is kept with a mutant that takes the comparison out.

The judge gets the rule 'undecided': a request refused because no version may decide, more than the deadline after the last version, at a daemon in touch with the store.

--- a/src/coordination/distribution/VersionLag.ts
+++ b/src/coordination/distribution/VersionLag.ts
@@ -122,6 +122,11 @@
         return (this.#own ?? -Infinity) < this.#required;
     }
 
+    /** Lowest version that may decide: the own one, or a newer one that has decided already. */
+    get lowestDeciding(): number {
+        return Math.max(this.#required, this.#own ?? -Infinity);
+    }
+
     /** Lowest version of another daemon that may decide in place of the own one. */
     get lowestSource(): number {
         return Math.max(this.#required, (this.#own ?? -Infinity) + 1);
--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -163,10 +163,13 @@
             : { sources: this.#listSources(now(), newest.version), version: newest.version };
     }
 
-    /** Status 404 is final for callers, so it isn't left to a version that is known to be replaced. */
+    /**
+     * An answer may be older than what has decided while it was on its way. Status 404 is final for callers, so it isn't left
+     * to a version that is known to be replaced.
+     */
     #isFinal({ route, version }: ResolvedRoute): boolean {
         const { lag, now } = this.#options;
-        return route !== undefined || version >= lag.readNewestBelieved(now());
+        return version >= (route === undefined ? lag.readNewestBelieved(now()) : lag.lowestDeciding);
     }
 
     /** Asks other daemons for the route by a version that isn't older than `lowest`. */
--- a/src/transport/routes/__tests__/unit/RouteResolver.test.ts
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -232,6 +232,28 @@
         expect(await resolve()).toBe("none");
     });
 
+    it("never comes from an answer that is older than what has decided while it was on its way", async () => {
+        const peers = { a: createConfiguration(5, "ledger"), b: createConfiguration(7, "workroom") };
+        const { advance, lag, resolve, setOwn } = createResolver(createConfiguration(4, "ledger"), peers);
+        lag.recordPeer("a", 5, 0);
+        await advance(OUTDATED_MS);
+        const found = resolve();
+        setOwn(createConfiguration(6, "status-desk"));
+        lag.requireVersion(7, OUTDATED_MS);
+        lag.recordPeer("b", 7, OUTDATED_MS);
+        expect(await found).toBe("7: workroom");
+    });
+
+    it("never comes from an answer that is older than the version that comes into force just after it", async () => {
+        const peers = { a: createConfiguration(5, "ledger") };
+        const { advance, lag, resolve, setOwn } = createResolver(createConfiguration(4, "ledger"), peers);
+        lag.recordPeer("a", 5, 0);
+        await advance(OUTDATED_MS);
+        const found = resolve();
+        setOwn(createConfiguration(6, "workroom"));
+        expect(await found).toBe("6: workroom");
+    });
+
     it("follows the copy of the newer version that arrives while another daemon is asked", async () => {
         const { advance, lag, resolve, setOwn } = createResolver(createConfiguration(4, "ledger"), { a: undefined });
         lag.recordPeer("a", 5, 0);
--- a/src/transport/sidecar/__tests__/search/FoundHistories.ts
+++ b/src/transport/sidecar/__tests__/search/FoundHistories.ts
@@ -4,7 +4,7 @@
  */
 import { FaultKind, TargetKind } from "./History.js";
 import type { History } from "./History.js";
-import { ACTS_BEFORE_READING, COUNTS_OWN_DELAY, SPOILT_BACKGROUND } from "./LeaseMutants.js";
+import { ACTS_BEFORE_READING, COUNTS_OWN_DELAY, OLDER_ANSWER_DECIDES, SPOILT_BACKGROUND } from "./LeaseMutants.js";
 import { NO_LEASE, STEADY_AGES } from "./Mutants.js";
 
 export interface FoundHistory {
@@ -581,4 +581,57 @@
         },
         mutants: [ACTS_BEFORE_READING, COUNTS_OWN_DELAY, ...SPOILT_BACKGROUND],
     },
+    {
+        history: {
+            daemonsPerDomain: 4,
+            deadlineMs: 2000,
+            domainsPerRegion: 3,
+            faults: [
+                {
+                    atMs: 57,
+                    count: 6,
+                    first: 38,
+                    forMs: 134,
+                    kind: FaultKind.StoreBusy,
+                    strength: 37,
+                    target: TargetKind.Daemons,
+                },
+                {
+                    atMs: 405,
+                    count: 11,
+                    first: 36,
+                    forMs: 2211,
+                    kind: FaultKind.CutFromDaemons,
+                    strength: 69,
+                    target: TargetKind.Same,
+                },
+                {
+                    atMs: 2775,
+                    count: 6,
+                    first: 14,
+                    forMs: 1569,
+                    kind: FaultKind.WatchesHang,
+                    strength: 45,
+                    target: TargetKind.Line,
+                },
+                {
+                    atMs: 2687,
+                    count: 12,
+                    first: 35,
+                    forMs: 5292,
+                    kind: FaultKind.Slow,
+                    strength: 58,
+                    target: TargetKind.Sources,
+                },
+            ],
+            firstChangeMs: 2666,
+            isFirstStart: false,
+            regions: 2,
+            seed: 673174052,
+            versionGapsMs: [285, 225, 46, 182],
+            weakShare: 20,
+            weakness: 7,
+        },
+        mutants: [OLDER_ANSWER_DECIDES],
+    },
 ];
--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -25,6 +25,9 @@
 export const ACTS_BEFORE_READING = "an expired timer acts before what has arrived is read";
 export const COUNTS_OWN_DELAY = "the time for which a daemon is held counts as the silence of others";
 
+/** Also without the spoilt background. */
+export const OLDER_ANSWER_DECIDES = "an answer decides that is older than what has decided meanwhile";
+
 export const LEASE_MUTANTS: readonly Mutant[] = [
     {
         file: TIMERS,
@@ -99,6 +102,12 @@
         name: "the own version decides when the time for a renewal is over",
         to: "if (configuration === undefined) {",
     },
+    {
+        file: RESOLVER,
+        from: "lag.readNewestBelieved(now()) : lag.lowestDeciding);",
+        name: OLDER_ANSWER_DECIDES,
+        to: "lag.readNewestBelieved(now()) : -Infinity);",
+    },
     {
         file: RESOLVER,
         from: ": { sources: this.#listSources(now(), newest.version), version: newest.version };",
--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -30,6 +30,8 @@
     Misplaced: "misplaced",
     /** A version decides that nobody has confirmed within its lease, although the daemon and the store are sound. */
     Unconfirmed: "unconfirmed",
+    /** A request is refused because no version may decide, although the daemon and the store are sound. */
+    Undecided: "undecided",
     /** A request is answered with 404 although the daemon knows of a newer version that has its route. */
     Denied: "denied",
     /** A daemon doesn't know another one, although both have reached the store and each other for long. */
@@ -190,6 +192,21 @@
         }
     }
 
+    /** Records that a request is refused since no version may decide on it. */
+    recordUndecided(id: string, at: number): void {
+        const request = this.#requests.get(id)?.request;
+        if (request === undefined) {
+            return;
+        }
+        const { caller, sentAt } = request;
+        // Until then a daemon that lacks the newest version asks others, who may not answer.
+        const isSettled = this.#readRequired(sentAt) === this.#written.at(-1)?.version;
+        const isSound = caller.hasStore && this.#isInTouch([caller], [sentAt, at]) && !isImpaired(caller.heldTimes, at);
+        if (isSettled && isSound) {
+            this.#report(Rule.Undecided, at, request, `refused after ${Math.round(at - sentAt)} ms without a version`);
+        }
+    }
+
     /** Judges the rules on shares and times once all is over. */
     complete(now: number): void {
         this.#judgeAddedRoutes(now);
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -241,6 +241,9 @@
             observer: {
                 onAnswered: (requestId, status, version) => {
                     this.#refused += status === REFUSAL_STATUS ? 1 : 0;
+                    if (status === REFUSAL_STATUS && version === undefined && vm.daemon?.version !== undefined) {
+                        this.#judge.recordUndecided(requestId, this.#clock.now);
+                    }
                     this.#judge.recordAnswer(requestId, status, version, this.#clock.now);
                 },
                 onDecided: (requestId, confirmedAgeMs) =>
--- a/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
+++ b/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
@@ -103,6 +103,21 @@
         expect(broken.length).toBe(2);
     });
 
+    it("finds requests that no version decides on at a sound daemon with the store, once the last version is settled", () => {
+        const { broken, caller, judge, run } = createJudge();
+        const refuse = (sentAt: number): void => judge.recordUndecided(run(MOVING_PATH, sentAt, 2, "s2"), sentAt + 50);
+        refuse(CHANGED_AT + DEADLINE_MS);
+        expect(broken).not.toContain("undecided");
+        refuse(OVERDUE_AT);
+        expect(broken.filter(rule => rule === "undecided")).toHaveLength(1);
+        caller.hasStore = false;
+        refuse(OVERDUE_AT);
+        caller.hasStore = true;
+        caller.heldTimes.push({ from: 0, to: OVERDUE_AT });
+        refuse(OVERDUE_AT);
+        expect(broken.filter(rule => rule === "undecided")).toHaveLength(1);
+    });
+
     it("finds runs by a part whose weight has become 0", () => {
         const { broken, judge, run } = createJudge();
         judge.recordVersion(3, CHANGED_AT);
