Read a silent store again after a second instead of ever more rarely

Cause: each reading doubled the pause, from 2 s up to 30 s, whether the store had answered or not. Class: a state that is over (the silence) goes on deciding. Callers: requests get their routes from other daemons meanwhile, so none was late there.

Only readings that were answered without the version, or refused, make the next one rarer. The spread over the mesh is drawn anew for each reading, so that the daemons with a short one don't read more often.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -112,7 +112,9 @@
             ...options,
             isVersionOverdue: now => this.#isVersionOverdue(now),
             isWatching: () => this.isWatching,
-            readStore: () => void this.#readStore(),
+            readStore: onAnswered => {
+                void this.#readStore().then(isAnswered => isAnswered && onAnswered());
+            },
         });
         this.#lease = new VersionLease({
             ...options,
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -33,7 +33,7 @@
 export const STORE_READ_DELAY_MS = 900;
 /** Time over which these readings are spread, for each daemon, so that all of them take a tenth of the store's rate. */
 export const STORE_READ_SPREAD_PER_DAEMON_MS = 5;
-/** Pause before the store is read again, doubled after each reading. */
+/** Pause before the store is read again, doubled after each answer without the version; a silence of the store tells nothing. */
 export const STORE_REREAD_BASE_MS = 1_000;
 export const STORE_REREAD_MAXIMUM_MS = 30_000;
 /**
--- a/src/transport/directory/VersionFetcher.ts
+++ b/src/transport/directory/VersionFetcher.ts
@@ -34,8 +34,8 @@
     isVersionOverdue(now: number): boolean;
     /** Asks another daemon for its version. */
     requestConfiguration(id: string): void;
-    /** Reads the store once, without watching it. */
-    readStore(): void;
+    /** Reads the store once, without watching it; `onAnswered` is called when it has answered, also by a refusal. */
+    readStore(onAnswered: () => void): void;
 }
 
 export class VersionFetcher {
@@ -45,9 +45,11 @@
     #attempts = 0;
     #ownVersion: number | undefined;
     #lastSources: ReadonlySet<string> = new Set();
-    /** Share of the spread that this daemon waits, drawn anew each time that it falls behind. */
+    /** Share of the spread that this daemon waits, drawn anew for each reading. */
     #spread = 0;
     #storeReads = 0;
+    /** Readings that have not brought the version: the store holds nothing newer, or refuses them. */
+    #answeredReads = 0;
     #storeReadAt = -Infinity;
 
     constructor(options: VersionFetcherOptions) {
@@ -63,6 +65,7 @@
             this.#ownVersion = lag.own;
             this.#attempts = 0;
             this.#storeReads = 0;
+            this.#answeredReads = 0;
             this.#spread = random();
         }
         if (behindMs === undefined) {
@@ -113,18 +116,19 @@
 
     #readStoreIfDue(behindMs: number, now: number): void {
         const spreadMs = this.#spread * this.#options.countDaemons() * STORE_READ_SPREAD_PER_DAEMON_MS;
-        const pauseMs = Math.min(STORE_REREAD_BASE_MS * 2 ** this.#storeReads, STORE_REREAD_MAXIMUM_MS);
+        const pauseMs = Math.min(STORE_REREAD_BASE_MS * 2 ** this.#answeredReads, STORE_REREAD_MAXIMUM_MS);
         const isDue = this.#storeReads === 0
             ? behindMs >= STORE_READ_DELAY_MS + spreadMs || this.#options.isVersionOverdue(now)
             : now - this.#storeReadAt >= pauseMs + spreadMs;
         if (isDue) {
             this.#storeReads++;
             this.#storeReadAt = now;
+            this.#spread = this.#options.random();
             this.#options.log.info("reads the store, since no daemon has sent its version.", {
                 behindMs: Math.round(behindMs),
                 reads: this.#storeReads,
             });
-            this.#options.readStore();
+            this.#options.readStore(() => this.#answeredReads++);
         }
     }
 }
--- a/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionFetcher.test.ts
@@ -26,7 +26,13 @@
 }
 
 /** Runs the checks of a daemon that gets no answer from `peers`, all of which have a newer version. */
-function runLateDaemon(peers: readonly ReachablePeer[], durationMs: number, seed = 1, daemons = 4): readonly Fetch[] {
+function runLateDaemon(
+    peers: readonly ReachablePeer[],
+    durationMs: number,
+    seed = 1,
+    daemons = 4,
+    isStoreSilent = false,
+): readonly Fetch[] {
     const fetches: Fetch[] = [];
     let now = 0;
     const lag = new VersionLag();
@@ -39,7 +45,12 @@
         listReachable: () => peers,
         log: createSilentLogger(),
         random: createSeededRandom(seed),
-        readStore: () => fetches.push({ at: now, source: "store" }),
+        readStore: onAnswered => {
+            fetches.push({ at: now, source: "store" });
+            if (!isStoreSilent) {
+                onAnswered();
+            }
+        },
         requestConfiguration: id => fetches.push({ at: now, source: id }),
     });
     fetcher.fetchIfBehind(now);
@@ -145,6 +156,18 @@
         expect(readings).toBeGreaterThan(0);
     });
 
+    it("reads a silent store again within half of the deadline, however often it has left readings unanswered", () => {
+        const readings = runLateDaemon(PEERS, 30_000, 1, 4, true).filter(({ source }) => source === "store");
+        const pauses = readings.slice(1).map(({ at }, index) => at - (readings[index]?.at ?? 0));
+        expect(readings.length).toBeGreaterThan(2);
+        expect(Math.max(...pauses)).toBeLessThanOrEqual(DEADLINE_MS / 2);
+    });
+
+    it("reads a store that has answered without the version ever less often", () => {
+        const readings = runLateDaemon(PEERS, 30_000).filter(({ source }) => source === "store");
+        expect(readings.length).toBeLessThanOrEqual(5);
+    });
+
     it("keeps to the store's rate together with hundreds of others that are late at the same moment", () => {
         const daemons = 400;
         const readings = Array.from(
--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -29,6 +29,12 @@
 export const STEADY_AGES = "ages are counted by the steady clock alone";
 
 export const MUTANTS: readonly Mutant[] = [
+    {
+        file: "src/transport/directory/VersionFetcher.ts",
+        from: "this.#options.readStore(() => this.#answeredReads++);",
+        name: "a silent store is read ever less often",
+        to: "this.#answeredReads++; this.#options.readStore(() => undefined);",
+    },
     {
         file: GOSSIP,
         from: "ageMs: confirmation.ageMs + transitMs",
