--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -83,6 +83,18 @@
         name: "no renewal waits for the store",
         to: "return await withTimeout(timers, 0 * MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
     },
+    {
+        file: LEASE,
+        from: "MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
+        name: "a reading that the store has left unanswered counts as answered",
+        to: "MINIMUM_ANSWER_TIMEOUT_MS, readStore()) !== null;",
+    },
+    {
+        file: LEASE,
+        from: "const cancel = scheduleTimeout(timers, step.waitMs, resolve);",
+        name: "the wait for other daemons ends at once",
+        to: "const cancel = scheduleTimeout(timers, step.waitMs / 50, resolve);",
+    },
     {
         file: LEASE,
         from: "if (countDaemons() <= 1) {",
--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -57,6 +57,8 @@
     readonly incarnation: number;
     /** Whether the caller's VM has reached other daemons for the stable window. */
     readonly isConnected: boolean;
+    /** Whether the caller's time is too short for a renewal of the lease. */
+    readonly isUrgent: boolean;
 }
 
 interface RequestState {
@@ -202,7 +204,7 @@
         // Until then a daemon that lacks the newest version asks others, who may not answer.
         const isSettled = this.#readRequired(sentAt) === this.#written.at(-1)?.version;
         const isSound = caller.hasStore && this.#isInTouch([caller], [sentAt, at]) && !isImpaired(caller.heldTimes, at);
-        if (isSettled && isSound) {
+        if (isSettled && isSound && !request.isUrgent) {
             this.#report(Rule.Undecided, at, request, `refused after ${Math.round(at - sentAt)} ms without a version`);
         }
     }
--- a/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
@@ -34,14 +34,22 @@
     onAnswered(requestId: string, status: number, version: number | undefined): void;
 }
 
+/** Whether the caller of a request may not wait for a renewal of the lease. */
+export function hasShortBudget(requestId: string): boolean {
+    return Number(/\d+$/.exec(requestId)?.[0]) % SHORT_BUDGET_SHARE === 0;
+}
+
 /** Headers of the simulated platform: a request has an id only. */
 const DIALECT = {
     buildRetryAfterHeaders: () => [],
     isSystemHeader: (name: string) => name === ID_HEADER,
     parseCallerHeaders: (headers: IncomingMessage["headers"]) => {
         const requestId = headers[ID_HEADER] as string;
-        const isShort = Number(/\d+$/.exec(requestId)?.[0]) % SHORT_BUDGET_SHARE === 0;
-        return { parentId: undefined, requestId, timeLeftMs: isShort ? SHORT_BUDGET_MS : CALLER_BUDGET_MS };
+        return {
+            parentId: undefined,
+            requestId,
+            timeLeftMs: hasShortBudget(requestId) ? SHORT_BUDGET_MS : CALLER_BUDGET_MS,
+        };
     },
 } as unknown as Dialect;
 
--- a/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedMesh.ts
@@ -10,6 +10,7 @@
 import type { History } from "./History.js";
 import { RuleJudge } from "./RuleJudge.js";
 import type { Violation } from "./RuleJudge.js";
+import { hasShortBudget } from "./SimulatedCallers.js";
 import { SimulatedClock } from "./SimulatedClock.js";
 import { SimulatedDaemon } from "./SimulatedDaemon.js";
 import type { Variant } from "./SimulatedDaemon.js";
@@ -319,7 +320,8 @@
         const id = `${vm.id}/${++this.#lastRequest}`;
         if (daemon !== undefined) {
             const isConnected = vm.state.cutUntil + STABLE_WINDOW_MS < now;
-            this.#judge.recordSent({ caller: vm, id, incarnation, isConnected, path, sentAt: now });
+            const isUrgent = hasShortBudget(id);
+            this.#judge.recordSent({ caller: vm, id, incarnation, isConnected, isUrgent, path, sentAt: now });
             node?.process.handle(() => daemon.handleRequest(id, path), EventCost.Request);
         }
     }
--- a/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
+++ b/src/transport/sidecar/__tests__/unit/RuleJudge.test.ts
@@ -53,7 +53,7 @@
     let last = 0;
     const send = (path: string, sentAt: number): string => {
         const id = `request-${++last}`;
-        judge.recordSent({ caller, id, incarnation: 1, isConnected: true, path, sentAt });
+        judge.recordSent({ caller, id, incarnation: 1, isConnected: true, isUrgent: false, path, sentAt });
         return id;
     };
     return {
