Share the processor time of answers whatever the size of their parts

What callers saw: an answer without end in parts of 100 or 256 bytes held requests of others on the VM of its server, since only parts below 64 bytes counted as costly.

Cause: the cost of a read was guessed from the size of its parts. Now the time of each read, and of passing it on, is charged to its answer; the first millisecond of each answer or body is free, as before. Slices get shorter when the last one took more than 0.5 ms. COSTLY_PART_BYTES goes.

CostlyReads.test.ts: the endless reader reads once more before it waits, as its first millisecond isn't charged any more; the new case bounds what usual answers are charged.

--- a/src/transport/input/CostlyReads.ts
+++ b/src/transport/input/CostlyReads.ts
@@ -46,9 +46,11 @@
         return workMs < UNLIMITED_WORK_MS || this.#share.estimateDelay(this.#now()) === 0;
     }
 
-    charge(workMs: number): void {
-        this.#totalWorkMs += workMs;
-        this.#share.charge(workMs, this.#now());
+    /** Charges processor time of an answer or a body that has taken `earlierMs` before; what each may take without waiting is free. */
+    charge(workMs: number, earlierMs: number): void {
+        const chargedMs = Math.max(0, earlierMs + workMs - Math.max(UNLIMITED_WORK_MS, earlierMs));
+        this.#totalWorkMs += chargedMs;
+        this.#share.charge(chargedMs, this.#now());
     }
 
     /** Calls `readOn` of a connection once it may read. */
--- a/src/transport/input/PacedRequests.ts
+++ b/src/transport/input/PacedRequests.ts
@@ -131,8 +131,8 @@
             this.#parse(slice);
             if (isChunked) {
                 const workMs = this.#now() - startedAt;
+                this.#reads.charge(workMs, this.#workMs);
                 this.#workMs += workMs;
-                this.#reads.charge(workMs);
             }
         }
     }
--- a/src/transport/input/__tests__/unit/CostlyReads.test.ts
+++ b/src/transport/input/__tests__/unit/CostlyReads.test.ts
@@ -23,8 +23,8 @@
 
     readOn(): void {
         this.turns++;
+        this.reads.charge(SLICE_MS, this.workMs);
         this.workMs += SLICE_MS;
-        this.reads.charge(SLICE_MS);
         this.reads.enqueue(this);
     }
 }
@@ -47,10 +47,22 @@
         const endless = new EndlessReader(reads);
         endless.readOn();
         endless.readOn();
+        endless.readOn();
         expect(reads.isFree(endless)).toBe(false);
         expect(reads.isFree({ readOn: () => undefined, source: "an event", workMs: 0.1 })).toBe(true);
     });
 
+    it("leave the share to others as long as each has cost little", () => {
+        const reads = new CostlyReads(createSilentLogger(), () => performance.now());
+        for (let answers = 0; answers < 100; answers++) {
+            reads.charge(0.6, 0);
+            reads.charge(0.4, 0.6);
+        }
+        expect([reads.totalWorkMs, reads.isFree(new EndlessReader(reads))]).toEqual([0, true]);
+        reads.charge(5, 0.8);
+        expect(reads.totalWorkMs).toBeCloseTo(4.8);
+    });
+
     it("that are closed no longer wait", () => {
         const reads = new CostlyReads(createSilentLogger(), () => performance.now());
         const endless = new EndlessReader(reads);
--- a/src/transport/ownership/OwnershipConstants.ts
+++ b/src/transport/ownership/OwnershipConstants.ts
@@ -35,11 +35,11 @@
  * besides `ANSWER_HEADER_LIMIT_BYTES`. A chunk of one byte has five bytes of framing.
  */
 export const FRAMING_BYTES_PER_BODY_BYTE = 8;
-/** Bytes of an answer that are read at a time: the fewer, the more parts they have turned out to hold. */
+/** Bytes of an answer that are read at a time: the fewer, the longer they have taken. */
 export const MINIMUM_SLICE_BYTES = 2_048;
 export const MAXIMUM_SLICE_BYTES = 16_384;
-/** Mean size of the parts of an answer below which reading it is costly. A part is a chunk, a head or an interim answer. */
-export const COSTLY_PART_BYTES = 64;
+/** Processor time of a slice above which the next one is shorter, so that others get their turn in between. */
+export const LONG_SLICE_MS = 0.5;
 /** Body bytes of answers to other requests that are dropped while a request waits for its own answer. */
 export const FOREIGN_BODY_LIMIT_BYTES = 1_048_576;
 /** Body bytes after which the rest of an answer that says that the request was not run is no longer read. */
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -15,9 +15,9 @@
 import {
     ANSWER_HEADER_LIMIT_BYTES,
     CONNECT_TIMEOUT_MS,
-    COSTLY_PART_BYTES,
     FOREIGN_BODY_LIMIT_BYTES,
     FRAMING_BYTES_PER_BODY_BYTE,
+    LONG_SLICE_MS,
     MAXIMUM_DECLINED_IDS,
     MAXIMUM_SLICE_BYTES,
     MINIMUM_SLICE_BYTES,
@@ -53,8 +53,6 @@
 const FIRST_FINAL_STATUS = 200;
 const FIRST_FAILURE_STATUS = 300;
 const SKIP_BODY = 1;
-/** Parts of a body that take as long to read as a head. */
-const PARTS_PER_HEAD = 4;
 
 export class ServerConnection implements CostlyReader {
     readonly #socket: Socket;
@@ -82,8 +80,6 @@
     /** Bytes that were read from the socket and wait to be parsed. */
     #unparsed: Buffer | undefined;
     #sliceBytes = MINIMUM_SLICE_BYTES;
-    /** Pieces of bodies in the present slice, and heads, which count more. */
-    #sliceParts = 0;
     #workMs = 0;
     /** Pieces of the own answer's body that are passed on together. */
     #bodyParts: Uint8Array[] = [];
@@ -144,7 +140,7 @@
         return `the answer to request ${this.#exchange?.requestId ?? "-"}`;
     }
 
-    /** Processor time that the costly slices of the present answer have taken, in milliseconds. */
+    /** Processor time that the present answer has taken, in milliseconds. */
     get workMs(): number {
         return this.#workMs;
     }
@@ -228,7 +224,6 @@
         const parser = createAnswerParser(ANSWER_HEADER_LIMIT_BYTES);
         parser.onHeadersComplete = (head: ParsedHead) => this.#handleHead(head);
         parser.onBody = (chunk: Buffer, offset: number, length: number) => {
-            this.#sliceParts++;
             if (this.#exchange?.isOwnAnswer === true) {
                 this.#ownBodyBytes += length;
                 this.#addBodyPart(chunk.subarray(offset, offset + length));
@@ -271,7 +266,6 @@
 
     #parseSlice(slice: Buffer): void {
         const startedAt = this.#now();
-        this.#sliceParts = 0;
         this.#receivedBytes += slice.length;
         this.#isParsing = true;
         const result = this.#parser.execute(slice);
@@ -284,15 +278,18 @@
         else if (this.#exchange === undefined && !this.#isReusable) {
             this.#closeSocket();
         }
-        if (this.#sliceParts * COSTLY_PART_BYTES > slice.length) {
-            const workMs = this.#now() - startedAt;
-            this.#workMs += workMs;
-            this.#costlyReads.charge(workMs);
-            this.#sliceBytes = MINIMUM_SLICE_BYTES;
-        }
-        else {
-            this.#sliceBytes = Math.min(MAXIMUM_SLICE_BYTES, 2 * this.#sliceBytes);
-        }
+        const workMs = this.#recordWork(startedAt);
+        this.#sliceBytes = workMs > LONG_SLICE_MS
+            ? Math.max(MINIMUM_SLICE_BYTES, this.#sliceBytes / 2)
+            : Math.min(MAXIMUM_SLICE_BYTES, 2 * this.#sliceBytes);
+    }
+
+    /** Charges the processor time since a moment to the present answer, and returns it. */
+    #recordWork(startedAt: number): number {
+        const workMs = this.#now() - startedAt;
+        this.#costlyReads.charge(workMs, this.#workMs);
+        this.#workMs += workMs;
+        return workMs;
     }
 
     #waitForShare(): void {
@@ -317,8 +314,10 @@
         const parts = this.#bodyParts;
         const [first] = parts;
         if (first !== undefined) {
+            const startedAt = this.#now();
             this.#bodyParts = [];
             this.#exchange?.events.onData(parts.length === 1 ? first : Buffer.concat(parts));
+            this.#recordWork(startedAt);
         }
     }
 
@@ -363,7 +362,6 @@
     }
 
     #handleHead(head: ParsedHead): number | undefined {
-        this.#sliceParts += PARTS_PER_HEAD;
         this.#isInterim = head.statusCode < FIRST_FINAL_STATUS;
         if (this.#isInterim) {
             return undefined;
