--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -97,9 +97,9 @@
     },
     {
         file: RESOLVER,
-        from: "return route !== undefined || version >= lag.readNewestBelieved(now());",
+        from: "return version >= (route === undefined ? lag.readNewestBelieved(now()) : lag.lowestDeciding);",
         name: "an outdated version may answer 404",
-        to: "return route !== undefined || version > 0;",
+        to: "return route === undefined ? version > 0 : version >= lag.lowestDeciding;",
     },
     {
         file: RESOLVER,
--- a/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
+++ b/src/transport/sidecar/__tests__/unit/MutantSearch.test.ts
@@ -1,5 +1,8 @@
+import { readFile } from "node:fs/promises";
 import { join } from "node:path";
 import { describe, expect, it } from "vitest";
+import { LEASE_MUTANTS } from "../search/LeaseMutants.js";
+import { MEMBER_MUTANTS } from "../search/MemberMutants.js";
 import { MUTANTS, NO_LEASE } from "../search/Mutants.js";
 import type { Mutant } from "../search/Mutants.js";
 import { buildSearch, OUTPUT_FOLDER, runSearch } from "../search/SearchBuild.js";
@@ -80,4 +83,12 @@
     it("knows its mutants by different names", () => {
         expect(new Set(MUTANTS.map(({ name }) => name)).size).toBe(MUTANTS.length);
     });
+
+    it.each([...MUTANTS, ...LEASE_MUTANTS, ...MEMBER_MUTANTS])("has the text of $name in the product once", async ({
+        file,
+        from,
+    }) => {
+        const text = await readFile(file, "utf8");
+        expect(text.split(from)).toHaveLength(2);
+    });
 });
