Tell the age of a decision exactly, so that rounding takes none beyond its lease

Callers saw nothing.

Traced: the daemon checks the lease when it reads the request, at an age of 1,899.995 ms, asks another daemon for the route, and the answer comes 330 ms later, as event loops are held. The lease counts from the sending of a request, so the wait doesn't matter however long it is; no decision can follow a check that failed. The age of the decision was rounded to whole milliseconds when it was made (2,229.6 to 2,230), and the judge subtracted the exact wait from it. So the bound can be passed by half a millisecond and not by more.

The decision has the exact age now, and the two log lines round it. RouteResolver.test.ts failed before (2850 instead of 2849.6); the history is kept, with a mutant that rounds.

--- a/src/transport/logging/AccessLog.ts
+++ b/src/transport/logging/AccessLog.ts
@@ -11,6 +11,7 @@
         }
         logger.info(`${request.method} ${request.path} ended as ${request.outcome}.`, {
             ...request,
+            confirmedAgeMs: request.confirmedAgeMs === undefined ? undefined : Math.round(request.confirmedAgeMs),
             latencyMs: roundToMicroseconds(request.latencyMs),
             queuedMs: roundToMicroseconds(request.queuedMs),
         });
--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -87,7 +87,7 @@
         const { ages, lease, now } = this.#options;
         const ageMs = lease.readAgeMs(resolved.version, now());
         ages.record(ageMs);
-        return { ...resolved, confirmedAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined };
+        return { ...resolved, confirmedAgeMs: Number.isFinite(ageMs) ? ageMs : undefined };
     }
 
     #resolve(question: RouteQuestion): ResolvedRoute | undefined | Promise<ResolvedRoute | undefined> {
--- a/src/transport/routes/__tests__/unit/RouteResolver.test.ts
+++ b/src/transport/routes/__tests__/unit/RouteResolver.test.ts
@@ -49,6 +49,7 @@
 interface TestResolver {
     readonly lag: VersionLag;
     readonly asked: string[];
+    readonly resolver: RouteResolver;
     /** Decisions by ages of up to 0.25, 0.5, 0.8 and 1 of the deadline, and beyond. */
     countDecisions(): readonly number[];
     resolve(path?: string, timeLeftMs?: number): Promise<string>;
@@ -120,6 +121,7 @@
         },
         asked,
         lag,
+        resolver,
         countDecisions: () => ages.list().map(({ decisions }) => decisions),
         resolve: async (path = "/stock/1", timeLeftMs = 2_000) =>
             describeDecision(
@@ -145,6 +147,21 @@
 
 /** Guards against requests that follow a replaced version, or wait for an answer that doesn't come. */
 describe("the route of a request", () => {
+    it("has the exact age of its version, which no rounding takes beyond the lease", () => {
+        const ageMs = 0.95 * DEADLINE_MS - 0.4;
+        const { resolver } = createResolver(createConfiguration(1, "ledger"), {}, {
+            ...VALID_LEASE,
+            readAgeMs: () => ageMs,
+        });
+        const decision = resolver.resolveRoute({
+            host: "mesh.example",
+            path: "/stock/1",
+            readTimeLeftMs: () => undefined,
+            requestId: "r",
+        });
+        expect(decision).toMatchObject({ confirmedAgeMs: ageMs, version: 1 });
+    });
+
     it("is found without asking anybody while the own version is the newest known, also when there is none", async () => {
         const { asked, resolve } = createResolver(createConfiguration(4, "ledger"), { a: createConfiguration(4) });
         expect([await resolve(), await resolve("/none/")]).toEqual(["4: ledger", "4: no route"]);
--- a/src/transport/sidecar/__tests__/search/FoundHistories.ts
+++ b/src/transport/sidecar/__tests__/search/FoundHistories.ts
@@ -4,7 +4,13 @@
  */
 import { FaultKind, TargetKind } from "./History.js";
 import type { History } from "./History.js";
-import { ACTS_BEFORE_READING, COUNTS_OWN_DELAY, OLDER_ANSWER_DECIDES, SPOILT_BACKGROUND } from "./LeaseMutants.js";
+import {
+    ACTS_BEFORE_READING,
+    COUNTS_OWN_DELAY,
+    OLDER_ANSWER_DECIDES,
+    ROUNDED_AGE,
+    SPOILT_BACKGROUND,
+} from "./LeaseMutants.js";
 import { NO_LEASE, STEADY_AGES } from "./Mutants.js";
 
 export interface FoundHistory {
@@ -875,4 +881,76 @@
         },
         mutants: ["daemons of any newer version stand in beyond the lease", ...SPOILT_BACKGROUND],
     },
+    {
+        history: {
+            daemonsPerDomain: 4,
+            deadlineMs: 2000,
+            domainsPerRegion: 3,
+            faults: [
+                {
+                    atMs: 4301,
+                    count: 4,
+                    first: 12,
+                    forMs: 621,
+                    kind: FaultKind.Held,
+                    strength: 56,
+                    target: TargetKind.All,
+                },
+                {
+                    atMs: 4301,
+                    count: 10,
+                    first: 36,
+                    forMs: 4853,
+                    kind: FaultKind.Held,
+                    strength: 25,
+                    target: TargetKind.All,
+                },
+                {
+                    atMs: 3217,
+                    count: 9,
+                    first: 33,
+                    forMs: 2959,
+                    kind: FaultKind.LateCopies,
+                    strength: 43,
+                    target: TargetKind.Domains,
+                },
+                {
+                    atMs: 3217,
+                    count: 7,
+                    first: 35,
+                    forMs: 871,
+                    kind: FaultKind.StoreSilent,
+                    strength: 19,
+                    target: TargetKind.Same,
+                },
+                {
+                    atMs: 3229,
+                    count: 7,
+                    first: 22,
+                    forMs: 1999,
+                    kind: FaultKind.LostCopies,
+                    strength: 24,
+                    target: TargetKind.Line,
+                },
+                {
+                    atMs: 3229,
+                    count: 9,
+                    first: 36,
+                    forMs: 5140,
+                    kind: FaultKind.StoreRefused,
+                    strength: 47,
+                    target: TargetKind.Same,
+                },
+            ],
+            firstChangeMs: 1249,
+            isFirstStart: true,
+            regions: 2,
+            requestSpacing: 1,
+            seed: 315078718,
+            versionGapsMs: [841, 679],
+            weakShare: 50,
+            weakness: 8,
+        },
+        mutants: [ROUNDED_AGE, ...SPOILT_BACKGROUND],
+    },
 ];
--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -28,6 +28,9 @@
 /** Also without the spoilt background. */
 export const OLDER_ANSWER_DECIDES = "an answer decides that is older than what has decided meanwhile";
 
+/** The judge then takes a decision within the lease for one beyond it. */
+export const ROUNDED_AGE = "the age of a decision is rounded";
+
 export const LEASE_MUTANTS: readonly Mutant[] = [
     {
         file: TIMERS,
@@ -120,6 +123,12 @@
         name: OLDER_ANSWER_DECIDES,
         to: "lag.readNewestBelieved(now()) : -Infinity);",
     },
+    {
+        file: RESOLVER,
+        from: "confirmedAgeMs: Number.isFinite(ageMs) ? ageMs : undefined };",
+        name: ROUNDED_AGE,
+        to: "confirmedAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined };",
+    },
     {
         file: RESOLVER,
         from: ": { sources: this.#listSources(now(), newest.version), version: newest.version };",
--- a/src/transport/traffic/DaemonAnswers.ts
+++ b/src/transport/traffic/DaemonAnswers.ts
@@ -45,5 +45,10 @@
 }
 
 function describeRequest({ decision, requestId }: AnsweredRequest): Readonly<Record<string, unknown>> {
-    return { confirmedAgeMs: decision?.confirmedAgeMs, requestId, version: decision?.version };
+    const ageMs = decision?.confirmedAgeMs;
+    return {
+        confirmedAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
+        requestId,
+        version: decision?.version,
+    };
 }
