--- a/demo/ChildProcesses.ts
+++ b/demo/ChildProcesses.ts
@@ -40,6 +40,11 @@
         this.#readLines(child.stderr, undefined);
     }
 
+    /** Undefined when the process could not be started. */
+    get pid(): number | undefined {
+        return this.child.pid;
+    }
+
     get isRunning(): boolean {
         return this.child.exitCode === null && this.child.signalCode === null;
     }
