--- a/src/transport/sidecar/__tests__/search/RuleJudge.ts
+++ b/src/transport/sidecar/__tests__/search/RuleJudge.ts
@@ -385,14 +385,16 @@
         let long = 0;
         let unanswered = 0;
         for (const { answeredAt, request } of this.#requests.values()) {
-            const { caller, path, sentAt } = request;
+            const { caller, isConnected, path, sentAt } = request;
             const timeoutMs = this.#readLongestTimeout(path, sentAt);
             const endsAt = sentAt + timeoutMs;
             const isLong = path.startsWith(SLOW_PATH) && (answeredAt ?? Infinity) > endsAt;
             const judgedAt = endsAt + TIMEOUT_SLACK_MS;
             // A daemon that ends in the meantime isn't in touch when its answer is missing.
             const isHeld = isImpaired(caller.heldTimes, judgedAt);
-            if (isLong && judgedAt < now && !isHeld && this.#isInTouch([caller], [sentAt, endsAt, judgedAt])) {
+            // Links that were cut are a disruption of the VM itself.
+            const isJudged = isConnected && !isHeld && judgedAt < now;
+            if (isLong && isJudged && this.#isInTouch([caller], [sentAt, endsAt, judgedAt])) {
                 long++;
                 unanswered += (answeredAt ?? Infinity) > judgedAt ? 1 : 0;
             }
