Bundle the histograms, so that the sidecar needs no packages beside it

The bundle asked for hdr-histogram-js at its own place in the file system, since its module is CommonJS with a default export, which Node.js and test runners import differently. Installed alone it ended with ERR_MODULE_NOT_FOUND. It is imported like other modules now, and the difference is resolved by its kind. BundledSidecar.test.ts failed before ('Cannot find module').

--- a/src/transport/metrics/Series.ts
+++ b/src/transport/metrics/Series.ts
@@ -1,7 +1,5 @@
-import type histogramModule from "hdr-histogram-js/dist/Int32Histogram.js";
+import histogramModule from "hdr-histogram-js/dist/Int32Histogram.js";
 import type { RequestRecord } from "../../coordination/recording/index.js";
-
-import { createRequire } from "node:module";
 import {
     ATTEMPTS_DIGITS,
     LATENCY_DIGITS,
@@ -10,13 +8,8 @@
     MICROSECONDS_PER_MS,
 } from "./MetricsConstants.js";
 
-/**
- * The package's entry point would also load unused WebAssembly code and compression, which take 14 MB.
- * The module is CommonJS with a `default` export, which Node.js and test runners import differently.
- */
-const { default: Int32Histogram } = createRequire(import.meta.url)(
-    "hdr-histogram-js/dist/Int32Histogram.js",
-) as typeof histogramModule;
+// The package's entry point would also load unused WebAssembly code and compression, which take 14 MB.
+const Int32Histogram = selectDefault(histogramModule);
 type Histogram = InstanceType<typeof Int32Histogram>;
 
 const MINIMUM_VALUE = 1;
@@ -106,3 +99,10 @@
         maximum: histogram.maxValue / unit,
     };
 }
+
+/** The module is CommonJS with a `default` export: Node.js imports all of it, test runners only that export. */
+function selectDefault<Value extends abstract new(...values: never[]) => unknown>(
+    imported: Value | { readonly default: Value; },
+): Value {
+    return typeof imported === "function" ? imported : imported.default;
+}
