--- a/src/transport/logging/__tests__/unit/Logging.test.ts
+++ b/src/transport/logging/__tests__/unit/Logging.test.ts
@@ -26,6 +26,7 @@
         status: 201,
         outcome: "answered",
         attempts: 2,
+        confirmedAgeMs: 1_899.6,
         hop: "relayed",
         server: "erie-a-2",
         latencyMs: 4.123456,
@@ -44,7 +45,13 @@
     createAccessLog(log("request")).count({ kind: "retried", reason: "closed", service: "ledger", class: undefined });
     expect(lines).toMatchObject([
         { name: "papayaturn-daemon", daemon: "erie-a-1", msg: "peer: connected to erie-a-2.", name_: "erie-a-2" },
-        { msg: "request: POST /deposits/100%25 ended as answered.", requestId: "r1", attempts: 2, latencyMs: 4.123 },
+        {
+            msg: "request: POST /deposits/100%25 ended as answered.",
+            attempts: 2,
+            confirmedAgeMs: 1_900,
+            latencyMs: 4.123,
+            requestId: "r1",
+        },
     ]);
     expect(lines[0]?.["cause"]).toMatchObject({ message: "late" });
     expect(lines).toHaveLength(2);
