--- a/src/protocol/session/ReliableChannel.ts
+++ b/src/protocol/session/ReliableChannel.ts
@@ -3,7 +3,7 @@
  * peer has not acknowledged are kept and sent again over the next connection.
  */
 import type { FrameConnection } from "../peer/index.js";
-import type { SessionMessage } from "./SessionMessages.js";
+import type { SessionMessage, SessionMessageKind } from "./SessionMessages.js";
 import { encodeSessionMessage, isSequenced } from "./SessionMessages.js";
 
 /** Received frames or bytes after which an acknowledgement is sent without waiting for the next ping. */
@@ -20,6 +20,7 @@
 }
 
 export class ReliableChannel {
+    readonly #recordSent: (kind: SessionMessageKind, bytes: number) => void;
     #connection: FrameConnection | undefined;
     #unacknowledged: SentFrame[] = [];
     #unacknowledgedBytes = 0;
@@ -29,6 +30,11 @@
     #reportedReceived = 0;
     #unreportedBytes = 0;
 
+    /** Calls `recordSent` for each frame that is passed to a connection, also for one that is sent again. */
+    constructor(recordSent: (kind: SessionMessageKind, bytes: number) => void = () => undefined) {
+        this.#recordSent = recordSent;
+    }
+
     get received(): number {
         return this.#received;
     }
@@ -49,7 +55,7 @@
             this.#unacknowledged.push({ bytes: frame.length, message });
             this.#unacknowledgedBytes += frame.length;
         }
-        this.#connection?.send(frame);
+        this.#sendFrame(message.kind, frame);
     }
 
     /**
@@ -66,7 +72,7 @@
         }
         this.#connection = connection;
         for (const { message } of this.#unacknowledged) {
-            connection.send(encodeSessionMessage(refresh(message)));
+            this.#sendFrame(message.kind, encodeSessionMessage(refresh(message)));
         }
         return true;
     }
@@ -103,6 +109,13 @@
         }
     }
 
+    #sendFrame(kind: SessionMessageKind, frame: Uint8Array): void {
+        if (this.#connection !== undefined) {
+            this.#recordSent(kind, frame.length);
+            this.#connection.send(frame);
+        }
+    }
+
     /** Records that the number of received frames was sent in another message. */
     markReceivedReported(): void {
         this.#reportedReceived = this.#received;
--- a/src/state/store/MeshStorePort.ts
+++ b/src/state/store/MeshStorePort.ts
@@ -58,4 +58,6 @@
     deleteQuarantine(fingerprint: string): StoreResult<void>;
     /** Era that the last answer named; undefined before the first one. */
     readEra(): number | undefined;
+    /** Bytes of answers received since the start, also of answers that did not become complete. */
+    readReceivedBytes(): number;
 }
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -63,6 +63,8 @@
     /** Asks another daemon for its status, which tells when its version was confirmed; false when it can't be asked. */
     requestStatus(id: string): boolean;
     sendConfiguration(id: string, configuration: CompressedConfiguration): void;
+    /** Bytes received from other daemons since the start. */
+    readReceivedBytes(): number;
     onChange(configuration: TrafficConfiguration): void;
 }
 
@@ -119,6 +121,7 @@
         this.#lease = new VersionLease({
             ...options,
             freshness: this.#freshness,
+            readReceivedBytes: () => options.readReceivedBytes() + options.store.readReceivedBytes(),
             readStore: () => this.#readStore(),
         });
     }
--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -56,6 +56,8 @@
     countDaemons(): number;
     /** Asks another daemon for its status, with the confirmation of its version; false when it can't be asked. */
     requestStatus(id: string): boolean;
+    /** Bytes received from other daemons and from the store since the start. */
+    readReceivedBytes(): number;
     /** Reads the newest version from the store; resolves with whether it has answered, also by a refusal. */
     readStore(): Promise<boolean>;
 }
@@ -135,15 +137,16 @@
     }
 
     async #runRenewal(): Promise<boolean> {
-        const { countDaemons, now, random } = this.#options;
+        const { countDaemons, now, random, readReceivedBytes } = this.#options;
         const startedAt = now();
+        const receivedBefore = readReceivedBytes();
         this.#askedDaemons = 0;
         const storeTurnMs = random() * countDaemons() * STORE_READ_SPREAD_PER_DAEMON_MS;
         const steps = generateRenewalSteps(storeTurnMs);
         let step = steps.next();
         while (!this.#isRenewed(now())) {
             if (step.done === true) {
-                this.#handleUnanswered(startedAt, now());
+                this.#handleUnanswered(startedAt, now(), readReceivedBytes() - receivedBefore);
                 return false;
             }
             step = steps.next(await this.#execute(step.value));
@@ -211,11 +214,16 @@
         }
     }
 
-    #handleUnanswered(startedAt: number, now: number): void {
+    #handleUnanswered(startedAt: number, now: number, receivedBytes: number): void {
         if (this.#retryAt === undefined) {
             this.#options.log.warn(
                 "the lease of the version can't be renewed: requests are decided by it without a confirmation.",
-                { ...this.#describe(), askedDaemons: this.#askedDaemons, tookMs: Math.round(now - startedAt) },
+                {
+                    ...this.#describe(),
+                    askedDaemons: this.#askedDaemons,
+                    receivedBytes,
+                    tookMs: Math.round(now - startedAt),
+                },
             );
         }
         this.#retryAt = now + this.#retryDelays.next().value;
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -84,6 +84,7 @@
         onStoreRead: () => undefined,
         onWatchChanged: () => undefined,
         random: () => 0.5,
+        readReceivedBytes: () => 0,
         requestConfiguration: () => undefined,
         requestStatus: () => false,
         selfId: "self",
@@ -91,6 +92,7 @@
         sendConfiguration: () => undefined,
         store: {
             readConfiguration: () => read(undefined),
+            readReceivedBytes: () => 0,
             watchConfiguration: (_position: StorePosition, waitMs: number) => read(waitMs),
         } as unknown as MeshStorePort,
     });
--- a/src/transport/directory/__tests__/unit/VersionLease.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionLease.test.ts
@@ -35,7 +35,7 @@
     const startedAt = Date.now();
     const now = (): number => Date.now() - startedAt;
     const asked: string[] = [];
-    const state = { answersStore, storeAnswerMs: ANSWER_MS, storeReads: 0 };
+    const state = { answersStore, receivedBytes: 0, storeAnswerMs: ANSWER_MS, storeReads: 0 };
     const freshness = new VersionFreshness(0);
     freshness.recordOwn(OWN);
     freshness.recordConfirmation(OWN, POSITION, 0);
@@ -54,6 +54,7 @@
         log: createSilentLogger(),
         now,
         random: () => 0.5,
+        readReceivedBytes: () => state.receivedBytes,
         readStore: async () => {
             state.storeReads++;
             await new Promise(resolve => setTimeout(resolve, state.storeAnswerMs));
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -132,11 +132,15 @@
             limits: deriveFreshnessLimits(2_000),
             timers: realTimers,
             random: createSeededRandom(members.indexOf(self)),
+            readReceivedBytes: () => 0,
             requestConfiguration: id => send(self, id, { kind: "configurationRequest" }),
             requestStatus: () => false,
             selfId: self.id,
             sendConfiguration: (id, configuration) => send(self, id, { ...configuration, kind: "configuration" }),
-            store: { readConfiguration: () => new Promise(() => undefined) } as unknown as MeshStorePort,
+            store: {
+                readConfiguration: () => new Promise(() => undefined),
+                readReceivedBytes: () => 0,
+            } as Partial<MeshStorePort> as MeshStorePort,
         });
     }
     managers.forEach(manager => manager.start());
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -4,6 +4,7 @@
 import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { RequestEvents, RequestHandle } from "../ownership/index.js";
 import { addTransit, handleGossip } from "./HandleGossip.js";
+import { recordSent } from "./MessageTraffic.js";
 import type { SessionDependencies } from "./SessionTypes.js";
 import { TransitBound } from "./TransitBound.js";
 
@@ -19,7 +20,7 @@
 }
 
 export class CallerSession {
-    readonly #channel = new ReliableChannel();
+    readonly #channel: ReliableChannel;
     readonly #streams = new Map<number, Stream>();
     readonly #dependencies: SessionDependencies;
     /** Of the present connection. */
@@ -31,6 +32,7 @@
 
     constructor(readonly peerId: string, dependencies: SessionDependencies) {
         this.#dependencies = dependencies;
+        this.#channel = new ReliableChannel((kind, bytes) => recordSent(dependencies.uplink, kind, bytes));
     }
 
     get disconnectedAt(): number | undefined {
@@ -69,7 +71,9 @@
             server,
         } as const;
         this.#channel.markReceivedReported();
-        connection.send(encodeSessionMessage(welcome));
+        const frame = encodeSessionMessage(welcome);
+        recordSent(this.#dependencies.uplink, welcome.kind, frame.length);
+        connection.send(frame);
         return this.#channel.attach(connection, isResumed ? hello.received : 0);
     }
 
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -14,6 +14,7 @@
 import { scheduleTimeout } from "../timers/index.js";
 import { consumeFrames } from "./ConsumeFrames.js";
 import { addTransit, handleGossip } from "./HandleGossip.js";
+import { recordReceived, recordSent } from "./MessageTraffic.js";
 import {
     DISCONNECTED_OWNER_TICKS,
     HANDSHAKE_TIMEOUT_MS,
@@ -57,7 +58,7 @@
 export class OwnerSession {
     readonly #options: OwnerSessionOptions;
     #member: Member;
-    #channel = new ReliableChannel();
+    #channel: ReliableChannel;
     #sessionId: string;
     #isEstablished = false;
     #connection: FrameConnection | undefined;
@@ -86,6 +87,7 @@
     constructor(member: Member, options: OwnerSessionOptions) {
         this.#member = member;
         this.#options = options;
+        this.#channel = this.#createChannel();
         this.#sessionId = options.createSessionId();
         this.#reconnectDelays = this.#createReconnectDelays();
         this.#disconnectedAt = options.now();
@@ -246,6 +248,10 @@
         this.#failPendingRequests(detail);
     }
 
+    #createChannel(): ReliableChannel {
+        return new ReliableChannel((kind, bytes) => recordSent(this.#options.uplink, kind, bytes));
+    }
+
     #createReconnectDelays(): Generator<number, never> {
         return generateBackoffDelays(RECONNECT_BASE_MS, () => RECONNECT_MAXIMUM_MS, this.#options.random);
     }
@@ -307,7 +313,7 @@
 
     async #runConnection(connection: FrameConnection): Promise<void> {
         this.#helloSentAt = this.#options.now();
-        connection.send(encodeSessionMessage({
+        const frame = encodeSessionMessage({
             ...this.#options.readStatus(),
             kind: "hello",
             member: this.#options.readSelf(),
@@ -315,7 +321,9 @@
             server: this.#server,
             sessionId: this.#sessionId,
             target: this.#member.id,
-        }));
+        });
+        recordSent(this.#options.uplink, "hello", frame.length);
+        connection.send(frame);
         // Only one connection at a time may be in its handshake: another one would make its message counts stale.
         const cancelTimeout = scheduleTimeout(this.#options.timers, HANDSHAKE_TIMEOUT_MS, () => {
             if (this.#connection !== connection) {
@@ -324,6 +332,7 @@
         });
         try {
             await consumeFrames(connection, (message, bytes) => {
+                recordReceived(this.#options.uplink, message.kind, bytes);
                 this.#lastHeardAt = this.#options.now();
                 this.#unansweredSince = undefined;
                 this.#unansweredTicks = 0;
@@ -536,7 +545,7 @@
     #failPendingRequests(detail: string): void {
         const pending = [...this.#pending.values()];
         this.#pending.clear();
-        this.#channel = new ReliableChannel();
+        this.#channel = this.#createChannel();
         this.#isEstablished = false;
         for (const { events, hasProceeded, request } of pending) {
             if (isRepeatable(request.kind) || hasProceeded) {
--- a/src/transport/sessions/SessionManager.ts
+++ b/src/transport/sessions/SessionManager.ts
@@ -8,6 +8,7 @@
 import { CallerSession } from "./CallerSession.js";
 import { consumeFrames } from "./ConsumeFrames.js";
 import { addTransit } from "./HandleGossip.js";
+import { recordReceived } from "./MessageTraffic.js";
 import { OwnerSession } from "./OwnerSession.js";
 import {
     FEW_SESSIONS,
@@ -182,6 +183,7 @@
     async #acceptConnection(connection: FrameConnection): Promise<void> {
         let session: CallerSession | undefined;
         const handle = (message: SessionMessage, bytes: number): void => {
+            recordReceived(this.#options.uplink, message.kind, bytes);
             if (session !== undefined) {
                 session.handle(connection, message, bytes);
             }
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -30,12 +30,19 @@
     readonly uplink: UplinkSender;
     countReachable(): number;
     readDroppedLines(): number;
+    /** Bytes of the store's answers since the start. */
+    readStoreBytes(): number;
 }
 
 const MS_PER_SECOND = 1_000;
 
 export function listGauges(sources: GaugeSources): readonly Gauge[] {
-    return [...listServerGauges(sources), ...listConfigurationGauges(sources), ...listMeshGauges(sources)];
+    return [
+        ...listServerGauges(sources),
+        ...listConfigurationGauges(sources),
+        ...listMeshGauges(sources),
+        ...listLinkGauges(sources),
+    ];
 }
 
 function listServerGauges({ admission, quarantine }: GaugeSources): readonly Gauge[] {
@@ -86,7 +93,6 @@
         readDroppedLines,
         sessionSelector,
         sessions,
-        uplink,
     }: GaugeSources,
 ): readonly Gauge[] {
     return [
@@ -102,8 +108,18 @@
         { name: "members_connected", read: countReachable },
         { name: "sessions_open", read: () => [...sessions.listOwnerSessions()].length },
         { name: "session_buffered_bytes", read: () => sessions.countBufferedBytes() },
-        { name: "uplink_waiting_bytes", read: () => uplink.waitingBytes },
         { name: "neighbours", read: () => sessionSelector.neighbours.size },
         { name: "log_lines_dropped_total", read: readDroppedLines },
     ];
 }
+
+function listLinkGauges({ readStoreBytes, uplink }: GaugeSources): readonly Gauge[] {
+    return [
+        { name: "uplink_waiting_bytes", read: () => uplink.waitingBytes },
+        { name: "link_bytes_total{direction=\"in\",kind=\"store\"}", read: readStoreBytes },
+        ...uplink.traffic.list().map(({ bytes, direction, kind }) => ({
+            name: `link_bytes_total{direction="${direction}",kind="${kind}"}`,
+            read: () => bytes,
+        })),
+    ];
+}
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -304,6 +304,7 @@
             onWatchChanged: () => this.#announceStatus(),
             isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
+            readReceivedBytes: () => this.#uplink.traffic.receivedBytes,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
             requestStatus: id => this.#sessions.requestStatus(id),
             sendConfiguration: (id, configuration) => {
@@ -586,6 +587,7 @@
                 overload: this.#overload,
                 quarantine: this.#quarantine,
                 readDroppedLines: this.#dependencies.readDroppedLines,
+                readStoreBytes: () => this.#dependencies.store.readReceivedBytes(),
                 routeQueries: this.#routeQueries,
                 routeResolver: this.#routeResolver,
                 sessionSelector: this.#sessionSelector,
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -77,6 +77,7 @@
     readonly #server: SimulatedServer;
     readonly #directory: ServerDirectory;
     readonly #callers: SimulatedCallers;
+    readonly #uplink: UplinkSender;
     #regionGeneration = -1;
 
     constructor(options: SimulatedDaemonOptions) {
@@ -89,6 +90,7 @@
             readWallClock,
         });
         this.#readAgeTime = ageClock.now;
+        this.#uplink = new UplinkSender(undefined, now);
         this.id = self.id;
         this.#ages = new DecisionAges(options.deadlineMs);
         this.#registry = new MemberRegistry({
@@ -173,7 +175,7 @@
             readVersion: () => this.#lag.own,
             submit: (request, events) => this.#server.submit(request, events),
             timers,
-            uplink: new UplinkSender(undefined, now),
+            uplink: this.#uplink,
         });
         this.#gossip = new MemberGossip({
             listReceivers: () => this.#selector.neighbours,
@@ -210,6 +212,7 @@
             onStoreRead: era => void this.#registry.recordEra(era),
             onWatchChanged: () => this.#announceStatus(),
             random,
+            readReceivedBytes: () => this.#uplink.traffic.receivedBytes,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
             requestStatus: id => this.#sessions.requestStatus(id),
             selfId: self.id,
--- a/src/transport/sidecar/__tests__/search/SimulatedStore.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedStore.ts
@@ -18,6 +18,8 @@
 /** Time for a call without a wait, and beyond the wait of a watch, as in the store's client. */
 const CALL_TIMEOUT_MS = 2_000;
 const WATCH_GRACE_MS = 700;
+/** Size of an answer, of which only that it isn't 0 matters. */
+const ANSWER_BYTES = 100;
 const SILENT: StoreError = { detail: "no answer in time", kind: "unknown" };
 const BUSY: StoreError = { detail: "the store rejects the call for its rate", kind: "refused", reason: "rate" };
 const HISTORY_GONE: StoreError = { detail: "the history is gone", kind: "refused", reason: "history" };
@@ -104,6 +106,7 @@
     /** Store as one daemon sees it. */
     createPort(process: SimulatedProcess, random: Random, readAccess: () => StoreAccess): MeshStorePort {
         let answeredEra: number | undefined;
+        let receivedBytes = 0;
         const call = <T>(
             timeoutMs: number,
             serve: (answer: (result: Either<StoreError, T>) => void) => () => void,
@@ -140,6 +143,7 @@
                             if (!isLost) {
                                 process.handle(() => {
                                     answeredEra = era;
+                                    receivedBytes += ANSWER_BYTES;
                                     settle(result);
                                 }, costMs(result));
                             }
@@ -163,6 +167,7 @@
             listMembers: timeoutMs => callOnce(() => [...this.#records.values()], timeoutMs),
             readConfiguration: () => callOnce(() => this.#readNewest(), CALL_TIMEOUT_MS, computeReadingCost),
             readEra: () => answeredEra,
+            readReceivedBytes: () => receivedBytes,
             watchConfiguration: (position: StorePosition, waitMs: number, timeoutMs = waitMs + WATCH_GRACE_MS) =>
                 call(
                     timeoutMs,
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import type { AnswerHead } from "../ownership/index.js";
+import { LinkDirection, LinkTrafficKind } from "../uplink/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 
 const BAD_GATEWAY_STATUS = 502;
@@ -60,7 +61,7 @@
         const headers = [...head.headers];
         if (head.isCloseDelimited) {
             this.#writeCloseDelimited(head);
-            this.uplink.sendAnswer(body.length, () => this.response.end(body), this.#isWanted);
+            this.uplink.sendAnswer(body.length, () => this.#endAnswer(body), this.#isWanted);
             return;
         }
         const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
@@ -69,7 +70,7 @@
         }
         this.#writeHead(head.status, headers);
         const sent = isBodiless ? undefined : body;
-        this.uplink.sendAnswer(sent?.length ?? 0, () => this.response.end(sent), this.#isWanted);
+        this.uplink.sendAnswer(sent?.length ?? 0, () => this.#endAnswer(sent), this.#isWanted);
     }
 
     /** Sends the head of a streamed answer. */
@@ -98,6 +99,7 @@
         this.uplink.sendPart(body.length, () => {
             this.#waitingParts--;
             if (!this.response.destroyed) {
+                this.#recordSent(body.length);
                 this.response.write(body);
             }
             if (hasWaited) {
@@ -139,6 +141,15 @@
         this.response.end(sentence);
     }
 
+    #endAnswer(body: Uint8Array | undefined): void {
+        this.#recordSent(body?.length ?? 0);
+        this.response.end(body);
+    }
+
+    #recordSent(bytes: number): void {
+        this.uplink.traffic.record(LinkDirection.Out, LinkTrafficKind.CallerAnswers, bytes);
+    }
+
     #handleDrain(): void {
         if (this.#waitingParts === 0 && !this.response.writableNeedDrain) {
             this.onDrain?.();
--- a/src/transport/uplink/UplinkSender.ts
+++ b/src/transport/uplink/UplinkSender.ts
@@ -1,6 +1,7 @@
 /** Sends the parts of large answers in the order of their arrival, at the rate that the VM's link allows. */
 import type { LinkPacer } from "../../coordination/scheduling/index.js";
 import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
+import { LinkTraffic } from "./LinkTraffic.js";
 
 interface WaitingPart {
     readonly bytes: number;
@@ -12,6 +13,8 @@
 const isAlwaysWanted = (): boolean => true;
 
 export class UplinkSender {
+    /** What the link has carried, as its users record it. */
+    readonly traffic = new LinkTraffic();
     readonly #pacer: LinkPacer | undefined;
     readonly #now: () => number;
     readonly #waiting: WaitingPart[] = [];
