End an answer that breaks off midway when the daemon of its server is lost

Callers waited until their deadline, and longer, for the rest of a streamed answer (above 64 KB) whose owner's daemon had ended: the outcome counted as unknown, a retry was placed or a 502 written although the head was sent, and the write threw 'Cannot write headers after they are sent to the client'. Found by WeakLink.test.ts when its answers went out in parts. Now such an answer ends like one that the server has broken off: its connection is reset, so that it can't look complete. Class: an end that a state can't have was handled for one of its two events only. Looked for elsewhere: offers, refusals and timeouts of the owner check the streaming attempt, or come before its head. The test fails without the change (30 s).

--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -225,14 +225,7 @@
             onAnswerAborted: (detail, load) => {
                 const isStreaming = this.#streamingAttempt === attempt;
                 if (this.#endAttempt(attempt, load, detail) && this.#requireStreamHead(isStreaming, detail)) {
-                    this.#context.directory.recordFailure(attempt.owner);
-                    this.#complete(
-                        attempt.owner,
-                        BAD_GATEWAY_STATUS,
-                        Outcome.Unknown,
-                        detail,
-                        () => this.#exchange.resetConnection(),
-                    );
+                    this.#abortStream(attempt, detail);
                 }
             },
             onData: body => {
@@ -276,7 +269,14 @@
                 }
             },
             onOutcomeUnknown: (detail, load) => {
-                if (this.#endAttempt(attempt, load, detail)) {
+                const isStreaming = this.#streamingAttempt === attempt;
+                if (!this.#endAttempt(attempt, load, detail)) {
+                    return;
+                }
+                if (isStreaming) {
+                    this.#abortStream(attempt, detail);
+                }
+                else {
                     this.#hasUnknownOutcome = true;
                     this.#context.directory.recordFailure(attempt.owner);
                     this.#retryIfRepeatable(detail);
@@ -285,6 +285,18 @@
         };
     }
 
+    /** Ends an answer that broke off after its head was sent, which no other answer can replace. */
+    #abortStream(attempt: Attempt, detail: string): void {
+        this.#context.directory.recordFailure(attempt.owner);
+        this.#complete(
+            attempt.owner,
+            BAD_GATEWAY_STATUS,
+            Outcome.Unknown,
+            detail,
+            () => this.#exchange.resetConnection(),
+        );
+    }
+
     #handleAnswer(attempt: Attempt, head: AnswerHead, body: Uint8Array, load: OwnerLoad | undefined): void {
         if (!this.#endAttempt(attempt, load, `status ${head.status}`)) {
             return;
