Count small messages against the link of which large answers take the rest

Callers and daemons waited for pings, confirmations and small answers behind downloads on weak VMs: large answers were paced to 0.9 of the link whatever else it carried. Now the pacer charges all that a VM sends, small messages at once and large answers with what is left; the budget by which downloads are admitted counts small messages beyond their fifth of the link. Answers from 16 KB leave in parts of 40 ms of the link, between which small messages pass (64 KB take 187 ms at 2.8 Mbit/s).

--- a/src/coordination/scheduling/__tests__/unit/LinkBudget.test.ts
+++ b/src/coordination/scheduling/__tests__/unit/LinkBudget.test.ts
@@ -132,3 +132,28 @@
         }
     });
 });
+
+// Guards against downloads that are admitted to a link of which small messages leave less than they need.
+describe("small messages on a weak link", () => {
+    const SMALL_SHARE = 0.2;
+    const DURATION_MS = 2_000;
+    const takeSmall = (share: number): LinkBudget => {
+        const link = new LinkBudget(LINK_BYTES_PER_MS);
+        for (let now = 0; now < DURATION_MS; now += STEP_MS) {
+            link.takeSmall(share * LINK_BYTES_PER_MS * STEP_MS, now);
+        }
+        return link;
+    };
+
+    it("delay no download within their own share of the link", () => {
+        expect(takeSmall(SMALL_SHARE).estimateDelay(90_000, DURATION_MS)).toBe(0);
+    });
+
+    it("delay downloads by what they take beyond it", () => {
+        const delayMs = takeSmall(2 * SMALL_SHARE + 1).estimateDelay(90_000, DURATION_MS);
+        // 1.4 of the link is used, 0.2 of it from the own share: 1.2 is taken of the 0.8 for large answers.
+        const usedMs = DURATION_MS * (1 + SMALL_SHARE) / (1 - SMALL_SHARE);
+        expect(delayMs).toBeGreaterThan(0.5 * (usedMs - DURATION_MS));
+        expect(delayMs).toBeLessThan(usedMs - DURATION_MS);
+    });
+});
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -117,6 +117,11 @@
         this.#link.take(bytes, this.#options.now());
     }
 
+    /** Records a small message or answer that this VM's link carries. */
+    recordSmallLinkUse(bytes: number): void {
+        this.#link.takeSmall(bytes, this.#options.now());
+    }
+
     /** Finds a request that has a slot of the server. */
     findRunning(requestId: string): OwnedRequest | undefined {
         for (const { hasStarted, request } of this.#executions) {
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -1,4 +1,5 @@
 /** Owner's side of a session: requests that another daemon places at this daemon's backend server. */
+import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
 import { encodeSessionMessage, isGossip, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
 import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
@@ -266,18 +267,32 @@
             }, isWanted);
             pauseIfWaiting();
         };
+        const sendParts = (body: Uint8Array): void => {
+            for (const part of uplink.generateParts(body)) {
+                sendPart(part.length, () => send({ body: part, kind: "answerData", stream: id }));
+            }
+        };
+        const sendEnd = (load?: OwnerLoad): void =>
+            sendPart(0, () => end({ ...readOwnerFields(load), kind: "answerEnd", stream: id }));
         return {
-            onAnswer: (head, body, load) =>
+            onAnswer: (head, body, load) => {
+                if (uplink.isDivided(body.length)) {
+                    send({ ...head, kind: "answerHead", stream: id });
+                    sendParts(body);
+                    sendEnd(load);
+                    return;
+                }
                 uplink.sendAnswer(
                     body.length,
                     () => end({ ...head, ...readOwnerFields(load), body, kind: "answer", stream: id }),
                     isWanted,
-                ),
+                );
+            },
             onAnswerAborted: (detail, load) =>
                 sendPart(0, () => end({ ...readOwnerFields(load), detail, kind: "answerCut", stream: id })),
-            onData: body => sendPart(body.length, () => send({ body, kind: "answerData", stream: id })),
+            onData: sendParts,
             onDeclined: (detail, load) => end({ ...readOwnerFields(load), detail, kind: "declined", stream: id }),
-            onEnd: load => sendPart(0, () => end({ ...readOwnerFields(load), kind: "answerEnd", stream: id })),
+            onEnd: sendEnd,
             onHead: head => send({ ...head, kind: "answerHead", stream: id }),
             onOffer: () => send({ kind: "offer", stream: id }),
             onRefused: (refusal, load) => end({ ...refusal, ...readOwnerFields(load), kind: "refused", stream: id }),
--- a/src/transport/sessions/MessageTraffic.ts
+++ b/src/transport/sessions/MessageTraffic.ts
@@ -1,4 +1,5 @@
 /** Counts messages between daemons as traffic of the link. */
+import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
 import type { SessionMessageKind } from "../../protocol/session/index.js";
 import { LinkDirection, LinkTrafficKind } from "../uplink/index.js";
 import type { UplinkSender } from "../uplink/index.js";
@@ -12,8 +13,16 @@
     request: LinkTrafficKind.Requests,
 };
 
-export function recordSent({ traffic }: Pick<UplinkSender, "traffic">, kind: SessionMessageKind, bytes: number): void {
-    traffic.record(LinkDirection.Out, findTrafficKind(kind), bytes);
+export function recordSent(uplink: UplinkSender, kind: SessionMessageKind, bytes: number): void {
+    uplink.traffic.record(LinkDirection.Out, findTrafficKind(kind), bytes);
+    if (!isPaced(kind, bytes)) {
+        uplink.recordSent(bytes);
+    }
+}
+
+/** Whether the message is a part of a large answer, which waits for the link before it is sent. */
+function isPaced(kind: SessionMessageKind, bytes: number): boolean {
+    return kind === "answerData" || kind === "answer" && bytes >= LARGE_ANSWER_BYTES;
 }
 
 export function recordReceived(
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -143,6 +143,7 @@
         this.#uplink = new UplinkSender(
             new LinkBudget(linkBytesPerMs).isBottleneck ? new LinkPacer(linkBytesPerMs) : undefined,
             now,
+            bytes => this.#admission.recordSmallLinkUse(bytes),
         );
         this.#log = createPartLogger("daemon");
         this.#delays = new DelayMonitor(this.#log, () => this.#sessions.countBufferedBytes());
@@ -307,11 +308,8 @@
             readReceivedBytes: () => this.#uplink.traffic.receivedBytes,
             requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
             requestStatus: id => this.#sessions.requestStatus(id),
-            sendConfiguration: (id, configuration) => {
-                this.#uplink.recordSent(configuration.compressedText.length);
-                this.#admission.recordLinkUse(configuration.compressedText.length);
-                this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" });
-            },
+            sendConfiguration: (id, configuration) =>
+                this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" }),
             selfId: settings.id,
             store: dependencies.store,
             timers: realTimers,
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -1,5 +1,6 @@
 /** One request of a caller and the answer that is sent to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
 import { isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import type { AnswerHead } from "../ownership/index.js";
 import { LinkDirection, LinkTrafficKind } from "../uplink/index.js";
@@ -61,7 +62,7 @@
         const headers = [...head.headers];
         if (head.isCloseDelimited) {
             this.#writeCloseDelimited(head);
-            this.uplink.sendAnswer(body.length, () => this.#endAnswer(body), this.#isWanted);
+            this.#sendBody(body);
             return;
         }
         const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
@@ -70,7 +71,7 @@
         }
         this.#writeHead(head.status, headers);
         const sent = isBodiless ? undefined : body;
-        this.uplink.sendAnswer(sent?.length ?? 0, () => this.#endAnswer(sent), this.#isWanted);
+        this.#sendBody(sent);
     }
 
     /** Sends the head of a streamed answer. */
@@ -95,17 +96,16 @@
             return true;
         }
         let hasWaited = false;
-        this.#waitingParts++;
-        this.uplink.sendPart(body.length, () => {
-            this.#waitingParts--;
-            if (!this.response.destroyed) {
-                this.#recordSent(body.length);
-                this.response.write(body);
-            }
-            if (hasWaited) {
-                this.#handleDrain();
-            }
-        }, this.#isWanted);
+        for (const part of this.uplink.generateParts(body)) {
+            this.#waitingParts++;
+            this.uplink.sendPart(part.length, () => {
+                this.#waitingParts--;
+                this.#writePart(part);
+                if (hasWaited) {
+                    this.#handleDrain();
+                }
+            }, this.#isWanted);
+        }
         hasWaited = this.#waitingParts > 0;
         return !hasWaited && !this.response.writableNeedDrain;
     }
@@ -141,9 +141,30 @@
         this.response.end(sentence);
     }
 
-    #endAnswer(body: Uint8Array | undefined): void {
-        this.#recordSent(body?.length ?? 0);
-        this.response.end(body);
+    /** Sends the whole body and ends the answer. */
+    #sendBody(body: Uint8Array | undefined): void {
+        const bytes = body?.length ?? 0;
+        if (body !== undefined && this.uplink.isDivided(bytes)) {
+            for (const part of this.uplink.generateParts(body)) {
+                this.uplink.sendPart(part.length, () => this.#writePart(part), this.#isWanted);
+            }
+            this.uplink.sendPart(0, () => this.response.end());
+            return;
+        }
+        this.uplink.sendAnswer(bytes, () => {
+            this.#recordSent(bytes);
+            this.response.end(body);
+        }, this.#isWanted);
+        if (bytes < LARGE_ANSWER_BYTES) {
+            this.uplink.recordSent(bytes);
+        }
+    }
+
+    #writePart(part: Uint8Array): void {
+        if (!this.response.destroyed) {
+            this.#recordSent(part.length);
+            this.response.write(part);
+        }
     }
 
     #recordSent(bytes: number): void {
--- a/src/transport/uplink/UplinkSender.ts
+++ b/src/transport/uplink/UplinkSender.ts
@@ -1,4 +1,4 @@
-/** Sends the parts of large answers in the order of their arrival, at the rate that the VM's link allows. */
+/** Sends the parts of large answers in the order of their arrival, at the rate that small messages leave of the VM's link. */
 import type { LinkPacer } from "../../coordination/scheduling/index.js";
 import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
 import { LinkTraffic } from "./LinkTraffic.js";
@@ -16,14 +16,16 @@
     /** What the link has carried, as its users record it. */
     readonly traffic = new LinkTraffic();
     readonly #pacer: LinkPacer | undefined;
+    readonly #onSmall: (bytes: number) => void;
     readonly #now: () => number;
     readonly #waiting: WaitingPart[] = [];
     #waitingBytes = 0;
     #timer: NodeJS.Timeout | undefined;
 
-    /** Without a pacer, for a fast link, all parts are sent at once. */
-    constructor(pacer: LinkPacer | undefined, now: () => number) {
+    /** Without a pacer, for a fast link, all parts are sent at once. `onSmall` is called for what is sent without waiting. */
+    constructor(pacer: LinkPacer | undefined, now: () => number, onSmall: (bytes: number) => void = () => undefined) {
         this.#pacer = pacer;
+        this.#onSmall = onSmall;
         this.#now = now;
     }
 
@@ -36,6 +38,19 @@
         return this.#waiting.length === 0;
     }
 
+    /** Divides a large answer into parts between which other messages can be sent. */
+    *generateParts(body: Uint8Array): Generator<Uint8Array, void> {
+        const partBytes = this.#pacer?.partBytes ?? Infinity;
+        for (let sent = 0; sent < body.length; sent += partBytes) {
+            yield body.subarray(sent, sent + partBytes);
+        }
+    }
+
+    /** Whether an answer has to be sent in several parts. */
+    isDivided(bytes: number): boolean {
+        return bytes >= LARGE_ANSWER_BYTES && bytes > (this.#pacer?.partBytes ?? Infinity);
+    }
+
     /** Sends a small answer at once, and a large one after those before it. */
     sendAnswer(bytes: number, send: () => void, isWanted = isAlwaysWanted): void {
         if (bytes < LARGE_ANSWER_BYTES) {
@@ -57,9 +72,10 @@
         this.#schedule();
     }
 
-    /** Records bytes that don't wait for the link but occupy it, such as copies of versions. */
+    /** Records bytes that don't wait for the link but occupy it: requests, small answers, copies of versions, pings. */
     recordSent(bytes: number): void {
         this.#pacer?.charge(bytes, this.#now());
+        this.#onSmall(bytes);
     }
 
     stop(): void {
--- a/src/transport/uplink/__tests__/unit/UplinkSender.test.ts
+++ b/src/transport/uplink/__tests__/unit/UplinkSender.test.ts
@@ -28,7 +28,10 @@
 }
 
 /** Replays downloads and small messages that share a link; returns their times on the way, sorted. */
-function replayUplink(uplink: UplinkSender): { readonly small: readonly number[]; readonly large: readonly number[]; } {
+function replayUplink(
+    uplink: UplinkSender,
+    smallPerSecond = 30,
+): { readonly small: readonly number[]; readonly large: readonly number[]; } {
     const random = createSeededRandom(7);
     const small: number[] = [];
     const large: number[] = [];
@@ -51,8 +54,9 @@
                 });
             }
         }
-        if (isDue(30)) {
-            uplink.sendAnswer(SMALL_BYTES, () => small.push(carry(SMALL_BYTES) - now));
+        if (isDue(smallPerSecond)) {
+            uplink.recordSent(SMALL_BYTES);
+            small.push(carry(SMALL_BYTES) - now);
         }
         vi.advanceTimersByTime(STEP_MS);
     }
@@ -75,6 +79,12 @@
         expect(getQuantile(paced.large, 0.5)).toBeLessThan(2 * getQuantile(unpaced.large, 0.5));
     });
 
+    it("is left to small messages first when they take a fifth of it", () => {
+        const pacer = new LinkPacer(LINK_BYTES_PER_MS);
+        const { small } = replayUplink(new UplinkSender(pacer, () => performance.now()), 150);
+        expect(small.at(-1)).toBeLessThan(SLOWED_WAIT_MS / 2);
+    });
+
     it("makes small messages late without the pacer, which shows that the load can fill the link", () => {
         const { small } = replayUplink(new UplinkSender(undefined, () => performance.now()));
         expect(getQuantile(small, 0.95)).toBeGreaterThan(SLOWED_WAIT_MS);
@@ -82,6 +92,17 @@
 });
 
 describe("the sender of large answers", () => {
+    it("divides them into parts that take a weak link for 40 ms, and doesn't on a fast link", () => {
+        const body = new Uint8Array(100_000).map((_value, index) => index);
+        const paced = new UplinkSender(new LinkPacer(LINK_BYTES_PER_MS), () => performance.now());
+        const parts = [...paced.generateParts(body)];
+        expect(Math.max(...parts.map(({ length }) => length)) / LINK_BYTES_PER_MS).toBeLessThanOrEqual(40);
+        expect(Buffer.concat(parts).equals(body)).toBe(true);
+        const unpaced = new UplinkSender(undefined, () => performance.now());
+        expect([...unpaced.generateParts(body)]).toHaveLength(1);
+        expect([paced.isDivided(body.length), unpaced.isDivided(body.length)]).toEqual([true, false]);
+    });
+
     it("sends parts in order, takes nothing of the link for parts that nobody waits for, and drops all when stopped", () => {
         const uplink = new UplinkSender(new LinkPacer(100), () => performance.now());
         const sent: string[] = [];
