Take parts of a message for a sign of life of the daemon that sends it

Now the silence counts anew with each check at which bytes have arrived on the connection. A daemon that stands still sends none. The test fails without the change.

--- a/src/protocol/peer/FrameConnection.ts
+++ b/src/protocol/peer/FrameConnection.ts
@@ -5,5 +5,7 @@
     send(frame: Uint8Array): void;
     /** Bytes accepted by `send` but not yet passed to the network. */
     getBufferedBytes(): number;
+    /** Bytes received since the connection was opened, also of frames that are not complete yet. */
+    getReceivedBytes(): number;
     close(): void;
 }
--- a/src/protocol/session/__tests__/unit/ReliableChannel.test.ts
+++ b/src/protocol/session/__tests__/unit/ReliableChannel.test.ts
@@ -9,6 +9,7 @@
     return {
         close: () => undefined,
         getBufferedBytes: () => 0,
+        getReceivedBytes: () => 0,
         frames: new FrameQueue(),
         send: frame => sent.push(decodeSessionMessage(frame)),
         sent,
--- a/src/transport/mesh/__tests__/support/MemoryNetwork.ts
+++ b/src/transport/mesh/__tests__/support/MemoryNetwork.ts
@@ -67,6 +67,7 @@
         const createSide = (own: FrameQueue, other: FrameQueue): FrameConnection => ({
             close,
             getBufferedBytes: () => 0,
+            getReceivedBytes: () => 0,
             frames: own,
             send: frame => this.transmit(frame, other, [from, to]),
         });
--- a/src/transport/peer/WebSocketNetwork.ts
+++ b/src/transport/peer/WebSocketNetwork.ts
@@ -1,6 +1,6 @@
 import { createServer } from "node:http";
 import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import { FRAME_LIMIT_BYTES, FrameQueue } from "../../protocol/peer/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
@@ -46,7 +46,7 @@
         response.writeHead(UPGRADE_REQUIRED_STATUS, { "connection": "close", "content-length": 0 }).end();
     });
     const server = new WebSocketServer({ ...options, clientTracking: true, server: httpServer });
-    server.on("connection", socket => onConnection(wrapSocket(socket)));
+    server.on("connection", (socket, request) => onConnection(wrapSocket(socket, () => request.socket.bytesRead)));
     await new Promise<void>((resolve, reject) => {
         server.once("listening", resolve);
         server.once("error", reject);
@@ -82,7 +82,11 @@
         // Masking protects proxies between browsers and servers; a zero mask, with which frames are not copied, is valid.
         generateMask: () => undefined,
     });
-    const connection = wrapSocket(socket);
+    let stream: Socket | undefined;
+    socket.once("upgrade", response => {
+        stream = response.socket;
+    });
+    const connection = wrapSocket(socket, () => stream?.bytesRead ?? 0);
     await new Promise<void>((resolve, reject) => {
         const cancelTimeout = scheduleTimeout(realTimers, timeoutMs, () => {
             reject(new Error(`the opening handshake with ${host}:${port} has timed out`));
@@ -101,7 +105,7 @@
     return connection;
 }
 
-function wrapSocket(socket: WebSocket): FrameConnection {
+function wrapSocket(socket: WebSocket, getReceivedBytes: () => number): FrameConnection {
     const frames = new FrameQueue(isFull => {
         if (isFull) {
             socket.pause();
@@ -118,6 +122,7 @@
     return {
         close: () => closeSocket(socket),
         getBufferedBytes: () => socket.bufferedAmount,
+        getReceivedBytes,
         frames,
         send(frame) {
             if (socket.readyState === WebSocket.OPEN) {
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -71,6 +71,8 @@
     #lastPingAt = -Infinity;
     /** Time of the first ping after the last message; undefined while none is unanswered. */
     #unansweredSince: number | undefined;
+    /** Bytes of the present connection at the last check of an unanswered ping. */
+    #receivedBytes = 0;
     /** Checks since then. */
     #unansweredTicks = 0;
     #disconnectedAt: number;
@@ -189,6 +191,7 @@
         }
         if (this.#unansweredSince !== undefined) {
             this.#unansweredTicks++;
+            this.#checkProgress(this.#connection, now);
         }
         if (this.#isSilent(now)) {
             this.#options.log.warn(`${this.#member.id} stopped responding, reconnecting.`, {
@@ -212,6 +215,16 @@
         }
     }
 
+    /** Counts the silence anew while parts of a message arrive: a large one takes long on a weak link. */
+    #checkProgress(connection: FrameConnection, now: number): void {
+        const receivedBytes = connection.getReceivedBytes();
+        if (receivedBytes > this.#receivedBytes) {
+            this.#unansweredSince = now;
+            this.#unansweredTicks = 0;
+        }
+        this.#receivedBytes = receivedBytes;
+    }
+
     /** Checks an owner of which nothing was heard for a while as soon as a request depends on it. */
     #pingIfSilent(now: number): void {
         const quietSince = Math.max(this.#lastHeardAt, this.#lastPingAt);
@@ -223,7 +236,10 @@
     /** Sends a ping with the status of this daemon. */
     #sendPing(now: number): void {
         this.#lastPingAt = now;
-        this.#unansweredSince ??= now;
+        if (this.#unansweredSince === undefined) {
+            this.#unansweredSince = now;
+            this.#receivedBytes = this.#connection?.getReceivedBytes() ?? 0;
+        }
         this.#channel.send({
             ...this.#options.readStatus(),
             kind: "ping",
--- a/src/transport/sessions/__tests__/unit/CallerSession.test.ts
+++ b/src/transport/sessions/__tests__/unit/CallerSession.test.ts
@@ -20,7 +20,13 @@
 } as const;
 
 function createConnection(): FrameConnection {
-    return { close: () => undefined, getBufferedBytes: () => 0, frames: new FrameQueue(), send: () => undefined };
+    return {
+        close: () => undefined,
+        getBufferedBytes: () => 0,
+        getReceivedBytes: () => 0,
+        frames: new FrameQueue(),
+        send: () => undefined,
+    };
 }
 
 function createHello(received: number) {
--- a/src/transport/sessions/__tests__/unit/ConsumeFrames.test.ts
+++ b/src/transport/sessions/__tests__/unit/ConsumeFrames.test.ts
@@ -25,7 +25,13 @@
             }
         };
         setImmediate(watch);
-        const connection = { close: () => undefined, frames, getBufferedBytes: () => 0, send: () => undefined };
+        const connection = {
+            close: () => undefined,
+            frames,
+            getBufferedBytes: () => 0,
+            getReceivedBytes: () => 0,
+            send: () => undefined,
+        };
         await consumeFrames(connection, () => {
             handled++;
         });
--- a/src/transport/sessions/__tests__/unit/Handshake.test.ts
+++ b/src/transport/sessions/__tests__/unit/Handshake.test.ts
@@ -1,8 +1,9 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { takeTestPort } from "../../../../../standins/ports/index.js";
 import { createAdmissionController } from "../../../ownership/__tests__/fixtures/Admission.js";
+import { createSessionNetwork } from "../../index.js";
 import type { OwnerSession, SessionManager } from "../../index.js";
-import { PING_TIMEOUT_TICKS } from "../../SessionConstants.js";
+import { PING_TIMEOUT_TICKS, SESSION_TICK_MS } from "../../SessionConstants.js";
 import type { LocalStatus, PeerStatus } from "../../SessionTypes.js";
 import { createAgeClock, createMember, createSessionManager, waitUntil } from "../fixtures/SessionManagers.js";
 
@@ -106,3 +107,40 @@
         expect(session.isUsable(now())).toBe(false);
     });
 });
+
+/** Guards against sessions that are given up and opened anew while a large answer takes their link. */
+describe("a session whose ping is unanswered", () => {
+    it("is used on while parts of a message arrive, and ended once nothing does", async () => {
+        let waitedMs = 0;
+        let receivedBytes = 0;
+        const now = (): number => performance.now() + waitedMs;
+        const network = createSessionNetwork();
+        const ownerPort = takeTestPort();
+        const owner = createSessionManager(createMember("owner", ownerPort), createAdmissionController(1));
+        const caller = createSessionManager(createMember("caller", 1), createAdmissionController(1), {
+            network: {
+                ...network,
+                connect: async (address, port) => ({
+                    ...await network.connect(address, port),
+                    getReceivedBytes: () => receivedBytes,
+                }),
+            },
+            now,
+        });
+        managers.push(owner, caller);
+        await owner.start("127.0.0.1", ownerPort);
+        caller.connect(createMember("owner", ownerPort));
+        await waitUntil(() => caller.requestStatus("owner"));
+        const session = caller.getOwnerSession("owner") as OwnerSession;
+        // The test holds the event loop from here on, so that no answer is read.
+        const runTicks = (partBytes: number): boolean => {
+            for (let tick = 0; tick <= PING_TIMEOUT_TICKS; tick++) {
+                waitedMs += SESSION_TICK_MS;
+                receivedBytes += partBytes;
+                session.tick(now());
+            }
+            return session.isUsable(now());
+        };
+        expect([runTicks(1_000), runTicks(0)]).toEqual([true, false]);
+    });
+});
--- a/src/transport/sidecar/__tests__/search/SimulatedNetwork.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedNetwork.ts
@@ -43,6 +43,7 @@
     peer: Endpoint | undefined;
     isClosed = false;
     #lastArrival = 0;
+    #receivedBytes = 0;
 
     constructor(
         private readonly clock: SimulatedClock,
@@ -61,7 +62,7 @@
         this.#transmit(frame.length, () => {
             if (peer?.isClosed === false) {
                 const costMs = frame.length > COPY_FRAME_BYTES ? EventCost.Copy : EventCost.Small;
-                peer.node.process.handle(() => peer.frames.push(frame), costMs);
+                peer.node.process.handle(() => peer.#receive(frame), costMs);
             }
         });
     }
@@ -70,6 +71,10 @@
         return 0;
     }
 
+    getReceivedBytes(): number {
+        return this.#receivedBytes;
+    }
+
     close(): void {
         if (this.isClosed) {
             return;
@@ -81,6 +86,11 @@
         this.node.process.timers.after(CLOSE_TIMEOUT_MS, () => this.frames.end());
     }
 
+    #receive(frame: Uint8Array): void {
+        this.#receivedBytes += frame.length;
+        this.frames.push(frame);
+    }
+
     /** Ends the connection as the other side has closed it. */
     end(): void {
         this.isClosed = true;
