Let daemons with fast links watch the store first

Versions and confirmations were late for whole regions on weak links: the watchers of a region were its first daemons by hash, most of them on VMs whose links their own downloads or callers fill, and each version is 165 KB of the store for each watcher, 0.47 s of a link of 2.8 Mbit/s with nothing else on it. Records tell the rate of a VM's link, an optional field that daemons before don't read; the order of watchers begins with links of at least half of the fastest one in the region, and is as before where all are alike. In a mixed mesh the orders differ, which costs redundant watches only.

--- a/src/coordination/distribution/StoreWatchers.ts
+++ b/src/coordination/distribution/StoreWatchers.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which daemons of a region watch the store, so that the others make no store call for each version.
  *
- * The first daemons of a region by rendezvous hash watch, each in another failure domain where there are enough. Each
+ * The first daemons of a region by rendezvous hash watch, those with fast links first, each in another failure domain where
+ * there are enough: an answer of the store with a configuration occupies a weak link for long. Each
  * passes on when a watch was last known to work; a daemon watches when it has no fresh report of enough daemons before
  * it. Reports that a confirmation of the version should have followed count no longer once it is missing, whatever has
  * silenced the watches. Redundant watchers cost only calls.
@@ -18,6 +19,8 @@
  * several daemons.
  */
 export const WATCH_REPORT_VALIDITY_MS = 6_000;
+/** Share of the region's fastest link from which a link is fast. */
+const FAST_LINK_SHARE = 0.5;
 /** Wait before a daemon begins to watch for lack of reports, for each daemon of its region before it. */
 const TAKEOVER_DELAY_PER_RANK_MS = 100;
 const MAXIMUM_TAKEOVER_DELAY_MS = 2_500;
@@ -42,6 +45,8 @@
 export interface RegionMember {
     readonly id: string;
     readonly failureDomain: string;
+    /** Rate of the VM's link; undefined when it isn't known. */
+    readonly linkMegabitsPerSecond?: number;
 }
 
 interface WatchState {
@@ -226,9 +231,16 @@
         return ids.sort((left, right) => this.#compareIds(left, right));
     }
 
-    /** Ranks by hash the first daemons of all failure domains, then the second ones, and so on. */
+    /** Ranks by hash the first daemons with fast links of all failure domains, then the second ones, then those with weak links. */
     #rankMembers(members: readonly RegionMember[]): ReadonlyMap<string, number> {
-        const sorted = [...members].sort((left, right) => this.#compareHashes(left.id, right.id));
+        const fastest = Math.max(...members.map(({ linkMegabitsPerSecond = 0 }) => linkMegabitsPerSecond));
+        const isWeak = ({ linkMegabitsPerSecond = 0 }: RegionMember): boolean =>
+            linkMegabitsPerSecond < fastest * FAST_LINK_SHARE;
+        const compareLinks = (left: RegionMember, right: RegionMember): number =>
+            Number(isWeak(left)) - Number(isWeak(right));
+        const sorted = [...members].sort((left, right) =>
+            compareLinks(left, right) || this.#compareHashes(left.id, right.id)
+        );
         const sizes = new Map<string, number>();
         const rounds = new Map<string, number>();
         for (const { failureDomain, id } of sorted) {
@@ -237,7 +249,9 @@
             rounds.set(id, round);
         }
         // The sort is stable, so that each round stays in the order of the hashes.
-        sorted.sort((left, right) => (rounds.get(left.id) ?? 0) - (rounds.get(right.id) ?? 0));
+        sorted.sort((left, right) =>
+            compareLinks(left, right) || (rounds.get(left.id) ?? 0) - (rounds.get(right.id) ?? 0)
+        );
         return new Map(sorted.map(({ id }, place) => [id, place]));
     }
 
--- a/src/coordination/distribution/__tests__/unit/StoreWatchers.test.ts
+++ b/src/coordination/distribution/__tests__/unit/StoreWatchers.test.ts
@@ -191,3 +191,30 @@
         expect(watchers.listOtherWatchers(1_100).length).toBe(5);
     });
 });
+
+/** Guards against versions that are late for a whole region, since those that watch the store have links full of callers' answers. */
+describe("the order of watchers with different links", () => {
+    const ids = createRegion(16);
+    const createLinkedMembers = (isFast: (index: number) => boolean): readonly RegionMember[] =>
+        createMembers(ids, 4).map((member, index) => ({ ...member, linkMegabitsPerSecond: isFast(index) ? 100 : 4 }));
+
+    it("begins with those that have fast links, each in another failure domain", () => {
+        // Indices 4 to 7 are the second daemons of the four failure domains.
+        const members = createLinkedMembers(index => index >= 4 && index < 8);
+        const watching = createWatchedRegion(ids, members).run(2_000);
+        expect(watching).toHaveLength(WATCHERS_PER_REGION);
+        expect(watching.filter(id => !ids.slice(4, 8).includes(id))).toEqual([]);
+    });
+
+    it("goes on with weak links when there are too few fast ones", () => {
+        const fast = ids[5];
+        const watching = createWatchedRegion(ids, createLinkedMembers(index => ids[index] === fast)).run(2_000);
+        expect(watching).toHaveLength(WATCHERS_PER_REGION);
+        expect(watching).toContain(fast);
+    });
+
+    it("is that of the hashes where all links are alike or unknown", () => {
+        const unknown = createWatchedRegion(ids, createMembers(ids, 4)).run(2_000);
+        expect(createWatchedRegion(ids, createLinkedMembers(() => false)).run(2_000)).toEqual(unknown);
+    });
+});
--- a/src/protocol/peer/FieldCodec.ts
+++ b/src/protocol/peer/FieldCodec.ts
@@ -67,6 +67,17 @@
     encode: value => value,
 };
 
+/** A finite number; times may be negative or fractional. */
+export const numberCodec: FieldCodec<number> = {
+    decode(raw, path) {
+        if (typeof raw !== "number" || !Number.isFinite(raw)) {
+            throw new MessageError(`${path} is not a number`);
+        }
+        return raw;
+    },
+    encode: value => value,
+};
+
 /** Creates the codec of one of a closed list of texts, which is sent as its index. */
 export function createChoiceCodec<T extends string>(choices: readonly T[]): FieldCodec<T> {
     return {
--- a/src/protocol/peer/Messages.ts
+++ b/src/protocol/peer/Messages.ts
@@ -16,6 +16,7 @@
     createTextCodec,
     createTokenCodec,
     MessageError,
+    numberCodec,
 } from "./FieldCodec.js";
 import type { FieldCodec, RecordOf } from "./FieldCodec.js";
 
@@ -52,6 +53,8 @@
     revision,
     state: createChoiceCodec(Object.values(MemberState)),
     server: createOptionalCodec(server),
+}, {
+    linkMegabitsPerSecond: createOptionalCodec(numberCodec),
 }) as unknown as FieldCodec<Member>;
 
 /** Purpose of a connection. */
--- a/src/protocol/peer/index.ts
+++ b/src/protocol/peer/index.ts
@@ -7,6 +7,7 @@
     createRecordCodec,
     createTextCodec,
     MessageError,
+    numberCodec,
 } from "./FieldCodec.js";
 export type { FieldCodec, RecordOf } from "./FieldCodec.js";
 export type { FrameConnection } from "./FrameConnection.js";
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -24,6 +24,7 @@
     createRecordCodec,
     createTextCodec,
     MessageError,
+    numberCodec,
 } from "../peer/index.js";
 import type { FieldCodec, RecordOf } from "../peer/index.js";
 import { RefusalReason } from "../request/index.js";
@@ -57,17 +58,6 @@
     encode: value => value,
 };
 
-/** A finite number; times may be negative or fractional. */
-const numberCodec: FieldCodec<number> = {
-    decode(raw, path) {
-        if (typeof raw !== "number" || !Number.isFinite(raw)) {
-            throw new MessageError(`${path} is not a number`);
-        }
-        return raw;
-    },
-    encode: value => value,
-};
-
 const load = createRecordCodec({
     isOpen: booleanCodec,
     running: integer,
--- a/src/state/members/Member.ts
+++ b/src/state/members/Member.ts
@@ -38,4 +38,6 @@
     readonly revision: number;
     readonly state: MemberState;
     readonly server?: ServerRecord;
+    /** Rate of the VM's link; undefined in records of daemons that don't tell it. */
+    readonly linkMegabitsPerSecond?: number;
 }
--- a/src/transport/sidecar/OwnRecord.ts
+++ b/src/transport/sidecar/OwnRecord.ts
@@ -4,13 +4,14 @@
 
 /** Builds the record of a daemon that starts at `startedAt`, in Unix milliseconds. */
 export function buildMember(settings: SidecarSettings, startedAt: number): Member {
-    const { failureDomain, id, region, serverAddress, service } = settings;
+    const { failureDomain, id, linkMegabitsPerSecond, region, serverAddress, service } = settings;
     const peerAddress = settings.advertisedPeerAddress ?? settings.peerAddress;
     return {
         address: peerAddress.host,
         failureDomain,
         id,
         incarnation: startedAt,
+        linkMegabitsPerSecond,
         peerPort: peerAddress.port,
         region,
         relayPort: peerAddress.port,
