Don't take a full link for a VM that is cut off when a lease can't be renewed

Cause: a renewal that nobody answered in its time let the own version decide, in the belief that the VM was cut off, which excuses it. A full link brings all answers, only later; the store's, with 165 KB, takes longer than the 0.4 s by itself. Class: a missing answer is taken for the silence of the other side, without asking whether anything arrives at all. Now such a renewal is judged by what has arrived since it began: a part of the store's answer, or messages of other daemons while no ping comes back within half of the store's time, mean late answers, and requests wait for the next renewal, at most half of their callers' time, or are rejected as not run. Nothing at all means that the VM is cut off, prompt pings or a refused connection that the store is away: the version decides as before. A reading whose answer has begun to arrive isn't begun anew. Four of the new tests fail without the change.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -121,7 +121,10 @@
         this.#lease = new VersionLease({
             ...options,
             freshness: this.#freshness,
-            readReceivedBytes: () => options.readReceivedBytes() + options.store.readReceivedBytes(),
+            readReceivedBytes: () => ({
+                daemons: options.readReceivedBytes(),
+                store: options.store.readReceivedBytes(),
+            }),
             readStore: () => this.#readStore(),
         });
     }
--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -28,7 +28,7 @@
     Valid: "valid",
     /** A renewal has to come first. */
     Expired: "expired",
-    /** Neither other daemons nor the store have answered the last renewal, so that no request waits for the next one. */
+    /** Neither other daemons nor the store can confirm a version, so that no request waits for the next renewal. */
     Unconfirmable: "unconfirmable",
 } as const;
 export type LeaseState = (typeof LeaseState)[keyof typeof LeaseState];
@@ -36,13 +36,23 @@
 export const RenewalOutcome = {
     /** The own version is confirmed, or a newer one of a daemon that can be asked. */
     Renewed: "renewed",
-    /** Nobody has answered. */
+    /** This VM is cut off, or the store is away: nobody can confirm a version. */
     Unanswered: "unanswered",
+    /** Messages or parts of the store's answer arrive, but late: a version may have been replaced meanwhile. */
+    Delayed: "delayed",
     /** The caller can't use an answer any more. */
     OutOfTime: "outOfTime",
 } as const;
 export type RenewalOutcome = (typeof RenewalOutcome)[keyof typeof RenewalOutcome];
 
+type RenewalResult = Exclude<RenewalOutcome, typeof RenewalOutcome.OutOfTime>;
+
+/** Bytes received since the start. */
+export interface ReceivedBytes {
+    readonly daemons: number;
+    readonly store: number;
+}
+
 export interface VersionLeaseOptions {
     readonly freshness: VersionFreshness;
     readonly limits: FreshnessLimits;
@@ -56,18 +66,31 @@
     countDaemons(): number;
     /** Asks another daemon for its status, with the confirmation of its version; false when it can't be asked. */
     requestStatus(id: string): boolean;
-    /** Bytes received from other daemons and from the store since the start. */
-    readReceivedBytes(): number;
+    readReceivedBytes(): ReceivedBytes;
     /** Reads the newest version from the store; resolves with whether it has answered, also by a refusal. */
     readStore(): Promise<boolean>;
 }
 
+/**
+ * Longest round trip of a ping that shows that the own link would have brought the store's answer too, which has twice that
+ * time.
+ */
+const PROMPT_ROUND_TRIP_MS = MINIMUM_ANSWER_TIMEOUT_MS / 2;
 /** Other daemons that are asked at a time. */
 const ASKED_DAEMONS = 2;
 
 export class VersionLease {
     readonly #options: VersionLeaseOptions;
-    #renewal: Promise<boolean> | undefined;
+    #renewal: Promise<RenewalResult> | undefined;
+    /** The present reading of the store, which later renewals wait for too. */
+    #reading: Promise<boolean> | undefined;
+    #readingBegunAt = -Infinity;
+    /** Bytes received when the reading began. */
+    #receivedBeforeReading: ReceivedBytes = { daemons: 0, store: 0 };
+    /** Whether it has ended promptly; if it has told nothing, the store refuses connections or calls. */
+    #hasReadingEndedPromptly = false;
+    /** Pings since then that were answered promptly. */
+    #promptAnswers = 0;
     /** Questions to other daemons in the present renewal, or the last one. */
     #askedDaemons = 0;
     /** Ends the wait for the answers of other daemons. */
@@ -111,16 +134,23 @@
 
     /** Waits for a renewal, at most for a time. */
     async awaitRenewal(limitMs: number): Promise<RenewalOutcome> {
-        const { timers } = this.#options;
+        const { now, timers } = this.#options;
         return await new Promise(resolve => {
             const cancel = timers.after(limitMs, () => resolve(RenewalOutcome.OutOfTime));
-            void this.#renew().then(isRenewed => {
+            void this.#renewUntilDecided(now() + limitMs).then(outcome => {
                 cancel();
-                resolve(isRenewed ? RenewalOutcome.Renewed : RenewalOutcome.Unanswered);
+                resolve(outcome);
             });
         });
     }
 
+    /** Records the round trip of a ping, which tells a store that is away from a link that is full. */
+    recordRoundTrip(ms: number, now: number): void {
+        if (ms <= PROMPT_ROUND_TRIP_MS && now - ms >= this.#readingBegunAt) {
+            this.#promptAnswers++;
+        }
+    }
+
     /** Notes that a confirmation has arrived, of the own version or of a newer one. */
     handleConfirmation(): void {
         if (this.#isRenewed(this.#options.now())) {
@@ -129,14 +159,23 @@
         }
     }
 
-    #renew(): Promise<boolean> {
+    async #renewUntilDecided(until: number): Promise<RenewalOutcome> {
+        let outcome: RenewalOutcome;
+        do {
+            outcome = await this.#renew();
+        }
+        while (outcome === RenewalOutcome.Delayed && this.#options.now() < until);
+        return outcome === RenewalOutcome.Delayed ? RenewalOutcome.OutOfTime : outcome;
+    }
+
+    #renew(): Promise<RenewalResult> {
         this.#renewal ??= this.#runRenewal().finally(() => {
             this.#renewal = undefined;
         });
         return this.#renewal;
     }
 
-    async #runRenewal(): Promise<boolean> {
+    async #runRenewal(): Promise<RenewalResult> {
         const { countDaemons, now, random, readReceivedBytes } = this.#options;
         const startedAt = now();
         const receivedBefore = readReceivedBytes();
@@ -144,15 +183,31 @@
         const storeTurnMs = random() * countDaemons() * STORE_READ_SPREAD_PER_DAEMON_MS;
         const steps = generateRenewalSteps(storeTurnMs);
         let step = steps.next();
+        let isAnswered = false;
         while (!this.#isRenewed(now())) {
             if (step.done === true) {
-                this.#handleUnanswered(startedAt, now(), readReceivedBytes() - receivedBefore);
-                return false;
+                const received = readReceivedBytes();
+                if (!isAnswered && this.#isDelayed(receivedBefore, received)) {
+                    this.#handleDelayed(startedAt, now());
+                    return RenewalOutcome.Delayed;
+                }
+                this.#handleUnanswered(startedAt, now(), received.daemons - receivedBefore.daemons);
+                return RenewalOutcome.Unanswered;
             }
-            step = steps.next(await this.#execute(step.value));
+            isAnswered = await this.#execute(step.value);
+            step = steps.next(isAnswered);
         }
         this.#handleRenewed();
-        return true;
+        return RenewalOutcome.Renewed;
+    }
+
+    /**
+     * Whether answers are late rather than missing. A VM that is cut off receives nothing, and where pings come back promptly
+     * a store without an answer is away.
+     */
+    #isDelayed(before: ReceivedBytes, received: ReceivedBytes): boolean {
+        return received.store > this.#receivedBeforeReading.store
+            || !this.#hasReadingEndedPromptly && this.#promptAnswers === 0 && received.daemons > before.daemons;
     }
 
     /** Returns whether the step was answered. */
@@ -176,10 +231,36 @@
         return this.#isRenewed(this.#options.now());
     }
 
-    /** Reads the store, and waits for its usual time only, since requests wait too; its answer renews the lease whenever it comes. */
+    /**
+     * Reads the store, and waits for its usual time only, since requests wait too; its answer renews the lease whenever it comes.
+     * A reading whose answer has begun to arrive isn't begun anew, as the link would only carry it twice.
+     */
     async #readStore(): Promise<boolean> {
-        const { readStore, timers } = this.#options;
-        return await withTimeout(timers, MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;
+        const { timers } = this.#options;
+        if (this.#reading === undefined || !this.#isReadingArriving()) {
+            this.#beginReading();
+        }
+        this.#askDaemons();
+        return await withTimeout(timers, MINIMUM_ANSWER_TIMEOUT_MS, this.#reading ?? Promise.resolve(false)) === true;
+    }
+
+    #isReadingArriving(): boolean {
+        return this.#options.readReceivedBytes().store > this.#receivedBeforeReading.store;
+    }
+
+    #beginReading(): void {
+        const { now, readReceivedBytes, readStore } = this.#options;
+        this.#hasReadingEndedPromptly = false;
+        this.#promptAnswers = 0;
+        this.#readingBegunAt = now();
+        this.#receivedBeforeReading = readReceivedBytes();
+        const reading = readStore().finally(() => {
+            if (this.#reading === reading) {
+                this.#reading = undefined;
+                this.#hasReadingEndedPromptly = now() - this.#readingBegunAt <= PROMPT_ROUND_TRIP_MS;
+            }
+        });
+        this.#reading = reading;
     }
 
     #askDaemons(): void {
@@ -208,12 +289,17 @@
 
     #handleRenewed(): void {
         if (this.#retryAt !== undefined) {
-            this.#retryAt = undefined;
-            this.#retryDelays = this.#createRetryDelays();
+            this.#handleReachable();
             this.#options.log.info("the lease of the version is renewed again.", this.#describe());
         }
     }
 
+    /** Lets requests wait for renewals again. */
+    #handleReachable(): void {
+        this.#retryAt = undefined;
+        this.#retryDelays = this.#createRetryDelays();
+    }
+
     #handleUnanswered(startedAt: number, now: number, receivedBytes: number): void {
         if (this.#retryAt === undefined) {
             this.#options.log.warn(
@@ -229,6 +315,15 @@
         this.#retryAt = now + this.#retryDelays.next().value;
     }
 
+    #handleDelayed(startedAt: number, now: number): void {
+        this.#handleReachable();
+        this.#options.log.info("the answers to a renewal of the lease are late, and requests wait for it.", {
+            ...this.#describe(),
+            askedDaemons: this.#askedDaemons,
+            tookMs: Math.round(now - startedAt),
+        });
+    }
+
     #createRetryDelays(): Iterator<number, never> {
         return generateBackoffDelays(LEASE_RETRY_BASE_MS, () => LEASE_RETRY_MAXIMUM_MS, this.#options.random);
     }
--- a/src/transport/directory/__tests__/unit/VersionLease.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionLease.test.ts
@@ -35,7 +35,7 @@
     const startedAt = Date.now();
     const now = (): number => Date.now() - startedAt;
     const asked: string[] = [];
-    const state = { answersStore, receivedBytes: 0, storeAnswerMs: ANSWER_MS, storeReads: 0 };
+    const state = { answersStore, receivedBytes: 0, storeAnswerMs: ANSWER_MS, storeBytes: 0, storeReads: 0 };
     const freshness = new VersionFreshness(0);
     freshness.recordOwn(OWN);
     freshness.recordConfirmation(OWN, POSITION, 0);
@@ -54,7 +54,7 @@
         log: createSilentLogger(),
         now,
         random: () => 0.5,
-        readReceivedBytes: () => state.receivedBytes,
+        readReceivedBytes: () => ({ daemons: state.receivedBytes, store: state.storeBytes }),
         readStore: async () => {
             state.storeReads++;
             await new Promise(resolve => setTimeout(resolve, state.storeAnswerMs));
@@ -81,6 +81,7 @@
         confirm,
         check: () => lease.check(OWN, now()),
         lease,
+        now,
         state,
     };
 }
@@ -231,3 +232,66 @@
         expect(check()).toBe(LeaseState.Expired);
     });
 });
+
+/** Guards against decisions by a replaced version at a VM whose link is full, which nothing excuses. */
+describe("a renewal whose answers are late", () => {
+    it("holds requests while messages of other daemons arrive, and no ping is answered promptly", async () => {
+        const { advance, check, lease, state } = createLease({ answersStore: false });
+        state.storeAnswerMs = 10_000;
+        await advance(DEADLINE_MS);
+        const outcome = lease.awaitRenewal(1_000);
+        const arrivals = setInterval(() => state.receivedBytes++, 100);
+        await advance(ASKED_MS + MINIMUM_ANSWER_TIMEOUT_MS + STEPS_MS);
+        expect(check()).toBe(LeaseState.Expired);
+        await advance(1_000);
+        clearInterval(arrivals);
+        expect(await outcome).toBe(RenewalOutcome.OutOfTime);
+    });
+
+    it("waits for an answer of the store that has begun to arrive, and reads it once", async () => {
+        const { advance, check, lease, state } = createLease({});
+        state.storeAnswerMs = 1_500;
+        await advance(DEADLINE_MS);
+        const outcome = lease.awaitRenewal(3_000);
+        await advance(ASKED_MS + MINIMUM_ANSWER_TIMEOUT_MS / 2);
+        state.storeBytes++;
+        await advance(MINIMUM_ANSWER_TIMEOUT_MS);
+        expect(check()).toBe(LeaseState.Expired);
+        await advance(state.storeAnswerMs);
+        expect([await outcome, state.storeReads]).toEqual([RenewalOutcome.Renewed, 1]);
+    });
+
+    it("holds no requests where pings are answered promptly, as the store is away then", async () => {
+        const { advance, check, lease, now, state } = createLease({ answersStore: false });
+        state.storeAnswerMs = 10_000;
+        await advance(DEADLINE_MS);
+        const outcome = lease.awaitRenewal(5_000);
+        await advance(ASKED_MS + MINIMUM_ANSWER_TIMEOUT_MS / 2);
+        state.receivedBytes++;
+        lease.recordRoundTrip(ANSWER_MS, now());
+        await advance(MINIMUM_ANSWER_TIMEOUT_MS);
+        expect(await outcome).toBe(RenewalOutcome.Unanswered);
+        expect(check()).toBe(LeaseState.Unconfirmable);
+    });
+
+    it("holds no requests where the store refuses connections, whatever arrives of other daemons", async () => {
+        const { advance, check, state } = createLease({ answersStore: false });
+        await advance(DEADLINE_MS);
+        check();
+        state.receivedBytes++;
+        await advance(ASKED_MS + MINIMUM_ANSWER_TIMEOUT_MS + STEPS_MS);
+        expect(check()).toBe(LeaseState.Unconfirmable);
+    });
+
+    it("takes no ping for prompt that was sent before the store was asked", async () => {
+        const { advance, check, lease, now, state } = createLease({ answersStore: false });
+        state.storeAnswerMs = 10_000;
+        await advance(DEADLINE_MS);
+        check();
+        await advance(ASKED_MS + STEPS_MS);
+        state.receivedBytes++;
+        lease.recordRoundTrip(ASKED_MS, now());
+        await advance(MINIMUM_ANSWER_TIMEOUT_MS + STEPS_MS);
+        expect(check()).toBe(LeaseState.Expired);
+    });
+});
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -247,6 +247,7 @@
             },
             onRoundTrip: (id, ms) => {
                 this.#delays.recordRoundTrip(id, ms, now());
+                this.#configurationManager.lease.recordRoundTrip(ms, this.#ageClock.now());
                 this.#serverDirectory.recordRoundTrip(id, ms);
             },
             random,
--- a/src/transport/sidecar/__tests__/search/LeaseMutants.ts
+++ b/src/transport/sidecar/__tests__/search/LeaseMutants.ts
@@ -31,6 +31,9 @@
 /** The judge then takes a decision within the lease for one beyond it. */
 export const ROUNDED_AGE = "the age of a decision is rounded";
 
+/** A VM with a full link then decides like one that is cut off. */
+export const LATE_IS_UNANSWERED = "late answers to a renewal count as missing ones";
+
 export const LEASE_MUTANTS: readonly Mutant[] = [
     {
         file: TIMERS,
@@ -52,9 +55,9 @@
     },
     {
         file: LEASE,
-        from: "MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
+        from: "const reading = readStore().finally(",
         name: "no renewal reads the store",
-        to: "MINIMUM_ANSWER_TIMEOUT_MS, Promise.resolve(readStore === undefined)) === true;",
+        to: "const reading = Promise.resolve(readStore === undefined).finally(",
     },
     {
         file: LEASE,
@@ -82,15 +85,22 @@
     },
     {
         file: LEASE,
-        from: "return await withTimeout(timers, MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
+        from:
+            "return await withTimeout(timers, MINIMUM_ANSWER_TIMEOUT_MS, this.#reading ?? Promise.resolve(false)) === true;",
         name: "no renewal waits for the store",
-        to: "return await withTimeout(timers, 0 * MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
+        to: "return await withTimeout(timers, 0 * MINIMUM_ANSWER_TIMEOUT_MS, this.#reading ?? Promise.resolve(false)) === true;",
     },
     {
         file: LEASE,
-        from: "MINIMUM_ANSWER_TIMEOUT_MS, readStore()) === true;",
+        from: "MINIMUM_ANSWER_TIMEOUT_MS, this.#reading ?? Promise.resolve(false)) === true;",
         name: "a reading that the store has left unanswered counts as answered",
-        to: "MINIMUM_ANSWER_TIMEOUT_MS, readStore()) !== null;",
+        to: "MINIMUM_ANSWER_TIMEOUT_MS, this.#reading ?? Promise.resolve(false)) !== null;",
+    },
+    {
+        file: LEASE,
+        from: "if (!isAnswered && this.#isDelayed(receivedBefore, received)) {",
+        name: LATE_IS_UNANSWERED,
+        to: "if (!isAnswered && startedAt < 0 && this.#isDelayed(receivedBefore, received)) {",
     },
     {
         file: LEASE,
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -160,7 +160,10 @@
             },
             onLoad: (id, load) => this.#directory.recordLoad(id, load),
             onMembers: members => this.#gossip.announce(this.#registry.merge(members)),
-            onRoundTrip: (id, ms) => this.#directory.recordRoundTrip(id, ms),
+            onRoundTrip: (id, ms) => {
+                this.#configuration.lease.recordRoundTrip(ms, ageClock.now());
+                this.#directory.recordRoundTrip(id, ms);
+            },
             onServerIdentity: () => undefined,
             onStatus: status => {
                 this.#configuration.recordStatus(status);
