Send a version as a difference from the one that the asking daemon has

A change of one route among 1,120 cost each VM a whole copy, 16 KB, 47 ms of a link of 2.8 Mbit/s at either end. A daemon that asks for a version now names the checksum of its own one, in an optional field that daemons before ignore. One that has had that version, up to three versions ago, answers with a difference: ranges of the base and new texts, compressed, with the checksum of the result, unless a copy is smaller. A difference that starts from another text, can't be read, names a range outside of its base or leads to another checksum is dropped with a log line, and a whole copy is asked for; what is in force stays whole. Daemons before never get one, as they don't name a checksum. With 86 daemons and 1,120 routes a change of one route costs each daemon less than 2 KB (VersionSpread.test.ts). Metric _configuration_differences_sent_total; isDifference on the line of a version that is sent.

--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -253,21 +253,43 @@
             MAXIMUM_VERDICTS,
         ),
     },
+    /** A version as a difference from one that the receiver has named; `compressedParts` is JSON. */
+    configurationDifference: {
+        version: integer,
+        revision: integer,
+        baseChecksum: name,
+        checksum: name,
+        compressedParts: bytesCodec,
+    },
+} as const;
+
+/** Optional fields that were added later, which daemons before them ignore. */
+const ADDED_FIELDS = {
+    /** Checksum of the sender's version, if a difference from it may be sent. */
+    configurationRequest: { baseChecksum: createOptionalCodec(name) },
 } as const;
 
 type FieldsOf = typeof MESSAGE_FIELDS;
+type AddedFieldsOf = typeof ADDED_FIELDS;
+type AddedTo<K> = K extends keyof AddedFieldsOf ? Partial<RecordOf<AddedFieldsOf[K]>> : unknown;
 export type SessionMessageKind = keyof FieldsOf;
-export type SessionMessageOf<K extends SessionMessageKind> = { readonly kind: K; } & RecordOf<FieldsOf[K]>;
+export type SessionMessageOf<K extends SessionMessageKind> = { readonly kind: K; } & RecordOf<FieldsOf[K]> & AddedTo<K>;
 export type SessionMessage = { [K in SessionMessageKind]: SessionMessageOf<K>; }[SessionMessageKind];
 
 const MESSAGE_KINDS = Object.keys(MESSAGE_FIELDS) as SessionMessageKind[];
-const MESSAGE_CODECS = MESSAGE_KINDS.map(kind => createRecordCodec(MESSAGE_FIELDS[kind]) as FieldCodec<unknown>);
+const MESSAGE_CODECS = MESSAGE_KINDS.map(kind => {
+    const addedFields: Readonly<Record<string, FieldCodec<unknown>>> = kind in ADDED_FIELDS
+        ? ADDED_FIELDS[kind as keyof AddedFieldsOf]
+        : {};
+    return createRecordCodec(MESSAGE_FIELDS[kind], addedFields) as FieldCodec<unknown>;
+});
 
 /** Messages between two daemons that concern neither a request nor the session itself. */
 export type GossipMessage = Extract<SessionMessage, { readonly kind: GossipKind; }>;
 
 const GOSSIP_KIND_LIST = [
     "configuration",
+    "configurationDifference",
     "configurationRequest",
     "crashes",
     "memberBuckets",
--- a/src/state/versions/index.ts
+++ b/src/state/versions/index.ts
@@ -4,6 +4,8 @@
 export { computeHash, createResource, formatCanonicalJson } from "./ResourceContent.js";
 export { addSnapshot, computeDeltaToNewest } from "./SnapshotHistory.js";
 export type { SnapshotHistory } from "./SnapshotHistory.js";
+export { applyTextDifference, computeTextDifference, isDifference } from "./TextDifference.js";
+export type { DifferencePart } from "./TextDifference.js";
 export type { Head, Manifest, Resource, Snapshot, VersionDelta } from "./Version.js";
 export { MAXIMUM_DELTA_BYTES, MAXIMUM_PART_BYTES, SNAPSHOT_HISTORY_LENGTH } from "./VersionConstants.js";
 export { applyDelta, computeDelta } from "./VersionDeltas.js";
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -3,6 +3,7 @@
  * watchers, and from other daemons. The version in force never decreases, whatever the store's revisions do.
  */
 import { inflateRawSync } from "node:zlib";
+import { Left, Right } from "purify-ts/Either";
 import type { Either } from "purify-ts/Either";
 import type {
     Confirmation,
@@ -14,6 +15,7 @@
 import { StoreWatchers, VersionFreshness } from "../../coordination/distribution/index.js";
 import type { ConfigurationText, MeshStorePort, StorePosition } from "../../state/store/index.js";
 import type { TrafficConfiguration } from "../../state/traffic/index.js";
+import { applyTextDifference, computeHash, isDifference } from "../../state/versions/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { PeerStatus } from "../sessions/index.js";
 import { scheduleRepeating } from "../timers/index.js";
@@ -27,6 +29,7 @@
     WATCHER_CHECK_INTERVAL_MS,
 } from "./DirectoryConstants.js";
 import { StoreFollower } from "./StoreFollower.js";
+import type { ConfigurationDifference } from "./VersionDifferences.js";
 import { VersionFetcher } from "./VersionFetcher.js";
 import type { ReachablePeer } from "./VersionFetcher.js";
 import { VersionLease } from "./VersionLease.js";
@@ -58,11 +61,12 @@
     onWatchChanged(): void;
     /** Called when this daemon has confirmed its version, with the other daemons that watch the store. */
     onConfirmed(watcherIds: readonly string[]): void;
-    /** Asks another daemon for its version. */
-    requestConfiguration(id: string): void;
+    /** Asks another daemon for its version, as a difference from the own one if `baseChecksum` names that. */
+    requestConfiguration(id: string, baseChecksum: string | undefined): void;
     /** Asks another daemon for its status, which tells when its version was confirmed; false when it can't be asked. */
     requestStatus(id: string): boolean;
     sendConfiguration(id: string, configuration: CompressedConfiguration): void;
+    sendDifference(id: string, difference: ConfigurationDifference): void;
     /** Bytes received from other daemons since the start. */
     readReceivedBytes(): number;
     onChange(configuration: TrafficConfiguration): void;
@@ -114,6 +118,7 @@
             ...options,
             isVersionOverdue: now => this.#isVersionOverdue(now),
             isWatching: () => this.isWatching,
+            requestConfiguration: id => options.requestConfiguration(id, this.#copies.checksum),
             readStore: onAnswered => {
                 void this.#readStore().then(isAnswered => isAnswered && onAnswered());
             },
@@ -164,8 +169,8 @@
     }
 
     /** Sends the version in force to a daemon that has asked for it. */
-    answerRequest(id: string): void {
-        this.#copies.answerRequest(id, this.#options.now());
+    answerRequest(id: string, baseChecksum: string | undefined): void {
+        this.#copies.answerRequest(id, baseChecksum, this.#options.now());
     }
 
     /** Puts in force what another daemon has sent, if it is newer. */
@@ -186,6 +191,30 @@
         }
     }
 
+    /** Puts in force what another daemon has sent as a difference from the own version; asks for a copy if it doesn't fit. */
+    applyDifference(
+        { baseChecksum, checksum, compressedParts, revision, version }: ConfigurationDifference,
+        source: string,
+    ): void {
+        if (!this.#isNewer(version)) {
+            return;
+        }
+        const text = this.#text === undefined || this.#copies.checksum !== baseChecksum
+            ? Left("it starts from another version")
+            : readDifference(this.#text.text, compressedParts, checksum);
+        text.caseOf({
+            Left: detail => {
+                this.#options.log.warn(`the difference to version ${version} is dropped: ${detail}.`, {
+                    own: this.#configuration?.version,
+                    source,
+                    version,
+                });
+                this.#options.requestConfiguration(source, undefined);
+            },
+            Right: found => this.applyVersion({ revision, text: found, version }, source),
+        });
+    }
+
     /** Sets the daemons of this region. */
     setRegion(members: readonly RegionMember[]): void {
         this.#watchers.setRegion(members);
@@ -434,3 +463,20 @@
             && this.#watchers.shouldWatch(now, this.#isConfirmationMissing, this.#options.countDaemons());
     }
 }
+
+/** Puts the text of a version together; Left says why it can't be. */
+function readDifference(base: string, compressedParts: Uint8Array, checksum: string): Either<string, string> {
+    let parts: unknown;
+    try {
+        const json = inflateRawSync(compressedParts, { maxOutputLength: MAXIMUM_TEXT_BYTES }).toString("utf8");
+        parts = JSON.parse(json);
+    }
+    catch (error) {
+        return Left(`it can't be read (${(error as Error).message})`);
+    }
+    const text = isDifference(parts) ? applyTextDifference(base, parts, MAXIMUM_TEXT_BYTES) : undefined;
+    if (text === undefined) {
+        return Left("its parts are malformed");
+    }
+    return computeHash(text) === checksum ? Right(text) : Left("its checksum is that of another text");
+}
--- a/src/transport/directory/CopySender.ts
+++ b/src/transport/directory/CopySender.ts
@@ -1,8 +1,10 @@
-/** Sends copies of the version in force to daemons that ask for it, for at most a share of the own link. */
+/** Sends the version in force to daemons that ask for it, as a difference where possible, for at most a share of the own link. */
 import { deflateRawSync } from "node:zlib";
 import type { ConfigurationText } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
 import { COPY_BURST_BYTES, COPY_BYTES_PER_MS } from "./DirectoryConstants.js";
+import { VersionDifferences } from "./VersionDifferences.js";
+import type { ConfigurationDifference } from "./VersionDifferences.js";
 
 /** A version as it is sent to another daemon. */
 export interface CompressedConfiguration {
@@ -14,6 +16,7 @@
 export interface CopySenderOptions {
     readonly log: PartLogger;
     sendConfiguration(id: string, configuration: CompressedConfiguration): void;
+    sendDifference(id: string, difference: ConfigurationDifference): void;
 }
 
 export class CopySender {
@@ -21,7 +24,9 @@
     #text: ConfigurationText | undefined;
     #version: number | undefined;
     #compressed: CompressedConfiguration | undefined;
+    readonly #differences = new VersionDifferences();
     #sentCopies = 0;
+    #sentDifferences = 0;
     #sentBytes = 0;
     #ignoredRequests = 0;
     #allowance = COPY_BURST_BYTES;
@@ -36,6 +41,16 @@
         return { bytes: this.#sentBytes, count: this.#sentCopies };
     }
 
+    /** Differences sent since the start; their bytes are among those of the copies. */
+    get sentDifferences(): number {
+        return this.#sentDifferences;
+    }
+
+    /** Checksum of the version that is sent; undefined without one. */
+    get checksum(): string | undefined {
+        return this.#differences.checksum;
+    }
+
     /** Requests that were ignored since the start, because copies had used up their share of the link. */
     get ignoredRequests(): number {
         return this.#ignoredRequests;
@@ -45,6 +60,7 @@
     setVersion(version: number, text: ConfigurationText): void {
         this.#version = version;
         this.#text = text;
+        this.#differences.setText(text.text);
     }
 
     /** Version to be sent, compressed; undefined while there is none. */
@@ -60,15 +76,19 @@
     }
 
     /**
-     * Sends the version to a daemon that has asked for it. After many copies at once the request is ignored, so that the
+     * Sends the version to a daemon that has asked for it, as a difference from its own one if that is known here. After many copies at once the request is ignored, so that the
      * copies don't occupy this daemon's link; the other daemon asks another one that has the version by then.
      */
-    answerRequest(id: string, now: number): void {
+    answerRequest(id: string, baseChecksum: string | undefined, now: number): void {
         const configuration = this.readCompressed();
         if (configuration === undefined) {
             return;
         }
-        const { compressedText: { length: bytes }, revision, version } = configuration;
+        const { compressedText: { length: copyBytes }, revision, version } = configuration;
+        const compressedParts = baseChecksum === undefined
+            ? undefined
+            : this.#differences.findParts(baseChecksum, copyBytes);
+        const bytes = compressedParts?.length ?? copyBytes;
         if (!this.#takeBytes(bytes, now)) {
             this.#ignoredRequests++;
             this.#options.log.info(`ignored a request of ${id}: copies have used up their share of the link.`, {
@@ -77,10 +97,23 @@
             });
             return;
         }
-        this.#sentCopies++;
         this.#sentBytes += bytes;
-        this.#options.log.info(`sent version ${version} to ${id}.`, { bytes, peer: id, revision, version });
-        this.#options.sendConfiguration(id, configuration);
+        this.#options.log.info(`sent version ${version} to ${id}.`, {
+            bytes,
+            isDifference: compressedParts !== undefined,
+            peer: id,
+            revision,
+            version,
+        });
+        const { checksum } = this;
+        if (compressedParts === undefined || baseChecksum === undefined || checksum === undefined) {
+            this.#sentCopies++;
+            this.#options.sendConfiguration(id, configuration);
+        }
+        else {
+            this.#sentDifferences++;
+            this.#options.sendDifference(id, { baseChecksum, checksum, compressedParts, revision, version });
+        }
     }
 
     /** Takes the bytes of a copy from the allowance; false while earlier copies have used it up. */
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync } from "node:zlib";
 import type { Either } from "purify-ts/Either";
 import { Left, Right } from "purify-ts/Either";
 import { afterEach, describe, expect, it, vi } from "vitest";
@@ -9,10 +10,12 @@
     StorePosition,
 } from "../../../../state/store/index.js";
 import type { TrafficConfiguration } from "../../../../state/traffic/index.js";
+import { computeHash } from "../../../../state/versions/index.js";
 import { createSilentLogger } from "../../../ownership/__tests__/fixtures/Admission.js";
 import { realTimers } from "../../../timers/index.js";
 import { CHECK_WAIT_MS } from "../../DirectoryConstants.js";
 import { ConfigurationManager } from "../../index.js";
+import type { ConfigurationDifference } from "../../VersionDifferences.js";
 
 const READING_MS = 20;
 
@@ -68,6 +71,7 @@
     deadlineMs: number,
     onConfirmed: (watcherIds: readonly string[]) => void = () => undefined,
     isRegistered = true,
+    requestConfiguration: (id: string, baseChecksum: string | undefined) => void = () => undefined,
 ) {
     return new ConfigurationManager({
         countDaemons: () => 1,
@@ -85,11 +89,12 @@
         onWatchChanged: () => undefined,
         random: () => 0.5,
         readReceivedBytes: () => 0,
-        requestConfiguration: () => undefined,
+        requestConfiguration,
         requestStatus: () => false,
         selfId: "self",
         timers: realTimers,
         sendConfiguration: () => undefined,
+        sendDifference: () => undefined,
         store: {
             readConfiguration: () => read(undefined),
             readReceivedBytes: () => 0,
@@ -290,3 +295,58 @@
         expect(calls).toEqual([]);
     });
 });
+
+/** Guards against a version that is in force in part, or wrongly put together, after a difference that doesn't fit. */
+describe("a version that comes as a difference", () => {
+    const OWN = "1";
+    const NEXT = "2";
+
+    /** A manager with version 1, and the requests for copies that it sends. */
+    function createReceiver() {
+        const requested: (string | undefined)[] = [];
+        const unanswered = new Promise<never>(() => undefined);
+        const manager = createStoreManager(
+            () => unanswered,
+            () => undefined,
+            2_000,
+            () => undefined,
+            true,
+            (_id, baseChecksum) => requested.push(baseChecksum),
+        );
+        manager.applyVersion({ revision: 1, text: OWN, version: 1 }, "store");
+        return { manager, requested };
+    }
+
+    const createDifference = (fields: Partial<ConfigurationDifference> = {}): ConfigurationDifference => ({
+        baseChecksum: computeHash(OWN),
+        checksum: computeHash(NEXT),
+        compressedParts: deflateRawSync(JSON.stringify([NEXT])),
+        revision: 2,
+        version: 2,
+        ...fields,
+    });
+
+    it("is put in force when it fits", () => {
+        const { manager, requested } = createReceiver();
+        manager.applyDifference(createDifference(), "other");
+        expect([manager.configuration?.version, manager.text?.text, requested]).toEqual([2, NEXT, []]);
+    });
+
+    it.each([
+        ["starts from another version", { baseChecksum: computeHash("other") }],
+        ["leads to another text", { checksum: computeHash("other") }],
+        ["isn't compressed", { compressedParts: Buffer.from("{") }],
+        ["has malformed parts", { compressedParts: deflateRawSync(JSON.stringify([[0, -1]])) }],
+        ["names a range outside of the version", { compressedParts: deflateRawSync(JSON.stringify([[0, 9]])) }],
+    ])("is dropped for a whole copy when it %s", (_name, fields) => {
+        const { manager, requested } = createReceiver();
+        manager.applyDifference(createDifference(fields), "other");
+        expect([manager.configuration?.version, manager.text?.text, requested]).toEqual([1, OWN, [undefined]]);
+    });
+
+    it("is ignored when it isn't newer", () => {
+        const { manager, requested } = createReceiver();
+        manager.applyDifference(createDifference({ version: 1 }), "other");
+        expect([manager.text?.text, requested]).toEqual([OWN, []]);
+    });
+});
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -22,6 +22,8 @@
 const DEADLINE_MS = 3_000;
 /** Time in which a cancellation, which waits behind the copies on the same link, has to reach a server. */
 const CANCELLATION_DEADLINE_MS = 500;
+/** Bytes that a change of one route may take on the link of each VM. */
+const ONE_ROUTE_LIMIT_BYTES = 2_000;
 
 beforeEach(() => {
     vi.useFakeTimers({ toFake: ["setInterval", "clearInterval", "setTimeout", "clearTimeout", "performance"] });
@@ -59,6 +61,8 @@
     countUsing(version: number): number;
     /** Longest time for which a message has waited until its link had sent it. */
     readLongestWait(): number;
+    /** Bytes of versions that a daemon has received on average. */
+    readReceivedBytes(): number;
     stop(): void;
 }
 
@@ -80,8 +84,12 @@
     }
     const linkFreeAt = new Map<string, number>();
     let longestWaitMs = 0;
+    let versionBytes = 0;
     const send = (from: Member, to: string, message: SessionMessage): void => {
         const now = performance.now();
+        if (message.kind === "configuration" || message.kind === "configurationDifference") {
+            versionBytes += encodeSessionMessage(message).length;
+        }
         const departedAt = Math.max(now, linkFreeAt.get(from.id) ?? 0)
             + encodeSessionMessage(message).length / LINK_BYTES_PER_MS;
         linkFreeAt.set(from.id, departedAt);
@@ -96,10 +104,13 @@
                 manager?.recordStatus({ ...message, id: from });
                 return;
             case "configurationRequest":
-                manager?.answerRequest(from);
+                manager?.answerRequest(from, message.baseChecksum);
                 return;
             case "configuration":
                 manager?.applyCompressed(message, from);
+                return;
+            case "configurationDifference":
+                manager?.applyDifference(message, from);
         }
     };
     const managers = new Map(members.map(member => [member.id, createManager(member)]));
@@ -133,10 +144,11 @@
             timers: realTimers,
             random: createSeededRandom(members.indexOf(self)),
             readReceivedBytes: () => 0,
-            requestConfiguration: id => send(self, id, { kind: "configurationRequest" }),
+            requestConfiguration: (id, baseChecksum) => send(self, id, { baseChecksum, kind: "configurationRequest" }),
             requestStatus: () => false,
             selfId: self.id,
             sendConfiguration: (id, configuration) => send(self, id, { ...configuration, kind: "configuration" }),
+            sendDifference: (id, difference) => send(self, id, { ...difference, kind: "configurationDifference" }),
             store: {
                 readConfiguration: () => new Promise(() => undefined),
                 readReceivedBytes: () => 0,
@@ -147,6 +159,7 @@
     return {
         countUsing: version => [...managers.values()].filter(({ text }) => text?.version === version).length,
         readLongestWait: () => longestWaitMs,
+        readReceivedBytes: () => versionBytes / size,
         publish: (version, text) => {
             for (const region of ["erie", "superior"]) {
                 const watcher = members.find(member => member.region === region);
@@ -174,4 +187,17 @@
             network.stop();
         },
     );
+
+    it("costs each daemon bytes in proportion to what has changed", async () => {
+        const network = createNetwork(86);
+        const text = generateText(1_120);
+        network.publish(1, text);
+        await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+        const before = network.readReceivedBytes();
+        network.publish(2, text.replace("\"ledger\"", "\"workroom\""));
+        await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+        expect(network.countUsing(2)).toBe(86);
+        expect(network.readReceivedBytes() - before).toBeLessThan(ONE_ROUTE_LIMIT_BYTES);
+        network.stop();
+    });
 });
--- a/src/transport/sessions/MessageTraffic.ts
+++ b/src/transport/sessions/MessageTraffic.ts
@@ -9,6 +9,7 @@
     answerData: LinkTrafficKind.Answers,
     answerHead: LinkTrafficKind.Answers,
     configuration: LinkTrafficKind.Versions,
+    configurationDifference: LinkTrafficKind.Versions,
     configurationRequest: LinkTrafficKind.Versions,
     request: LinkTrafficKind.Requests,
 };
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -72,6 +72,7 @@
         },
         { name: "configuration_revision", read: () => configurationManager.text?.revision ?? 0 },
         { name: "configuration_copies_sent_total", read: () => copies.sentCopies.count },
+        { name: "configuration_differences_sent_total", read: () => copies.sentDifferences },
         { name: "configuration_copy_bytes_sent_total", read: () => copies.sentCopies.bytes },
         { name: "configuration_requests_ignored_total", read: () => copies.ignoredRequests },
         { name: "route_queries_sent_total", read: () => routeQueries.sentQueries },
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -307,10 +307,13 @@
             isSameRegion: id => this.#memberRegistry.get(id)?.region === settings.region,
             random,
             readReceivedBytes: () => this.#uplink.traffic.receivedBytes,
-            requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
+            requestConfiguration: (id, baseChecksum) =>
+                this.#sessions.sendGossip(id, { baseChecksum, kind: "configurationRequest" }),
             requestStatus: id => this.#sessions.requestStatus(id),
             sendConfiguration: (id, configuration) =>
                 this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" }),
+            sendDifference: (id, difference) =>
+                this.#sessions.sendGossip(id, { ...difference, kind: "configurationDifference" }),
             selfId: settings.id,
             store: dependencies.store,
             timers: realTimers,
@@ -501,8 +504,11 @@
             case "configuration":
                 this.#configurationManager.applyCompressed(message, id);
                 return;
+            case "configurationDifference":
+                this.#configurationManager.applyDifference(message, id);
+                return;
             case "configurationRequest":
-                this.#configurationManager.answerRequest(id);
+                this.#configurationManager.answerRequest(id, message.baseChecksum);
                 return;
             case "crashes":
                 this.#quarantine.handle(id, message);
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -143,8 +143,13 @@
                             this.#configuration.applyCompressed(message, id);
                         }
                         return;
+                    case "configurationDifference":
+                        if (!options.losesCopies()) {
+                            this.#configuration.applyDifference(message, id);
+                        }
+                        return;
                     case "configurationRequest":
-                        this.#configuration.answerRequest(id);
+                        this.#configuration.answerRequest(id, message.baseChecksum);
                         return;
                     case "routeAnswer":
                         this.#queries.handleAnswer(id, message);
@@ -216,11 +221,14 @@
             onWatchChanged: () => this.#announceStatus(),
             random,
             readReceivedBytes: () => this.#uplink.traffic.receivedBytes,
-            requestConfiguration: id => this.#sessions.sendGossip(id, { kind: "configurationRequest" }),
+            requestConfiguration: (id, baseChecksum) =>
+                this.#sessions.sendGossip(id, { baseChecksum, kind: "configurationRequest" }),
             requestStatus: id => this.#sessions.requestStatus(id),
             selfId: self.id,
             sendConfiguration: (id, configuration) =>
                 this.#sessions.sendGossip(id, { ...configuration, kind: "configuration" }),
+            sendDifference: (id, difference) =>
+                this.#sessions.sendGossip(id, { ...difference, kind: "configurationDifference" }),
             store,
             timers,
         });
