Bound the copies of versions by the daemon's own link

Copies could take 375 bytes a millisecond of any link, half of one of 5.88 Mbit/s: more than the whole of a link of 2.8 Mbit/s, so that everything else on it waited, and no more on fast links, which could serve all others. Now a daemon sends copies for half of its own link, 200 ms of it at once.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -41,6 +41,8 @@
 export interface ConfigurationManagerOptions {
     readonly selfId: string;
     readonly limits: FreshnessLimits;
+    /** Rate of the VM's link. */
+    readonly linkBytesPerMs: number;
     /** Follows the versions in force here and at other daemons. */
     readonly lag: VersionLag;
     readonly store: MeshStorePort;
--- a/src/transport/directory/CopySender.ts
+++ b/src/transport/directory/CopySender.ts
@@ -2,7 +2,7 @@
 import { deflateRawSync } from "node:zlib";
 import type { ConfigurationText } from "../../state/store/index.js";
 import type { PartLogger } from "../logging/index.js";
-import { COPY_BURST_BYTES, COPY_BYTES_PER_MS } from "./DirectoryConstants.js";
+import { COPY_BURST_MS, COPY_LINK_SHARE } from "./DirectoryConstants.js";
 import { VersionDifferences } from "./VersionDifferences.js";
 import type { ConfigurationDifference } from "./VersionDifferences.js";
 
@@ -15,6 +15,8 @@
 
 export interface CopySenderOptions {
     readonly log: PartLogger;
+    /** Rate of the VM's link. */
+    readonly linkBytesPerMs: number;
     sendConfiguration(id: string, configuration: CompressedConfiguration): void;
     sendDifference(id: string, difference: ConfigurationDifference): void;
 }
@@ -29,11 +31,15 @@
     #sentDifferences = 0;
     #sentBytes = 0;
     #ignoredRequests = 0;
-    #allowance = COPY_BURST_BYTES;
+    readonly #bytesPerMs: number;
+    /** Negative while a copy has used more than its share. */
+    #allowance: number;
     #allowanceAt = 0;
 
     constructor(options: CopySenderOptions) {
         this.#options = options;
+        this.#bytesPerMs = options.linkBytesPerMs * COPY_LINK_SHARE;
+        this.#allowance = this.#bytesPerMs * COPY_BURST_MS;
     }
 
     /** Copies sent since the start, and their compressed size. */
@@ -118,8 +124,8 @@
 
     /** Takes the bytes of a copy from the allowance; false while earlier copies have used it up. */
     #takeBytes(bytes: number, now: number): boolean {
-        const refilled = this.#allowance + (now - this.#allowanceAt) * COPY_BYTES_PER_MS;
-        this.#allowance = Math.min(COPY_BURST_BYTES, refilled);
+        const refilled = this.#allowance + (now - this.#allowanceAt) * this.#bytesPerMs;
+        this.#allowance = Math.min(this.#bytesPerMs * COPY_BURST_MS, refilled);
         this.#allowanceAt = now;
         if (this.#allowance <= 0) {
             return false;
--- a/src/transport/directory/DirectoryConstants.ts
+++ b/src/transport/directory/DirectoryConstants.ts
@@ -42,9 +42,9 @@
  */
 export const LEASE_RETRY_BASE_MS = 1_000;
 export const LEASE_RETRY_MAXIMUM_MS = 2_000;
-/** Rate and burst of the copies of versions that a daemon sends: about half of the link of the weakest VMs. */
-export const COPY_BYTES_PER_MS = 375;
-export const COPY_BURST_BYTES = 75_000;
+/** Share of the own link for copies of versions, and the time of it that may be used at once. */
+export const COPY_LINK_SHARE = 0.5;
+export const COPY_BURST_MS = 200;
 /** Time over which the watchers of a region begin to write records that a restored store lacks. */
 export const RESTORE_SPREAD_MS = 1_000;
 /** Time in which new records are gathered before they are passed on. */
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -76,6 +76,7 @@
     return new ConfigurationManager({
         countDaemons: () => 1,
         limits: deriveFreshnessLimits(deadlineMs),
+        linkBytesPerMs: Infinity,
         decode: ({ text }) => text === "" ? Left([]) : Right(createConfiguration(Number(text))),
         isRegistered: () => isRegistered,
         isSameRegion: () => true,
--- a/src/transport/directory/__tests__/unit/VersionSpread.test.ts
+++ b/src/transport/directory/__tests__/unit/VersionSpread.test.ts
@@ -141,6 +141,7 @@
             onConfirmed: () => undefined,
             onWatchChanged: () => undefined,
             limits: deriveFreshnessLimits(2_000),
+            linkBytesPerMs: LINK_BYTES_PER_MS,
             timers: realTimers,
             random: createSeededRandom(members.indexOf(self)),
             readReceivedBytes: () => 0,
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -291,6 +291,7 @@
         this.#configurationManager = new ConfigurationManager({
             countDaemons: () => this.#memberRegistry.list().length,
             limits: deriveFreshnessLimits(settings.configurationDeadlineMs),
+            linkBytesPerMs,
             decode: dependencies.decodeConfiguration,
             lag: this.#lag,
             listReachable: () => this.#listReachable(),
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -24,6 +24,8 @@
 import { SimulatedServer } from "./SimulatedServer.js";
 
 const SESSION_UPDATE_INTERVAL_MS = 250;
+/** Link of a weak VM, 6 Mbit/s. */
+const LINK_BYTES_PER_MS = 750;
 
 /** Repairs that a run leaves out, to show that the search finds what they repair. */
 export interface Variant {
@@ -209,6 +211,7 @@
             isSameRegion: id => this.#registry.get(id)?.region === self.region,
             lag: this.#lag,
             limits: variant.limits,
+            linkBytesPerMs: LINK_BYTES_PER_MS,
             listReachable: () => this.#listReachable(),
             log,
             now: ageClock.now,
