Wait for a reading of the store whose answer arrives instead of beginning another one

A daemon without copies reads the store again 1 s and more after the last reading, also while that one's 165 KB are still on their way over a weak link, which then carries them twice, and once more a second later. Now it waits for a reading of which anything has arrived; one of which nothing has is begun anew as before. The first of the new tests fails without the change.

--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -94,6 +94,9 @@
     #confirmationJitter = 0;
     /** Position of the last version from the store that was not put in force, which is logged once. */
     #droppedPosition: StorePosition | undefined;
+    /** The last reading for lack of copies, until it ends. */
+    #reading: Promise<boolean> | undefined;
+    #receivedBeforeReading = 0;
     #stopChecks: () => void = () => undefined;
 
     constructor(options: ConfigurationManagerOptions) {
@@ -122,7 +125,7 @@
             isWatching: () => this.isWatching,
             requestConfiguration: id => options.requestConfiguration(id, this.#copies.checksum),
             readStore: onAnswered => {
-                void this.#readStore().then(isAnswered => isAnswered && onAnswered());
+                void this.#shareReading().then(isAnswered => isAnswered && onAnswered());
             },
         });
         this.#lease = new VersionLease({
@@ -316,6 +319,22 @@
         });
     }
 
+    /** Reads the store, or waits for the last reading while its answer arrives, which a second one would only delay. */
+    #shareReading(): Promise<boolean> {
+        const receivedBytes = this.#options.store.readReceivedBytes();
+        if (this.#reading !== undefined && receivedBytes > this.#receivedBeforeReading) {
+            return this.#reading;
+        }
+        this.#receivedBeforeReading = receivedBytes;
+        const reading = this.#readStore().finally(() => {
+            if (this.#reading === reading) {
+                this.#reading = undefined;
+            }
+        });
+        this.#reading = reading;
+        return reading;
+    }
+
     /** Reads the newest version from the store, without following it; returns whether the store has answered. */
     async #readStore(): Promise<boolean> {
         return (await this.#follower.readNewest()).caseOf({
--- a/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
+++ b/src/transport/directory/__tests__/unit/ConfigurationManager.test.ts
@@ -72,6 +72,7 @@
     onConfirmed: (watcherIds: readonly string[]) => void = () => undefined,
     isRegistered = true,
     requestConfiguration: (id: string, baseChecksum: string | undefined) => void = () => undefined,
+    readStoreBytes: () => number = () => 0,
 ) {
     return new ConfigurationManager({
         countDaemons: () => 1,
@@ -98,7 +99,7 @@
         sendDifference: () => undefined,
         store: {
             readConfiguration: () => read(undefined),
-            readReceivedBytes: () => 0,
+            readReceivedBytes: readStoreBytes,
             watchConfiguration: (_position: StorePosition, waitMs: number) => read(waitMs),
         } as unknown as MeshStorePort,
     });
@@ -351,3 +352,41 @@
         expect([manager.text?.text, requested]).toEqual([OWN, []]);
     });
 });
+
+/** Guards against a weak link that carries the same answer of the store several times at once. */
+describe("a reading of the store for lack of copies", () => {
+    const STEP_MS = 100;
+
+    /** Counts the readings in 6 s in which a daemon knows of a newer version and gets no copy. */
+    async function countReadings(receiveBytes: () => number): Promise<number> {
+        startSimulatedTime();
+        let readings = 0;
+        const manager = createStoreManager(
+            () => {
+                readings++;
+                return new Promise(() => undefined);
+            },
+            () => undefined,
+            2_000,
+            () => undefined,
+            true,
+            () => undefined,
+            receiveBytes,
+        );
+        manager.applyVersion({ revision: 1, text: "1", version: 1 }, "store");
+        for (let elapsedMs = 0; elapsedMs < 6_000; elapsedMs += STEP_MS) {
+            manager.recordVersion("other", 2);
+            await vi.advanceTimersByTimeAsync(STEP_MS);
+        }
+        return readings;
+    }
+
+    it("isn't begun anew while its answer arrives", async () => {
+        let bytes = 0;
+        expect(await countReadings(() => bytes += 100)).toBe(1);
+    });
+
+    it("is begun anew while nothing arrives", async () => {
+        expect(await countReadings(() => 0)).toBeGreaterThan(1);
+    });
+});
