Count small messages beyond a tenth of the link for the admission of downloads

Downloads on weak links were admitted for 0.8 of the link beside a free fifth of small messages, but leave with what small messages leave of 0.9: where these take a fifth of the link, 0.1 of it was promised twice, downloads were late and many failed at their deadline. Now the free share of small messages is the tenth that the pacer has for them.

--- a/src/coordination/scheduling/LinkBudget.ts
+++ b/src/coordination/scheduling/LinkBudget.ts
@@ -5,8 +5,10 @@
  * so is every small answer and message that shares the link.
  */
 
-/** Share of the link for large answers; the rest is for small answers, and for messages of the mesh, which may take more. */
+/** Share of the link for large answers; the rest is for small answers, for messages of the mesh, which may take more, and for overhead. */
 const LINK_SHARE = 0.8;
+/** Share for small messages; with the one of large answers it is what `LinkPacer` lets through. */
+const SMALL_SHARE = 0.1;
 /** Time in which the share of small messages may be used all at once. */
 const SMALL_BURST_MS = 250;
 /** Time for which the link may be taken ahead, so that it is never idle while answers are being worked on. */
@@ -30,7 +32,7 @@
     constructor(linkBytesPerMs = Infinity) {
         const bytesPerMs = linkBytesPerMs * LINK_SHARE;
         this.bytesPerMs = LARGE_ANSWER_BYTES / bytesPerMs < NOTICEABLE_MS ? Infinity : bytesPerMs;
-        this.#smallBytesPerMs = linkBytesPerMs * (1 - LINK_SHARE);
+        this.#smallBytesPerMs = linkBytesPerMs * SMALL_SHARE;
     }
 
     get isBottleneck(): boolean {
