--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -125,7 +125,7 @@
             isWatching: () => this.isWatching,
             requestConfiguration: id => options.requestConfiguration(id, this.#copies.checksum),
             readStore: onAnswered => {
-                void this.#shareReading().then(isAnswered => isAnswered && onAnswered());
+                void this.#awaitReading().then(isAnswered => isAnswered && onAnswered());
             },
         });
         this.#lease = new VersionLease({
@@ -320,7 +320,7 @@
     }
 
     /** Reads the store, or waits for the last reading while its answer arrives, which a second one would only delay. */
-    #shareReading(): Promise<boolean> {
+    #awaitReading(): Promise<boolean> {
         const receivedBytes = this.#options.store.readReceivedBytes();
         if (this.#reading !== undefined && receivedBytes > this.#receivedBeforeReading) {
             return this.#reading;
--- a/src/transport/directory/VersionLease.ts
+++ b/src/transport/directory/VersionLease.ts
@@ -238,7 +238,7 @@
     async #readStore(): Promise<boolean> {
         const { timers } = this.#options;
         if (this.#reading === undefined || !this.#isReadingArriving()) {
-            this.#beginReading();
+            this.#startReading();
         }
         this.#askDaemons();
         return await withTimeout(timers, MINIMUM_ANSWER_TIMEOUT_MS, this.#reading ?? Promise.resolve(false)) === true;
@@ -248,7 +248,7 @@
         return this.#options.readReceivedBytes().store > this.#receivedBeforeReading.store;
     }
 
-    #beginReading(): void {
+    #startReading(): void {
         const { now, readReceivedBytes, readStore } = this.#options;
         this.#hasReadingEndedPromptly = false;
         this.#promptAnswers = 0;
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -225,7 +225,7 @@
             onAnswerAborted: (detail, load) => {
                 const isStreaming = this.#streamingAttempt === attempt;
                 if (this.#endAttempt(attempt, load, detail) && this.#requireStreamHead(isStreaming, detail)) {
-                    this.#abortStream(attempt, detail);
+                    this.#resetStream(attempt, detail);
                 }
             },
             onData: body => {
@@ -274,7 +274,7 @@
                     return;
                 }
                 if (isStreaming) {
-                    this.#abortStream(attempt, detail);
+                    this.#resetStream(attempt, detail);
                 }
                 else {
                     this.#hasUnknownOutcome = true;
@@ -286,7 +286,7 @@
     }
 
     /** Ends an answer that broke off after its head was sent, which no other answer can replace. */
-    #abortStream(attempt: Attempt, detail: string): void {
+    #resetStream(attempt: Attempt, detail: string): void {
         this.#context.directory.recordFailure(attempt.owner);
         this.#complete(
             attempt.owner,
