--- a/src/coordination/scheduling/LinkPacer.ts
+++ b/src/coordination/scheduling/LinkPacer.ts
@@ -3,7 +3,7 @@
  * pings wait on the link for one part of an answer at most.
  *
  * Load pattern: several large answers that are ready at the same time on a VM with a weak link, beside small messages that
- * alone take a quarter of it.
+ * alone take a fifth of it.
  */
 import { LARGE_ANSWER_BYTES } from "./LinkBudget.js";
 
--- a/src/transport/uplink/LinkTraffic.ts
+++ b/src/transport/uplink/LinkTraffic.ts
@@ -2,13 +2,13 @@
 
 /** What bytes on the link belong to. */
 export const LinkTrafficKind = {
-    /** Answers to callers of this VM. */
+    /** Answers to callers of this VM, from the own server or another one. */
     CallerAnswers: "callerAnswers",
     /** Requests between daemons. */
     Requests: "requests",
     /** Answers between daemons. */
     Answers: "answers",
-    /** Copies of versions between daemons. */
+    /** Copies and differences of versions, and requests for them. */
     Versions: "versions",
     /** All other messages between daemons, such as handshakes, pings and records. */
     Sessions: "sessions",
