End the processes of the cases also after a signal

The scripts pass a signal on to the case, which ends its daemons and exits with 2. Seen by ending case 2 after 6 s on x86_64: no process was left.

--- a/review/kit/Mesh.mjs
+++ b/review/kit/Mesh.mjs
@@ -439,6 +439,12 @@
         process.stdout.write(`${lines.slice(-1)[0]}\n`);
         process.exit(exitCode);
     };
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+        process.on(signal, () => {
+            log(`the case was ended by ${signal}`);
+            void finish(2);
+        });
+    }
     // An error of a stand-in says nothing of the rule.
     process.on("uncaughtException", error => {
         log(`the case could not run: ${error.message}`);
