--- /dev/null
+++ b/src/protocol/framing/index.ts
@@ -0,0 +1,1 @@
+export { parseStatedLength, replaceStatedLength } from "./AnswerFraming.js";
--- a/src/protocol/request/HeaderForwarding.ts
+++ b/src/protocol/request/HeaderForwarding.ts
@@ -36,9 +36,13 @@
     return copied;
 }
 
-/** Copies the headers of an answer for the caller by the same rules, but keeps `Trailer`. */
+/**
+ * Copies the headers of an answer for the caller by the same rules, but keeps `Trailer`. A length beside a transfer coding
+ * is dropped, since the coding overrides it (RFC 9112 section 6.3).
+ */
 export function copyAnswerHeaders(rawHeaders: readonly string[], connection: string | undefined): string[] {
     const named = parseConnectionOptions(connection);
+    const isCoded = rawHeaders.some((part, index) => index % 2 === 0 && part.toLowerCase() === "transfer-encoding");
     const copied: string[] = [];
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const rawName = rawHeaders[index] as string;
@@ -46,6 +50,9 @@
         if (HOP_BY_HOP_HEADERS.has(name) || isMeshHeader(name) || named?.has(name) === true) {
             continue;
         }
+        if (isCoded && name === "content-length") {
+            continue;
+        }
         copied.push(rawName, rawHeaders[index + 1] as string);
     }
     return copied;
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -1,6 +1,7 @@
 /** One request of a caller and the answer that is sent to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
+import { replaceStatedLength } from "../../protocol/framing/index.js";
 import { isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import type { AnswerHead } from "../ownership/index.js";
 import { LinkDirection, LinkTrafficKind } from "../uplink/index.js";
@@ -59,17 +60,13 @@
             return;
         }
         this.#isEnded = true;
-        const headers = [...head.headers];
         if (head.isCloseDelimited) {
             this.#writeCloseDelimited(head);
             this.#sendBody(body);
             return;
         }
         const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
-        if (!isBodiless && !hasHeader(headers, "content-length")) {
-            headers.push("content-length", String(body.length));
-        }
-        this.#writeHead(head.status, headers);
+        this.#writeHead(head.status, isBodiless ? [...head.headers] : replaceStatedLength(head.headers, body.length));
         const sent = isBodiless ? undefined : body;
         this.#sendBody(sent);
     }
@@ -201,7 +198,3 @@
         this.response.writeHead(status, headers);
     }
 }
-
-function hasHeader(headers: readonly string[], name: string): boolean {
-    return headers.some((part, index) => index % 2 === 0 && part.toLowerCase() === name);
-}
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -4,6 +4,7 @@
  */
 import { computeRetryAfter, selectPlacement } from "../../coordination/placement/index.js";
 import type { OwnerLoad, Placement, PlacementQuery } from "../../coordination/placement/index.js";
+import { parseStatedLength } from "../../protocol/framing/index.js";
 import { getRefusalStatus, Outcome, RefusalReason } from "../../protocol/request/index.js";
 import { isRepeatable } from "../../state/traffic/index.js";
 import type { AnswerHead, OwnedRequest, OwnerRefusal, RequestHandle } from "../ownership/index.js";
@@ -71,6 +72,8 @@
     #cancelHedge: () => void = () => undefined;
     #isComplete = false;
     #streamedBytes = 0;
+    /** Length in the head of the streamed answer. */
+    #statedBytes: number | undefined;
 
     constructor(context: ForwardingContext, plan: ForwardingPlan, exchange: CallerExchange, onComplete: () => void) {
         this.#context = context;
@@ -228,12 +231,7 @@
                     this.#resetStream(attempt, detail);
                 }
             },
-            onData: body => {
-                this.#streamedBytes += body.length;
-                if (this.#streamingAttempt === attempt && !this.#exchange.sendData(body)) {
-                    attempt.handle?.pause();
-                }
-            },
+            onData: body => this.#handleData(attempt, body),
             onDeclined: (detail, load) => {
                 if (this.#endAttempt(attempt, load, detail)) {
                     this.#context.directory.recordFailure(attempt.owner);
@@ -251,8 +249,7 @@
                     this.#endAttempt(attempt, load, "answered")
                     && this.#requireStreamHead(isStreaming, "the answer ended without a beginning")
                 ) {
-                    this.#recordSuccess(attempt, this.#streamedBytes);
-                    this.#complete(attempt.owner, 200, Outcome.Answered, "", () => this.#exchange.sendEnd());
+                    this.#completeStream(attempt);
                 }
             },
             onHead: head => this.#beginStream(attempt, head),
@@ -285,6 +282,32 @@
         };
     }
 
+    #handleData(attempt: Attempt, body: Uint8Array): void {
+        if (this.#streamingAttempt !== attempt || this.#isComplete) {
+            return;
+        }
+        this.#streamedBytes += body.length;
+        if (this.#streamedBytes > (this.#statedBytes ?? Infinity)) {
+            this.#resetStream(attempt, this.#describeLength());
+        }
+        else if (!this.#exchange.sendData(body)) {
+            attempt.handle?.pause();
+        }
+    }
+
+    #completeStream(attempt: Attempt): void {
+        if (this.#statedBytes !== undefined && this.#streamedBytes !== this.#statedBytes) {
+            this.#resetStream(attempt, this.#describeLength());
+            return;
+        }
+        this.#recordSuccess(attempt, this.#streamedBytes);
+        this.#complete(attempt.owner, 200, Outcome.Answered, "", () => this.#exchange.sendEnd());
+    }
+
+    #describeLength(): string {
+        return `the answer states a length of ${this.#statedBytes}, but ${this.#streamedBytes} bytes of it have come`;
+    }
+
     /** Ends an answer that broke off after its head was sent, which no other answer can replace. */
     #resetStream(attempt: Attempt, detail: string): void {
         this.#context.directory.recordFailure(attempt.owner);
@@ -359,6 +382,7 @@
             return;
         }
         this.#streamingAttempt = attempt;
+        this.#statedBytes = parseStatedLength(head.headers);
         this.#queuedMs = head.queuedMs;
         attempt.owner.statistics.recordSuccess(this.#plan.route.name, head.workMs, this.#context.now());
         for (const other of [...this.#attempts]) {
