--- a/src/transport/ownership/OwnedRequest.ts
+++ b/src/transport/ownership/OwnedRequest.ts
@@ -39,7 +39,7 @@
     readonly status: number;
     /** Names and values alternate. */
     readonly headers: readonly string[];
-    /** The answer states no length and ends with its connection; it is passed on in the same way. */
+    /** The server's answer states no length and ends with its connection. */
     readonly isCloseDelimited: boolean;
     /** Time that the server took until its answer began. */
     readonly workMs: number;
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -60,18 +60,16 @@
             return;
         }
         this.#isEnded = true;
-        if (head.isCloseDelimited) {
-            this.#writeCloseDelimited(head);
-            this.#sendBody(body);
-            return;
-        }
         const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
         this.#writeHead(head.status, isBodiless ? [...head.headers] : replaceStatedLength(head.headers, body.length));
         const sent = isBodiless ? undefined : body;
         this.#sendBody(sent);
     }
 
-    /** Sends the head of a streamed answer. */
+    /**
+     * Sends the head of a streamed answer. Without a length the body goes in chunks, so that an answer that breaks off doesn't
+     * look complete; a caller that speaks HTTP/1.0 gets it up to the end of the connection.
+     */
     sendHead(head: AnswerHead): void {
         if (this.#isEnded) {
             return;
@@ -79,12 +77,7 @@
         if (this.#rejectMalformedHead(head)) {
             return;
         }
-        if (head.isCloseDelimited) {
-            this.#writeCloseDelimited(head);
-        }
-        else {
-            this.#writeHead(head.status, [...head.headers]);
-        }
+        this.#writeHead(head.status, [...head.headers]);
     }
 
     /** Sends data of a streamed answer; false when no more should be sent until `onDrain`. */
@@ -184,13 +177,6 @@
         return isMalformed;
     }
 
-    /** Sends the answer without a length as well: a length would make a truncated answer look complete. */
-    #writeCloseDelimited(head: AnswerHead): void {
-        this.response.useChunkedEncodingByDefault = false;
-        this.response.shouldKeepAlive = false;
-        this.response.writeHead(head.status, [...head.headers, "connection", "close"]);
-    }
-
     #writeHead(status: number, headers: string[]): void {
         if (this.shouldClose()) {
             headers.push("connection", "close");
