--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -39,7 +39,12 @@
     readonly reportedAt: number;
 }
 
-export const ReportResult = { Accepted: "accepted", Outdated: "outdated" } as const;
+export const ReportResult = {
+    Accepted: "accepted",
+    /** Not of the server, so that it must not be acknowledged. */
+    Foreign: "foreign",
+    Outdated: "outdated",
+} as const;
 export type ReportResult = (typeof ReportResult)[keyof typeof ReportResult];
 
 /** Number of departed servers whose late reports are still recognized. */
@@ -109,6 +114,9 @@
 
     /** Applies a report. An outdated one changes nothing, but the caller acknowledges it too. */
     accept(report: ServerReport, now: number): ReportResult {
+        if (this.#isForeign(report)) {
+            return ReportResult.Foreign;
+        }
         if (this.#isOutdated(report)) {
             return ReportResult.Outdated;
         }
@@ -187,6 +195,11 @@
         }
     }
 
+    /** A server names its start in each report or in none. */
+    #isForeign(report: ServerReport): boolean {
+        return report.startedAt === undefined && this.#server?.startedAt !== undefined;
+    }
+
     #isOutdated(report: ServerReport): boolean {
         if (this.#departed.has(report.serverId)) {
             const departedStart = this.#departed.get(report.serverId);
@@ -198,10 +211,9 @@
         if (current === undefined) {
             return false;
         }
-        if (current.startedAt !== undefined && report.startedAt !== undefined) {
-            if (report.startedAt !== current.startedAt) {
-                return report.startedAt < current.startedAt;
-            }
+        if (report.startedAt !== current.startedAt) {
+            // A report without a start that came first was written by another one than this server.
+            return report.startedAt === undefined || report.startedAt < (current.startedAt ?? 0);
         }
         return report.serverId === current.serverId
             && (report.sequence < current.sequence
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -182,12 +182,16 @@
     }
 
     /** Applies a report of the server; when it is leaving, no request reaches it after this call. */
-    acceptReport(report: ServerReport): void {
+    acceptReport(report: ServerReport): ReportResult {
         const previous = this.registration.server;
         const now = this.#options.now();
-        if (this.registration.accept(report, now) === ReportResult.Outdated) {
-            this.#options.log.info("dropped an outdated report of a server.", { report, registered: previous });
-            return;
+        const result = this.registration.accept(report, now);
+        if (result !== ReportResult.Accepted) {
+            const subject = result === ReportResult.Foreign
+                ? "a report of another writer"
+                : "an outdated report of a server";
+            this.#options.log.info(`dropped ${subject}.`, { report, registered: previous });
+            return result;
         }
         const isOther = previous === undefined || !isSameStart(previous, report);
         if (isOther) {
@@ -205,6 +209,7 @@
             this.#options.onChange(this.readLoad());
         }
         this.#confirmation?.start();
+        return result;
     }
 
     /** Records that the server has left; no request reaches it after this call. */
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -64,6 +64,7 @@
     readonly answerReports: (
         admission: AdmissionController,
         log: PartLogger,
+        service: string,
         readWallClock: () => number,
     ) => EndpointHandler;
     readonly now: () => number;
@@ -381,7 +382,12 @@
         await this.#sessions.start(peerAddress.host, peerAddress.port);
         await this.#callerListener.listen(callerAddress.host, callerAddress.port);
         const { answerReady, now, readWallClock } = this.#dependencies;
-        const answerReports = this.#dependencies.answerReports(this.#admission, this.#log, readWallClock);
+        const answerReports = this.#dependencies.answerReports(
+            this.#admission,
+            this.#log,
+            this.#settings.service,
+            readWallClock,
+        );
         const open = async (address: HostAndPort, handle: EndpointHandler): Promise<void> => {
             this.#endpoints.push(await openEndpoint(address, handle, this.#costlyReads, now));
         };
