--- /dev/null
+++ b/src/transport/connections/index.ts
@@ -0,0 +1,1 @@
+export { isReset } from "./SocketEnd.js";
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -8,6 +8,7 @@
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
+import { isReset } from "../connections/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
 import { createAnswerParser, readPieceBytes } from "./AnswerParser.js";
@@ -120,7 +121,10 @@
             error = cause;
         });
         this.#socket.on("data", chunk => this.#handleData(chunk));
-        this.#socket.on("end", () => this.#runAfterUnparsed(() => this.#handleSocketEnd()));
+        this.#socket.on("end", () => {
+            const wasReset = isReset(this.#socket);
+            this.#runAfterUnparsed(() => this.#handleSocketEnd(wasReset));
+        });
         this.#socket.on("close", () => {
             cancelTimeout();
             const detail = error?.message ?? "the server closed the connection";
@@ -422,9 +426,12 @@
         }
     }
 
-    #handleSocketEnd(): void {
+    #handleSocketEnd(wasReset: boolean): void {
         this.#isReusable = false;
-        if (this.#exchange?.isOwnAnswer === true) {
+        if (wasReset) {
+            this.#failExchange("the server reset the connection", true);
+        }
+        else if (this.#exchange?.isOwnAnswer === true) {
             this.#parser.finish();
         }
     }
