--- a/src/protocol/framing/AnswerFraming.ts
+++ b/src/protocol/framing/AnswerFraming.ts
@@ -1,6 +1,29 @@
 /** Framing of an answer towards the next hop. Headers are lists of names and values that alternate. */
 
 const LENGTH_NAME = "content-length";
+const MINIMUM_STATUS = 100;
+const FIRST_FINAL_STATUS = 200;
+const MAXIMUM_STATUS = 599;
+const SWITCHING_PROTOCOLS_STATUS = 101;
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/**
+ * Whether an answer with this status is one (RFC 9110 section 15). A switch of protocols is none, since requests for it
+ * are not forwarded.
+ */
+export function isValidStatus(status: number): boolean {
+    return Number.isInteger(status) && status >= MINIMUM_STATUS && status <= MAXIMUM_STATUS
+        && status !== SWITCHING_PROTOCOLS_STATUS;
+}
+
+export function isFinalStatus(status: number): boolean {
+    return isValidStatus(status) && status >= FIRST_FINAL_STATUS;
+}
+
+/** Whether an answer with this status ends with its head, whatever its headers say (RFC 9112 section 6.3, item 1). */
+export function isBodilessStatus(status: number): boolean {
+    return status < FIRST_FINAL_STATUS || BODILESS_STATUSES.has(status);
+}
 
 /** Returns the length that the headers state; undefined when they state none. */
 export function parseStatedLength(headers: readonly string[]): number | undefined {
--- a/src/protocol/framing/index.ts
+++ b/src/protocol/framing/index.ts
@@ -1,1 +1,7 @@
-export { parseStatedLength, replaceStatedLength } from "./AnswerFraming.js";
+export {
+    isBodilessStatus,
+    isFinalStatus,
+    isValidStatus,
+    parseStatedLength,
+    replaceStatedLength,
+} from "./AnswerFraming.js";
--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -1,5 +1,6 @@
 /** Parser of servers' answers that takes nothing but what RFC 9112 allows, so that no fault changes a body's length. */
 import { HTTPParser } from "http-parser-js";
+import { isBodilessStatus, isValidStatus } from "../../protocol/framing/index.js";
 
 HTTPParser.encoding = "latin1";
 
@@ -8,11 +9,18 @@
 /** Parts of the parser that its types declare private. */
 interface ParserState {
     BODY_CHUNKHEAD: () => void;
+    RESPONSE_LINE: () => void;
     readonly consumeLine: () => string | undefined;
+    readonly info: { statusCode: number; statusMessage: string; versionMajor: number; versionMinor: number; };
     body_bytes: number | null;
     state: string;
 }
 
+/** Of HTTP/1.x, whose later minor versions are read like 1.1. */
+const STATUS_LINE_PATTERN = /^HTTP\/1\.(\d) (\d{3})(?: (.*))?$/;
+/** Characters of a malformed status line that are quoted in the log. */
+const QUOTED_LINE_LENGTH = 40;
+
 const FIELD_PATTERN = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*(.*?)[ \t]*$/;
 /** A line that continues the value of the one before it. */
 const CONTINUATION_PATTERN = /^[ \t]+(.*?)[ \t]*$/;
@@ -31,6 +39,7 @@
     parser.parseHeader = appendField;
     const state = parser as unknown as ParserState;
     state.BODY_CHUNKHEAD = () => parseChunkHead(state);
+    state.RESPONSE_LINE = () => parseStatusLine(state);
     return parser;
 }
 
@@ -61,6 +70,28 @@
     }
 }
 
+/** Takes only statuses of RFC 9110 section 15; what comes with another one is no answer. */
+function parseStatusLine(state: ParserState): void {
+    const line = state.consumeLine();
+    // Empty lines may come before the status line.
+    if (line === undefined || line === "") {
+        return;
+    }
+    const [, minor, digits, message = ""] = STATUS_LINE_PATTERN.exec(line) ?? [];
+    const status = Number(digits);
+    if (!isValidStatus(status)) {
+        throw new Error(`the status line is "${line.slice(0, QUOTED_LINE_LENGTH)}"`);
+    }
+    state.info.versionMajor = 1;
+    state.info.versionMinor = Number(minor);
+    state.info.statusCode = status;
+    state.info.statusMessage = message;
+    if (isBodilessStatus(status)) {
+        state.body_bytes = 0;
+    }
+    state.state = "HEADER";
+}
+
 function parseChunkHead(state: ParserState): void {
     const line = state.consumeLine();
     if (line === undefined) {
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -3,6 +3,7 @@
 import type { RegisteredServer } from "../../coordination/registration/index.js";
 import type { SlotRequest } from "../../coordination/scheduling/index.js";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
+import { isBodilessStatus } from "../../protocol/framing/index.js";
 import { copyAnswerHeaders, RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
@@ -47,8 +48,6 @@
     onExecutionEnd(execution: RequestExecution, hadSlot: boolean): void;
 }
 
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 const Phase = { Waiting: 0, Offered: 1, Running: 2, Ended: 3 } as const;
 
 export class RequestExecution implements SlotRequest, RequestHandle {
@@ -285,7 +284,7 @@
     }
 
     #isBodiless(status: number): boolean {
-        return this.request.method === "HEAD" || BODILESS_STATUSES.has(status);
+        return this.request.method === "HEAD" || isBodilessStatus(status);
     }
 
     /** Fails the request when the server has not answered within its budget. */
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -7,6 +7,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
+import { isFinalStatus } from "../../protocol/framing/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
 import { isReset } from "../connections/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
@@ -51,7 +52,6 @@
     readonly shouldKeepAlive: boolean;
 }
 
-const FIRST_FINAL_STATUS = 200;
 const FIRST_FAILURE_STATUS = 300;
 const SKIP_BODY = 1;
 
@@ -366,9 +366,9 @@
     }
 
     #handleHead(head: ParsedHead): number | undefined {
-        this.#isInterim = head.statusCode < FIRST_FINAL_STATUS;
+        this.#isInterim = !isFinalStatus(head.statusCode);
         if (this.#isInterim) {
-            return undefined;
+            return SKIP_BODY;
         }
         const exchange = this.#exchange;
         if (exchange === undefined || exchange.isOwnAnswer) {
--- a/src/transport/ownership/__tests__/unit/HealthCheck.test.ts
+++ b/src/transport/ownership/__tests__/unit/HealthCheck.test.ts
@@ -30,6 +30,17 @@
         });
     });
 
+    // Guards against a check that never ends, after which the server would get no requests any more.
+    it("returns that there was no answer when the server switches protocols", async () => {
+        const health = await check({ headers: ["Connection: Upgrade", "Upgrade: other"], status: 101 });
+        expect(health.extract()).toContain("without an answer");
+    });
+
+    it.each([700, 999])("returns that there was no answer when the status is %i", async status => {
+        const health = await check({ headers: ["X-Server: server-1"], status });
+        expect(health.extract()).toBe(`the answer has the status ${status}`);
+    });
+
     it("returns the connection error when the server can't be reached", async () => {
         server = await startRawServer(() => undefined);
         const registered = { ...createReport(server.port), coldUntil: 0, reportedAt: 0 };
--- a/src/transport/proxy/AttemptHandler.ts
+++ b/src/transport/proxy/AttemptHandler.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { isBodilessStatus, isFinalStatus } from "../../protocol/framing/index.js";
 import { copyAnswerHeaders, copyTrailers, RefusalReason } from "../../protocol/request/index.js";
 import type { Outcome } from "../../protocol/request/index.js";
 import type { AnswerCapture } from "./AnswerCapture.js";
@@ -29,7 +30,6 @@
 const INVALID_REQUEST_CODES = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /** Withheld answers are read up to this size, so that their connection can be reused. */
 const WITHHELD_MAXIMUM_BYTES = 65_536;
-const BODILESS_STATUSES = new Set([204, 304]);
 
 /** Streams an answer from undici to the caller with backpressure, and determines the result of the attempt. */
 export class AttemptHandler implements Dispatcher.DispatchHandler {
@@ -70,6 +70,10 @@
             return;
         }
         const { exchange, capture } = this.#options;
+        if (!isFinalStatus(status)) {
+            this.#abort(new Error(`the answer has the status ${status}`));
+            return;
+        }
         if (!this.#isFramed(status, headers)) {
             this.#abort(new Error("the answer states no length, so its end can't be recognized"));
             return;
@@ -151,7 +155,7 @@
     /** Whether the answer's end can be recognized; one that ends with its connection looks the same when cut. */
     #isFramed(status: number, headers: IncomingHttpHeaders): boolean {
         return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
-            || BODILESS_STATUSES.has(status) || this.#options.exchange.request.method === "HEAD";
+            || isBodilessStatus(status) || this.#options.exchange.request.method === "HEAD";
     }
 
     #interrupt(cause: Interruption): void {
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -1,17 +1,13 @@
 /** One request of a caller and the answer that is sent to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
-import { replaceStatedLength } from "../../protocol/framing/index.js";
+import { isBodilessStatus, isFinalStatus, replaceStatedLength } from "../../protocol/framing/index.js";
 import { isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import type { AnswerHead } from "../ownership/index.js";
 import { LinkDirection, LinkTrafficKind } from "../uplink/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 
 const BAD_GATEWAY_STATUS = 502;
-/** Statuses of final answers that can be written. */
-const MINIMUM_STATUS = 200;
-const MAXIMUM_STATUS = 999;
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 export class CallerExchange {
     /** Called once when the caller disconnects before its answer is complete. */
@@ -60,7 +56,7 @@
             return;
         }
         this.#isEnded = true;
-        const isBodiless = this.request.method === "HEAD" || BODILESS_STATUSES.has(head.status);
+        const isBodiless = this.request.method === "HEAD" || isBodilessStatus(head.status);
         this.#writeHead(head.status, isBodiless ? [...head.headers] : replaceStatedLength(head.headers, body.length));
         const sent = isBodiless ? undefined : body;
         this.#sendBody(sent);
@@ -169,8 +165,7 @@
 
     /** Answers in place of a head that can't be written, which another daemon has passed on. */
     #rejectMalformedHead(head: AnswerHead): boolean {
-        const isMalformed = head.status < MINIMUM_STATUS || head.status > MAXIMUM_STATUS
-            || !isValidHeaderList(head.headers);
+        const isMalformed = !isFinalStatus(head.status) || !isValidHeaderList(head.headers);
         if (isMalformed) {
             this.sendDaemonAnswer(BAD_GATEWAY_STATUS, Outcome.Unknown, "the head of the answer is malformed");
         }
