--- a/src/protocol/request/HeaderForwarding.ts
+++ b/src/protocol/request/HeaderForwarding.ts
@@ -14,6 +14,7 @@
 
 /** The daemon answers `expect` itself and drops request trailers, as RFC 9110 section 6.5.1 allows. */
 const REQUEST_ONLY_HOP_HEADERS = new Set(["expect", "trailer"]);
+const TRAILER_NAME = "trailer";
 
 /**
  * Copies the headers of a request for the next hop, without hop-by-hop headers, headers named by
@@ -37,10 +38,15 @@
 }
 
 /**
- * Copies the headers of an answer for the caller by the same rules, but keeps `Trailer`. A length beside a transfer coding
- * is dropped, since the coding overrides it (RFC 9112 section 6.3).
+ * Copies the headers of an answer for the caller by the same rules. A length beside a transfer coding is dropped, since the
+ * coding overrides it (RFC 9112 section 6.3). `Trailer` is kept if trailers are forwarded and the answer comes in chunks:
+ * beside a length there are none (RFC 9110 section 6.5).
  */
-export function copyAnswerHeaders(rawHeaders: readonly string[], connection: string | undefined): string[] {
+export function copyAnswerHeaders(
+    rawHeaders: readonly string[],
+    connection: string | undefined,
+    areTrailersForwarded: boolean,
+): string[] {
     const named = parseConnectionOptions(connection);
     const isCoded = rawHeaders.some((part, index) => index % 2 === 0 && part.toLowerCase() === "transfer-encoding");
     const copied: string[] = [];
@@ -50,7 +56,7 @@
         if (HOP_BY_HOP_HEADERS.has(name) || isMeshHeader(name) || named?.has(name) === true) {
             continue;
         }
-        if (isCoded && name === "content-length") {
+        if (isCoded && name === "content-length" || name === TRAILER_NAME && !(isCoded && areTrailersForwarded)) {
             continue;
         }
         copied.push(rawName, rawHeaders[index + 1] as string);
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -198,7 +198,7 @@
         }
         this.#answerKind = statement.isNotRun || statement.isMisdirected ? "declined" : "answer";
         const workMs = this.context.now() - this.#startedAt;
-        const headers = copyAnswerHeaders(rawHeaders, findHeader(rawHeaders, "connection"));
+        const headers = copyAnswerHeaders(rawHeaders, findHeader(rawHeaders, "connection"), false);
         const isCloseDelimited = !this.#isBodiless(status)
             && findHeader(rawHeaders, "content-length") === undefined
             && findHeader(rawHeaders, "transfer-encoding") === undefined;
--- a/src/transport/proxy/AttemptHandler.ts
+++ b/src/transport/proxy/AttemptHandler.ts
@@ -26,6 +26,8 @@
 }
 
 const FIRST_FINAL_STATUS = 200;
+/** Version of callers that get no chunks, and so no trailers. */
+const HTTP_1_0 = "1.0";
 /** Errors with which undici rejects a request that node:http accepted; they are not failures of the server. */
 const INVALID_REQUEST_CODES = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /** Withheld answers are read up to this size, so that their connection can be reused. */
@@ -83,7 +85,11 @@
         if (this.#decision.kind === "withhold") {
             return;
         }
-        const answerHeaders = copyAnswerHeaders(decodeRawHeaders(controller.rawHeaders), headers.connection);
+        const answerHeaders = copyAnswerHeaders(
+            decodeRawHeaders(controller.rawHeaders),
+            headers.connection,
+            !this.#isBodiless(status) && exchange.request.httpVersion !== HTTP_1_0,
+        );
         capture?.begin(status, answerHeaders);
         if (exchange.response.destroyed) {
             return;
@@ -155,7 +161,11 @@
     /** Whether the answer's end can be recognized; one that ends with its connection looks the same when cut. */
     #isFramed(status: number, headers: IncomingHttpHeaders): boolean {
         return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
-            || isBodilessStatus(status) || this.#options.exchange.request.method === "HEAD";
+            || this.#isBodiless(status);
+    }
+
+    #isBodiless(status: number): boolean {
+        return isBodilessStatus(status) || this.#options.exchange.request.method === "HEAD";
     }
 
     #interrupt(cause: Interruption): void {
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -47,35 +47,42 @@
         return this.#isDisconnected || socket.destroyed || socket.readableEnded;
     }
 
-    /** Sends a server's complete answer. */
+    /** Sends a server's complete answer; throws when its head can't be written. */
     sendAnswer(head: AnswerHead, body: Uint8Array): void {
         if (this.#isEnded) {
             return;
         }
-        if (this.#rejectMalformedHead(head)) {
-            return;
-        }
-        this.#isEnded = true;
+        requireValidHead(head);
         const isBodiless = this.request.method === "HEAD" || isBodilessStatus(head.status);
         this.#writeHead(head.status, isBodiless ? [...head.headers] : replaceStatedLength(head.headers, body.length));
+        this.#isEnded = true;
         const sent = isBodiless ? undefined : body;
         this.#sendBody(sent);
     }
 
     /**
      * Sends the head of a streamed answer. Without a length the body goes in chunks, so that an answer that breaks off doesn't
-     * look complete; a caller that speaks HTTP/1.0 gets it up to the end of the connection.
+     * look complete; a caller that speaks HTTP/1.0 gets it up to the end of the connection. Throws when the head can't be
+     * written.
      */
     sendHead(head: AnswerHead): void {
         if (this.#isEnded) {
             return;
         }
-        if (this.#rejectMalformedHead(head)) {
-            return;
-        }
+        requireValidHead(head);
         this.#writeHead(head.status, [...head.headers]);
     }
 
+    /** Ends an answer that could not be written: with a status of its own, or by a reset if its head is sent already. */
+    sendFault(text: string): void {
+        if (this.response.headersSent) {
+            this.resetConnection();
+        }
+        else {
+            this.sendDaemonAnswer(BAD_GATEWAY_STATUS, Outcome.Unknown, text);
+        }
+    }
+
     /** Sends data of a streamed answer; false when no more should be sent until `onDrain`. */
     sendData(body: Uint8Array): boolean {
         if (this.#isEnded) {
@@ -163,15 +170,6 @@
         }
     }
 
-    /** Answers in place of a head that can't be written, which another daemon has passed on. */
-    #rejectMalformedHead(head: AnswerHead): boolean {
-        const isMalformed = !isFinalStatus(head.status) || !isValidHeaderList(head.headers);
-        if (isMalformed) {
-            this.sendDaemonAnswer(BAD_GATEWAY_STATUS, Outcome.Unknown, "the head of the answer is malformed");
-        }
-        return isMalformed;
-    }
-
     #writeHead(status: number, headers: string[]): void {
         if (this.shouldClose()) {
             headers.push("connection", "close");
@@ -179,3 +177,10 @@
         this.response.writeHead(status, headers);
     }
 }
+
+/** Checks a head that another daemon has passed on. */
+function requireValidHead({ headers, status }: AnswerHead): void {
+    if (!isFinalStatus(status) || headers.length % 2 > 0 || !isValidHeaderList(headers)) {
+        throw new Error("the head of the answer is malformed");
+    }
+}
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -390,7 +390,17 @@
                 this.#cancelAttempt(other);
             }
         }
-        this.#exchange.sendHead(head);
+        const fault = findFault(() => this.#exchange.sendHead(head));
+        if (fault !== undefined) {
+            this.#context.directory.recordFailure(attempt.owner);
+            this.#complete(
+                attempt.owner,
+                BAD_GATEWAY_STATUS,
+                Outcome.Unknown,
+                fault,
+                () => this.#exchange.sendFault(fault),
+            );
+        }
     }
 
     /** Checks that an ended stream had a head; without one, the outcome is unknown and a retry follows if allowed. */
@@ -624,7 +634,20 @@
         for (const attempt of [...this.#attempts]) {
             this.#cancelAttempt(attempt);
         }
-        answer();
+        const fault = findFault(answer);
+        if (fault !== undefined) {
+            this.#exchange.sendFault(fault);
+        }
+        this.#recordEnd(
+            owner,
+            fault === undefined ? status : BAD_GATEWAY_STATUS,
+            fault === undefined ? outcome : Outcome.Unknown,
+            fault ?? detail,
+        );
+        this.#onComplete();
+    }
+
+    #recordEnd(owner: Owner | undefined, status: number, outcome: Outcome, detail: string): void {
         const { arrivedAt, method, requestId, route, service, target } = this.#plan;
         this.#context.recorder.record({
             attempts: this.#placementCount,
@@ -646,6 +669,16 @@
             status,
             version: this.#plan.version,
         });
-        this.#onComplete();
+    }
+}
+
+/** Runs an action that writes an answer; returns why it can't be written, so that no caller is left without one. */
+function findFault(write: () => void): string | undefined {
+    try {
+        write();
+        return undefined;
+    }
+    catch (error) {
+        return `the answer can't be written: ${(error as Error).message}`;
     }
 }
