--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -435,10 +435,10 @@
         }
     }
 
-    /** Refuses queued requests when the server gets no new ones, and reports a change. */
+    /** Refuses queued requests when the server gets no new ones, also in a planned stop, and reports a change. */
     #refuseQueuedUnlessOpen(now: number): void {
         const server: RegisteredServer | undefined = this.registration.server;
-        if (!this.#isOpen(now) && !this.#isStopping) {
+        if (!this.registration.isOpen(now)) {
             for (const execution of [...this.#executions]) {
                 if (!execution.hasStarted && this.#queue.remove(execution)) {
                     this.#executions.delete(execution);
--- a/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
+++ b/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { ServerPhase } from "../../../../coordination/registration/index.js";
 import { RequestKind } from "../../../../state/traffic/index.js";
@@ -274,3 +275,45 @@
         await expect.poll(() => server.requests.length).toBe(2);
     });
 });
+
+/** Guards against waiting requests that reach a server after its daemon, which is stopping, has acknowledged that it leaves. */
+describe("requests that wait for a slot during a planned stop", () => {
+    async function startStop() {
+        const sockets: Socket[] = [];
+        const { admission, server } = await openAdmission(socket => sockets.push(socket), 1);
+        const running = recordRequest();
+        const waiting = recordRequest();
+        admission.submit(createOwnedRequest("a"), running.listener);
+        admission.submit(createOwnedRequest("b"), waiting.listener);
+        await expect.poll(() => server.requests.length).toBe(1);
+        admission.beginStop();
+        return { admission, answer: () => sockets.at(-1)?.write(formatAnswer("a", "ok")), running, server, waiting };
+    }
+
+    it.each(["report", "departure"])(
+        "are refused when the server leaves by a %s, and the running one ends",
+        async kind => {
+            const { admission, answer, running, server, waiting } = await startStop();
+            if (kind === "report") {
+                admission.acceptReport(
+                    createReport(server.port, { phase: ServerPhase.Leaving, sequence: 2, slots: 1 }),
+                );
+            }
+            else {
+                admission.acceptDeparture("server-1", undefined);
+            }
+            expect(await waiting.end).toBe("refused server-leaving");
+            answer();
+            expect(await running.end).toBe("answer 200 ok");
+            expect(server.requests).toHaveLength(1);
+        },
+    );
+
+    it("are served while the server stays", async () => {
+        const { answer, running, server, waiting } = await startStop();
+        answer();
+        expect(await running.end).toBe("answer 200 ok");
+        await expect.poll(() => server.requests.length).toBe(2);
+        expect(waiting.events).toEqual([]);
+    });
+});
