End answers with status 204 and 304 with their heads

Callers got 502, or waited to their deadline, for a 304 or 204 that states a length or chunks: the daemon waited for a body.

Cause: the parser's library lets the headers override that these statuses have no body, and only answers to HEAD were told to it as without one (RFC 9112, 6.3, item 1).

--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -7,7 +7,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
-import { isFinalStatus } from "../../protocol/framing/index.js";
+import { isBodilessStatus, isFinalStatus } from "../../protocol/framing/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
 import { isReset } from "../connections/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
@@ -399,7 +399,7 @@
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
         exchange.isOwnAnswer = true;
         exchange.events.onHead(head.statusCode, head.headers, statement);
-        return exchange.isHead ? SKIP_BODY : undefined;
+        return exchange.isHead || isBodilessStatus(head.statusCode) ? SKIP_BODY : undefined;
     }
 
     #completeAnswer(): void {
--- a/src/transport/ownership/__tests__/unit/AnswerStatus.test.ts
+++ b/src/transport/ownership/__tests__/unit/AnswerStatus.test.ts
@@ -64,3 +64,17 @@
         expect(detail.join()).toContain("malformed");
     });
 });
+
+// Guards against a wait for a body that an answer with this status doesn't have, whatever its headers say.
+describe("an answer that ends with its head", () => {
+    it.each([
+        ["204", "Content-Length: 5"],
+        ["204", "Transfer-Encoding: chunked"],
+        ["304", "Content-Length: 5"],
+        ["304", "Transfer-Encoding: chunked"],
+        ["304", "X-A: b"],
+    ])("is complete: %s with %s", async (status, header) => {
+        const { end } = await answerWith(id => `HTTP/1.1 ${status} -\r\nRequest-Id: ${id}\r\n${header}\r\n\r\n`);
+        expect(end).toBe(`answer ${status} `);
+    });
+});
