--- a/src/protocol/request/index.ts
+++ b/src/protocol/request/index.ts
@@ -1,11 +1,5 @@
 export { CLAIM_FORWARDING_PATH, CLAIM_MESSAGE_MAXIMUM_BYTES } from "./ClaimMessage.js";
-export {
-    appendDeadline,
-    copyAnswerHeaders,
-    copyRequestHeaders,
-    copyTrailers,
-    parseDeadlineMs,
-} from "./HeaderForwarding.js";
+export { appendDeadline, parseDeadlineMs } from "./DeadlineHeader.js";
 export { isValidHeaderList } from "./HeaderSyntax.js";
 export {
     LEASE_MESSAGE_MAXIMUM_BYTES,
@@ -20,6 +14,7 @@
     EXECUTION_ONCE,
     IDEMPOTENCY_KEY_HEADER,
     IDEMPOTENCY_KEY_MAXIMUM_LENGTH,
+    isMeshHeader,
     MeshHeader,
     REQUEST_ID_HEADER,
 } from "./MeshHeaders.js";
--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -1,6 +1,6 @@
 /** Parser of servers' answers that takes nothing but what RFC 9112 allows, so that no fault changes a body's length. */
 import { HTTPParser } from "http-parser-js";
-import { isBodilessStatus, isValidStatus } from "../../protocol/framing/index.js";
+import { isBodilessStatus, isMalformedFramingField, isValidStatus } from "../../protocol/framing/index.js";
 
 HTTPParser.encoding = "latin1";
 
@@ -24,13 +24,8 @@
 const FIELD_PATTERN = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*(.*?)[ \t]*$/;
 /** A line that continues the value of the one before it. */
 const CONTINUATION_PATTERN = /^[ \t]+(.*?)[ \t]*$/;
-const LENGTH_PATTERN = /^\d+$/;
 const CHUNK_SIZE_PATTERN = /^([0-9A-Fa-f]{1,12})[ \t]*(;.*)?$/;
 const HEXADECIMAL = 16;
-const FRAMING_PATTERNS: ReadonlyMap<string, RegExp> = new Map([
-    ["content-length", LENGTH_PATTERN],
-    ["transfer-encoding", /^chunked$/i],
-]);
 
 /** Creates a parser; `execute` returns an error for a malformed answer. */
 export function createAnswerParser(maximumHeadBytes: number): AnswerParser {
@@ -65,7 +60,7 @@
         headers.push(name, value);
     }
     const [name = "", value = ""] = headers.slice(-2);
-    if (FRAMING_PATTERNS.get(name.toLowerCase())?.test(value) === false) {
+    if (isMalformedFramingField(name, value)) {
         throw new Error(`${name} has the value "${value}"`);
     }
 }
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -3,8 +3,9 @@
 import type { RegisteredServer } from "../../coordination/registration/index.js";
 import type { SlotRequest } from "../../coordination/scheduling/index.js";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
-import { isBodilessStatus } from "../../protocol/framing/index.js";
-import { copyAnswerHeaders, RefusalReason } from "../../protocol/request/index.js";
+import { buildAnswerHeaders, FramingKind } from "../../protocol/framing/index.js";
+import type { AnswerFraming } from "../../protocol/framing/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
 import type { RunningRequest } from "./CrashDetector.js";
@@ -180,7 +181,7 @@
             },
             onData: body => this.#handleData(body),
             onEnd: () => this.#completeAnswer(),
-            onHead: (status, headers, statement) => this.#handleHead(status, headers, statement),
+            onHead: (status, headers, framing, statement) => this.#handleHead(status, headers, framing, statement),
             onNotSent: detail => {
                 this.context.onServerUnreachable(detail);
                 this.#failBeforeSend(RefusalReason.ServerUnreachable, detail);
@@ -188,7 +189,12 @@
         });
     }
 
-    #handleHead(status: number, rawHeaders: readonly string[], statement: ServerAnswerHeaders): void {
+    #handleHead(
+        status: number,
+        rawHeaders: readonly string[],
+        framing: AnswerFraming,
+        statement: ServerAnswerHeaders,
+    ): void {
         this.context.onServerReached();
         if (statement.isMisdirected) {
             this.context.onServerReplaced();
@@ -198,10 +204,8 @@
         }
         this.#answerKind = statement.isNotRun || statement.isMisdirected ? "declined" : "answer";
         const workMs = this.context.now() - this.#startedAt;
-        const headers = copyAnswerHeaders(rawHeaders, findHeader(rawHeaders, "connection"), false);
-        const isCloseDelimited = !this.#isBodiless(status)
-            && findHeader(rawHeaders, "content-length") === undefined
-            && findHeader(rawHeaders, "transfer-encoding") === undefined;
+        const headers = buildAnswerHeaders(rawHeaders, status, framing);
+        const isCloseDelimited = framing.kind === FramingKind.Close;
         this.#head = { headers, isCloseDelimited, queuedMs: this.#startedAt - this.arrivedAt, status, workMs };
         if (this.#answerKind === "answer") {
             this.context.recordWork(this.request.route, workMs);
@@ -283,10 +287,6 @@
         this.events.onRefused({ detail, reason, retryAfterMs: CLOSED_RETRY_AFTER_MS }, this.context.readLoad());
     }
 
-    #isBodiless(status: number): boolean {
-        return this.request.method === "HEAD" || isBodilessStatus(status);
-    }
-
     /** Fails the request when the server has not answered within its budget. */
     #handleTimeout(): void {
         const connection = this.#connection;
@@ -311,12 +311,3 @@
         this.context.onExecutionEnd(this, hadSlot);
     }
 }
-
-function findHeader(headers: readonly string[], name: string): string | undefined {
-    for (let index = 0; index + 1 < headers.length; index += 2) {
-        if ((headers[index] as string).toLowerCase() === name) {
-            return headers[index + 1];
-        }
-    }
-    return undefined;
-}
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -7,7 +7,16 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
-import { isBodilessStatus, isFinalStatus } from "../../protocol/framing/index.js";
+import {
+    AnswerResult,
+    classifyAnswer,
+    ConnectionEnd,
+    FramingKind,
+    hasTwoFramings,
+    isFinalStatus,
+    selectAnswerFraming,
+} from "../../protocol/framing/index.js";
+import type { AnswerFraming } from "../../protocol/framing/index.js";
 import { isValidHeaderList } from "../../protocol/request/index.js";
 import { isReset } from "../connections/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
@@ -27,7 +36,12 @@
 
 /** Events of one request on a connection. Exactly one of `onEnd`, `onNotSent` and `onBroken` is called last. */
 export interface ExchangeEvents {
-    onHead(status: number, headers: readonly string[], statement: ServerAnswerHeaders): void;
+    onHead(
+        status: number,
+        headers: readonly string[],
+        framing: AnswerFraming,
+        statement: ServerAnswerHeaders,
+    ): void;
     onData(body: Uint8Array): void;
     onEnd(): void;
     /** No byte was sent: the connection could not be made. */
@@ -42,12 +56,13 @@
     readonly bytes: Uint8Array;
     readonly events: ExchangeEvents;
     isSent: boolean;
-    /** Whether the answer that is being read belongs to this request. */
-    isOwnAnswer: boolean;
+    /** Framing of its own answer; undefined until that has begun. */
+    framing: AnswerFraming | undefined;
 }
 
 interface ParsedHead {
     readonly statusCode: number;
+    readonly versionMinor: number;
     readonly headers: readonly string[];
     readonly shouldKeepAlive: boolean;
 }
@@ -164,7 +179,7 @@
 
     /** Sends one request; the connection must be idle. */
     send(requestId: string, isHead: boolean, bytes: Uint8Array, events: ExchangeEvents): void {
-        this.#exchange = { bytes, events, isHead, isOwnAnswer: false, isSent: false, requestId };
+        this.#exchange = { bytes, events, framing: undefined, isHead, isSent: false, requestId };
         this.#earlierExchanges++;
         this.#workMs = 0;
         this.#receivedBytes = 0;
@@ -228,7 +243,7 @@
         const parser = createAnswerParser(ANSWER_HEADER_LIMIT_BYTES);
         parser.onHeadersComplete = (head: ParsedHead) => this.#handleHead(head);
         parser.onBody = (chunk: Buffer, offset: number, length: number) => {
-            if (this.#exchange?.isOwnAnswer === true) {
+            if (this.#exchange?.framing !== undefined) {
                 this.#ownBodyBytes += length;
                 this.#addBodyPart(chunk.subarray(offset, offset + length));
             }
@@ -274,7 +289,9 @@
         this.#isParsing = true;
         const result = this.#parser.execute(slice);
         this.#isParsing = false;
-        const fault = result instanceof Error ? `the answer is malformed: ${result.message}` : this.#findExcess();
+        const fault = result instanceof Error
+            ? `the answer is malformed after ${this.#receivedBytes} bytes: ${result.message}`
+            : this.#findExcess();
         if (fault !== undefined) {
             this.#failExchange(fault);
             this.#closeSocket();
@@ -371,7 +388,7 @@
             return SKIP_BODY;
         }
         const exchange = this.#exchange;
-        if (exchange === undefined || exchange.isOwnAnswer) {
+        if (exchange === undefined || exchange.framing !== undefined) {
             this.#isReusable = false;
             return undefined;
         }
@@ -380,31 +397,42 @@
             this.#closeSocket();
             return undefined;
         }
-        const statement = this.#dialect.parseServerHeaders(head.statusCode, toHeaderMap(head.headers));
+        const { statusCode: status, versionMinor: minorVersion } = head;
+        const statement = this.#dialect.parseServerHeaders(status, toHeaderMap(head.headers));
         this.#isReusable &&= head.shouldKeepAlive;
         // Without an id, a failure may be the late second answer to an earlier request.
-        const mayBelongToOther = head.statusCode < FIRST_FAILURE_STATUS || this.#earlierExchanges > 0;
+        const mayBelongToOther = status < FIRST_FAILURE_STATUS || this.#earlierExchanges > 0;
         if (statement.requestId === undefined && mayBelongToOther) {
-            this.#failExchange(`an answer with status ${head.statusCode} names no request`);
+            this.#failExchange(`an answer with status ${status} names no request`);
             this.#closeSocket();
             return undefined;
         }
-        if (statement.requestId !== undefined && statement.requestId !== exchange.requestId) {
+        const isOwn = statement.requestId === undefined || statement.requestId === exchange.requestId;
+        const context = { isHead: isOwn && exchange.isHead, minorVersion, status };
+        const framing = selectAnswerFraming(head.headers, context).extract();
+        if (typeof framing === "string") {
+            this.#failExchange(`the head of the answer is malformed: ${framing}`);
+            this.#closeSocket();
             return undefined;
         }
+        this.#isReusable &&= framing.kind !== FramingKind.Chunks || !hasTwoFramings(head.headers);
+        const bodyAdvice = framing.kind === FramingKind.None ? SKIP_BODY : undefined;
+        if (!isOwn) {
+            return bodyAdvice;
+        }
         if (statement.isNotRun || statement.isMisdirected) {
             this.#declinedIds.add(exchange.requestId);
             this.#isReusable &&= this.#declinedIds.size < MAXIMUM_DECLINED_IDS;
         }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
-        exchange.isOwnAnswer = true;
-        exchange.events.onHead(head.statusCode, head.headers, statement);
-        return exchange.isHead || isBodilessStatus(head.statusCode) ? SKIP_BODY : undefined;
+        exchange.framing = framing;
+        exchange.events.onHead(status, head.headers, framing, statement);
+        return bodyAdvice;
     }
 
     #completeAnswer(): void {
         const exchange = this.#exchange;
-        if (this.#isInterim || exchange === undefined || !exchange.isOwnAnswer) {
+        if (this.#isInterim || exchange?.framing === undefined) {
             return;
         }
         this.#passBodyOn();
@@ -428,12 +456,16 @@
 
     #handleSocketEnd(wasReset: boolean): void {
         this.#isReusable = false;
-        if (wasReset) {
-            this.#failExchange("the server reset the connection", true);
-        }
-        else if (this.#exchange?.isOwnAnswer === true) {
+        const end = wasReset ? ConnectionEnd.Reset : ConnectionEnd.Closed;
+        // An answer with a length or chunks that was whole has ended its exchange before.
+        const progress = { bodyBytes: this.#ownBodyBytes, framing: this.#exchange?.framing, hasLastChunk: false };
+        const result = classifyAnswer(progress, end);
+        if (result === AnswerResult.Whole) {
             this.#parser.finish();
         }
+        else {
+            this.#failExchange(`the server ${describeEnd(end)}: ${describeProgress(result, this.#ownBodyBytes)}`, true);
+        }
     }
 
     #handleSocketClose(detail: string): void {
@@ -461,6 +493,16 @@
     }
 }
 
+function describeEnd(end: ConnectionEnd): string {
+    return end === ConnectionEnd.Reset ? "reset the connection" : "closed the connection";
+}
+
+function describeProgress(result: AnswerResult, bodyBytes: number): string {
+    return result === AnswerResult.Cut
+        ? `the answer is cut after ${bodyBytes} bytes of its body`
+        : "there is no answer";
+}
+
 function toHeaderMap(headers: readonly string[]): ReadonlyMap<string, string> {
     const map = new Map<string, string>();
     for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/src/transport/proxy/AttemptHandler.ts
+++ b/src/transport/proxy/AttemptHandler.ts
@@ -1,7 +1,14 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
-import { isBodilessStatus, isFinalStatus } from "../../protocol/framing/index.js";
-import { copyAnswerHeaders, copyTrailers, RefusalReason } from "../../protocol/request/index.js";
+import {
+    buildAnswerHeaders,
+    copyTrailers,
+    FramingKind,
+    isFinalStatus,
+    selectAnswerFraming,
+    selectCallerFraming,
+} from "../../protocol/framing/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
 import type { Outcome } from "../../protocol/request/index.js";
 import type { AnswerCapture } from "./AnswerCapture.js";
 import { buildRefusal, NO_ANSWER_STATUS } from "./AttemptResult.js";
@@ -26,8 +33,6 @@
 }
 
 const FIRST_FINAL_STATUS = 200;
-/** Version of callers that get no chunks, and so no trailers. */
-const HTTP_1_0 = "1.0";
 /** Errors with which undici rejects a request that node:http accepted; they are not failures of the server. */
 const INVALID_REQUEST_CODES = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /** Withheld answers are read up to this size, so that their connection can be reused. */
@@ -76,7 +81,16 @@
             this.#abort(new Error(`the answer has the status ${status}`));
             return;
         }
-        if (!this.#isFramed(status, headers)) {
+        const rawHeaders = decodeRawHeaders(controller.rawHeaders);
+        const context = { isHead: exchange.request.method === "HEAD", minorVersion: 1, status };
+        const selected = selectAnswerFraming(rawHeaders, context);
+        const framing = selected.extract();
+        if (typeof framing === "string") {
+            this.#abort(new Error(`the head of the answer is malformed: ${framing}`));
+            return;
+        }
+        if (framing.kind === FramingKind.Close) {
+            // The client doesn't tell a reset of the connection from its end.
             this.#abort(new Error("the answer states no length, so its end can't be recognized"));
             return;
         }
@@ -85,11 +99,10 @@
         if (this.#decision.kind === "withhold") {
             return;
         }
-        const answerHeaders = copyAnswerHeaders(
-            decodeRawHeaders(controller.rawHeaders),
-            headers.connection,
-            !this.#isBodiless(status) && exchange.request.httpVersion !== HTTP_1_0,
-        );
+        const minorVersion = exchange.request.httpVersionMinor;
+        const statedBytes = framing.kind === FramingKind.Length ? framing.bytes : undefined;
+        const callerFraming = selectCallerFraming({ ...context, minorVersion }, statedBytes);
+        const answerHeaders = buildAnswerHeaders(rawHeaders, status, callerFraming, true);
         capture?.begin(status, answerHeaders);
         if (exchange.response.destroyed) {
             return;
@@ -158,16 +171,6 @@
         }
     }
 
-    /** Whether the answer's end can be recognized; one that ends with its connection looks the same when cut. */
-    #isFramed(status: number, headers: IncomingHttpHeaders): boolean {
-        return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
-            || this.#isBodiless(status);
-    }
-
-    #isBodiless(status: number): boolean {
-        return isBodilessStatus(status) || this.#options.exchange.request.method === "HEAD";
-    }
-
     #interrupt(cause: Interruption): void {
         if (cause === "cancelled" && this.#options.capture !== undefined && this.#isSendStarted) {
             // The answer of a keyed request is recorded for a repetition, even when its caller is gone.
--- a/src/transport/proxy/RelayRequestHandler.ts
+++ b/src/transport/proxy/RelayRequestHandler.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { matchRoute } from "../../coordination/routing/index.js";
+import { copyRequestHeaders } from "../../protocol/framing/index.js";
 import {
     CLAIM_FORWARDING_PATH,
-    copyRequestHeaders,
     EXECUTION_ONCE,
     formatLoadReport,
     IDEMPOTENCY_KEY_HEADER,
@@ -97,7 +97,7 @@
         exchange,
         method: request.method ?? "",
         target: request.url ?? "/",
-        headers: copyRequestHeaders(request.rawHeaders, request.headers.connection),
+        headers: copyRequestHeaders(request.rawHeaders),
         service: readHeader(request, MeshHeader.Service) ?? "",
         version,
         class: readHeader(request, MeshHeader.Class) ?? "",
--- a/src/transport/proxy/RequestPlan.ts
+++ b/src/transport/proxy/RequestPlan.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage } from "node:http";
 import { hasDotSegment, matchRoute } from "../../coordination/routing/index.js";
 import type { RouteQuery } from "../../coordination/routing/index.js";
+import { copyRequestHeaders } from "../../protocol/framing/index.js";
 import {
-    copyRequestHeaders,
     IDEMPOTENCY_KEY_HEADER,
     IDEMPOTENCY_KEY_MAXIMUM_LENGTH,
     MeshHeader,
@@ -71,7 +71,7 @@
                 + `${IDEMPOTENCY_KEY_MAXIMUM_LENGTH} characters`,
         );
     }
-    const headers = copyRequestHeaders(request.rawHeaders, request.headers.connection);
+    const headers = copyRequestHeaders(request.rawHeaders);
     if (request.headers[REQUEST_ID_HEADER] === undefined) {
         headers.push(REQUEST_ID_HEADER, requestId);
     }
--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -1,7 +1,8 @@
 /** One request of a caller and the answer that is sent to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { LARGE_ANSWER_BYTES } from "../../coordination/scheduling/index.js";
-import { isBodilessStatus, isFinalStatus, replaceStatedLength } from "../../protocol/framing/index.js";
+import { buildAnswerHeaders, FramingKind, isFinalStatus, selectCallerFraming } from "../../protocol/framing/index.js";
+import type { AnswerFraming } from "../../protocol/framing/index.js";
 import { isValidHeaderList, Outcome } from "../../protocol/request/index.js";
 import type { AnswerHead } from "../ownership/index.js";
 import { LinkDirection, LinkTrafficKind } from "../uplink/index.js";
@@ -53,24 +54,20 @@
             return;
         }
         requireValidHead(head);
-        const isBodiless = this.request.method === "HEAD" || isBodilessStatus(head.status);
-        this.#writeHead(head.status, isBodiless ? [...head.headers] : replaceStatedLength(head.headers, body.length));
+        const framing = this.#selectFraming(head, body.length);
+        this.#writeHead(head.status, buildAnswerHeaders(head.headers, head.status, framing));
         this.#isEnded = true;
-        const sent = isBodiless ? undefined : body;
-        this.#sendBody(sent);
+        this.#sendBody(framing.kind === FramingKind.None ? undefined : body);
     }
 
-    /**
-     * Sends the head of a streamed answer. Without a length the body goes in chunks, so that an answer that breaks off doesn't
-     * look complete; a caller that speaks HTTP/1.0 gets it up to the end of the connection. Throws when the head can't be
-     * written.
-     */
-    sendHead(head: AnswerHead): void {
+    /** Sends the head of a streamed answer, whose body has this length if it is known; throws when it can't be written. */
+    sendHead(head: AnswerHead, bodyBytes: number | undefined): void {
         if (this.#isEnded) {
             return;
         }
         requireValidHead(head);
-        this.#writeHead(head.status, [...head.headers]);
+        const framing = this.#selectFraming(head, bodyBytes);
+        this.#writeHead(head.status, buildAnswerHeaders(head.headers, head.status, framing));
     }
 
     /** Ends an answer that could not be written: with a status of its own, or by a reset if its head is sent already. */
@@ -170,6 +167,11 @@
         }
     }
 
+    #selectFraming({ status }: AnswerHead, bodyBytes: number | undefined): AnswerFraming {
+        const { httpVersionMinor: minorVersion, method } = this.request;
+        return selectCallerFraming({ isHead: method === "HEAD", minorVersion, status }, bodyBytes);
+    }
+
     #writeHead(status: number, headers: string[]): void {
         if (this.shouldClose()) {
             headers.push("connection", "close");
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -390,7 +390,7 @@
                 this.#cancelAttempt(other);
             }
         }
-        const fault = findFault(() => this.#exchange.sendHead(head));
+        const fault = findFault(() => this.#exchange.sendHead(head, this.#statedBytes));
         if (fault !== undefined) {
             this.#context.directory.recordFailure(attempt.owner);
             this.#complete(
--- a/src/transport/traffic/RequestRouter.ts
+++ b/src/transport/traffic/RequestRouter.ts
@@ -1,7 +1,7 @@
 /** Decides to which service a request goes and by which limits, and forwards it; also again after a newer version. */
 import { RouteStatistics } from "../../coordination/placement/index.js";
 import { getPath, WeightedRoundRobin } from "../../coordination/routing/index.js";
-import { copyRequestHeaders } from "../../protocol/request/index.js";
+import { copyRequestHeaders } from "../../protocol/framing/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest } from "../ownership/index.js";
@@ -211,7 +211,7 @@
     }
 
     #copyHeaders({ request }: CallerExchange): string[] {
-        const copied = copyRequestHeaders(request.rawHeaders, request.headers.connection);
+        const copied = copyRequestHeaders(request.rawHeaders);
         const kept: string[] = [];
         for (let index = 0; index + 1 < copied.length; index += 2) {
             const name = copied[index] as string;
