Reset a stalled stream at its deadline (CONFIG)

Callers of downloads waited up to seconds beyond their route's timeout when the daemon of the server was frozen midway.

Cause: the caller's daemon left the end of a streamed answer to the other daemon, which cuts it at the deadline unless it stands still itself.

At the deadline a stream of which nothing has come for 250 ms is reset; one that goes on, or that waits for its caller or the link, is looked at again.

--- a/src/transport/traffic/CallerExchange.ts
+++ b/src/transport/traffic/CallerExchange.ts
@@ -42,6 +42,11 @@
         return this.#isEnded;
     }
 
+    /** Whether parts of a streamed answer are sent at once, since neither the link nor the caller holds them up. */
+    get canTakeData(): boolean {
+        return this.#waitingParts === 0 && !this.response.writableNeedDrain;
+    }
+
     /** Whether the caller has closed its connection, also when the response doesn't know it yet. */
     get hasCallerLeft(): boolean {
         const { socket } = this.request;
@@ -162,7 +167,7 @@
     }
 
     #handleDrain(): void {
-        if (this.#waitingParts === 0 && !this.response.writableNeedDrain) {
+        if (this.canTakeData) {
             this.onDrain?.();
         }
     }
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -21,6 +21,7 @@
     MAXIMUM_REROUTES,
     MINIMUM_HEDGE_DELAY_MS,
     MINIMUM_RETRY_TIME_MS,
+    STALLED_STREAM_MS,
 } from "./TrafficConstants.js";
 
 interface Attempt {
@@ -72,6 +73,8 @@
     #cancelHedge: () => void = () => undefined;
     #isComplete = false;
     #streamedBytes = 0;
+    /** Time at which the last part of the streamed answer has come. */
+    #lastDataAt = -Infinity;
     /** Length in the head of the streamed answer. */
     #statedBytes: number | undefined;
 
@@ -287,6 +290,7 @@
             return;
         }
         this.#streamedBytes += body.length;
+        this.#lastDataAt = this.#context.now();
         if (this.#streamedBytes > (this.#statedBytes ?? Infinity)) {
             this.#resetStream(attempt, this.#describeLength());
         }
@@ -585,7 +589,11 @@
 
     /** Cancels all attempts at the deadline and answers the caller. */
     #handleDeadline(): void {
-        if (this.#isComplete || this.#streamingAttempt !== undefined) {
+        if (this.#isComplete) {
+            return;
+        }
+        if (this.#streamingAttempt !== undefined) {
+            this.#resetStalledStream(this.#streamingAttempt);
             return;
         }
         const mayRun = this.#hasUnknownOutcome
@@ -617,6 +625,19 @@
         }
     }
 
+    /** Resets a streamed answer of which nothing comes any more; looks again later while it goes on or its caller holds it up. */
+    #resetStalledStream(attempt: Attempt): void {
+        const pauseMs = this.#exchange.canTakeData ? this.#context.now() - this.#lastDataAt : 0;
+        if (pauseMs >= STALLED_STREAM_MS) {
+            this.#resetStream(
+                attempt,
+                `the time is over, and nothing of the answer has come for ${Math.round(pauseMs)} ms`,
+            );
+            return;
+        }
+        this.#cancelDeadline = this.#context.timers.after(STALLED_STREAM_MS - pauseMs, () => this.#handleDeadline());
+    }
+
     /** Cancels the request after its caller disconnected. */
     #handleDisconnect(): void {
         if (this.#isComplete) {
--- a/src/transport/traffic/TrafficConstants.ts
+++ b/src/transport/traffic/TrafficConstants.ts
@@ -1,5 +1,7 @@
 /** Wait beyond a request's deadline for an answer in transit; callers wait no longer for the outcome. */
 export const DEADLINE_GRACE_MS = 120;
+/** Pause after which a streamed answer whose deadline has passed is taken for stalled; others are delivered, also late. */
+export const STALLED_STREAM_MS = 250;
 /** Highest number of owners at which one request is placed. */
 export const MAXIMUM_PLACEMENTS = 4;
 /** Highest number of times that newer versions lead one request to another service. */
