--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -117,7 +117,7 @@
         if (this.#isForeign(report)) {
             return ReportResult.Foreign;
         }
-        if (this.#isOutdated(report)) {
+        if (this.#isOutdated(report, now)) {
             return ReportResult.Outdated;
         }
         const isNewStart = this.#server?.serverId !== report.serverId || this.#server.startedAt !== report.startedAt;
@@ -195,12 +195,20 @@
         }
     }
 
+    /**
+     * Whether the registered start has not reported for longer than a report can be delayed. If an earlier start under its id
+     * still does, it is the server, and the later one was made up by another writer.
+     */
+    #hasFallenSilent(serverId: string, now: number): boolean {
+        return this.#server?.serverId === serverId && now - this.#server.reportedAt > MAXIMUM_REPORT_DELAY_MS;
+    }
+
     /** A server names its start in each report or in none. */
     #isForeign(report: ServerReport): boolean {
         return report.startedAt === undefined && this.#server?.startedAt !== undefined;
     }
 
-    #isOutdated(report: ServerReport): boolean {
+    #isOutdated(report: ServerReport, now: number): boolean {
         if (this.#departed.has(report.serverId)) {
             const departedStart = this.#departed.get(report.serverId);
             if (departedStart === undefined || report.startedAt === undefined || report.startedAt <= departedStart) {
@@ -213,7 +221,8 @@
         }
         if (report.startedAt !== current.startedAt) {
             // A report without a start that came first was written by another one than this server.
-            return report.startedAt === undefined || report.startedAt < (current.startedAt ?? 0);
+            return report.startedAt === undefined
+                || report.startedAt < (current.startedAt ?? 0) && !this.#hasFallenSilent(report.serverId, now);
         }
         return report.serverId === current.serverId
             && (report.sequence < current.sequence
--- a/src/coordination/registration/__tests__/unit/ServerRegistration.test.ts
+++ b/src/coordination/registration/__tests__/unit/ServerRegistration.test.ts
@@ -33,6 +33,25 @@
         expect(registration.server?.serverId).toBe("i-2");
     });
 
+    // Guards against a server that gets no request any more after another writer has named a later start.
+    it("accepts an earlier start under the same id that goes on reporting while the later one is silent", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport(), 0);
+        registration.accept(createReport({ phase: ServerPhase.Leaving, sequence: 9, startedAt: 105 }), 1_000);
+        expect(registration.accept(createReport({ sequence: 5 }), 7_000)).toBe(ReportResult.Outdated);
+        expect(registration.accept(createReport({ sequence: 6 }), 7_001)).toBe(ReportResult.Accepted);
+        expect(registration.isOpen(7_001)).toBe(true);
+    });
+
+    it("ignores an earlier start under the same id while the later one reports", () => {
+        const registration = new ServerRegistration();
+        registration.accept(createReport(), 0);
+        for (let sequence = 1; sequence <= 6; sequence++) {
+            registration.accept(createReport({ sequence, startedAt: 105 }), 2_000 * sequence);
+        }
+        expect(registration.accept(createReport({ sequence: 6 }), 13_000)).toBe(ReportResult.Outdated);
+    });
+
     it("accepts reports of a new start under the same id, whose sequence begins again", () => {
         const registration = new ServerRegistration();
         registration.accept(createReport({ phase: ServerPhase.Leaving, sequence: 50 }), 0);
