--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -63,6 +63,8 @@
     buildServerHeaders(instruction: ServerRequestContext): string[];
     /** Parses the headers of a server's answer, whose names are in lower case. */
     parseServerHeaders(status: number, headers: ReadonlyMap<string, string>): ServerAnswerHeaders;
+    /** Whether a header of an answer, in lower case, occurs once: one that repeats it was put together from two answers. */
+    isSingleAnswerHeader(name: string): boolean;
     parseHealthAnswer(status: number, headers: IncomingHttpHeaders): HealthAnswer;
     /** Builds the headers that tell a caller when to retry; names and values alternate. */
     buildRetryAfterHeaders(retryAfterMs: number): string[];
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -398,7 +398,14 @@
             return undefined;
         }
         const { statusCode: status, versionMinor: minorVersion } = head;
-        const statement = this.#dialect.parseServerHeaders(status, toHeaderMap(head.headers));
+        const headers = new Map<string, string>();
+        const repeated = copyHeaders(head.headers, headers, name => this.#dialect.isSingleAnswerHeader(name));
+        if (repeated !== undefined) {
+            this.#failExchange(`the head of the answer has ${repeated} twice`);
+            this.#closeSocket();
+            return undefined;
+        }
+        const statement = this.#dialect.parseServerHeaders(status, headers);
         this.#isReusable &&= head.shouldKeepAlive;
         // Without an id, a failure may be the late second answer to an earlier request.
         const mayBelongToOther = status < FIRST_FAILURE_STATUS || this.#earlierExchanges > 0;
@@ -503,10 +510,19 @@
         : "there is no answer";
 }
 
-function toHeaderMap(headers: readonly string[]): ReadonlyMap<string, string> {
-    const map = new Map<string, string>();
+/** Copies headers into a map, by lower-case names; returns the first of those that occur once which is there again. */
+function copyHeaders(
+    headers: readonly string[],
+    map: Map<string, string>,
+    isSingle: (name: string) => boolean,
+): string | undefined {
+    let repeated: string | undefined;
     for (let index = 0; index + 1 < headers.length; index += 2) {
-        map.set((headers[index] as string).toLowerCase(), headers[index + 1] as string);
+        const name = (headers[index] as string).toLowerCase();
+        if (map.has(name) && isSingle(name)) {
+            repeated ??= name;
+        }
+        map.set(name, headers[index + 1] as string);
     }
-    return map;
+    return repeated;
 }
--- a/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
+++ b/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
@@ -75,6 +75,15 @@
         },
     );
 
+    it("put together with a head that broke off, is no answer", async () => {
+        const { admission } = await openAdmission((socket, id) => {
+            socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nX-A: b${formatAnswer(id, "again")}`);
+        });
+        const request = recordRequest();
+        admission.submit(createOwnedRequest("a"), request.listener);
+        expect(await request.end).toBe("unknown");
+    });
+
     it("a refusal, never becomes the proof that a request with the same id was not run", async () => {
         const refuse = (id: string) => `HTTP/1.1 503 -\r\nRequest-Id: ${id}\r\nX-Not-Run: 1\r\n${NO_BODY}`;
         const { admission } = await openAdmission((socket, id, count) => {
--- a/src/transport/sidecar/__tests__/search/SearchBuild.ts
+++ b/src/transport/sidecar/__tests__/search/SearchBuild.ts
@@ -32,7 +32,7 @@
     });
 }
 
-function createReplacements(mutants: readonly Mutant[]): Plugin {
+export function createReplacements(mutants: readonly Mutant[]): Plugin {
     return {
         name: "mutants",
         setup: ({ onLoad }) => {
