--- a/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
+++ b/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
@@ -53,6 +53,29 @@
         expect(got).toMatch(/^HTTP\/1.1 200 .*hel<reset>$/s);
     });
 
+    it("never passes on part of an answer in chunks as the whole by a length beside them", async () => {
+        const server = await startRawServer(socket => {
+            socket.end(
+                "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            );
+        });
+        const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }), [{ id: "owner", serverPort: server.port }]);
+        teardowns.add(() => server.stop());
+        teardowns.add(() => mesh.stop());
+        const got = await sendRequest(`${mesh.getUrl("owner")}/status`);
+        expect(got.isWhole && got.status === 200 && got.text !== "hello").toBe(false);
+    });
+
+    it.each(["000", "600", "999"])("answers 502 when the server's answer has the status %s", async status => {
+        const server = await startRawServer(socket => {
+            socket.end(`HTTP/1.1 ${status} OK\r\ncontent-length: 5\r\n\r\nhello`);
+        });
+        const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }), [{ id: "owner", serverPort: server.port }]);
+        teardowns.add(() => server.stop());
+        teardowns.add(() => mesh.stop());
+        expect(await sendRequest(`${mesh.getUrl("owner")}/status`)).toMatchObject({ status: 502, outcome: "unknown" });
+    });
+
     it("answers 502 when the server's answer states no length and ends with its connection", async () => {
         const server = await startRawServer(socket => {
             socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello");
