Add the types and settings that roll-outs, tenants, quotas and hedging share

Cause: the parts are built side by side and need the same types. Change: kind upload (at most once), the software version of a server, the tenant of a request, the work factor of a server's load, and settings that are absent unless a deployment names their bounds.

--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -19,6 +19,8 @@
     readonly coldLeftMs: number;
     /** Start time of the server in Unix milliseconds; undefined when the report has none. */
     readonly startedAt: number | undefined;
+    /** Version of the server's software; undefined when the report names none. */
+    readonly softwareVersion?: string | undefined;
     /** Increases with each report since the server's start. */
     readonly sequence: number;
 }
--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -28,6 +28,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** How long work takes on the server's VM at this moment, relative to its usual time; undefined when it isn't told. */
+    readonly workFactor?: number | undefined;
 }
 
 /** Parsed headers of a server's answer. */
--- a/src/state/traffic/TrafficConfiguration.ts
+++ b/src/state/traffic/TrafficConfiguration.ts
@@ -8,6 +8,8 @@
     AtMostOnce: "once",
     /** Idempotent with a large answer, which is streamed. */
     Download: "download",
+    /** Runs at most once, with a large body. */
+    Upload: "upload",
 } as const;
 export type RequestKind = (typeof RequestKind)[keyof typeof RequestKind];
 
@@ -31,6 +33,8 @@
     readonly targetLatencyMs: number;
     /** 0 is the highest priority. */
     readonly priority: number;
+    /** Whether requests need no key where the configuration has tenants. */
+    readonly isPublic?: boolean | undefined;
 }
 
 export interface ServicePolicy {
@@ -62,7 +66,7 @@
 
 /** Returns whether a request of the kind may be sent again after it may have run. */
 export function isRepeatable(kind: RequestKind): boolean {
-    return kind !== RequestKind.AtMostOnce;
+    return kind !== RequestKind.AtMostOnce && kind !== RequestKind.Upload;
 }
 
 /** Finds the route of `host` with the longest prefix of `path`; both are given as the request states them. */
--- a/src/state/traffic/index.ts
+++ b/src/state/traffic/index.ts
@@ -1,3 +1,4 @@
+export type { Tenant } from "./Tenant.js";
 export { findRoute, isRepeatable, RequestKind } from "./TrafficConfiguration.js";
 export type {
     CallerLimits,
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -16,7 +16,7 @@
 } from "../../coordination/scheduling/index.js";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
-import { RequestKind } from "../../state/traffic/index.js";
+import { isRepeatable, RequestKind } from "../../state/traffic/index.js";
 import type { CostlyReads } from "../input/index.js";
 import type { PartLogger } from "../logging/index.js";
 import { CrashDetector } from "./CrashDetector.js";
@@ -333,7 +333,7 @@
             execution.refuse({ detail, reason, retryAfterMs: refusal.retryAfterMs });
         }
         for (const execution of changes.started) {
-            execution.start(execution.request.kind === RequestKind.AtMostOnce);
+            execution.start(!isRepeatable(execution.request.kind));
         }
     }
 
--- a/src/transport/ownership/OwnedRequest.ts
+++ b/src/transport/ownership/OwnedRequest.ts
@@ -25,6 +25,8 @@
     /** Time left until the deadline, after which an answer is of no use. */
     readonly budgetLeftMs: number;
     readonly callerService: string;
+    /** Name of the tenant whose key the caller has; undefined for requests without a key. */
+    readonly tenant?: string | undefined;
 }
 
 /** The request was certainly not run. */
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -6,7 +6,7 @@
 import { buildAnswerHeaders, FramingKind } from "../../protocol/framing/index.js";
 import type { AnswerFraming } from "../../protocol/framing/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
-import { RequestKind } from "../../state/traffic/index.js";
+import { isRepeatable } from "../../state/traffic/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
 import type { RunningRequest } from "./CrashDetector.js";
 import type { AnswerHead, OwnedRequest, OwnerRefusal, RequestEvents, RequestHandle } from "./OwnedRequest.js";
@@ -126,7 +126,7 @@
     /** Cancels the request, unless it is non-idempotent and running: its effect is wanted even without the answer. */
     cancel(): void {
         if (
-            this.#phase === Phase.Ended || this.#phase === Phase.Running && this.request.kind === RequestKind.AtMostOnce
+            this.#phase === Phase.Ended || this.#phase === Phase.Running && !isRepeatable(this.request.kind)
         ) {
             return;
         }
@@ -158,7 +158,7 @@
             this.events.onRefused(restriction, this.context.readLoad());
             return;
         }
-        const isFresh = this.request.kind === RequestKind.AtMostOnce;
+        const isFresh = !isRepeatable(this.request.kind);
         const connection = this.context.acquireConnection(this.request.requestId, isFresh);
         if (server === undefined || connection === undefined) {
             this.#failBeforeSend(RefusalReason.NoServer, "no server is registered");
--- a/src/transport/settings/SettingsReader.ts
+++ b/src/transport/settings/SettingsReader.ts
@@ -39,6 +39,16 @@
         return typeof given === "string" && given !== "" ? given : undefined;
     }
 
+    /** Reads a setting that may be absent. */
+    readOptional<T>(flag: string, read: (flag: string) => T): T | undefined {
+        return this.readText(flag) === undefined ? undefined : read(flag);
+    }
+
+    /** Reads a list of texts with commas; empty when the setting is absent. */
+    readNames(flag: string): readonly string[] {
+        return (this.readText(flag) ?? "").split(",").map(name => name.trim()).filter(name => name !== "");
+    }
+
     readRequired(flag: string): string {
         return this.readText(flag) ?? this.#report(flag, "is missing", "");
     }
@@ -114,8 +124,9 @@
     }
 
     readHostsAndPorts(flag: string): readonly HostAndPort[] {
-        const entries = (this.readText(flag) ?? "").split(",").map(entry => entry.trim()).filter(entry => entry !== "");
-        return entries.map(entry => this.#parseHostAndPort(flag, entry)).filter(entry => entry !== undefined);
+        return this.readNames(flag).map(entry => this.#parseHostAndPort(flag, entry)).filter(entry =>
+            entry !== undefined
+        );
     }
 
     /** Reads a secret from the variable, or from the file that `<name>-file` names; never from a flag. */
