Decode tenants, and let a faulty entry cost that entry only

Cause: a configuration may name tenants with their keys, and one faulty route or tenant kept a whole version from coming into force, so that keys that it takes away stayed valid. Change: TenantTable finds a tenant by key, by the digest of a key and by name in constant time. A route without a name, a prefix or a target, and a tenant or a key that can't be used, is dropped with a finding; damaged texts, hosts, numbers, services and limits still refuse the version. A route of an unknown kind runs at most once. Findings are logged once for each version and counted; a syntax error names its position only, since its message may quote a key.

--- a/src/state/traffic/TrafficConfiguration.ts
+++ b/src/state/traffic/TrafficConfiguration.ts
@@ -1,4 +1,5 @@
 /** Routes and limits by which a daemon proxies requests on a platform whose operator writes them to the store. */
+import type { TenantTable } from "./TenantTable.js";
 
 /** Whether requests of a route may run more than once, and whether their answers are streamed. */
 export const RequestKind = {
@@ -62,6 +63,10 @@
     readonly routesByHost: ReadonlyMap<string, readonly RoutePolicy[]>;
     readonly services: ReadonlyMap<string, ServicePolicy>;
     readonly limits: CallerLimits;
+    /** Tenants whose callers are recognized by their keys; undefined when requests need no key. */
+    readonly tenants?: TenantTable | undefined;
+    /** Entries that are faulty and not in force, each with its place. */
+    readonly findings?: readonly string[] | undefined;
 }
 
 /** Returns whether a request of the kind may be sent again after it may have run. */
--- a/src/state/traffic/index.ts
+++ b/src/state/traffic/index.ts
@@ -1,4 +1,6 @@
 export type { Tenant } from "./Tenant.js";
+export { computeKeyDigest, TenantTable } from "./TenantTable.js";
+export type { TenantEntry, TenantSummary } from "./TenantTable.js";
 export { findRoute, isRepeatable, RequestKind } from "./TrafficConfiguration.js";
 export type {
     CallerLimits,
--- a/src/transport/directory/ConfigurationManager.ts
+++ b/src/transport/directory/ConfigurationManager.ts
@@ -2,8 +2,7 @@
  * Keeps the newest configuration version: from a watch of the store if this daemon is one of the
  * watchers, and from other daemons. The version in force never decreases, whatever the store's revisions do.
  */
-import { inflateRawSync } from "node:zlib";
-import { Left, Right } from "purify-ts/Either";
+import { Left } from "purify-ts/Either";
 import type { Either } from "purify-ts/Either";
 import type {
     Confirmation,
@@ -15,7 +14,6 @@
 import { StoreWatchers, VersionFreshness } from "../../coordination/distribution/index.js";
 import type { ConfigurationText, MeshStorePort, StorePosition } from "../../state/store/index.js";
 import type { TrafficConfiguration } from "../../state/traffic/index.js";
-import { applyTextDifference, computeHash, isDifference } from "../../state/versions/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { PeerStatus } from "../sessions/index.js";
 import { scheduleRepeating } from "../timers/index.js";
@@ -32,7 +30,9 @@
 import type { ConfigurationDifference } from "./VersionDifferences.js";
 import { VersionFetcher } from "./VersionFetcher.js";
 import type { ReachablePeer } from "./VersionFetcher.js";
+import { VersionFindings } from "./VersionFindings.js";
 import { VersionLease } from "./VersionLease.js";
+import { readCopy, readDifference } from "./VersionTexts.js";
 import type { TimedReading } from "./WatchGuard.js";
 
 /** Decodes the text of a configuration; Left holds the faults, each with its place. */
@@ -74,9 +74,6 @@
     onChange(configuration: TrafficConfiguration): void;
 }
 
-/** Limit of the text of a version, above the platform's limit for an object. */
-const MAXIMUM_TEXT_BYTES = 16 * 1_048_576;
-
 export class ConfigurationManager {
     readonly #options: ConfigurationManagerOptions;
     readonly #watchers: StoreWatchers;
@@ -85,6 +82,8 @@
     readonly #fetcher: VersionFetcher;
     readonly #follower: StoreFollower;
     readonly #lease: VersionLease;
+    /** Faulty entries of the versions in force. */
+    readonly findings: VersionFindings;
     readonly #limits: FreshnessLimits;
     readonly #startedAt: number;
     #text: ConfigurationText | undefined;
@@ -101,6 +100,7 @@
 
     constructor(options: ConfigurationManagerOptions) {
         this.#options = options;
+        this.findings = new VersionFindings(options.log);
         this.#limits = options.limits;
         this.#watchers = new StoreWatchers(options.selfId, this.#limits.takeoverSpreadMs);
         this.#startedAt = options.now();
@@ -183,17 +183,15 @@
         if (!this.#isNewer(version)) {
             return;
         }
-        try {
-            const text = inflateRawSync(compressedText, { maxOutputLength: MAXIMUM_TEXT_BYTES }).toString("utf8");
-            this.applyVersion({ revision, text, version }, source);
-        }
-        catch (error) {
-            this.#options.log.error(`version from ${source} can't be read: ${(error as Error).message}.`, {
-                revision,
-                source,
-                version,
-            });
-        }
+        readCopy(compressedText).caseOf({
+            Left: detail =>
+                this.#options.log.error(`version from ${source} can't be read: ${detail}.`, {
+                    revision,
+                    source,
+                    version,
+                }),
+            Right: text => this.applyVersion({ revision, text, version }, source),
+        });
     }
 
     /** Puts in force what another daemon has sent as a difference from the own version; asks for a copy if it doesn't fit. */
@@ -314,6 +312,7 @@
                     revision: text.revision,
                     source,
                 });
+                this.findings.record(configuration);
                 this.#options.onChange(configuration);
             },
         });
@@ -484,20 +483,3 @@
             && this.#watchers.shouldWatch(now, this.#isConfirmationMissing, this.#options.countDaemons());
     }
 }
-
-/** Puts the text of a version together; Left says why it can't be. */
-function readDifference(base: string, compressedParts: Uint8Array, checksum: string): Either<string, string> {
-    let parts: unknown;
-    try {
-        const json = inflateRawSync(compressedParts, { maxOutputLength: MAXIMUM_TEXT_BYTES }).toString("utf8");
-        parts = JSON.parse(json);
-    }
-    catch (error) {
-        return Left(`it can't be read (${(error as Error).message})`);
-    }
-    const text = isDifference(parts) ? applyTextDifference(base, parts, MAXIMUM_TEXT_BYTES) : undefined;
-    if (text === undefined) {
-        return Left("its parts are malformed");
-    }
-    return computeHash(text) === checksum ? Right(text) : Left("its checksum is that of another text");
-}
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -71,6 +71,7 @@
             read: () => configurationManager.readConfirmedAgeMs() / MS_PER_SECOND,
         },
         { name: "configuration_revision", read: () => configurationManager.text?.revision ?? 0 },
+        { name: "configuration_findings_total", read: () => configurationManager.findings.count },
         { name: "configuration_copies_sent_total", read: () => copies.sentCopies.count },
         { name: "configuration_differences_sent_total", read: () => copies.sentDifferences },
         { name: "configuration_copy_bytes_sent_total", read: () => copies.sentCopies.bytes },
