Serve requests by the keys of tenants, and refuse those over a tenant's limit

Cause: callers of a tenant are recognized by a key, which has to stop working everywhere within the revocation deadline. Change: the version that decides on the route decides on the key: 401 under the conditions of 404, and only under the lease; 503 otherwise. Route queries carry the digest of the key, and are answered with the tenant. The owner refuses a request whose tenant its newer version lacks. Calls of running requests need no key. The key is never forwarded; the server gets the tenant's name.

--- a/src/coordination/recording/RequestRecorder.ts
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -23,6 +23,8 @@
     readonly service: string | undefined;
     readonly class: string | undefined;
     readonly status: number;
+    /** Name of the tenant whose key the caller has. */
+    readonly tenant?: string | undefined;
     /** Value of `papayaturn-outcome`. */
     readonly outcome: string;
     readonly attempts: number;
--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -12,6 +12,8 @@
     readonly timeLeftMs: number | undefined;
     /** Id of the request for which a server makes this call, if known; to be verified against running requests. */
     readonly parentId: string | undefined;
+    /** Key of the caller's tenant; never passed on, logged or shown. */
+    readonly key?: string | undefined;
 }
 
 /** Context that is sent to a server in addition to the caller's headers. */
@@ -21,6 +23,8 @@
     readonly serverId: string;
     /** Service that runs on the VM of the caller. */
     readonly callerService: string;
+    /** Name of the tenant whose key the caller has; undefined for requests without a key. */
+    readonly tenant?: string | undefined;
 }
 
 /** Load that a server reports about itself. */
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -13,7 +13,7 @@
 import type { ServerIdentity } from "../../coordination/registration/index.js";
 import { DIGEST_BUCKETS } from "../../state/members/index.js";
 import { RequestKind } from "../../state/traffic/index.js";
-import type { RoutePolicy } from "../../state/traffic/index.js";
+import type { RoutePolicy, Tenant } from "../../state/traffic/index.js";
 import { memberCodec } from "../peer/index.js";
 import {
     booleanCodec,
@@ -98,7 +98,7 @@
     targetLeftMs: numberCodec,
     budgetLeftMs: numberCodec,
     callerService: name,
-});
+}, { tenant: createOptionalCodec(name) });
 
 /** Number of the version in force; undefined when none is. */
 const version = createOptionalCodec(integer);
@@ -142,7 +142,15 @@
     timeoutMs: numberCodec,
     targetLatencyMs: numberCodec,
     priority: integer,
-}) as unknown as FieldCodec<RoutePolicy>;
+}, { isPublic: createOptionalCodec(booleanCodec) }) as unknown as FieldCodec<RoutePolicy>;
+
+/** Tenant of a key, with its limits. */
+const tenant = createRecordCodec({
+    name,
+    priority: createOptionalCodec(integer),
+    ratePerSecond: createOptionalCodec(numberCodec),
+    burst: numberCodec,
+}) as unknown as FieldCodec<Tenant>;
 
 const MESSAGE_FIELDS = {
     hello: {
@@ -267,6 +275,10 @@
 const ADDED_FIELDS = {
     /** Checksum of the sender's version, if a difference from it may be sent. */
     configurationRequest: { baseChecksum: createOptionalCodec(name) },
+    /** Digest of the caller's key. */
+    routeQuery: { keyDigest: createOptionalCodec(name) },
+    /** Whether the version asks for a key, and the tenant of the key of the query; sent where there are tenants. */
+    routeAnswer: { needsKey: createOptionalCodec(booleanCodec), tenant: createOptionalCodec(tenant) },
 } as const;
 
 type FieldsOf = typeof MESSAGE_FIELDS;
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -169,8 +169,8 @@
         this.#connection = connection;
         this.#server = server;
         this.#cancelTimer = realTimers.after(timeLeftMs + ANSWER_GRACE_MS, () => this.#handleTimeout());
-        const { callerService, method, requestId } = this.request;
-        const instruction = { callerService, serverId: server.serverId, timeLeftMs };
+        const { callerService, method, requestId, tenant } = this.request;
+        const instruction = { callerService, serverId: server.serverId, tenant, timeLeftMs };
         connection.send(requestId, method === "HEAD", encodeRequest(this.request, instruction, this.context.dialect), {
             onBroken: (detail, isClosed) => {
                 const running = { ranMs: this.context.now() - this.#startedAt, request: this.request };
--- a/src/transport/routes/OutdatedRefusal.ts
+++ b/src/transport/routes/OutdatedRefusal.ts
@@ -17,6 +17,14 @@
     if (configuration === undefined) {
         return undefined;
     }
+    if (isTenantGone(request, configuration)) {
+        return {
+            detail:
+                `version ${configuration.version} doesn't have the request's tenant, as version ${request.version} does`,
+            reason: RefusalReason.Outdated,
+            retryAfterMs: 0,
+        };
+    }
     const check = checkRoute(request, configuration);
     if (check === RouteCheck.Current) {
         return undefined;
@@ -37,3 +45,9 @@
         retryAfterMs: 0,
     };
 }
+
+/** Whether a newer version than the one that has decided no longer has the tenant of a request. */
+function isTenantGone({ tenant, version }: OwnedRequest, configuration: TrafficConfiguration): boolean {
+    return tenant !== undefined && configuration.version > version && configuration.tenants !== undefined
+        && configuration.tenants.get(tenant) === undefined;
+}
--- a/src/transport/routes/RouteQueries.ts
+++ b/src/transport/routes/RouteQueries.ts
@@ -1,4 +1,6 @@
 /** Asks other daemons for the routes of requests, and answers such queries by the own version. */
+import { computeQueryDigest, findDigestFinding } from "../../coordination/tenants/index.js";
+import type { KeyFinding } from "../../coordination/tenants/index.js";
 import type { GossipMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import { findRoute } from "../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
@@ -13,7 +15,7 @@
 const MAXIMUM_OPEN_QUERIES = 1_000;
 
 /** Route of a request by the version of another daemon. */
-export interface RouteAnswer {
+export interface RouteAnswer extends KeyFinding {
     readonly source: string;
     readonly version: number;
     readonly revision: number;
@@ -21,6 +23,14 @@
     readonly route: RoutePolicy | undefined;
 }
 
+/** What other daemons are told of a request whose route is asked for. */
+export interface QueriedRequest {
+    readonly host: string;
+    readonly path: string;
+    /** Only its digest is sent. */
+    readonly key: string | undefined;
+}
+
 export interface RouteQueriesOptions {
     readonly timers: Timers;
     send(id: string, message: GossipMessage): void;
@@ -54,8 +64,7 @@
      * `isUsable` accepts; undefined after a timeout.
      */
     fetchRoute(
-        host: string,
-        path: string,
+        { host, key, path }: QueriedRequest,
         sources: readonly string[],
         isUsable: (answer: RouteAnswer) => boolean,
     ): Promise<RouteAnswer | undefined> {
@@ -64,12 +73,13 @@
             return Promise.resolve(undefined);
         }
         const { timers } = this.#options;
+        const keyDigest = computeQueryDigest(key);
         const query = ++this.#lastQuery;
         const waitingFor = new Set<string>();
         const ask = (id: string): void => {
             waitingFor.add(id);
             this.#sent++;
-            this.#options.send(id, { host, kind: "routeQuery", path, query });
+            this.#options.send(id, { host, keyDigest, kind: "routeQuery", path, query });
         };
         return new Promise(resolve => {
             const end = (answer: RouteAnswer | undefined): void => {
@@ -97,19 +107,23 @@
         });
     }
 
-    answerQuery(id: string, { host, path, query }: SessionMessageOf<"routeQuery">): void {
+    answerQuery(id: string, { host, keyDigest, path, query }: SessionMessageOf<"routeQuery">): void {
         const configuration = this.#options.readConfiguration();
         if (configuration !== undefined) {
             const { revision, version } = configuration;
             const route = findRoute(configuration, host, path);
-            this.#options.send(id, { kind: "routeAnswer", query, revision, route, version });
+            const finding = findDigestFinding(configuration, route, keyDigest);
+            this.#options.send(id, { ...finding, kind: "routeAnswer", query, revision, route, version });
         }
     }
 
-    handleAnswer(id: string, { query, revision, route, version }: SessionMessageOf<"routeAnswer">): void {
+    handleAnswer(
+        id: string,
+        { needsKey, query, revision, route, tenant, version }: SessionMessageOf<"routeAnswer">,
+    ): void {
         const open = this.#open.get(query);
         if (open?.waitingFor.delete(id) === true) {
-            open.accept({ revision, route, source: id, version });
+            open.accept({ needsKey, revision, route, source: id, tenant, version });
         }
     }
 }
--- a/src/transport/routes/RouteResolver.ts
+++ b/src/transport/routes/RouteResolver.ts
@@ -3,6 +3,8 @@
  * outdated. Decisions never go back to an older version.
  */
 import type { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
+import { Access, computeAccess, findKeyFinding, isDenied } from "../../coordination/tenants/index.js";
+import type { KeyFinding } from "../../coordination/tenants/index.js";
 import { findRoute } from "../../state/traffic/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
 import { LeaseState, RenewalOutcome } from "../directory/index.js";
@@ -11,13 +13,15 @@
 import type { RouteAnswer, RouteQueries } from "./RouteQueries.js";
 
 /** How a version decides on a request. */
-export interface RouteDecision {
+export interface RouteDecision extends KeyFinding {
     readonly version: number;
     readonly revision: number;
     /** Undefined when the version has no route for the request. */
     readonly route: RoutePolicy | undefined;
     /** Time since no newer version was known to be in the store; undefined while that wasn't known. */
     readonly confirmedAgeMs: number | undefined;
+    /** Whether the request may be served by what the version says of its key; only for requests with a route. */
+    readonly access?: Access | undefined;
 }
 
 /** A request whose route is asked for. */
@@ -28,6 +32,10 @@
     readonly path: string;
     /** Time for which the caller waits for the answer; undefined when it isn't known. */
     readTimeLeftMs(): number | undefined;
+    /** Key of the caller's tenant; undefined when the request has none. */
+    readonly key?: string | undefined;
+    /** Whether it is a call of a running request, which needs no key. */
+    readonly isNested?: boolean | undefined;
 }
 
 /** A daemon that can be reached, the nearer the lower its distance. */
@@ -44,11 +52,13 @@
     readonly queries: RouteQueries;
     readonly now: () => number;
     readonly random: () => number;
+    /** Time after which no request runs whose key was taken away; undefined when keys are decided like routes. */
+    readonly revocationDeadlineMs?: number | undefined;
     listReachable(): readonly RouteSource[];
     readConfiguration(): TrafficConfiguration | undefined;
 }
 
-type ResolvedRoute = Omit<RouteDecision, "confirmedAgeMs">;
+type ResolvedRoute = Omit<RouteDecision, "access" | "confirmedAgeMs">;
 
 /** Rounds of queries for a request whose route no answer names, while newer versions become known. */
 const MAXIMUM_ROUNDS = 3;
@@ -76,18 +86,44 @@
     resolveRoute(question: RouteQuestion): RouteDecision | undefined | Promise<RouteDecision | undefined> {
         const resolved = this.#resolve(question);
         return resolved instanceof Promise
-            ? resolved.then(found => this.#recordDecision(found))
-            : this.#recordDecision(resolved);
+            ? resolved.then(found => this.#complete(question, found))
+            : this.#complete(question, resolved);
     }
 
-    #recordDecision(resolved: ResolvedRoute | undefined): RouteDecision | undefined {
+    /** Completes a decision; one whose version is too old for the request's key waits for a confirmation once. */
+    #complete(
+        question: RouteQuestion,
+        resolved: ResolvedRoute | undefined,
+    ): RouteDecision | undefined | Promise<RouteDecision | undefined> {
         if (resolved === undefined) {
             return undefined;
         }
-        const { ages, lease, now } = this.#options;
+        const decision = this.#recordDecision(question, resolved);
+        const { lease, now, readConfiguration } = this.#options;
+        const own = readConfiguration()?.version;
+        const canWait = decision.access === Access.Unconfirmed && own !== undefined
+            && lease.check(own, now()) !== LeaseState.Unconfirmable;
+        return canWait ? this.#decideAfterRenewal(question) : decision;
+    }
+
+    async #decideAfterRenewal(question: RouteQuestion): Promise<RouteDecision | undefined> {
+        await this.#options.lease.awaitRenewal(computeRenewalWait(question));
+        const resolved = await this.#resolve(question);
+        return resolved === undefined ? undefined : this.#recordDecision(question, resolved);
+    }
+
+    #recordDecision(question: RouteQuestion, resolved: ResolvedRoute): RouteDecision {
+        const { ages, lease, now, revocationDeadlineMs } = this.#options;
         const ageMs = lease.readAgeMs(resolved.version, now());
-        ages.record(ageMs);
-        return { ...resolved, confirmedAgeMs: Number.isFinite(ageMs) ? ageMs : undefined };
+        const isNested = question.isNested === true;
+        // A check may begin a renewal, which only a request that is to be denied needs.
+        const isUnderLease = isDenied(resolved, isNested)
+            && lease.check(resolved.version, now()) === LeaseState.Valid;
+        const access = computeAccess(resolved, isNested, { ageMs, isUnderLease }, revocationDeadlineMs);
+        if (access !== Access.Unconfirmed) {
+            ages.record(ageMs);
+        }
+        return { ...resolved, access, confirmedAgeMs: Number.isFinite(ageMs) ? ageMs : undefined };
     }
 
     #resolve(question: RouteQuestion): ResolvedRoute | undefined | Promise<ResolvedRoute | undefined> {
@@ -122,7 +158,7 @@
             return decision;
         }
         const sources = this.#listSources(now());
-        if (this.#isFinal(decision) && lag.mayDecide(sources, now())) {
+        if (this.#isFinal(question, decision) && lag.mayDecide(sources, now())) {
             return decision;
         }
         this.#reportOutdated(configuration.version);
@@ -132,8 +168,7 @@
     /** Waits for a renewal of the lease, and decides by what it has confirmed, or by the own version if nobody has answered. */
     async #resolveAfterRenewal(question: RouteQuestion, own: number): Promise<ResolvedRoute | undefined> {
         const { lease, log, now, readConfiguration } = this.#options;
-        const timeLeftMs = question.readTimeLeftMs();
-        const limitMs = timeLeftMs === undefined ? RENEWAL_WAIT_MS : timeLeftMs * RENEWAL_WAIT_SHARE;
+        const limitMs = computeRenewalWait(question);
         const outcome = await lease.awaitRenewal(limitMs);
         const configuration = readConfiguration();
         if (outcome === RenewalOutcome.OutOfTime || configuration === undefined) {
@@ -164,12 +199,13 @@
     }
 
     /**
-     * An answer may be older than what has decided while it was on its way. Status 404 is final for callers, so it isn't left
-     * to a version that is known to be replaced.
+     * An answer may be older than what has decided while it was on its way. Statuses 401 and 404 are final for callers, so
+     * they aren't left to a version that is known to be replaced.
      */
-    #isFinal({ route, version }: ResolvedRoute): boolean {
+    #isFinal(question: RouteQuestion, resolved: ResolvedRoute): boolean {
         const { lag, now } = this.#options;
-        return version >= (route === undefined ? lag.readNewestBelieved(now()) : lag.lowestDeciding);
+        const isRejected = resolved.route === undefined || isDenied(resolved, question.isNested === true);
+        return resolved.version >= (isRejected ? lag.readNewestBelieved(now()) : lag.lowestDeciding);
     }
 
     /** Asks other daemons for the route by a version that isn't older than `lowest`. */
@@ -182,7 +218,7 @@
         let sources = firstSources;
         for (let round = 0; round < MAXIMUM_ROUNDS; round++) {
             const decision = await this.#fetchDecision(question, sources, Math.max(lowest, lag.lowestSource));
-            if (decision === undefined || this.#isFinal(decision)) {
+            if (decision === undefined || this.#isFinal(question, decision)) {
                 return decision;
             }
             sources = this.#listSources(now(), Math.max(lowest, lag.readNewestBelieved(now())));
@@ -202,14 +238,14 @@
         lowest: number,
     ): Promise<ResolvedRoute | undefined> {
         const { lag, log, now, queries, readConfiguration } = this.#options;
-        const { host = "", path, requestId } = question;
+        const { host = "", key, path, requestId } = question;
         const own = readConfiguration()?.version;
         const isUsable = ({ source, version }: RouteAnswer): boolean => {
             lag.recordAnswer(source);
             lag.recordPeer(source, version, now());
             return version >= lowest;
         };
-        const answer = await queries.fetchRoute(host, path, sources, isUsable);
+        const answer = await queries.fetchRoute({ host, key, path }, sources, isUsable);
         const configuration = readConfiguration();
         const isNew = configuration !== undefined && configuration.version !== own;
         if (isNew && configuration.version >= lowest && !lag.isSuperseded) {
@@ -221,7 +257,7 @@
             log.info("no other daemon has told the route of a request.", { own, requestId, sources });
             return undefined;
         }
-        if (!this.#isFinal(answer)) {
+        if (!this.#isFinal(question, answer)) {
             return answer;
         }
         lag.requireVersion(answer.version, now());
@@ -258,7 +294,14 @@
     }
 }
 
-function findDecision(configuration: TrafficConfiguration, { host, path }: RouteQuestion): ResolvedRoute {
+function findDecision(configuration: TrafficConfiguration, { host, key, path }: RouteQuestion): ResolvedRoute {
     const { revision, version } = configuration;
-    return { revision, route: findRoute(configuration, host, path), version };
+    const route = findRoute(configuration, host, path);
+    return { ...findKeyFinding(configuration, route, key), revision, route, version };
+}
+
+/** Time for which a request may wait for a renewal. */
+function computeRenewalWait(question: RouteQuestion): number {
+    const timeLeftMs = question.readTimeLeftMs();
+    return timeLeftMs === undefined ? RENEWAL_WAIT_MS : timeLeftMs * RENEWAL_WAIT_SHARE;
 }
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,6 +1,6 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
-import { DecisionAges, deriveFreshnessLimits, VersionLag } from "../../coordination/distribution/index.js";
+import { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
 import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
@@ -26,16 +26,16 @@
 import { DelayMonitor } from "./DelayMonitor.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
+import { Isolation } from "./Isolation.js";
 import { renderMetrics } from "./MetricsText.js";
 import { answerOperator } from "./OperatorEndpoint.js";
 import { OverloadMonitor } from "./OverloadMonitor.js";
 import { buildMember } from "./OwnRecord.js";
 import { RetryBudgets } from "./RetryBudgets.js";
 import { SessionSelector } from "./SessionSelector.js";
+import { deriveVersionLimits } from "./SidecarSettings.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 
-/** Time without any reachable daemon after which this one is not ready, so that callers go elsewhere. */
-const ISOLATION_TIMEOUT_MS = 1_500;
 /** Time after which an unreachable daemon is taken to be gone for good; longer than partitions between regions. */
 const MEMBER_REMOVAL_DELAY_MS = 600_000;
 const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
@@ -128,7 +128,7 @@
     readonly #routeResolver: RouteResolver;
     readonly #endpoints: Server[] = [];
     #isStopping = false;
-    #isolatedSince: number | undefined;
+    readonly #isolation = new Isolation();
     #removalTimer: NodeJS.Timeout | undefined;
     #sessionTimer: NodeJS.Timeout | undefined;
     #updatedAt = 0;
@@ -291,7 +291,7 @@
         });
         this.#configurationManager = new ConfigurationManager({
             countDaemons: () => this.#memberRegistry.list().length,
-            limits: deriveFreshnessLimits(settings.configurationDeadlineMs),
+            limits: deriveVersionLimits(settings),
             linkBytesPerMs,
             decode: dependencies.decodeConfiguration,
             lag: this.#lag,
@@ -337,6 +337,7 @@
             queries: this.#routeQueries,
             random,
             readConfiguration: () => this.#configurationManager.configuration,
+            revocationDeadlineMs: settings.revocationDeadlineMs,
         });
         this.#retryBudgets = new RetryBudgets({
             countDaemons: () => this.#memberRegistry.isRegistered ? this.#memberRegistry.list().length : undefined,
@@ -577,10 +578,8 @@
         if (this.#isStopping || !hasConfiguration || this.#overload.shouldAvoidCallers()) {
             return false;
         }
-        const now = this.#dependencies.now();
         const isConnected = this.#memberRegistry.list().length <= 1 || this.#listReachable().length > 0;
-        this.#isolatedSince = isConnected ? undefined : this.#isolatedSince ?? now;
-        return this.#isolatedSince === undefined || now - this.#isolatedSince < ISOLATION_TIMEOUT_MS;
+        return !this.#isolation.update(isConnected, this.#dependencies.now());
     }
 
     #renderMetrics(): string {
--- a/src/transport/sidecar/SidecarSettings.ts
+++ b/src/transport/sidecar/SidecarSettings.ts
@@ -2,6 +2,8 @@
 import type { ArgsDef } from "citty";
 import type { Either } from "purify-ts/Either";
 import { Left, Right } from "purify-ts/Either";
+import { deriveFreshnessLimits } from "../../coordination/distribution/index.js";
+import type { FreshnessLimits } from "../../coordination/distribution/index.js";
 import type { LogLevel } from "../logging/index.js";
 import { LOG_LEVELS } from "../logging/index.js";
 import type { HostAndPort, SettingFinding } from "../settings/index.js";
@@ -176,3 +178,10 @@
     };
     return reader.findings.length > 0 ? Left(reader.findings) : Right(settings);
 }
+
+/** Derives when versions are confirmed anew; keys have to be confirmed within their own deadline as well. */
+export function deriveVersionLimits(
+    { configurationDeadlineMs, revocationDeadlineMs }: SidecarSettings,
+): FreshnessLimits {
+    return deriveFreshnessLimits(Math.min(configurationDeadlineMs, revocationDeadlineMs ?? Infinity));
+}
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -7,12 +7,13 @@
 import { parseStatedLength } from "../../protocol/framing/index.js";
 import { getRefusalStatus, Outcome, RefusalReason } from "../../protocol/request/index.js";
 import { isRepeatable } from "../../state/traffic/index.js";
-import type { AnswerHead, OwnedRequest, OwnerRefusal, RequestHandle } from "../ownership/index.js";
+import type { AnswerHead, OwnerRefusal, RequestHandle } from "../ownership/index.js";
 import type { Suspicion } from "../quarantine/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
 import { PlacementHistory } from "./PlacementHistory.js";
+import { buildOwnedRequest } from "./PlannedRequest.js";
 import type { Owner } from "./ServerDirectory.js";
 import {
     DEADLINE_GRACE_MS,
@@ -178,37 +179,7 @@
     #send({ candidate: owner, latencyMs }: Placement<Owner>, cause: string): void {
         const now = this.#context.now();
         const attempt: Attempt = { handle: undefined, isEnded: false, hasProceeded: false, owner, sentAt: now };
-        const {
-            body,
-            callerService,
-            deadlineAt,
-            headers,
-            isNested,
-            method,
-            requestId,
-            route,
-            service,
-            target,
-            targetAt,
-            version,
-        } = this.#plan;
-        const request: OwnedRequest = {
-            body,
-            budgetLeftMs: deadlineAt - now,
-            callerService,
-            headers,
-            isNested,
-            isRetry: this.#plan.isRetry || this.#serversReached > 0,
-            kind: route.kind,
-            method,
-            priority: route.priority,
-            requestId,
-            route: route.name,
-            service,
-            target,
-            targetLeftMs: targetAt - now,
-            version,
-        };
+        const request = buildOwnedRequest(this.#plan, this.#serversReached > 0, now);
         this.#placementHistory.recordPlacement(owner, cause, latencyMs, now);
         this.#placementCount++;
         this.#serversReached++;
@@ -688,6 +659,7 @@
             server: owner?.id,
             service,
             status,
+            tenant: this.#plan.tenant?.name,
             version: this.#plan.version,
         });
     }
--- a/src/transport/traffic/ForwardingPlan.ts
+++ b/src/transport/traffic/ForwardingPlan.ts
@@ -3,7 +3,7 @@
 import type { RequestRecorder } from "../../coordination/recording/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { FingerprintSource } from "../../protocol/request/index.js";
-import type { RoutePolicy } from "../../state/traffic/index.js";
+import type { RoutePolicy, Tenant } from "../../state/traffic/index.js";
 import type { OwnerRefusal } from "../ownership/index.js";
 import type { Suspicion } from "../quarantine/index.js";
 import type { Timers } from "../timers/index.js";
@@ -49,6 +49,8 @@
     readonly headers: readonly string[];
     readonly body: Uint8Array;
     readonly callerService: string;
+    /** Tenant of the caller's key; undefined for requests without a key. */
+    readonly tenant?: Tenant | undefined;
     readonly isNested: boolean;
     /** Whether it is a call of a request that may run for a second time. */
     readonly isRetry: boolean;
--- a/src/transport/traffic/RequestRouter.ts
+++ b/src/transport/traffic/RequestRouter.ts
@@ -1,13 +1,15 @@
 /** Decides to which service a request goes and by which limits, and forwards it; also again after a newer version. */
 import { RouteStatistics } from "../../coordination/placement/index.js";
 import { getPath, WeightedRoundRobin } from "../../coordination/routing/index.js";
+import { Access } from "../../coordination/tenants/index.js";
 import { copyRequestHeaders } from "../../protocol/framing/index.js";
-import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import type { RoutePolicy, Tenant, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest } from "../ownership/index.js";
 import type { RouteDecision, RouteQuestion } from "../routes/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
-import { answerClientError, answerUnavailable } from "./DaemonAnswers.js";
+import { answerClientError, answerOverQuota, answerUnavailable } from "./DaemonAnswers.js";
+import type { AnsweredRequest } from "./DaemonAnswers.js";
 import { ForwardedRequest } from "./ForwardedRequest.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
 
@@ -23,6 +25,11 @@
     recordRetry(service: string): void;
     /** Finds the route of a request; undefined when no version that may decide could be asked. */
     resolveRoute(question: RouteQuestion): RouteDecision | undefined | Promise<RouteDecision | undefined>;
+    /**
+     * Takes a request from the limit of its tenant; returns the milliseconds after which to come back when it is used up.
+     * Absent where limits aren't applied.
+     */
+    readonly takeQuota?: ((tenant: Tenant, now: number) => number | undefined) | undefined;
     /** Called when the owner of a server has a newer version, by which a decision of `version` is outdated. */
     recordOutdated(version: number): void;
 }
@@ -46,6 +53,7 @@
 
 /** Headers that delimit a body; dropped, because the body is forwarded with its own length. */
 const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+const UNAUTHORIZED_STATUS = 401;
 const NOT_FOUND_STATUS = 404;
 
 export class RequestRouter {
@@ -82,16 +90,27 @@
         }
     }
 
-    /** Finds the route of a request. Without one, answers the request and returns undefined. */
+    /**
+     * Finds the route of a request and the tenant of its key. If it can't be served, answers it and returns undefined. `plan`
+     * is that of an earlier decision.
+     */
     async decide(
         exchange: CallerExchange,
         requestId: string,
         target: string,
-        readTimeLeftMs = () => this.#options.dialect.parseCallerHeaders(exchange.request.headers).timeLeftMs,
+        plan?: ForwardingPlan,
     ): Promise<FoundRoute | undefined> {
         const { host } = exchange.request.headers;
+        const { key, parentId, timeLeftMs } = this.#options.dialect.parseCallerHeaders(exchange.request.headers);
         const path = getPath(target);
-        const pending = this.#options.resolveRoute({ host, path, readTimeLeftMs, requestId });
+        const pending = this.#options.resolveRoute({
+            host,
+            isNested: key === undefined && (plan?.isNested ?? this.#findParent(parentId) !== undefined),
+            key,
+            path,
+            readTimeLeftMs: () => plan === undefined ? timeLeftMs : plan.callerDeadlineAt - this.#options.now(),
+            requestId,
+        });
         const decision = await pending;
         if (pending instanceof Promise && exchange.hasCallerLeft) {
             this.#options.log.info("request dropped: its caller has left.", { requestId });
@@ -106,13 +125,41 @@
             );
             return undefined;
         }
-        const { confirmedAgeMs, revision, route, version } = decision;
+        const { access = Access.Granted, confirmedAgeMs, revision, route, tenant, version } = decision;
         if (route === undefined) {
             const detail = `version ${version} has no route for ${host ?? "no host"} ${path}`;
             answerClientError(this.#options, exchange, { decision, requestId }, NOT_FOUND_STATUS, detail);
             return undefined;
         }
-        return { confirmedAgeMs, revision, route, version };
+        const found = { confirmedAgeMs, revision, route, tenant, version };
+        if (access === Access.Granted) {
+            return found;
+        }
+        const isUnknownCall = key === undefined && parentId !== undefined;
+        this.#answerWithoutAccess(exchange, { decision: found, requestId }, access, isUnknownCall);
+        return undefined;
+    }
+
+    /** Answers 401, or 503 where a later or better informed decision may admit the request. */
+    #answerWithoutAccess(
+        exchange: CallerExchange,
+        request: AnsweredRequest & { readonly decision: FoundRoute; },
+        access: Access,
+        isUnknownCall: boolean,
+    ): void {
+        const { route, version } = request.decision;
+        const isFinal = access === Access.Denied && !isUnknownCall;
+        const reason = isFinal ? "unauthorized" : "unconfirmed-key";
+        this.#options.recorder.count({ class: route.name, kind: "refused", reason, service: undefined });
+        if (isFinal) {
+            const detail = `version ${version} has no tenant with the request's key`;
+            answerClientError(this.#options, exchange, request, UNAUTHORIZED_STATUS, detail);
+            return;
+        }
+        const detail = access === Access.Denied
+            ? "the request has the id of a call, and the server of this daemon runs no such request"
+            : `version ${version} isn't confirmed as the newest, and may not decide on the request's key`;
+        answerUnavailable(this.#options, exchange, request, detail);
     }
 
     /** Forwards a request to a service of its route, unless its caller has left. */
@@ -130,13 +177,15 @@
             release();
             return;
         }
+        if (this.#refuseOverQuota(exchange, request, service)) {
+            release();
+            return;
+        }
         const callerHeaders = this.#options.dialect.parseCallerHeaders(exchange.request.headers);
         const budgetMs = callerHeaders.timeLeftMs ?? route.timeoutMs;
         const statistics = this.#getStatistics(route.name);
         const spentMs = statistics.recordTimeBudget(budgetMs, arrivedAt);
-        const parent = callerHeaders.parentId === undefined
-            ? undefined
-            : this.#options.findRunning(callerHeaders.parentId);
+        const parent = this.#findParent(callerHeaders.parentId);
         this.#recordRequest(service, parent);
         const plan = {
             arrivedAt,
@@ -157,11 +206,24 @@
             statistics,
             target,
             targetAt: arrivedAt + route.targetLatencyMs - spentMs,
+            tenant: decision.tenant,
             version: decision.version,
         };
         new ForwardedRequest(this.#context, plan, exchange, release).start();
     }
 
+    /** Answers a request beyond the limit of its tenant; returns whether it did. */
+    #refuseOverQuota(exchange: CallerExchange, request: RoutableRequest, service: string): boolean {
+        const { takeQuota } = this.#options;
+        const { decision: { tenant } } = request;
+        const now = this.#options.now();
+        const retryAfterMs = tenant === undefined ? undefined : takeQuota?.(tenant, now);
+        if (tenant !== undefined && retryAfterMs !== undefined) {
+            answerOverQuota(this.#options, exchange, { ...request, service, tenant }, retryAfterMs, now);
+        }
+        return retryAfterMs !== undefined;
+    }
+
     /** Forwards a request anew, by the newer version that has led it away from the service of its plan. */
     async #reroute(plan: ForwardingPlan, exchange: CallerExchange, onComplete: () => void): Promise<void> {
         const { arrivedAt, callerDeadlineAt, requestId, target } = plan;
@@ -171,12 +233,7 @@
             service: plan.service,
             version: plan.version,
         });
-        const decision = await this.decide(
-            exchange,
-            requestId,
-            target,
-            () => callerDeadlineAt - this.#options.now(),
-        );
+        const decision = await this.decide(exchange, requestId, target, plan);
         const service = decision === undefined ? undefined : this.#roundRobin.selectService(decision.route);
         if (decision === undefined || service === undefined) {
             if (decision !== undefined) {
@@ -186,7 +243,7 @@
             onComplete();
             return;
         }
-        const { confirmedAgeMs, revision, route, version } = decision;
+        const { confirmedAgeMs, revision, route, tenant, version } = decision;
         this.#options.recordRequest(service, plan.isNested);
         const next = {
             ...plan,
@@ -198,11 +255,16 @@
             service,
             statistics: this.#getStatistics(route.name),
             targetAt: plan.targetAt + route.targetLatencyMs - plan.route.targetLatencyMs,
+            tenant,
             version,
         };
         new ForwardedRequest(this.#context, next, exchange, onComplete).start();
     }
 
+    #findParent(parentId: string | undefined): OwnedRequest | undefined {
+        return parentId === undefined ? undefined : this.#options.findRunning(parentId);
+    }
+
     #recordRequest(service: string, parent: OwnedRequest | undefined): void {
         this.#options.recordRequest(service, parent !== undefined);
         if (parent?.isRetry === true) {
