Move attempts, streamed answer and record out of ForwardedRequest

Change: RequestAttempts sends, ends and cancels the attempts of a request and counts the servers reached. AnswerStream has the state of an answer that is passed on while it arrives. RequestEnd builds the record for metrics and access log. What is decided, and in which order, is unchanged. The text of one mutant of the search follows the renamed members; the mutant is the same.

--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -332,9 +332,9 @@
     },
     {
         file: REQUEST,
-        from: "const hasReachedServer = this.#attempts.size > 0 || this.#serversReached > 0;",
+        from: "const hasReachedServer = this.#attempts.openCount > 0 || this.#attempts.serversReached > 0;",
         name: "a request that has reached a server is routed anew",
-        to: "const hasReachedServer = this.#attempts.size > 0;",
+        to: "const hasReachedServer = this.#attempts.openCount > 0;",
     },
     {
         file: "src/transport/timers/AgeClock.ts",
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -7,12 +7,15 @@
 import { parseStatedLength } from "../../protocol/framing/index.js";
 import { getRefusalStatus, Outcome, RefusalReason } from "../../protocol/request/index.js";
 import { isRepeatable } from "../../state/traffic/index.js";
-import type { AnswerHead, OwnedRequest, OwnerRefusal, RequestHandle } from "../ownership/index.js";
+import type { AnswerHead, OwnerRefusal } from "../ownership/index.js";
 import type { Suspicion } from "../quarantine/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
+import { AnswerStream } from "./AnswerStream.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
-import { PlacementHistory } from "./PlacementHistory.js";
+import { RequestAttempts } from "./RequestAttempts.js";
+import type { Attempt } from "./RequestAttempts.js";
+import { buildRequestRecord, FIRST_SERVER_FAILURE, Hop } from "./RequestEnd.js";
 import type { Owner } from "./ServerDirectory.js";
 import {
     DEADLINE_GRACE_MS,
@@ -24,14 +27,6 @@
     STALLED_STREAM_MS,
 } from "./TrafficConstants.js";
 
-interface Attempt {
-    readonly owner: Owner;
-    readonly sentAt: number;
-    handle: RequestHandle | undefined;
-    isEnded: boolean;
-    hasProceeded: boolean;
-}
-
 interface ServerAnswer {
     readonly head: AnswerHead;
     readonly body: Uint8Array;
@@ -43,9 +38,6 @@
     return reason === RefusalReason.Quarantined || reason === RefusalReason.Suspected;
 }
 
-/** How a request reached its server. */
-const Hop = { Local: "local", Relayed: "relayed" } as const;
-const FIRST_SERVER_FAILURE = 500;
 const BAD_GATEWAY_STATUS = 502;
 const UNAVAILABLE_STATUS = 503;
 const GATEWAY_TIMEOUT_STATUS = 504;
@@ -55,30 +47,20 @@
     readonly #plan: ForwardingPlan;
     readonly #exchange: CallerExchange;
     readonly #onComplete: () => void;
-    readonly #attempts = new Set<Attempt>();
-    /** Owners at which the request was placed already. */
-    readonly #excluded = new Set<string>();
-    readonly #placementHistory = new PlacementHistory();
-    #placementCount = 0;
-    /** Servers that the request may have reached. */
-    #serversReached = 0;
+    readonly #attempts: RequestAttempts;
     /** Whether an attempt ended after it may have run. */
     #hasUnknownOutcome = false;
     #refusals: OwnerRefusal[] = [];
-    #streamingAttempt: Attempt | undefined;
+    #stream: AnswerStream | undefined;
     #fallbackAnswer: ServerAnswer | undefined;
     #lastDetail = "";
     #queuedMs = 0;
     #cancelDeadline: () => void = () => undefined;
     #cancelHedge: () => void = () => undefined;
     #isComplete = false;
-    #streamedBytes = 0;
-    /** Time at which the last part of the streamed answer has come. */
-    #lastDataAt = -Infinity;
-    /** Length in the head of the streamed answer. */
-    #statedBytes: number | undefined;
 
     constructor(context: ForwardingContext, plan: ForwardingPlan, exchange: CallerExchange, onComplete: () => void) {
+        this.#attempts = new RequestAttempts(context, plan);
         this.#context = context;
         this.#plan = plan;
         this.#exchange = exchange;
@@ -88,7 +70,7 @@
     start(): void {
         const now = this.#context.now();
         this.#exchange.onDisconnect = () => this.#handleDisconnect();
-        this.#exchange.onDrain = () => this.#streamingAttempt?.handle?.resume();
+        this.#exchange.onDrain = () => this.#stream?.attempt.handle?.resume();
         this.#cancelDeadline = this.#context.timers.after(
             Math.max(0, this.#plan.deadlineAt - now) + DEADLINE_GRACE_MS,
             () => this.#handleDeadline(),
@@ -104,7 +86,7 @@
         }
         const placement = this.#selectPlacement(isRetry);
         if (placement === undefined) {
-            if (this.#attempts.size === 0) {
+            if (this.#attempts.openCount === 0) {
                 this.#completeAfterLastAttempt();
             }
             return;
@@ -116,7 +98,8 @@
         const { deadlineAt, route, service, statistics, targetAt } = this.#plan;
         const now = this.#context.now();
         const leftMs = deadlineAt - now;
-        if (this.#placementCount >= MAXIMUM_PLACEMENTS || this.#placementCount > 0 && leftMs < MINIMUM_RETRY_TIME_MS) {
+        const { placementCount } = this.#attempts;
+        if (placementCount >= MAXIMUM_PLACEMENTS || placementCount > 0 && leftMs < MINIMUM_RETRY_TIME_MS) {
             return undefined;
         }
         const query = {
@@ -127,7 +110,7 @@
             targetLeftMs: targetAt - now,
         };
         const suspicion = this.#context.findSuspicion(this.#plan);
-        if (suspicion?.isOnTrial === true && this.#serversReached > 0) {
+        if (suspicion?.isOnTrial === true && this.#attempts.serversReached > 0) {
             return undefined;
         }
         const placement = this.#selectDesignatedOwner(suspicion, query, now)
@@ -147,8 +130,18 @@
     #selectOwner(query: PlacementQuery, now: number): Placement<Owner> | undefined {
         const { directory, random } = this.#context;
         const { service } = this.#plan;
-        return selectPlacement(directory.listCandidates(service, this.#excluded, now), query, now, random)
-            ?? selectPlacement(directory.listIncludingEjected(service, this.#excluded, now), query, now, random);
+        return selectPlacement(
+            directory.listCandidates(service, this.#attempts.excludedOwners, now),
+            query,
+            now,
+            random,
+        )
+            ?? selectPlacement(
+                directory.listIncludingEjected(service, this.#attempts.excludedOwners, now),
+                query,
+                now,
+                random,
+            );
     }
 
     /** Selects the same owner as other daemons that get the same suspect, so that one server at most is lost to it. */
@@ -161,7 +154,12 @@
         return suspicion === undefined
             ? undefined
             : selectPlacement(
-                directory.listDesignatedOwner(this.#plan.service, suspicion.fingerprint, this.#excluded, now),
+                directory.listDesignatedOwner(
+                    this.#plan.service,
+                    suspicion.fingerprint,
+                    this.#attempts.excludedOwners,
+                    now,
+                ),
                 query,
                 now,
                 random,
@@ -171,65 +169,19 @@
     /** Whether the request may reach one more server. */
     #mayRetry(): boolean {
         const { route, service } = this.#plan;
-        return this.#serversReached === 0
-            || this.#serversReached < route.maximumServers && this.#context.takeRetry(service);
+        return this.#attempts.serversReached === 0
+            || this.#attempts.serversReached < route.maximumServers && this.#context.takeRetry(service);
     }
 
-    #send({ candidate: owner, latencyMs }: Placement<Owner>, cause: string): void {
-        const now = this.#context.now();
-        const attempt: Attempt = { handle: undefined, isEnded: false, hasProceeded: false, owner, sentAt: now };
-        const {
-            body,
-            callerService,
-            deadlineAt,
-            headers,
-            isNested,
-            method,
-            requestId,
-            route,
-            service,
-            target,
-            targetAt,
-            version,
-        } = this.#plan;
-        const request: OwnedRequest = {
-            body,
-            budgetLeftMs: deadlineAt - now,
-            callerService,
-            headers,
-            isNested,
-            isRetry: this.#plan.isRetry || this.#serversReached > 0,
-            kind: route.kind,
-            method,
-            priority: route.priority,
-            requestId,
-            route: route.name,
-            service,
-            target,
-            targetLeftMs: targetAt - now,
-            version,
-        };
-        this.#placementHistory.recordPlacement(owner, cause, latencyMs, now);
-        this.#placementCount++;
-        this.#serversReached++;
-        this.#excluded.add(owner.id);
-        this.#attempts.add(attempt);
-        owner.statistics.recordStart(now);
-        const handle = owner.submit(request, this.#buildEvents(attempt));
-        attempt.handle = handle;
-        if (attempt.hasProceeded) {
-            handle.proceed();
-        }
-        if (attempt.isEnded) {
-            handle.cancel();
-        }
+    #send(placement: Placement<Owner>, cause: string): void {
+        this.#attempts.send(placement, cause, attempt => this.#buildEvents(attempt));
     }
 
     #buildEvents(attempt: Attempt): SessionRequestEvents {
         return {
             onAnswer: (head, body, load) => this.#handleAnswer(attempt, head, body, load),
             onAnswerAborted: (detail, load) => {
-                const isStreaming = this.#streamingAttempt === attempt;
+                const isStreaming = this.#stream?.attempt === attempt;
                 if (this.#endAttempt(attempt, load, detail) && this.#requireStreamHead(isStreaming, detail)) {
                     this.#resetStream(attempt, detail);
                 }
@@ -247,29 +199,25 @@
                 }
             },
             onEnd: load => {
-                const isStreaming = this.#streamingAttempt === attempt;
+                const stream = this.#stream?.attempt === attempt ? this.#stream : undefined;
                 if (
                     this.#endAttempt(attempt, load, "answered")
-                    && this.#requireStreamHead(isStreaming, "the answer ended without a beginning")
+                    && this.#requireStreamHead(stream !== undefined, "the answer ended without a beginning")
+                    && stream !== undefined
                 ) {
-                    this.#completeStream(attempt);
+                    this.#completeStream(stream);
                 }
             },
             onHead: head => this.#beginStream(attempt, head),
-            onOffer: () => {
-                if (!attempt.isEnded) {
-                    attempt.hasProceeded = true;
-                    attempt.handle?.proceed();
-                }
-            },
+            onOffer: () => attempt.proceed(),
             onRefused: (refusal, load) => this.#handleRefusal(attempt, refusal, load),
             onOwnerTimeout: () => {
-                if (isRepeatable(this.#plan.route.kind) && this.#streamingAttempt === undefined) {
+                if (isRepeatable(this.#plan.route.kind) && this.#stream === undefined) {
                     this.#placeRetry("stalled");
                 }
             },
             onOutcomeUnknown: (detail, load) => {
-                const isStreaming = this.#streamingAttempt === attempt;
+                const isStreaming = this.#stream?.attempt === attempt;
                 if (!this.#endAttempt(attempt, load, detail)) {
                     return;
                 }
@@ -286,32 +234,29 @@
     }
 
     #handleData(attempt: Attempt, body: Uint8Array): void {
-        if (this.#streamingAttempt !== attempt || this.#isComplete) {
+        const stream = this.#stream;
+        if (stream?.attempt !== attempt || this.#isComplete) {
             return;
         }
-        this.#streamedBytes += body.length;
-        this.#lastDataAt = this.#context.now();
-        if (this.#streamedBytes > (this.#statedBytes ?? Infinity)) {
-            this.#resetStream(attempt, this.#describeLength());
+        stream.recordData(body.length, this.#context.now());
+        if (stream.isTooLong) {
+            this.#resetStream(attempt, stream.describeLength());
         }
         else if (!this.#exchange.sendData(body)) {
             attempt.handle?.pause();
         }
     }
 
-    #completeStream(attempt: Attempt): void {
-        if (this.#statedBytes !== undefined && this.#streamedBytes !== this.#statedBytes) {
-            this.#resetStream(attempt, this.#describeLength());
+    #completeStream(stream: AnswerStream): void {
+        const { attempt, receivedBytes } = stream;
+        if (!stream.isWhole) {
+            this.#resetStream(attempt, stream.describeLength());
             return;
         }
-        this.#recordSuccess(attempt, this.#streamedBytes);
+        this.#recordSuccess(attempt, receivedBytes);
         this.#complete(attempt.owner, 200, Outcome.Answered, "", () => this.#exchange.sendEnd());
     }
 
-    #describeLength(): string {
-        return `the answer states a length of ${this.#statedBytes}, but ${this.#streamedBytes} bytes of it have come`;
-    }
-
     /** Ends an answer that broke off after its head was sent, which no other answer can replace. */
     #resetStream(attempt: Attempt, detail: string): void {
         this.#context.directory.recordFailure(attempt.owner);
@@ -350,7 +295,7 @@
         if (!this.#endAttempt(attempt, load, `${refusal.reason}: ${refusal.detail}`)) {
             return;
         }
-        this.#serversReached--;
+        this.#attempts.recordNotReached();
         attempt.owner.statistics.ejection.recordInconclusive();
         if (isRestriction(refusal)) {
             this.#applyRestriction(refusal);
@@ -366,7 +311,7 @@
     /** Hands a request that has certainly not run over to be routed by a newer version; returns whether it did. */
     #tryReroute(): boolean {
         const mayHaveRun = this.#hasUnknownOutcome || this.#fallbackAnswer !== undefined;
-        const hasReachedServer = this.#attempts.size > 0 || this.#serversReached > 0;
+        const hasReachedServer = this.#attempts.openCount > 0 || this.#attempts.serversReached > 0;
         if (mayHaveRun || hasReachedServer || this.#plan.reroutes >= MAXIMUM_REROUTES) {
             return false;
         }
@@ -382,19 +327,15 @@
     }
 
     #beginStream(attempt: Attempt, head: AnswerHead): void {
-        if (attempt.isEnded || this.#isComplete || this.#streamingAttempt !== undefined) {
+        if (attempt.isEnded || this.#isComplete || this.#stream !== undefined) {
             return;
         }
-        this.#streamingAttempt = attempt;
-        this.#statedBytes = parseStatedLength(head.headers);
+        const statedBytes = parseStatedLength(head.headers);
+        this.#stream = new AnswerStream(attempt, statedBytes);
         this.#queuedMs = head.queuedMs;
         attempt.owner.statistics.recordSuccess(this.#plan.route.name, head.workMs, this.#context.now());
-        for (const other of [...this.#attempts]) {
-            if (other !== attempt) {
-                this.#cancelAttempt(other);
-            }
-        }
-        const fault = findFault(() => this.#exchange.sendHead(head, this.#statedBytes));
+        this.#attempts.cancelAll(attempt);
+        const fault = findFault(() => this.#exchange.sendHead(head, statedBytes));
         if (fault !== undefined) {
             this.#context.directory.recordFailure(attempt.owner);
             this.#complete(
@@ -442,11 +383,11 @@
 
     #placeRetry(reason: string): void {
         const { route, service } = this.#plan;
-        const openAttempts = this.#attempts.size;
+        const openAttempts = this.#attempts.openCount;
         if (this.#isComplete || this.#handleRestriction()) {
             return;
         }
-        const placement = this.#selectPlacement(this.#serversReached > 0);
+        const placement = this.#selectPlacement(this.#attempts.serversReached > 0);
         if (placement !== undefined) {
             this.#context.recorder.count({ class: route.name, kind: "retried", reason, service });
             this.#send(placement, reason);
@@ -457,7 +398,7 @@
     }
 
     #completeIfNoAttemptIsOpen(): void {
-        if (!this.#isComplete && this.#attempts.size === 0) {
+        if (!this.#isComplete && this.#attempts.openCount === 0) {
             this.#completeAfterLastAttempt();
         }
     }
@@ -469,7 +410,7 @@
             return;
         }
         this.#cancelHedge = this.#context.timers.after(Math.max(MINIMUM_HEDGE_DELAY_MS, hedgeDelayMs), () => {
-            if (this.#streamingAttempt === undefined) {
+            if (this.#stream === undefined) {
                 this.#placeRetry("overdue");
             }
         });
@@ -477,28 +418,7 @@
 
     /** Ends an attempt; false when it had ended before or the request is complete. */
     #endAttempt(attempt: Attempt, load: OwnerLoad | undefined, end: string): boolean {
-        if (attempt.isEnded) {
-            return false;
-        }
-        this.#placementHistory.recordEnd(attempt.owner.id, end);
-        attempt.isEnded = true;
-        this.#attempts.delete(attempt);
-        attempt.owner.statistics.recordEnd();
-        if (load !== undefined) {
-            this.#context.directory.recordLoad(attempt.owner.id, load);
-        }
-        return !this.#isComplete;
-    }
-
-    #cancelAttempt(attempt: Attempt): void {
-        if (!attempt.isEnded) {
-            attempt.isEnded = true;
-            this.#attempts.delete(attempt);
-            attempt.owner.statistics.recordEnd();
-            attempt.owner.statistics.ejection.recordInconclusive();
-            attempt.owner.statistics.recordUnfinished(this.#plan.route.name, this.#context.now() - attempt.sentAt);
-            attempt.handle?.cancel();
-        }
+        return this.#attempts.end(attempt, load, end) && !this.#isComplete;
     }
 
     #completeWithAnswer({ body, head, owner }: ServerAnswer): void {
@@ -537,7 +457,7 @@
     /** Completes a request that must not be placed, unless an attempt is open, whose answer would still be delivered. */
     #applyRestriction(restriction: OwnerRefusal): void {
         this.#lastDetail = restriction.detail;
-        if (this.#attempts.size > 0) {
+        if (this.#attempts.openCount > 0) {
             return;
         }
         if (restriction.reason === RefusalReason.Quarantined && this.#fallbackAnswer === undefined) {
@@ -592,21 +512,21 @@
         if (this.#isComplete) {
             return;
         }
-        if (this.#streamingAttempt !== undefined) {
-            this.#resetStalledStream(this.#streamingAttempt);
+        if (this.#stream !== undefined) {
+            this.#resetStalledStream(this.#stream);
             return;
         }
         const mayRun = this.#hasUnknownOutcome
-            || isRepeatable(this.#plan.route.kind) && this.#attempts.size > 0
-            || [...this.#attempts].some(({ hasProceeded }) => hasProceeded);
-        for (const attempt of [...this.#attempts]) {
+            || isRepeatable(this.#plan.route.kind) && this.#attempts.openCount > 0
+            || this.#attempts.listOpen().some(({ hasProceeded }) => hasProceeded);
+        for (const attempt of this.#attempts.listOpen()) {
             if (
                 this.#context.now() - attempt.sentAt
                     > attempt.owner.statistics.estimateWorkTime(this.#plan.route.name, 0)
             ) {
                 this.#context.directory.recordFailure(attempt.owner);
             }
-            this.#cancelAttempt(attempt);
+            this.#attempts.cancel(attempt);
         }
         if (this.#fallbackAnswer !== undefined) {
             this.#completeWithAnswer(this.#fallbackAnswer);
@@ -626,8 +546,8 @@
     }
 
     /** Resets a streamed answer of which nothing comes any more; looks again later while it goes on or its caller holds it up. */
-    #resetStalledStream(attempt: Attempt): void {
-        const pauseMs = this.#exchange.canTakeData ? this.#context.now() - this.#lastDataAt : 0;
+    #resetStalledStream({ attempt, lastDataAt }: AnswerStream): void {
+        const pauseMs = this.#exchange.canTakeData ? this.#context.now() - lastDataAt : 0;
         if (pauseMs >= STALLED_STREAM_MS) {
             this.#resetStream(
                 attempt,
@@ -652,9 +572,7 @@
         }
         this.#isComplete = true;
         this.#clearTimers();
-        for (const attempt of [...this.#attempts]) {
-            this.#cancelAttempt(attempt);
-        }
+        this.#attempts.cancelAll();
         const fault = findFault(answer);
         if (fault !== undefined) {
             this.#exchange.sendFault(fault);
@@ -669,27 +587,17 @@
     }
 
     #recordEnd(owner: Owner | undefined, status: number, outcome: Outcome, detail: string): void {
-        const { arrivedAt, method, requestId, route, service, target } = this.#plan;
-        this.#context.recorder.record({
-            attempts: this.#placementCount,
-            class: route.name,
-            confirmedAgeMs: this.#plan.confirmedAgeMs,
-            detail: detail === "" ? undefined : detail,
-            hop: owner === undefined ? undefined : owner.id === this.#context.selfId ? Hop.Local : Hop.Relayed,
-            latencyMs: this.#context.now() - arrivedAt,
-            method,
-            outcome,
-            path: target,
-            placements: this.#placementHistory.read(status < FIRST_SERVER_FAILURE && outcome === Outcome.Answered),
-            queuedMs: this.#queuedMs,
-            requestId,
-            revision: this.#plan.revision,
-            route: route.name,
-            server: owner?.id,
-            service,
-            status,
-            version: this.#plan.version,
-        });
+        this.#context.recorder.record(
+            buildRequestRecord(this.#plan, this.#attempts, {
+                detail,
+                hop: owner === undefined ? undefined : owner.id === this.#context.selfId ? Hop.Local : Hop.Relayed,
+                latencyMs: this.#context.now() - this.#plan.arrivedAt,
+                outcome,
+                queuedMs: this.#queuedMs,
+                server: owner?.id,
+                status,
+            }),
+        );
     }
 }
 
--- /dev/null
+++ b/src/transport/traffic/RequestAttempts.ts
@@ -0,0 +1,160 @@
+/** Attempts of one request, each at another owner: sends, ends and cancels them, and counts the servers reached. */
+import type { OwnerLoad, Placement } from "../../coordination/placement/index.js";
+import type { OwnedRequest, RequestHandle } from "../ownership/index.js";
+import type { SessionRequestEvents } from "../sessions/index.js";
+import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
+import { PlacementHistory } from "./PlacementHistory.js";
+import type { Owner } from "./ServerDirectory.js";
+
+export class Attempt {
+    handle: RequestHandle | undefined;
+    hasProceeded = false;
+    isEnded = false;
+
+    constructor(readonly owner: Owner, readonly sentAt: number) {}
+
+    /** Tells the owner to run the request for which it has offered a slot. */
+    proceed(): void {
+        if (!this.isEnded) {
+            this.hasProceeded = true;
+            this.handle?.proceed();
+        }
+    }
+}
+
+export class RequestAttempts {
+    readonly history = new PlacementHistory();
+    readonly #context: ForwardingContext;
+    readonly #plan: ForwardingPlan;
+    readonly #open = new Set<Attempt>();
+    readonly #excludedOwners = new Set<string>();
+    #placementCount = 0;
+    #serversReached = 0;
+
+    constructor(context: ForwardingContext, plan: ForwardingPlan) {
+        this.#context = context;
+        this.#plan = plan;
+    }
+
+    /** Owners at which the request was placed already. */
+    get excludedOwners(): ReadonlySet<string> {
+        return this.#excludedOwners;
+    }
+
+    get openCount(): number {
+        return this.#open.size;
+    }
+
+    get placementCount(): number {
+        return this.#placementCount;
+    }
+
+    /** Servers that the request may have reached. */
+    get serversReached(): number {
+        return this.#serversReached;
+    }
+
+    /** Lists the open attempts; a copy, so that they may be ended meanwhile. */
+    listOpen(): readonly Attempt[] {
+        return [...this.#open];
+    }
+
+    /** Records that an owner has certainly not passed the request on to its server. */
+    recordNotReached(): void {
+        this.#serversReached--;
+    }
+
+    send(
+        { candidate: owner, latencyMs }: Placement<Owner>,
+        cause: string,
+        buildEvents: (attempt: Attempt) => SessionRequestEvents,
+    ): void {
+        const now = this.#context.now();
+        const attempt = new Attempt(owner, now);
+        const request = this.#buildRequest(now);
+        this.history.recordPlacement(owner, cause, latencyMs, now);
+        this.#placementCount++;
+        this.#serversReached++;
+        this.#excludedOwners.add(owner.id);
+        this.#open.add(attempt);
+        owner.statistics.recordStart(now);
+        const handle = owner.submit(request, buildEvents(attempt));
+        attempt.handle = handle;
+        if (attempt.hasProceeded) {
+            handle.proceed();
+        }
+        if (attempt.isEnded) {
+            handle.cancel();
+        }
+    }
+
+    /** Ends an attempt; false when it had ended before. */
+    end(attempt: Attempt, load: OwnerLoad | undefined, end: string): boolean {
+        if (attempt.isEnded) {
+            return false;
+        }
+        this.history.recordEnd(attempt.owner.id, end);
+        attempt.isEnded = true;
+        this.#open.delete(attempt);
+        attempt.owner.statistics.recordEnd();
+        if (load !== undefined) {
+            this.#context.directory.recordLoad(attempt.owner.id, load);
+        }
+        return true;
+    }
+
+    cancel(attempt: Attempt): void {
+        if (!attempt.isEnded) {
+            attempt.isEnded = true;
+            this.#open.delete(attempt);
+            attempt.owner.statistics.recordEnd();
+            attempt.owner.statistics.ejection.recordInconclusive();
+            attempt.owner.statistics.recordUnfinished(this.#plan.route.name, this.#context.now() - attempt.sentAt);
+            attempt.handle?.cancel();
+        }
+    }
+
+    /** Cancels all attempts but one. */
+    cancelAll(kept?: Attempt): void {
+        for (const attempt of this.listOpen()) {
+            if (attempt !== kept) {
+                this.cancel(attempt);
+            }
+        }
+    }
+
+    #buildRequest(now: number): OwnedRequest {
+        const {
+            body,
+            callerService,
+            deadlineAt,
+            headers,
+            isNested,
+            isRetry,
+            method,
+            requestId,
+            route,
+            service,
+            target,
+            targetAt,
+            version,
+        } = this.#plan;
+        return {
+            body,
+            budgetLeftMs: deadlineAt - now,
+            callerService,
+            headers,
+            isNested,
+            isRetry: isRetry || this.#serversReached > 0,
+            kind: route.kind,
+            method,
+            priority: route.priority,
+            requestId,
+            route: route.name,
+            service,
+            target,
+            targetLeftMs: targetAt - now,
+            version,
+        };
+    }
+}
