Place requests by the expected wait at servers that tell how long work takes

Cause: while all servers of a subset are expected to answer in time, their scores differ by less than the jitter, so that slow servers get as many requests as fast ones; and two kilobytes to another failure domain cost as much as 200 ms, so that servers of the own domain queue while others have room. Reports are several work times old, as a daemon gets one about as often as it sends a request there.

Change: the fourth figure of the load header is read as the work factor, passed on as an optional field of OwnerLoad (absent, and so without a byte, where no server tells it) and counts half after 500 ms. Where a server of a service tells it, requests are placed by the expected wait (requests at the server, own unreported ones included / slots x mean work time of its reports x factor), weighed against the price of bytes; the reported number of requests gives way to the usual one within a work time. Everywhere else the order is as before.

--- a/src/coordination/placement/OwnerStatistics.ts
+++ b/src/coordination/placement/OwnerStatistics.ts
@@ -3,6 +3,7 @@
 import type { SlotWaitEstimates } from "../scheduling/index.js";
 import { Distance } from "./PlacementTypes.js";
 import type { OwnerLoad, PlacementQuery } from "./PlacementTypes.js";
+import { ServerPace } from "./ServerPace.js";
 
 /** Age beyond which a load report no longer describes the queue; owners report several times a second. */
 const LOAD_REPORT_MAXIMUM_AGE_MS = 2_000;
@@ -24,6 +25,7 @@
 export class OwnerStatistics {
     readonly ejection = new OutlierEjection();
     readonly #workTimes = new WorkTimeEstimator();
+    readonly #pace = new ServerPace();
     #load: OwnerLoad | undefined;
     #loadReceivedAt = 0;
     #inFlight = 0;
@@ -42,6 +44,11 @@
         return this.#load;
     }
 
+    /** Whether the server tells how long work takes there at present. */
+    get tellsWorkFactor(): boolean {
+        return this.#pace.isTold;
+    }
+
     /** Time at which the last load report was received. */
     get loadReceivedAt(): number {
         return this.#loadReceivedAt;
@@ -63,6 +70,7 @@
     }
 
     recordLoad(load: OwnerLoad, now: number): void {
+        this.#pace.record(load, now);
         this.#load = load;
         this.#loadReceivedAt = now;
         this.#sentSinceReport = 0;
@@ -93,6 +101,19 @@
     resetResults(): void {
         this.#successRate = 1;
         this.#workTimes.reset();
+        this.#pace.reset();
+    }
+
+    /** Expected time that a request that is sent now spends besides its work, by what the server tells. */
+    estimateDelay({ bytes, isNested }: PlacementQuery, now: number): number {
+        const roundTripMs = this.#roundTripMs ?? DEFAULT_ROUND_TRIP_MS[this.distance];
+        const load = this.#load;
+        const sent = Math.max(this.#sentSinceReport, this.#inFlight - (load?.running ?? 0) - (load?.queued ?? 0));
+        const coldFactor = this.#isCold(now) ? COLD_START_FACTOR : 1;
+        const waitMs = load?.limitPerSecond === undefined
+            ? this.#pace.estimateWait(Math.max(1, load?.slots ?? DEFAULT_SLOTS), sent, now) * coldFactor
+            : this.#estimateWait(isNested ? "nestedMs" : "inTimeMs", now);
+        return roundTripMs + waitMs + this.#estimateLinkTime(bytes, now) + this.#readProcessorDelay(now);
     }
 
     /** Expected latency of a request that is sent now. */
@@ -122,8 +143,11 @@
 
     estimateWorkTime(route: string, now: number): number {
         const workMs = this.#workTimes.estimate(route);
-        const coldUntil = this.#loadReceivedAt + (this.#load?.coldLeftMs ?? 0);
-        return now < coldUntil ? workMs * COLD_START_FACTOR : workMs;
+        return this.#isCold(now) ? workMs * COLD_START_FACTOR : workMs;
+    }
+
+    #isCold(now: number): boolean {
+        return now < this.#loadReceivedAt + (this.#load?.coldLeftMs ?? 0);
     }
 
     /** Expected wait at a server that starts requests at a limited rate, however many slots are free. */
--- a/src/coordination/placement/Placement.ts
+++ b/src/coordination/placement/Placement.ts
@@ -5,6 +5,7 @@
  * them is costly. A request stays in its own domain while it can meet its target latency there.
  */
 import type { Random } from "../../state/shared/index.js";
+import { computeCompletionCost } from "./CompletionOrder.js";
 import type { OwnerStatistics } from "./OwnerStatistics.js";
 import { Distance } from "./PlacementTypes.js";
 import type { PlacementQuery } from "./PlacementTypes.js";
@@ -53,11 +54,15 @@
     now: number,
     random: Random,
 ): Placement<T> | undefined {
+    const all = [...candidates];
+    const isOrderedByCompletion = all.some(({ statistics }) => statistics.tellsWorkFactor);
     let best: Placement<T> | undefined;
-    for (const candidate of candidates) {
+    for (const candidate of all) {
         const latencyMs = candidate.statistics.estimateLatency(query, now);
-        const { inTime, served, value } = estimateResult(candidate.statistics, query, latencyMs, now);
-        const score = value + random() * SCORE_JITTER;
+        const { inTime, linkCost, served, value } = estimateResult(candidate.statistics, query, latencyMs, now);
+        const score = isOrderedByCompletion
+            ? -computeCompletionCost(candidate.statistics, query, linkCost, now)
+            : value + random() * SCORE_JITTER;
         const isWorthwhile = served >= MINIMUM_ANSWER_PROBABILITY
             && (value > 0 || inTime >= LIKELY_IN_TIME_PROBABILITY);
         if (isWorthwhile && (best === undefined || score > best.score)) {
@@ -72,8 +77,8 @@
     const inTime = estimateProbability(query.targetLeftMs - latencyMs, spreadMs);
     const served = estimateProbability(query.budgetLeftMs - latencyMs, spreadMs);
     const value = statistics.successRate * (served * LATE_ANSWER_VALUE + inTime * (1 - LATE_ANSWER_VALUE));
-    const cost = query.bytes / BYTES_PER_KILOBYTE * LINK_COST_PER_KILOBYTE[statistics.distance];
-    return { inTime, served, value: value - cost - latencyMs * LATENCY_COST_PER_MS };
+    const linkCost = query.bytes / BYTES_PER_KILOBYTE * LINK_COST_PER_KILOBYTE[statistics.distance];
+    return { inTime, linkCost, served, value: value - linkCost - latencyMs * LATENCY_COST_PER_MS };
 }
 
 /** Probability of meeting a limit that lies `marginMs` after the expected latency. */
--- a/src/coordination/placement/PlacementTypes.ts
+++ b/src/coordination/placement/PlacementTypes.ts
@@ -23,6 +23,8 @@
     readonly link?: LinkLoad | undefined;
     /** Time that each request loses at a daemon without processor time; undefined while it has some. */
     readonly processorDelayMs?: number | undefined;
+    /** How long work takes at the server at present, as told by it and reduced by its age; undefined when it isn't told. */
+    readonly workFactor?: number | undefined;
 }
 
 export interface LinkLoad {
--- a/src/coordination/placement/index.ts
+++ b/src/coordination/placement/index.ts
@@ -7,3 +7,4 @@
 export { RouteStatistics } from "./RouteStatistics.js";
 export { MAXIMUM_EXTRA_SERVERS, selectSubset } from "./Subset.js";
 export type { ServersByDistance, SubsetQuery } from "./Subset.js";
+export { updateFactor, WorkFactor } from "./WorkFactor.js";
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -68,7 +68,10 @@
     coldLeftMs: numberCodec,
     limitPerSecond: createOptionalCodec(numberCodec),
     link: createOptionalCodec(createRecordCodec({ bytesPerMs: numberCodec, waitMs: numberCodec })),
-}, { processorDelayMs: createOptionalCodec(numberCodec) }) as unknown as FieldCodec<OwnerLoad>;
+}, {
+    processorDelayMs: createOptionalCodec(numberCodec),
+    workFactor: createOptionalCodec(numberCodec),
+}) as unknown as FieldCodec<OwnerLoad>;
 
 /** The owner's server; undefined while there is none. */
 const serverIdentity = createOptionalCodec(createRecordCodec({
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -3,6 +3,7 @@
  * exactly to the server's slots, queues or refuses requests without a slot, and closes before the daemon
  * acknowledges that the server is leaving.
  */
+import { WorkFactor } from "../../coordination/placement/index.js";
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import { ReportResult, ServerPhase, ServerRegistration } from "../../coordination/registration/index.js";
 import type { RegisteredServer, ServerIdentity, ServerReport } from "../../coordination/registration/index.js";
@@ -63,6 +64,7 @@
     readonly #confirmation: ServerConfirmation | undefined;
     readonly #options: AdmissionControllerOptions;
     readonly #workTimeEstimator = new WorkTimeEstimator();
+    readonly #workFactor = new WorkFactor();
     readonly #rateLimit = new RateLimit();
     readonly #answerSizes = new AnswerSizeEstimator();
     readonly #link: LinkBudget;
@@ -146,6 +148,7 @@
             running: this.#queue.running,
             slots: server?.slots ?? 0,
             waits: this.#queue.estimateWaits(now),
+            workFactor: this.#workFactor.read(now),
             workMs: this.#workTimeEstimator.meanMs,
         };
     }
@@ -198,6 +201,7 @@
             this.#hasAnswered = false;
             this.#rateLimit.update(undefined, now);
             this.#workTimeEstimator.reset();
+            this.#workFactor.record(undefined, now);
             this.#connectionPool.closeIdle();
         }
         if (isOther || previous.phase !== report.phase) {
@@ -394,12 +398,13 @@
     }
 
     /** Follows what the registered server says of itself in an answer. */
-    #recordStatement(server: RegisteredServer, { isLeaving, limitPerSecond }: ServerAnswerHeaders): void {
+    #recordStatement(server: RegisteredServer, { isLeaving, limitPerSecond, load }: ServerAnswerHeaders): void {
         const current = this.registration.server;
         if (current === undefined || !isSameStart(current, server)) {
             return;
         }
         this.#hasAnswered = true;
+        this.#workFactor.record(load?.workFactor, this.#options.now());
         this.#applyLimit(current, limitPerSecond);
         if (isLeaving && this.registration.markLeaving()) {
             this.#options.log.info(`server ${current.serverId} says in an answer that it is leaving.`, {
--- a/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
+++ b/src/transport/ownership/__tests__/unit/AdmissionController.test.ts
@@ -317,3 +317,19 @@
         expect(waiting.events).toEqual([]);
     });
 });
+
+// Guards against placing by a figure of another server, and against additional bytes where servers tell nothing.
+describe("work factor of the server", () => {
+    it("is reported once an answer tells it, and forgotten with the server", async () => {
+        const { admission, server } = await openAdmission((socket, id) => {
+            socket.write(formatAnswer(id, "ok", ["x-factor: 3"]));
+        });
+        expect(admission.readLoad().workFactor).toBeUndefined();
+        const request = recordRequest();
+        admission.submit(createOwnedRequest("a"), request.listener);
+        expect(await request.end).toBe("answer 200 ok");
+        expect(admission.readLoad().workFactor).toBeGreaterThan(1);
+        admission.acceptReport(createReport(server.port, { serverId: "server-2", startedAt: 2_000 }));
+        expect(admission.readLoad().workFactor).toBeUndefined();
+    });
+});
