Share the slots of a server among tenants within each tier and priority

Cause: requests of one urgency are ordered by their targets alone, so a tenant that sends a multiple of its usual demand takes slots in proportion to it.

Change: TenantShares arranges the requests of one tier and priority so that the tenant that has started least work since it began to wait is next: deficit round robin with the smallest quantum, charged by expected work time. Requests of one tenant keep their order; without tenants the order is exactly as before, and nothing is kept while nothing waits.

--- a/src/coordination/scheduling/SlotQueue.ts
+++ b/src/coordination/scheduling/SlotQueue.ts
@@ -8,6 +8,7 @@
 import { LARGE_ANSWER_BYTES, LinkBudget } from "./LinkBudget.js";
 import { OfferedLoad } from "./OfferedLoad.js";
 import { RateLimit } from "./RateLimit.js";
+import { TenantShares } from "./TenantShares.js";
 import type { WorkTimeEstimator } from "./WorkTimeEstimator.js";
 
 /** A request for a slot. Times are milliseconds on the clock of `now`. */
@@ -24,6 +25,8 @@
     readonly deadlineAt: number;
     /** Expected size of the answer; 0 if omitted. */
     readonly answerBytes?: number;
+    /** Tenants share the slots within a tier and priority; requests without one count as those of one tenant. */
+    readonly tenant?: string | undefined;
 }
 
 export interface SlotRefusal {
@@ -74,6 +77,7 @@
     readonly #link: LinkBudget;
     /** Load of the requests that are served before late ones. */
     readonly #offeredLoad = new OfferedLoad();
+    readonly #shares = new TenantShares();
     #entries: QueueEntry<T>[] = [];
     #running = 0;
     #nextSequence = 0;
@@ -166,6 +170,7 @@
             else if (this.#running < slots && linkDelayMs === 0 && this.#rateLimit.take(now)) {
                 this.#link.take(answerBytes, now);
                 this.#running++;
+                this.#shares.recordStart(formatClass(tier, request), request.tenant, workMs);
                 started.push(request);
             }
             else {
@@ -175,6 +180,9 @@
             }
         }
         this.#entries = remaining;
+        if (remaining.length === 0) {
+            this.#shares.reset();
+        }
         return { started, refused: refused.map(request => ({ request, refusal: this.#buildRefusal(request, now) })) };
     }
 
@@ -236,12 +244,12 @@
         return perSecond === undefined ? slots : Math.min(slots, perSecond * this.#estimates.meanMs / MS_PER_SECOND);
     }
 
-    /** Sorts by tier, then priority, then the nearest target or, for late requests, the nearest deadline. */
+    /** Sorts by tier, then priority, then the tenants' shares, then the nearest target or, for late requests, deadline. */
     #sortByServiceOrder(now: number): QueueEntry<T>[] {
         const tiers = new Map(
             this.#entries.map(entry => [entry, this.#classifyTier(entry.request, now, entry.isAdmittedInTime)]),
         );
-        return [...this.#entries].sort((left, right) => {
+        const sorted = [...this.#entries].sort((left, right) => {
             const tier = tiers.get(left) ?? Tier.Late;
             return tier - (tiers.get(right) ?? Tier.Late)
                 || left.request.priority - right.request.priority
@@ -250,6 +258,12 @@
                     : left.request.targetAt - right.request.targetAt)
                 || left.sequence - right.sequence;
         });
+        return this.#shares.sort(
+            sorted,
+            entry => formatClass(tiers.get(entry) ?? Tier.Late, entry.request),
+            ({ request }) => request.tenant,
+            ({ request }) => this.#estimates.estimate(request.route),
+        );
     }
 
     #classifyTier(request: T, now: number, isAdmittedInTime = false): Tier {
@@ -261,3 +275,8 @@
         return endAt <= request.targetAt ? Tier.InTime : Tier.Late;
     }
 }
+
+/** Names the requests of one urgency, among which tenants share the slots. */
+function formatClass(tier: Tier, { priority }: SlotRequest): string {
+    return `${tier}/${priority}`;
+}
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -55,6 +55,7 @@
     readonly route: string;
     readonly priority: number;
     readonly isNested: boolean;
+    readonly tenant: string | undefined;
     readonly targetAt: number;
     readonly deadlineAt: number;
     #phase: number = Phase.Waiting;
@@ -80,6 +81,7 @@
         this.route = request.route;
         this.priority = request.priority;
         this.isNested = request.isNested;
+        this.tenant = request.tenant;
         this.targetAt = arrivedAt + request.targetLeftMs;
         this.deadlineAt = arrivedAt + request.budgetLeftMs;
     }
