--- a/src/coordination/placement/PlacementTypes.ts
+++ b/src/coordination/placement/PlacementTypes.ts
@@ -1,3 +1,4 @@
+import type { RolloutLoad } from "../rollouts/index.js";
 import type { SlotWaitEstimates } from "../scheduling/index.js";
 
 /** Network distance from the selecting daemon to a server. */
@@ -23,6 +24,8 @@
     readonly link?: LinkLoad | undefined;
     /** Time that each request loses at a daemon without processor time; undefined while it has some. */
     readonly processorDelayMs?: number | undefined;
+    /** What a roll-out has decided for the server; undefined while it gets requests like any other. */
+    readonly rollout?: RolloutLoad | undefined;
 }
 
 export interface LinkLoad {
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -28,6 +28,7 @@
 } from "../peer/index.js";
 import type { FieldCodec, RecordOf } from "../peer/index.js";
 import { RefusalReason } from "../request/index.js";
+import { baselineCodec, rolloutLoadCodec, rolloutRecordFields } from "./RolloutFields.js";
 
 /** Maximum size of a frame: the largest body that operators allow (64 MB) plus the rest of the message. */
 export const SESSION_FRAME_LIMIT_BYTES = 80 * 1_048_576;
@@ -68,7 +69,10 @@
     coldLeftMs: numberCodec,
     limitPerSecond: createOptionalCodec(numberCodec),
     link: createOptionalCodec(createRecordCodec({ bytesPerMs: numberCodec, waitMs: numberCodec })),
-}, { processorDelayMs: createOptionalCodec(numberCodec) }) as unknown as FieldCodec<OwnerLoad>;
+}, {
+    processorDelayMs: createOptionalCodec(numberCodec),
+    rollout: createOptionalCodec(rolloutLoadCodec),
+}) as unknown as FieldCodec<OwnerLoad>;
 
 /** The owner's server; undefined while there is none. */
 const serverIdentity = createOptionalCodec(createRecordCodec({
@@ -79,7 +83,7 @@
     slots: integer,
     startedAt: createOptionalCodec(numberCodec),
     limitPerSecond: createOptionalCodec(numberCodec),
-})) as unknown as FieldCodec<ServerIdentity | undefined>;
+}, { softwareVersion: createOptionalCodec(name) })) as unknown as FieldCodec<ServerIdentity | undefined>;
 
 const ownedRequest = createRecordCodec({
     requestId: text,
@@ -98,7 +102,7 @@
     targetLeftMs: numberCodec,
     budgetLeftMs: numberCodec,
     callerService: name,
-});
+}, { baseline: createOptionalCodec(baselineCodec) });
 
 /** Number of the version in force; undefined when none is. */
 const version = createOptionalCodec(integer);
@@ -261,6 +265,8 @@
         checksum: name,
         compressedParts: bytesCodec,
     },
+    /** Orders of roll-outs with what is known of them: news, or all after a connection. */
+    rolloutReports: rolloutRecordFields,
 } as const;
 
 /** Optional fields that were added later, which daemons before them ignore. */
@@ -295,6 +301,7 @@
     "memberBuckets",
     "memberDigests",
     "members",
+    "rolloutReports",
     "routeAnswer",
     "routeQuery",
     "status",
--- a/src/state/store/MeshStorePort.ts
+++ b/src/state/store/MeshStorePort.ts
@@ -34,8 +34,46 @@
     readonly quarantinedAt: number;
 }
 
+/** A roll-out as the operator has ordered it. */
+export interface RolloutRecord {
+    /** Name of the object, which is that of the service. */
+    readonly name: string;
+    readonly revision: number;
+    readonly service: string;
+    readonly targetVersion: string;
+    /** Time for the roll-out; 0 or less if the order names none. */
+    readonly finishByMs: number;
+    /** Status that was written last; undefined if there is none that can be read. */
+    readonly status: RolloutStatus | undefined;
+}
+
+export interface RolloutStatus {
+    readonly state: "running" | "succeeded" | "rolledBack";
+    readonly targetVersion: string;
+}
+
+export interface RolloutListing {
+    readonly rollouts: readonly RolloutRecord[];
+    /** Position from which the next watch continues. */
+    readonly position: StorePosition;
+}
+
+/** Store operations for roll-outs, which only daemons with roll-outs call. */
+export interface RolloutStorePort {
+    listRollouts(): StoreResult<RolloutListing>;
+    /** Waits at most `waitMs` for changes after `position`; refused as `history` as `watchConfiguration` is. */
+    watchRollouts(position: StorePosition, waitMs: number): StoreResult<RolloutListing>;
+    /** Undefined if there is no order of this name. */
+    readRollout(name: string): StoreResult<RolloutRecord | undefined>;
+    /**
+     * Writes the status if the object still has this revision. Returns the stored object: with the new status, or as another
+     * writer has left it; undefined if it can't be read.
+     */
+    writeRolloutStatus(name: string, revision: number, status: RolloutStatus): StoreResult<RolloutRecord | undefined>;
+}
+
 /** Store operations of a daemon on a platform whose operator writes the configuration to the store. */
-export interface MeshStorePort {
+export interface MeshStorePort extends RolloutStorePort {
     readConfiguration(): StoreResult<ConfigurationReadResult>;
     /**
      * Waits at most `waitMs` for a version after `position`; refused as `history` if the store no longer knows it, or was
--- a/src/transport/ownership/OwnedRequest.ts
+++ b/src/transport/ownership/OwnedRequest.ts
@@ -1,4 +1,5 @@
 import type { OwnerLoad } from "../../coordination/placement/index.js";
+import type { Baseline } from "../../coordination/rollouts/index.js";
 import type { RefusalReason } from "../../protocol/request/index.js";
 import type { RequestKind } from "../../state/traffic/index.js";
 
@@ -27,6 +28,8 @@
     readonly callerService: string;
     /** Name of the tenant whose key the caller has; undefined for requests without a key. */
     readonly tenant?: string | undefined;
+    /** What the caller's daemon has measured of other servers; only with requests that it has placed at a candidate. */
+    readonly baseline?: Baseline | undefined;
 }
 
 /** The request was certainly not run. */
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -160,6 +160,7 @@
                         this.#queries.answerQuery(id, message);
                         return;
                     case "crashes":
+                    case "rolloutReports":
                         return;
                     default:
                         this.#gossip.handle(id, message);
