Roll out versions: limit exposure, roll back and promote

Change: transport/rollouts watches orders, keeps the gate of the own server closed until its order was read, refuses requests to a server on trial that the caller's daemon has not counted, spreads sums and decisions, and writes the status. Callers' daemons keep sessions to the servers of both versions while an order runs.

--- a/src/coordination/registration/ServerRegistration.ts
+++ b/src/coordination/registration/ServerRegistration.ts
@@ -31,6 +31,8 @@
 {
     /** Requests a second that the server has last said that it takes; undefined when it named no limit. */
     readonly limitPerSecond?: number | undefined;
+    /** Version of its software; only of daemons with roll-outs. */
+    readonly softwareVersion?: string | undefined;
 }
 
 /** Last accepted report of the registered server. */
@@ -66,6 +68,8 @@
     readonly #departed = new Map<string, number | undefined>();
     #unreachableUntil = 0;
     #connectFailures = 0;
+    /** Whether a roll-out keeps the server closed. */
+    #isHeld = false;
 
     /**
      * `isConfirmed` is false for a daemon that may have acknowledged the server's departure before its own
@@ -81,7 +85,17 @@
 
     /** Whether the server may get new requests now. */
     isOpen(now: number): boolean {
-        return this.#isConfirmed && this.#server?.phase === ServerPhase.Ready && now >= this.#unreachableUntil;
+        return !this.#isHeld && this.#isConfirmed && this.#server?.phase === ServerPhase.Ready
+            && now >= this.#unreachableUntil;
+    }
+
+    get isHeld(): boolean {
+        return this.#isHeld;
+    }
+
+    /** Keeps the server closed, or no longer, whatever it reports. */
+    setHeld(isHeld: boolean): void {
+        this.#isHeld = isHeld;
     }
 
     /** Whether the server has reported ready but isn't confirmed yet. */
@@ -95,7 +109,10 @@
     }
 
     /** Restores a server that another daemon remembers, unless a report came first; it needs confirmation. */
-    restore({ address, port, serverId, service, slots, startedAt }: ServerIdentity, now: number): void {
+    restore(
+        { address, port, serverId, service, slots, softwareVersion, startedAt }: ServerIdentity,
+        now: number,
+    ): void {
         if (this.#server === undefined && !this.#isConfirmed && !this.#departed.has(serverId)) {
             this.#server = {
                 address,
@@ -109,6 +126,7 @@
                 serverId,
                 service,
                 slots,
+                softwareVersion,
                 startedAt,
             };
         }
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -6,6 +6,7 @@
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import { ReportResult, ServerPhase, ServerRegistration } from "../../coordination/registration/index.js";
 import type { RegisteredServer, ServerIdentity, ServerReport } from "../../coordination/registration/index.js";
+import type { RolloutLoad } from "../../coordination/rollouts/index.js";
 import type { SlotChanges } from "../../coordination/scheduling/index.js";
 import {
     AnswerSizeEstimator,
@@ -54,6 +55,10 @@
     readonly onCrash: (server: RegisteredServer, requests: readonly RunningRequest[], crashedAt: number) => void;
     /** Called with each request that the server has answered completely. */
     readonly onAnswered: (request: OwnedRequest) => void;
+    /** Called with each accepted report, before a request can reach the server; undefined where there are no roll-outs. */
+    readonly onServer?: ((server: RegisteredServer) => void) | undefined;
+    /** Returns what a roll-out has decided for the server. */
+    readonly readRollout?: (() => RolloutLoad | undefined) | undefined;
     /** Set for a daemon that has restarted: its server has to confirm that it serves. */
     readonly confirmation?: ConfirmationDependencies | undefined;
 }
@@ -143,6 +148,7 @@
                 ? { bytesPerMs: this.#link.bytesPerMs, waitMs: this.#queue.estimateLinkWait(now) }
                 : undefined,
             queued: this.#queue.queued,
+            rollout: this.#options.readRollout?.(),
             running: this.#queue.running,
             slots: server?.slots ?? 0,
             waits: this.#queue.estimateWaits(now),
@@ -160,7 +166,15 @@
             return undefined;
         }
         const { address, port, serverId, service, slots, startedAt } = server;
-        return { address, limitPerSecond: this.#rateLimit.perSecond, port, serverId, service, slots, startedAt };
+        const softwareVersion = this.#options.onServer === undefined ? undefined : server.softwareVersion;
+        const limitPerSecond = this.#rateLimit.perSecond;
+        return { address, limitPerSecond, port, serverId, service, slots, softwareVersion, startedAt };
+    }
+
+    /** Keeps the server closed for a roll-out, or no longer; when closed, no request reaches it after this call. */
+    setHeld(isHeld: boolean): void {
+        this.registration.setHeld(isHeld);
+        this.#refuseQueuedUnlessOpen(this.#options.now());
     }
 
     /** Restores the server from the identity that another daemon remembers, so that it need not report first. */
@@ -172,6 +186,7 @@
                     identity,
                 });
                 this.#connectionPool.setTarget(identity.address, identity.port);
+                this.#options.onServer?.(this.registration.server);
                 this.#confirmation?.start();
             }
         }
@@ -204,6 +219,9 @@
             this.#options.log.info(`server ${report.serverId} is ${report.phase}.`, { report });
         }
         this.#connectionPool.setTarget(report.address, report.port);
+        if (this.registration.server !== undefined) {
+            this.#options.onServer?.(this.registration.server);
+        }
         this.#refuseQueuedUnlessOpen(now);
         if (isOther && this.#wasOpen) {
             this.#options.onChange(this.readLoad());
@@ -296,6 +314,9 @@
             return { detail: `the server is of ${server.service}`, reason: RefusalReason.Misdirected };
         }
         if (!this.#isOpen(now)) {
+            if (this.registration.isHeld) {
+                return { detail: "a roll-out keeps the server closed", reason: RefusalReason.ServerLeaving };
+            }
             const isReady = server.phase === ServerPhase.Ready;
             const unavailableDetail = this.registration.needsConfirmation()
                 ? "the server has not confirmed that it serves"
--- a/src/transport/sidecar/SessionSelector.ts
+++ b/src/transport/sidecar/SessionSelector.ts
@@ -9,6 +9,7 @@
 import { isPresent } from "../../state/members/index.js";
 import { rankByRendezvousHash } from "../../state/shared/index.js";
 import type { PartLogger } from "../logging/index.js";
+import type { RolloutManager } from "../rollouts/index.js";
 import type { SessionManager } from "../sessions/index.js";
 import { computeDistance } from "../traffic/index.js";
 
@@ -31,6 +32,8 @@
     readonly log: PartLogger;
     readonly now: () => number;
     readSelf(): Member;
+    /** Names the owners that a roll-out brings into use, which are selected besides the others. */
+    readonly rollouts?: Pick<RolloutManager, "listTargetIds" | "listWantedIds"> | undefined;
     /** Services to which callers of this daemon may send requests. */
     listServices(): Iterable<string>;
 }
@@ -86,16 +89,27 @@
     }
 
     #selectWanted(isExcluded: (id: string) => boolean, now: number): Set<string> {
-        const { listServices, readSelf, table } = this.#options;
+        const { listServices, readSelf, rollouts, table } = this.#options;
         const self = readSelf();
         this.#neighbours = selectNeighbours(table, self, isExcluded);
-        const wanted = new Set(this.#neighbours);
+        const wanted = new Set([...this.#neighbours, ...rollouts?.listWantedIds(listServices()) ?? []]);
         const position = this.#computePosition(self);
         for (const service of listServices()) {
             const servers = this.#serversByService.get(service);
             if (servers !== undefined) {
-                selectSubset(servers, { extra: this.#readExtra(service, now), isExcluded, position })
-                    .forEach(id => wanted.add(id));
+                const extra = this.#readExtra(service, now);
+                const targets = rollouts?.listTargetIds(service);
+                const select = (isOutside: (id: string) => boolean) =>
+                    selectSubset(servers, { extra, isExcluded: id => isExcluded(id) || isOutside(id), position })
+                        .forEach(id => wanted.add(id));
+                if (targets === undefined || targets.size === 0) {
+                    select(() => false);
+                }
+                else {
+                    // When the servers of the old version close all at once, those of the new one are connected.
+                    select(id => targets.has(id));
+                    select(id => !targets.has(id));
+                }
             }
         }
         return wanted;
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -15,6 +15,7 @@
 import { AdmissionController, checkHealth } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { QuarantineArchive, QuarantineManager } from "../quarantine/index.js";
+import type { RolloutManager } from "../rollouts/index.js";
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../routes/index.js";
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
@@ -26,25 +27,23 @@
 import { DelayMonitor } from "./DelayMonitor.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
+import { IsolationTracker } from "./IsolationTracker.js";
+import { MemberRemoval } from "./MemberRemoval.js";
 import { renderMetrics } from "./MetricsText.js";
 import { answerOperator } from "./OperatorEndpoint.js";
 import { OverloadMonitor } from "./OverloadMonitor.js";
 import { buildMember } from "./OwnRecord.js";
 import { RetryBudgets } from "./RetryBudgets.js";
+import { createRollouts } from "./RolloutWiring.js";
 import { SessionSelector } from "./SessionSelector.js";
+import { mergeSettings } from "./SettingsReload.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
+import { UsedServices } from "./UsedServices.js";
 
-/** Time without any reachable daemon after which this one is not ready, so that callers go elsewhere. */
-const ISOLATION_TIMEOUT_MS = 1_500;
-/** Time after which an unreachable daemon is taken to be gone for good; longer than partitions between regions. */
-const MEMBER_REMOVAL_DELAY_MS = 600_000;
-const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
 /** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
 const SESSION_UPDATE_INTERVAL_MS = 250;
 /** Bytes a millisecond in one Mbit/s. */
 const BYTES_PER_MS_AND_MEGABIT = 125;
-/** Number of services up to which sessions are opened before the first request. */
-const MAXIMUM_PREPARED_SERVICES = 16;
 /**
  * Share of the time between SIGTERM and SIGKILL after which a planned stop ends running requests. The stop
  * ends in the last sixth of that time.
@@ -92,15 +91,6 @@
     return sidecar;
 }
 
-/** Settings that `reload` applies. */
-const RELOADABLE_SETTINGS: ReadonlySet<string> = new Set([
-    "graceMs",
-    "retryRatio",
-    "retrySlack",
-    "retryWindowMs",
-    "storeUrl",
-]);
-
 class RunningSidecar implements Sidecar {
     #settings: SidecarSettings;
     readonly #dependencies: SidecarDependencies;
@@ -128,11 +118,12 @@
     readonly #routeResolver: RouteResolver;
     readonly #endpoints: Server[] = [];
     #isStopping = false;
-    #isolatedSince: number | undefined;
-    #removalTimer: NodeJS.Timeout | undefined;
+    readonly #memberRemoval: MemberRemoval;
+    readonly #isolation = new IsolationTracker();
+    readonly #rollouts: RolloutManager | undefined;
     #sessionTimer: NodeJS.Timeout | undefined;
     #updatedAt = 0;
-    readonly #usedServices = new Set<string>();
+    readonly #usedServices = new UsedServices();
     /** Generation of the member table for which the configuration knows the daemons of the region. */
     #regionGeneration = -1;
 
@@ -200,6 +191,10 @@
             log: createPartLogger("gate"),
             now,
             onAnswered: request => this.#quarantine.recordCompletion(request),
+            onServer: settings.exposureShare === undefined
+                ? undefined
+                : server => this.#rollouts?.gate.acceptServer(server),
+            readRollout: () => this.#rollouts?.gate.readLoad(),
             onCrash: ({ serverId, startedAt }, requests, crashedAt) =>
                 this.#quarantine.recordCrash(`${serverId}/${startedAt ?? ""}`, requests, crashedAt),
             onChange: load => {
@@ -235,9 +230,15 @@
                 this.#configurationManager.recordStatus(status);
                 this.#memberGossip.compareDigest(status.id, status.membersDigest);
             },
-            onEnded: id => this.#configurationManager.recordEnd(id),
+            onEnded: id => {
+                this.#configurationManager.recordEnd(id);
+                this.#rollouts?.recordEnd(id);
+            },
             onVersion: (id, version) => this.#configurationManager.recordVersion(id, version),
-            onConnected: id => this.#quarantine.sendAll(id),
+            onConnected: id => {
+                this.#quarantine.sendAll(id);
+                this.#rollouts?.sendAll(id);
+            },
             onGossip: (id, message) => this.#handleGossip(id, message),
             onLoad: (id, load) => this.#serverDirectory.recordLoad(id, load),
             onMembers: members => this.#memberGossip.announce(this.#memberRegistry.merge(members)),
@@ -257,7 +258,7 @@
             readLoad: () => ({ ...this.#admission.readLoad(), processorDelayMs: this.#overload.estimateDelayMs() }),
             readServerIdentity: () => this.#admission.readServerIdentity(),
             readSelf: () => this.#memberRegistry.self,
-            submit: (request, events) => this.#admission.submit(request, events),
+            submit: (request, events) => (this.#rollouts?.gate ?? this.#admission).submit(request, events),
             timers: realTimers,
             uplink: this.#uplink,
         });
@@ -270,8 +271,27 @@
             table: this.#memberRegistry.table,
             timers: realTimers,
         });
+        this.#memberRemoval = new MemberRemoval({
+            isIsolated: () => this.#listReachable().length === 0,
+            now,
+            remove: member => void this.#memberRegistry.remove(member, this.#configurationManager.isWatching),
+            sessions: this.#sessions,
+        });
+        this.#rollouts = createRollouts(settings, {
+            admission: this.#admission,
+            announceLoad: () => this.#sessions.announceLoad(),
+            listConnected: () => this.#sessions.listConnected(now()),
+            listNeighbours: () => this.#sessionSelector.neighbours,
+            log: createPartLogger("rollouts"),
+            memberRegistry: this.#memberRegistry,
+            now: this.#ageClock.now,
+            random,
+            send: (id, message) => this.#sessions.sendGossip(id, message),
+            store: dependencies.store,
+        });
         this.#sessionSelector = new SessionSelector({
-            listServices: () => this.#listServices(),
+            rollouts: this.#rollouts,
+            listServices: () => this.#usedServices.list(this.#configurationManager.configuration),
             log: createPartLogger("sessions"),
             now,
             readSelf: () => this.#memberRegistry.self,
@@ -280,7 +300,11 @@
         });
         const requestLog = createPartLogger("requests");
         this.#serverDirectory = new ServerDirectory({
-            admission: this.#admission,
+            admission: {
+                readLoad: () => this.#admission.readLoad(),
+                submit: (request, events) => (this.#rollouts?.gate ?? this.#admission).submit(request, events),
+            },
+            rollouts: this.#rollouts?.caller,
             sessions: this.#sessions,
             now,
             onEject: (id, service) => {
@@ -366,6 +390,7 @@
             },
             recordOutdated: version => this.#lag.requireVersion(version + 1, this.#ageClock.now()),
             recordRetry: service => this.#retryBudgets.recordRetry(service),
+            rollouts: this.#rollouts?.caller,
             selfId: settings.id,
             recordRelayedAnswer: bytes => this.#admission.recordLinkUse(bytes),
             resolveRoute: question => this.#routeResolver.resolveRoute(question),
@@ -403,7 +428,8 @@
             void this.#quarantineArchive.load();
         }
         void this.#memberRegistry.register();
-        this.#removalTimer = setInterval(() => this.#removeUnreachableMembers(), MEMBER_REMOVAL_INTERVAL_MS);
+        this.#memberRemoval.start();
+        this.#rollouts?.start();
         this.#updatedAt = this.#dependencies.now();
         this.#sessionTimer = setInterval(() => {
             const now = this.#dependencies.now();
@@ -436,16 +462,8 @@
     }
 
     reload(settings: SidecarSettings): void {
-        const before = this.#settings as unknown as Record<string, unknown>;
-        const changed = Object.entries(settings)
-            .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(before[name]))
-            .map(([name]) => name);
-        const ignored = changed.filter(name => !RELOADABLE_SETTINGS.has(name));
-        const followed = changed.filter(name => RELOADABLE_SETTINGS.has(name));
-        this.#settings = {
-            ...this.#settings,
-            ...Object.fromEntries(Object.entries(settings).filter(([name]) => RELOADABLE_SETTINGS.has(name))),
-        };
+        const { followed, ignored, merged } = mergeSettings(this.#settings, settings);
+        this.#settings = merged;
         this.#log.info("settings were reloaded.", { followed, ignored });
     }
 
@@ -456,7 +474,8 @@
     }
 
     async #closePorts(): Promise<void> {
-        clearInterval(this.#removalTimer);
+        this.#memberRemoval.stop();
+        this.#rollouts?.stop();
         clearInterval(this.#sessionTimer);
         this.#memberGossip.stop();
         this.#uplink.stop();
@@ -520,6 +539,9 @@
             case "crashes":
                 this.#quarantine.handle(id, message);
                 return;
+            case "rolloutReports":
+                this.#rollouts?.handle(id, message);
+                return;
             case "routeAnswer":
                 this.#routeQueries.handleAnswer(id, message);
                 return;
@@ -531,14 +553,6 @@
         }
     }
 
-    /** Services for which sessions are kept: those of the callers' requests, and all while they are few. */
-    #listServices(): Iterable<string> {
-        const services = this.#configurationManager.configuration?.services;
-        return services !== undefined && services.size <= MAXIMUM_PREPARED_SERVICES
-            ? new Set([...services.keys(), ...this.#usedServices])
-            : this.#usedServices;
-    }
-
     #updateSessions(): void {
         this.#sessionSelector.update(this.#dependencies.now());
         const { self, table } = this.#memberRegistry;
@@ -549,20 +563,6 @@
         }
     }
 
-    /** Removes daemons that are gone, unless this one is isolated. A watcher of the store removes their records. */
-    #removeUnreachableMembers(): void {
-        const now = this.#dependencies.now();
-        if (this.#listReachable().length === 0) {
-            return;
-        }
-        for (const session of [...this.#sessions.listOwnerSessions()]) {
-            const lostSince = session.readUnreachableSince(now);
-            if (lostSince !== undefined && now - lostSince > MEMBER_REMOVAL_DELAY_MS) {
-                void this.#memberRegistry.remove(session.member, this.#configurationManager.isWatching);
-            }
-        }
-    }
-
     #listReachable() {
         const self = this.#memberRegistry.self;
         return [...this.#sessions.listConnected(this.#dependencies.now())].flatMap(id => {
@@ -577,10 +577,8 @@
         if (this.#isStopping || !hasConfiguration || this.#overload.shouldAvoidCallers()) {
             return false;
         }
-        const now = this.#dependencies.now();
         const isConnected = this.#memberRegistry.list().length <= 1 || this.#listReachable().length > 0;
-        this.#isolatedSince = isConnected ? undefined : this.#isolatedSince ?? now;
-        return this.#isolatedSince === undefined || now - this.#isolatedSince < ISOLATION_TIMEOUT_MS;
+        return !this.#isolation.update(isConnected, this.#dependencies.now());
     }
 
     #renderMetrics(): string {
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -2,16 +2,17 @@
  * Forwards one request of a caller: places it at an owner, retries it if it was certainly not run or
  * is repeatable, and answers the caller as soon as the outcome is known.
  */
-import { computeRetryAfter, selectPlacement } from "../../coordination/placement/index.js";
-import type { OwnerLoad, Placement, PlacementQuery } from "../../coordination/placement/index.js";
+import { computeRetryAfter } from "../../coordination/placement/index.js";
+import type { OwnerLoad } from "../../coordination/placement/index.js";
 import { parseStatedLength } from "../../protocol/framing/index.js";
 import { getRefusalStatus, Outcome, RefusalReason } from "../../protocol/request/index.js";
 import { isRepeatable } from "../../state/traffic/index.js";
 import type { AnswerHead, OwnedRequest, OwnerRefusal, RequestHandle } from "../ownership/index.js";
-import type { Suspicion } from "../quarantine/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
+import { selectOwner } from "./OwnerSelection.js";
+import type { SelectedOwner } from "./OwnerSelection.js";
 import { PlacementHistory } from "./PlacementHistory.js";
 import type { Owner } from "./ServerDirectory.js";
 import {
@@ -112,27 +113,29 @@
         this.#send(placement, "first");
     }
 
-    #selectPlacement(isRetry: boolean): Placement<Owner> | undefined {
+    #selectPlacement(isRetry: boolean): SelectedOwner | undefined {
         const { deadlineAt, route, service, statistics, targetAt } = this.#plan;
         const now = this.#context.now();
         const leftMs = deadlineAt - now;
         if (this.#placementCount >= MAXIMUM_PLACEMENTS || this.#placementCount > 0 && leftMs < MINIMUM_RETRY_TIME_MS) {
             return undefined;
         }
-        const query = {
-            budgetLeftMs: leftMs,
-            isNested: this.#plan.isNested,
-            bytes: this.#plan.body.length + statistics.answerBytes,
-            route: route.name,
-            targetLeftMs: targetAt - now,
-        };
         const suspicion = this.#context.findSuspicion(this.#plan);
         if (suspicion?.isOnTrial === true && this.#serversReached > 0) {
             return undefined;
         }
-        const placement = this.#selectDesignatedOwner(suspicion, query, now)
-            ?? (suspicion?.isOnTrial === true ? undefined : this.#selectOwner(query, now));
-        if (placement === undefined || placement.latencyMs > query.targetLeftMs) {
+        const targetLeftMs = targetAt - now;
+        const placement = selectOwner(this.#context, this.#plan, {
+            budgetLeftMs: leftMs,
+            bytes: this.#plan.body.length + statistics.answerBytes,
+            excluded: this.#excluded,
+            isNested: this.#plan.isNested,
+            now,
+            route: route.name,
+            suspicion,
+            targetLeftMs,
+        });
+        if (placement === undefined || placement.latencyMs > targetLeftMs) {
             this.#context.widen(service);
         }
         if (placement === undefined) {
@@ -144,30 +147,6 @@
         return placement;
     }
 
-    #selectOwner(query: PlacementQuery, now: number): Placement<Owner> | undefined {
-        const { directory, random } = this.#context;
-        const { service } = this.#plan;
-        return selectPlacement(directory.listCandidates(service, this.#excluded, now), query, now, random)
-            ?? selectPlacement(directory.listIncludingEjected(service, this.#excluded, now), query, now, random);
-    }
-
-    /** Selects the same owner as other daemons that get the same suspect, so that one server at most is lost to it. */
-    #selectDesignatedOwner(
-        suspicion: Suspicion | undefined,
-        query: PlacementQuery,
-        now: number,
-    ): Placement<Owner> | undefined {
-        const { directory, random } = this.#context;
-        return suspicion === undefined
-            ? undefined
-            : selectPlacement(
-                directory.listDesignatedOwner(this.#plan.service, suspicion.fingerprint, this.#excluded, now),
-                query,
-                now,
-                random,
-            );
-    }
-
     /** Whether the request may reach one more server. */
     #mayRetry(): boolean {
         const { route, service } = this.#plan;
@@ -175,7 +154,7 @@
             || this.#serversReached < route.maximumServers && this.#context.takeRetry(service);
     }
 
-    #send({ candidate: owner, latencyMs }: Placement<Owner>, cause: string): void {
+    #send({ baseline, candidate: owner, latencyMs }: SelectedOwner, cause: string): void {
         const now = this.#context.now();
         const attempt: Attempt = { handle: undefined, isEnded: false, hasProceeded: false, owner, sentAt: now };
         const {
@@ -193,6 +172,7 @@
             version,
         } = this.#plan;
         const request: OwnedRequest = {
+            baseline,
             body,
             budgetLeftMs: deadlineAt - now,
             callerService,
--- a/src/transport/traffic/ForwardingPlan.ts
+++ b/src/transport/traffic/ForwardingPlan.ts
@@ -6,6 +6,7 @@
 import type { RoutePolicy } from "../../state/traffic/index.js";
 import type { OwnerRefusal } from "../ownership/index.js";
 import type { Suspicion } from "../quarantine/index.js";
+import type { CallerExposure } from "../rollouts/index.js";
 import type { Timers } from "../timers/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import type { ServerDirectory } from "./ServerDirectory.js";
@@ -14,6 +15,8 @@
     readonly dialect: Dialect;
     readonly directory: ServerDirectory;
     readonly selfId: string;
+    /** Limits requests to servers of versions on trial; undefined where there are no roll-outs. */
+    readonly rollouts?: Pick<CallerExposure, "findBaseline" | "isAffected" | "selectTrial"> | undefined;
     readonly recorder: RequestRecorder;
     readonly now: () => number;
     readonly random: () => number;
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -4,6 +4,7 @@
 import type { Member } from "../../state/members/index.js";
 import { rankByRendezvousHash } from "../../state/shared/index.js";
 import type { AdmissionController, OwnedRequest, RequestHandle } from "../ownership/index.js";
+import type { CallerExposure } from "../rollouts/index.js";
 import type { SessionManager, SessionRequestEvents } from "../sessions/index.js";
 import { MAXIMUM_EJECTED_SHARE } from "./TrafficConstants.js";
 
@@ -18,6 +19,8 @@
     readonly admission: Pick<AdmissionController, "readLoad" | "submit">;
     readonly sessions: SessionManager;
     readonly now: () => number;
+    /** Tells which owners a roll-out limits, and counts requests; undefined where there are no roll-outs. */
+    readonly rollouts?: Pick<CallerExposure, "isRegular" | "observe"> | undefined;
     /** Called when outlier ejection excludes a server. */
     onEject(id: string, service: string): void;
 }
@@ -65,16 +68,26 @@
         for (const owner of this.#ownersByService.get(service)?.values() ?? []) {
             if (
                 !excluded.has(owner.id) && this.#isAvailable(owner, now) && owner.statistics.ejection.isAvailable(now)
+                && this.#isRegular(owner)
             ) {
                 yield owner;
             }
         }
     }
 
+    /** Lists the owners of a service that accept requests now, but only those that a roll-out has put on trial. */
+    *listOnTrial(service: string, excluded: ReadonlySet<string>, now: number): Generator<Owner> {
+        for (const owner of this.#ownersByService.get(service)?.values() ?? []) {
+            if (!excluded.has(owner.id) && this.#isAvailable(owner, now) && !this.#isRegular(owner)) {
+                yield owner;
+            }
+        }
+    }
+
     /** Like `listCandidates`, but with ejected servers; used when no other candidate is left. */
     *listIncludingEjected(service: string, excluded: ReadonlySet<string>, now: number): Generator<Owner> {
         for (const owner of this.#ownersByService.get(service)?.values() ?? []) {
-            if (!excluded.has(owner.id) && this.#isAvailable(owner, now)) {
+            if (!excluded.has(owner.id) && this.#isAvailable(owner, now) && this.#isRegular(owner)) {
                 yield owner;
             }
         }
@@ -92,7 +105,7 @@
     ): Generator<Owner> {
         const owners = [...this.#ownersByService.get(service)?.values() ?? []].filter(({ id }) =>
             id === this.#options.self.id || this.#options.sessions.getOwnerSession(id) !== undefined
-        );
+        ).filter(owner => this.#isRegular(owner));
         const [owner] = rankByRendezvousHash(fingerprint, owners);
         if (owner !== undefined && !excluded.has(owner.id) && this.#isAvailable(owner, now)) {
             yield owner;
@@ -124,6 +137,10 @@
         return earliest;
     }
 
+    #isRegular(owner: Owner): boolean {
+        return this.#options.rollouts?.isRegular(owner) ?? true;
+    }
+
     #isAvailable(owner: Owner, now: number): boolean {
         if (owner.id === this.#options.self.id) {
             return this.#options.admission.readLoad().isOpen;
@@ -151,7 +168,11 @@
             owners = new Map();
             this.#ownersByService.set(service, owners);
         }
-        owners.set(member.id, { id: member.id, service, statistics, submit });
+        const { rollouts } = this.#options;
+        const submitObserved: Owner["submit"] = rollouts === undefined
+            ? submit
+            : (request, events) => submit(request, rollouts.observe(service, request, events));
+        owners.set(member.id, { id: member.id, service, statistics, submit: submitObserved });
     }
 
     #computeDistance(member: Member): Distance {
