--- a/src/coordination/placement/PlacementTypes.ts
+++ b/src/coordination/placement/PlacementTypes.ts
@@ -1,3 +1,4 @@
+import type { RolloutLoad } from "../rollouts/index.js";
 import type { SlotWaitEstimates } from "../scheduling/index.js";
 
 /** Network distance from the selecting daemon to a server. */
@@ -25,6 +26,8 @@
     readonly processorDelayMs?: number | undefined;
     /** How long work takes at the server at present, as told by it and reduced by its age; undefined when it isn't told. */
     readonly workFactor?: number | undefined;
+    /** What a roll-out has decided for the server; undefined while it gets requests like any other. */
+    readonly rollout?: RolloutLoad | undefined;
 }
 
 export interface LinkLoad {
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -2,17 +2,18 @@
  * Forwards one request of a caller: places it at an owner, retries it if it was certainly not run or
  * is repeatable, and answers the caller as soon as the outcome is known.
  */
-import { computeRetryAfter, selectPlacement } from "../../coordination/placement/index.js";
-import type { OwnerLoad, Placement, PlacementQuery } from "../../coordination/placement/index.js";
+import { computeRetryAfter } from "../../coordination/placement/index.js";
+import type { OwnerLoad } from "../../coordination/placement/index.js";
 import { parseStatedLength } from "../../protocol/framing/index.js";
 import { getRefusalStatus, Outcome, RefusalReason } from "../../protocol/request/index.js";
 import { isRepeatable } from "../../state/traffic/index.js";
 import type { AnswerHead, OwnerRefusal } from "../ownership/index.js";
-import type { Suspicion } from "../quarantine/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
 import { AnswerStream } from "./AnswerStream.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
+import { selectOwner } from "./OwnerSelection.js";
+import type { SelectedOwner } from "./OwnerSelection.js";
 import { RequestAttempts } from "./RequestAttempts.js";
 import type { Attempt } from "./RequestAttempts.js";
 import { buildRequestRecord, FIRST_SERVER_FAILURE, Hop } from "./RequestEnd.js";
@@ -94,7 +95,7 @@
         this.#send(placement, "first");
     }
 
-    #selectPlacement(isRetry: boolean): Placement<Owner> | undefined {
+    #selectPlacement(isRetry: boolean): SelectedOwner | undefined {
         const { deadlineAt, route, service, statistics, targetAt } = this.#plan;
         const now = this.#context.now();
         const leftMs = deadlineAt - now;
@@ -102,20 +103,22 @@
         if (placementCount >= MAXIMUM_PLACEMENTS || placementCount > 0 && leftMs < MINIMUM_RETRY_TIME_MS) {
             return undefined;
         }
-        const query = {
-            budgetLeftMs: leftMs,
-            isNested: this.#plan.isNested,
-            bytes: this.#plan.body.length + statistics.answerBytes,
-            route: route.name,
-            targetLeftMs: targetAt - now,
-        };
         const suspicion = this.#context.findSuspicion(this.#plan);
         if (suspicion?.isOnTrial === true && this.#attempts.serversReached > 0) {
             return undefined;
         }
-        const placement = this.#selectDesignatedOwner(suspicion, query, now)
-            ?? (suspicion?.isOnTrial === true ? undefined : this.#selectOwner(query, now));
-        if (placement === undefined || placement.latencyMs > query.targetLeftMs) {
+        const targetLeftMs = targetAt - now;
+        const placement = selectOwner(this.#context, this.#plan, {
+            budgetLeftMs: leftMs,
+            bytes: this.#plan.body.length + statistics.answerBytes,
+            excluded: this.#attempts.excludedOwners,
+            isNested: this.#plan.isNested,
+            now,
+            route: route.name,
+            suspicion,
+            targetLeftMs,
+        });
+        if (placement === undefined || placement.latencyMs > targetLeftMs) {
             this.#context.widen(service);
         }
         if (placement === undefined) {
@@ -127,45 +130,6 @@
         return placement;
     }
 
-    #selectOwner(query: PlacementQuery, now: number): Placement<Owner> | undefined {
-        const { directory, random } = this.#context;
-        const { service } = this.#plan;
-        return selectPlacement(
-            directory.listCandidates(service, this.#attempts.excludedOwners, now),
-            query,
-            now,
-            random,
-        )
-            ?? selectPlacement(
-                directory.listIncludingEjected(service, this.#attempts.excludedOwners, now),
-                query,
-                now,
-                random,
-            );
-    }
-
-    /** Selects the same owner as other daemons that get the same suspect, so that one server at most is lost to it. */
-    #selectDesignatedOwner(
-        suspicion: Suspicion | undefined,
-        query: PlacementQuery,
-        now: number,
-    ): Placement<Owner> | undefined {
-        const { directory, random } = this.#context;
-        return suspicion === undefined
-            ? undefined
-            : selectPlacement(
-                directory.listDesignatedOwner(
-                    this.#plan.service,
-                    suspicion.fingerprint,
-                    this.#attempts.excludedOwners,
-                    now,
-                ),
-                query,
-                now,
-                random,
-            );
-    }
-
     /** Whether the request may reach one more server. */
     #mayRetry(): boolean {
         const { route, service } = this.#plan;
@@ -173,7 +137,7 @@
             || this.#attempts.serversReached < route.maximumServers && this.#context.takeRetry(service);
     }
 
-    #send(placement: Placement<Owner>, cause: string): void {
+    #send(placement: SelectedOwner, cause: string): void {
         this.#attempts.send(placement, cause, attempt => this.#buildEvents(attempt));
     }
 
--- a/src/transport/traffic/RequestAttempts.ts
+++ b/src/transport/traffic/RequestAttempts.ts
@@ -1,8 +1,9 @@
 /** Attempts of one request, each at another owner: sends, ends and cancels them, and counts the servers reached. */
-import type { OwnerLoad, Placement } from "../../coordination/placement/index.js";
+import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { RequestHandle } from "../ownership/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
+import type { SelectedOwner } from "./OwnerSelection.js";
 import { PlacementHistory } from "./PlacementHistory.js";
 import { buildOwnedRequest } from "./PlannedRequest.js";
 import type { Owner } from "./ServerDirectory.js";
@@ -66,13 +67,13 @@
     }
 
     send(
-        { candidate: owner, latencyMs }: Placement<Owner>,
+        { baseline, candidate: owner, latencyMs }: SelectedOwner,
         cause: string,
         buildEvents: (attempt: Attempt) => SessionRequestEvents,
     ): void {
         const now = this.#context.now();
         const attempt = new Attempt(owner, now);
-        const request = buildOwnedRequest(this.#plan, this.#serversReached > 0, now);
+        const request = buildOwnedRequest(this.#plan, { baseline, isRetry: this.#serversReached > 0 }, now);
         this.history.recordPlacement(owner, cause, latencyMs, now);
         this.#placementCount++;
         this.#serversReached++;
--- a/src/transport/traffic/__tests__/unit/PlannedRequest.test.ts
+++ b/src/transport/traffic/__tests__/unit/PlannedRequest.test.ts
@@ -38,8 +38,14 @@
 
 it("a request has the priority and the name of its tenant, and without a priority of its own that of the route", () => {
     const build = (priority?: number) =>
-        buildOwnedRequest({ ...PLAN, tenant: { burst: 5, name: "pulo780", priority, ratePerSecond: 9 } }, false, 100);
+        buildOwnedRequest({ ...PLAN, tenant: { burst: 5, name: "pulo780", priority, ratePerSecond: 9 } }, {
+            isRetry: false,
+        }, 100);
     expect(build(0)).toMatchObject({ budgetLeftMs: 700, priority: 0, targetLeftMs: 400, tenant: "pulo780" });
     expect(build()).toMatchObject({ priority: 4, tenant: "pulo780" });
-    expect(buildOwnedRequest(PLAN, true, 100)).toMatchObject({ isRetry: true, priority: 4, tenant: undefined });
+    expect(buildOwnedRequest(PLAN, { isRetry: true }, 100)).toMatchObject({
+        isRetry: true,
+        priority: 4,
+        tenant: undefined,
+    });
 });
