--- a/src/coordination/rollouts/EvidenceReview.ts
+++ b/src/coordination/rollouts/EvidenceReview.ts
@@ -3,8 +3,10 @@
     ACCEPTANCE_RATIO,
     BUSY_SHARE,
     DOUBT_THRESHOLD,
+    LAST_DOUBT_THRESHOLD,
     REJECTION_THRESHOLD,
     WANTED_ANSWERS,
+    WEAK_ACCEPTANCE_ANSWERS,
     WEAK_ACCEPTANCE_RATIO,
 } from "./RolloutConstants.js";
 import { ALL_ROUTES } from "./RolloutTypes.js";
@@ -44,19 +46,28 @@
     return [...sumRoutes(reports.values()).values()].find(({ alarm }) => alarm >= REJECTION_THRESHOLD);
 }
 
-/** Whether answers of this route are still wanted. */
+/**
+ * Whether answers of this route are wanted more than those of others, so that they may use slack: a fault on one route with
+ * few requests is found only if most of these are tried.
+ */
 export function isWanted({ reports }: Pick<Rollout, "reports">, route: string): boolean {
-    return (sumRoutes(reports.values()).get(route)?.requests ?? 0) < WANTED_ANSWERS;
+    const totals = sumRoutes(reports.values());
+    const requests = totals.get(route)?.requests ?? 0;
+    const mean = (totals.get(ALL_ROUTES)?.requests ?? 0) / Math.max(1, totals.size - 1);
+    return requests < WANTED_ANSWERS && requests <= mean;
 }
 
-export function reviewEvidence({ reports }: Pick<Rollout, "reports">): Evidence {
+/** `isLast` tells that there is no time for more answers. */
+export function reviewEvidence({ reports }: Pick<Rollout, "reports">, isLast: boolean): Evidence {
     const totals = sumRoutes(reports.values());
     const all = totals.get(ALL_ROUTES);
     if (all === undefined || all.requests === 0) {
         return Evidence.None;
     }
-    const hasDoubts = [...totals.values()].some(({ alarm }) => alarm >= DOUBT_THRESHOLD);
-    if (hasDoubts || all.ratio > WEAK_ACCEPTANCE_RATIO) {
+    const hasDoubts = [...totals.values()].some(({ alarm }) =>
+        alarm >= (isLast ? LAST_DOUBT_THRESHOLD : DOUBT_THRESHOLD)
+    );
+    if (hasDoubts || all.ratio > WEAK_ACCEPTANCE_RATIO || all.requests < WEAK_ACCEPTANCE_ANSWERS) {
         return Evidence.Insufficient;
     }
     const isEachRouteMeasured = [...totals.values()].every(({ requests }) =>
--- a/src/coordination/rollouts/RolloutConstants.ts
+++ b/src/coordination/rollouts/RolloutConstants.ts
@@ -28,10 +28,16 @@
 export const REJECTION_THRESHOLD = 12;
 /** Value of the test above which a version isn't promoted, although it isn't rejected. */
 export const DOUBT_THRESHOLD = 3;
+/** The same at the last moment: 3 bad answers within 10, which 1 of 1,000 good versions that fail 2% has at that moment. */
+export const LAST_DOUBT_THRESHOLD = 6;
 /** Log-likelihood ratio at which a version counts as good: one that fails 20% of the requests gets there in 1 of 1,000 cases. */
 export const ACCEPTANCE_RATIO = -Math.log(1_000);
-/** The same for a version with 35% bad answers or more, for services with few requests. */
-export const WEAK_ACCEPTANCE_RATIO = ACCEPTANCE_RATIO / 2;
+/**
+ * The same for services with few requests, with a number of answers: a version that fails 35% or more gets there in fewer than 1 of
+ * 1,000 cases, while a good one with 2 bad answers of 40 does too.
+ */
+export const WEAK_ACCEPTANCE_RATIO = -1.5;
+export const WEAK_ACCEPTANCE_ANSWERS = 17;
 /** Answers of each busy route that are wanted before a promotion. */
 export const WANTED_ANSWERS = 30;
 /** Share of the answers from which a route counts as busy. */
@@ -43,11 +49,11 @@
 export const FINAL_STEPS_MS = 3_000;
 export const FINAL_STEPS_SHARE = 0.25;
 /** Time before the order's end until which a trial with too few answers goes on. */
-export const LATEST_DECISION_MS = 2_000;
+export const LATEST_DECISION_MS = 2_500;
 /** Time before the order's end at which a promotion that isn't through is given up. */
-export const ABORT_PROMOTION_MS = 1_000;
+export const ABORT_PROMOTION_MS = 600;
 /** Time before the order's end at which the status is written, whatever still runs. */
-export const FORCED_STATUS_MS = 400;
+export const FORCED_STATUS_MS = 300;
 /** Longest wait for requests that run at rejected servers before the status is written. */
 export const REJECTED_DRAIN_MS = 2_500;
 /** Time of an order that names none that can be used. */
--- a/src/coordination/rollouts/StatusPlan.ts
+++ b/src/coordination/rollouts/StatusPlan.ts
@@ -58,8 +58,8 @@
     if (isInForce(order, reports, ownerIds)) {
         return { kind: "write", state: RolloutState.Succeeded };
     }
-    const evidence = reviewEvidence(rollout);
     const isLast = now >= computeEnd(order) - LATEST_DECISION_MS + delayMs * LATE_DELAY_SHARE;
+    const evidence = reviewEvidence(rollout, isLast);
     if (
         now >= computePromotionTime(order) + delayMs
         && (evidence === Evidence.Sufficient || isLast && evidence === Evidence.Weak)
--- a/src/coordination/rollouts/index.ts
+++ b/src/coordination/rollouts/index.ts
@@ -2,6 +2,7 @@
 export { computeActiveCount, selectActive } from "./CandidateSelection.js";
 export { Evidence, findRejection, isWanted, reviewEvidence, sumRoutes } from "./EvidenceReview.js";
 export { ExposureLimiter } from "./ExposureLimiter.js";
+export { computeSlackLeft } from "./ExposureSlack.js";
 export {
     COLD_START_FACTOR,
     DEFAULT_FINISH_MS,
@@ -9,7 +10,6 @@
     MAXIMUM_ROUTES,
     MAXIMUM_VERSIONS,
     SHARE_IN_USE,
-    SLACK_IN_USE,
 } from "./RolloutConstants.js";
 export { isFinal, NO_RECORDS, RolloutLedger } from "./RolloutLedger.js";
 export { ALL_ROUTES, DecisionKind, OwnerPhase, RolloutStage, RolloutState } from "./RolloutTypes.js";
--- a/src/transport/rollouts/CandidateGate.ts
+++ b/src/transport/rollouts/CandidateGate.ts
@@ -1,12 +1,11 @@
 /** Owner's side of a roll-out: opens and closes the gate of the own server, and collects evidence of its answers. */
 import type { RegisteredServer } from "../../coordination/registration/index.js";
 import {
-    computePromotionTime,
+    computeSlackLeft,
     isFinal,
     OwnerPhase,
     RolloutStage,
     selectPhase,
-    SLACK_IN_USE,
     VersionEvidence,
 } from "../../coordination/rollouts/index.js";
 import type { OwnerReport, Rollout, RolloutLedger, RolloutLoad } from "../../coordination/rollouts/index.js";
@@ -240,22 +239,13 @@
         return !this.#hasHeardPeer && !isFinal(order.state) && now - this.#startedAt < PEER_WAIT_MS;
     }
 
-    /** Requests beyond the callers' shares that this candidate takes now; they are spread over the time of the trial. */
     #computeSlackLeft(): number {
         const { countActive, ledger, now, selfId, service, slack } = this.#options;
         const rollout = ledger.find(service);
         if (rollout?.stage !== RolloutStage.Trial || this.#phase !== OwnerPhase.Candidate) {
             return 0;
         }
-        const { learnedAt } = rollout.order;
-        const elapsedShare = (now() - learnedAt) / (computePromotionTime(rollout.order) - learnedAt);
-        const usable = slack * SLACK_IN_USE;
-        let usedByOthers = 0;
-        for (const { ownerId, slackUsed } of rollout.reports.values()) {
-            usedByOthers += ownerId === selfId ? 0 : slackUsed;
-        }
-        const own = usable / Math.max(1, countActive()) * Math.min(1, elapsedShare) - this.#slackUsed;
-        return Math.max(0, Math.floor(Math.min(own, usable - usedByOthers - this.#slackUsed)));
+        return computeSlackLeft(rollout, selfId, { activeCount: countActive(), slack, used: this.#slackUsed }, now());
     }
 
     #refuse(events: RequestEvents, reason: RefusalReason, detail: string): RequestHandle {
