Show roll-outs to operators, and see lost owners before a promotion

Cause: nobody could see why a version was rolled back; a promotion would have waited for an owner whose process had ended until its end, since no writer had a session with it. Change: GET /rollouts on the metrics port and five gauges, only where roll-outs are on; the daemons that write first keep sessions to the owners of a service with a running order; a daemon that knows no other takes a version for the one in force only after 5 s.

--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -36,6 +36,13 @@
 /** Size assumed for a download before the first answer of its route, so that a start doesn't fill the link. */
 const INITIAL_DOWNLOAD_BYTES = 65_536;
 
+/** Decides whether the server's version may get requests. */
+export interface RolloutGate {
+    /** Called with each accepted report, before a request can reach the server. */
+    acceptServer(server: RegisteredServer): void;
+    readLoad(): RolloutLoad | undefined;
+}
+
 export interface AdmissionControllerOptions {
     readonly dialect: Dialect;
     readonly log: PartLogger;
@@ -55,10 +62,8 @@
     readonly onCrash: (server: RegisteredServer, requests: readonly RunningRequest[], crashedAt: number) => void;
     /** Called with each request that the server has answered completely. */
     readonly onAnswered: (request: OwnedRequest) => void;
-    /** Called with each accepted report, before a request can reach the server; undefined where there are no roll-outs. */
-    readonly onServer?: ((server: RegisteredServer) => void) | undefined;
-    /** Returns what a roll-out has decided for the server. */
-    readonly readRollout?: (() => RolloutLoad | undefined) | undefined;
+    /** Returns what decides on the server's version; undefined where there are no roll-outs. */
+    readonly findRolloutGate?: (() => RolloutGate | undefined) | undefined;
     /** Set for a daemon that has restarted: its server has to confirm that it serves. */
     readonly confirmation?: ConfirmationDependencies | undefined;
 }
@@ -148,7 +153,7 @@
                 ? { bytesPerMs: this.#link.bytesPerMs, waitMs: this.#queue.estimateLinkWait(now) }
                 : undefined,
             queued: this.#queue.queued,
-            rollout: this.#options.readRollout?.(),
+            rollout: this.#options.findRolloutGate?.()?.readLoad(),
             running: this.#queue.running,
             slots: server?.slots ?? 0,
             waits: this.#queue.estimateWaits(now),
@@ -166,7 +171,7 @@
             return undefined;
         }
         const { address, port, serverId, service, slots, startedAt } = server;
-        const softwareVersion = this.#options.onServer === undefined ? undefined : server.softwareVersion;
+        const softwareVersion = this.#options.findRolloutGate?.() === undefined ? undefined : server.softwareVersion;
         const limitPerSecond = this.#rateLimit.perSecond;
         return { address, limitPerSecond, port, serverId, service, slots, softwareVersion, startedAt };
     }
@@ -186,7 +191,7 @@
                     identity,
                 });
                 this.#connectionPool.setTarget(identity.address, identity.port);
-                this.#options.onServer?.(this.registration.server);
+                this.#options.findRolloutGate?.()?.acceptServer(this.registration.server);
                 this.#confirmation?.start();
             }
         }
@@ -220,7 +225,7 @@
         }
         this.#connectionPool.setTarget(report.address, report.port);
         if (this.registration.server !== undefined) {
-            this.#options.onServer?.(this.registration.server);
+            this.#options.findRolloutGate?.()?.acceptServer(this.registration.server);
         }
         this.#refuseQueuedUnlessOpen(now);
         if (isOther && this.#wasOpen) {
--- a/src/transport/rollouts/CallerExposure.ts
+++ b/src/transport/rollouts/CallerExposure.ts
@@ -81,9 +81,11 @@
         }
         const { share } = this.#options;
         const candidates = [...owners].filter(owner => this.#selectPhase(owner, rollout) === OwnerPhase.Candidate);
-        const presentServers = Math.max(0, this.#options.countServers(service) - candidates.length);
+        const { order: { targetVersion }, reports } = rollout;
+        const targets = [...reports.values()].filter(({ softwareVersion }) => softwareVersion === targetVersion).length;
+        const presentServers = this.#options.countServers(service) - targets;
         const active = selectActive(
-            rollout.order.targetVersion,
+            targetVersion,
             candidates,
             computeActiveCount(share * SHARE_IN_USE, presentServers),
         );
--- a/src/transport/rollouts/CandidateGate.ts
+++ b/src/transport/rollouts/CandidateGate.ts
@@ -12,7 +12,7 @@
 import { RefusalReason } from "../../protocol/request/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { AdmissionController, OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
-import { CLOSED_RETRY_AFTER_MS, ORDER_GRACE_MS, PEER_WAIT_MS, STORE_SILENCE_MS } from "./RolloutConstants.js";
+import { ALONE_MS, CLOSED_RETRY_AFTER_MS, ORDER_GRACE_MS, PEER_WAIT_MS, STORE_SILENCE_MS } from "./RolloutConstants.js";
 
 export interface CandidateGateOptions {
     readonly selfId: string;
@@ -78,8 +78,8 @@
         return this.#softwareVersion;
     }
 
-    get isOrderRead(): boolean {
-        return this.#isOrderRead;
+    get isHeld(): boolean {
+        return this.#isHeld;
     }
 
     /** Time at which the server's version became known. */
@@ -210,6 +210,8 @@
         }
         const { base, service, targetVersion } = rollout.order;
         const versions = this.#options.ledger.listVersions(service);
+        // A daemon that has just started doesn't know yet which versions the others serve.
+        const knowsOthers = this.#hasHeardPeer || this.#options.now() - this.#versionKnownAt > ALONE_MS;
         const wasInForce = this.#inForceBase !== undefined && this.#inForceBase === this.#trackedBase;
         const isSameOrder = this.#trackedBase !== undefined && base < this.#trackedBase;
         this.#trackedBase = base;
@@ -217,7 +219,7 @@
             this.#inForceBase = wasInForce ? base : undefined;
             return;
         }
-        this.#inForceBase = versions.has(targetVersion) && versions.size === 1 ? base : undefined;
+        this.#inForceBase = knowsOthers && versions.has(targetVersion) && versions.size === 1 ? base : undefined;
         this.#evidence = new VersionEvidence();
         this.#slackUsed = 0;
     }
--- a/src/transport/rollouts/RolloutConstants.ts
+++ b/src/transport/rollouts/RolloutConstants.ts
@@ -26,6 +26,10 @@
 export const GONE_MS = 1_000;
 /** Time for which a daemon that has started waits for the records of another one while an order runs. */
 export const PEER_WAIT_MS = 1_000;
+/** Time after which a daemon without records of another one takes its own version for the only one. */
+export const ALONE_MS = 5_000;
+/** Owners of a service with which a writer keeps sessions besides its own ones while an order runs. */
+export const MAXIMUM_WATCHED_OWNERS = 64;
 /** Time between writers of different ranks. */
 export const WRITER_STEP_MS = 500;
 /** Time after the end of a roll-out for which sessions to the servers of both versions are kept. */
--- a/src/transport/rollouts/RolloutManager.ts
+++ b/src/transport/rollouts/RolloutManager.ts
@@ -31,6 +31,7 @@
 import { OrderWatcher } from "./OrderWatcher.js";
 import {
     GONE_MS,
+    MAXIMUM_WATCHED_OWNERS,
     NEW_VERSION_WATCH_MS,
     REPORT_INTERVAL_MS,
     RETRY_BASE_MS,
@@ -187,10 +188,25 @@
         });
         const ranked = this.#rankWatchers();
         const rank = ranked.indexOf(selfId);
-        return [...active, ...ranked.slice(0, Math.max(0, rank)), ...this.#listUndrained()]
+        return [...active, ...ranked.slice(0, Math.max(0, rank)), ...this.#listAwaited()]
             .filter(id => id !== selfId);
     }
 
+    get isWatching(): boolean {
+        return this.#watcher.isWatching;
+    }
+
+    /** Running orders, and the requests that this daemon has sent to their services and to candidates. */
+    summarize(): { readonly running: number; readonly sent: number; readonly sentToCandidates: number; } {
+        const running = [...this.#ledger.list()].filter(({ order }) => !isFinal(order.state));
+        const counts = running.map(({ order }) => this.caller.readCounts(order.service));
+        return {
+            running: running.length,
+            sent: counts.reduce((sum, count) => sum + (count?.sent ?? 0), 0),
+            sentToCandidates: counts.reduce((sum, count) => sum + (count?.sentToCandidates ?? 0), 0),
+        };
+    }
+
     /** Summary of all orders for operators. */
     list(): readonly object[] {
         return [...this.#ledger.list()].map(({ decision, order, reports, stage }) => ({
@@ -444,17 +460,21 @@
             .map(({ ownerId }) => ownerId);
     }
 
-    /** Owners of old servers for which a writer waits, so that it sees whether their processes have ended. */
-    #listUndrained(): readonly string[] {
-        if (!Number.isFinite(this.#writerRank)) {
+    /**
+     * Owners of old servers, for the daemons that write first: these see by their sessions whose process has ended, so that
+     * a promotion doesn't wait for it. Those that have not reported come first.
+     */
+    #listAwaited(): readonly string[] {
+        if (this.#writerRank >= WATCHERS) {
             return [];
         }
-        return [...this.#ledger.list()].filter(({ stage }) => stage === RolloutStage.Promoting).flatMap((
+        const awaited = [...this.#ledger.list()].filter(({ order }) => !isFinal(order.state)).flatMap((
             { order, reports },
         ) => this.#listOwners(order.service).filter(id => {
             const report = reports.get(id);
             return report === undefined || report.softwareVersion !== order.targetVersion && !report.isDrained;
-        }));
+        }).sort((left, right) => Number(reports.has(left)) - Number(reports.has(right))));
+        return awaited.slice(0, MAXIMUM_WATCHED_OWNERS);
     }
 
     /** Whether a daemon's process has ended, and has not come back for a while. */
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -4,6 +4,7 @@
 import type { CostlyReads } from "../input/index.js";
 import type { AdmissionController } from "../ownership/index.js";
 import type { QuarantineManager } from "../quarantine/index.js";
+import type { RolloutManager } from "../rollouts/index.js";
 import type { RouteQueries, RouteResolver } from "../routes/index.js";
 import type { SessionManager } from "../sessions/index.js";
 import type { UplinkSender } from "../uplink/index.js";
@@ -23,6 +24,8 @@
     readonly now: () => number;
     readonly overload: OverloadMonitor;
     readonly quarantine: QuarantineManager;
+    /** Undefined where there are no roll-outs. */
+    readonly rollouts: RolloutManager | undefined;
     readonly routeQueries: RouteQueries;
     readonly routeResolver: RouteResolver;
     readonly sessionSelector: SessionSelector;
@@ -42,6 +45,7 @@
         ...listConfigurationGauges(sources),
         ...listMeshGauges(sources),
         ...listLinkGauges(sources),
+        ...listRolloutGauges(sources),
     ];
 }
 
@@ -114,6 +118,16 @@
     ];
 }
 
+function listRolloutGauges({ rollouts }: GaugeSources): readonly Gauge[] {
+    return rollouts === undefined ? [] : [
+        { name: "rollouts_running", read: () => rollouts.summarize().running },
+        { name: "rollout_gate_closed", read: () => Number(rollouts.gate.isHeld) },
+        { name: "rollout_order_watched", read: () => Number(rollouts.isWatching) },
+        { name: "rollout_requests", read: () => rollouts.summarize().sent },
+        { name: "rollout_candidate_requests", read: () => rollouts.summarize().sentToCandidates },
+    ];
+}
+
 function listLinkGauges({ readStoreBytes, uplink }: GaugeSources): readonly Gauge[] {
     return [
         { name: "uplink_waiting_bytes", read: () => uplink.waitingBytes },
--- a/src/transport/sidecar/OperatorEndpoint.ts
+++ b/src/transport/sidecar/OperatorEndpoint.ts
@@ -1,20 +1,24 @@
-/** Calls of operators and their tools: metrics, and requests in quarantine. */
+/** Calls of operators and their tools: metrics, requests in quarantine, and roll-outs. */
 import type { QuarantineManager } from "../quarantine/index.js";
+import type { RolloutManager } from "../rollouts/index.js";
 import type { EndpointAnswer, EndpointHandler } from "./HttpEndpoint.js";
 
 const QUARANTINE_PATH = "/quarantine";
+const ROLLOUTS_PATH = "/rollouts";
 const RELEASE_PATTERN = /^\/quarantine\/([A-Za-z0-9_-]{1,64})\/release$/;
 const JSON_TYPE = "application/json";
 const MS_PER_SECOND = 1_000;
 
 /**
  * Answers `GET /quarantine`, a list of `{fingerprint, servers, ageS}`, and `POST /quarantine/<fingerprint>/release`, which
- * lets the request run again at all daemons; any other GET is answered with the metrics.
+ * lets the request run again at all daemons; `GET /rollouts`, where there are any, what is known of each order. Any other
+ * GET is answered with the metrics.
  */
 export function answerOperator(
     quarantine: QuarantineManager,
     renderMetrics: () => string,
     now: () => number,
+    rollouts?: Pick<RolloutManager, "list">,
 ): EndpointHandler {
     return ({ method, path }): EndpointAnswer => {
         if (method === "POST") {
@@ -30,6 +34,9 @@
             }));
             return buildJson(200, quarantined);
         }
+        if (path === ROLLOUTS_PATH && rollouts !== undefined) {
+            return buildJson(200, rollouts.list());
+        }
         return { body: renderMetrics(), contentType: "text/plain; version=0.0.4", status: 200 };
     };
 }
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -191,10 +191,7 @@
             log: createPartLogger("gate"),
             now,
             onAnswered: request => this.#quarantine.recordCompletion(request),
-            onServer: settings.exposureShare === undefined
-                ? undefined
-                : server => this.#rollouts?.gate.acceptServer(server),
-            readRollout: () => this.#rollouts?.gate.readLoad(),
+            findRolloutGate: () => this.#rollouts?.gate,
             onCrash: ({ serverId, startedAt }, requests, crashedAt) =>
                 this.#quarantine.recordCrash(`${serverId}/${startedAt ?? ""}`, requests, crashedAt),
             onChange: load => {
@@ -419,7 +416,8 @@
         await open(reportAddress, answerReports);
         await open(readyAddress, call => answerReady(this.#isReady())(call));
         if (metricsAddress !== undefined) {
-            await open(metricsAddress, answerOperator(this.#quarantine, () => this.#renderMetrics(), now));
+            const answer = answerOperator(this.#quarantine, () => this.#renderMetrics(), now, this.#rollouts);
+            await open(metricsAddress, answer);
         }
         this.#configurationManager.start();
         this.#overload.start();
@@ -597,6 +595,7 @@
                 overload: this.#overload,
                 quarantine: this.#quarantine,
                 readDroppedLines: this.#dependencies.readDroppedLines,
+                rollouts: this.#rollouts,
                 readStoreBytes: () => this.#dependencies.store.readReceivedBytes(),
                 routeQueries: this.#routeQueries,
                 routeResolver: this.#routeResolver,
