--- a/src/transport/rollouts/CandidateGate.ts
+++ b/src/transport/rollouts/CandidateGate.ts
@@ -1,19 +1,18 @@
 /** Owner's side of a roll-out: opens and closes the gate of the own server, and collects evidence of its answers. */
 import type { RegisteredServer } from "../../coordination/registration/index.js";
 import {
-    computePromotionTime,
+    computeSlackLeft,
     isFinal,
     OwnerPhase,
     RolloutStage,
     selectPhase,
-    SLACK_IN_USE,
     VersionEvidence,
 } from "../../coordination/rollouts/index.js";
 import type { OwnerReport, Rollout, RolloutLedger, RolloutLoad } from "../../coordination/rollouts/index.js";
 import { RefusalReason } from "../../protocol/request/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { AdmissionController, OwnedRequest, RequestEvents, RequestHandle } from "../ownership/index.js";
-import { CLOSED_RETRY_AFTER_MS, ORDER_GRACE_MS, PEER_WAIT_MS, STORE_SILENCE_MS } from "./RolloutConstants.js";
+import { ALONE_MS, CLOSED_RETRY_AFTER_MS, ORDER_GRACE_MS, PEER_WAIT_MS, STORE_SILENCE_MS } from "./RolloutConstants.js";
 
 export interface CandidateGateOptions {
     readonly selfId: string;
@@ -79,8 +78,8 @@
         return this.#softwareVersion;
     }
 
-    get isOrderRead(): boolean {
-        return this.#isOrderRead;
+    get isHeld(): boolean {
+        return this.#isHeld;
     }
 
     /** Time at which the server's version became known. */
@@ -211,6 +210,8 @@
         }
         const { base, service, targetVersion } = rollout.order;
         const versions = this.#options.ledger.listVersions(service);
+        // A daemon that has just started doesn't know yet which versions the others serve.
+        const knowsOthers = this.#hasHeardPeer || this.#options.now() - this.#versionKnownAt > ALONE_MS;
         const wasInForce = this.#inForceBase !== undefined && this.#inForceBase === this.#trackedBase;
         const isSameOrder = this.#trackedBase !== undefined && base < this.#trackedBase;
         this.#trackedBase = base;
@@ -218,7 +219,7 @@
             this.#inForceBase = wasInForce ? base : undefined;
             return;
         }
-        this.#inForceBase = versions.has(targetVersion) && versions.size === 1 ? base : undefined;
+        this.#inForceBase = knowsOthers && versions.has(targetVersion) && versions.size === 1 ? base : undefined;
         this.#evidence = new VersionEvidence();
         this.#slackUsed = 0;
     }
@@ -240,22 +241,13 @@
         return !this.#hasHeardPeer && !isFinal(order.state) && now - this.#startedAt < PEER_WAIT_MS;
     }
 
-    /** Requests beyond the callers' shares that this candidate takes now; they are spread over the time of the trial. */
     #computeSlackLeft(): number {
         const { countActive, ledger, now, selfId, service, slack } = this.#options;
         const rollout = ledger.find(service);
         if (rollout?.stage !== RolloutStage.Trial || this.#phase !== OwnerPhase.Candidate) {
             return 0;
         }
-        const { learnedAt } = rollout.order;
-        const elapsedShare = (now() - learnedAt) / (computePromotionTime(rollout.order) - learnedAt);
-        const usable = slack * SLACK_IN_USE;
-        let usedByOthers = 0;
-        for (const { ownerId, slackUsed } of rollout.reports.values()) {
-            usedByOthers += ownerId === selfId ? 0 : slackUsed;
-        }
-        const own = usable / Math.max(1, countActive()) * Math.min(1, elapsedShare) - this.#slackUsed;
-        return Math.max(0, Math.floor(Math.min(own, usable - usedByOthers - this.#slackUsed)));
+        return computeSlackLeft(rollout, selfId, { activeCount: countActive(), slack, used: this.#slackUsed }, now());
     }
 
     #refuse(events: RequestEvents, reason: RefusalReason, detail: string): RequestHandle {
