Follow the text of RouteResolver in two mutants of the search

Cause: two mutants replace text of RouteResolver that now also covers 401, so that the search could not be built. Change: the mutants name the present text; what they break is the same (404, and 401 as well, by an outdated version).

--- a/src/transport/sidecar/__tests__/search/Mutants.ts
+++ b/src/transport/sidecar/__tests__/search/Mutants.ts
@@ -97,9 +97,9 @@
     },
     {
         file: RESOLVER,
-        from: "return version >= (route === undefined ? lag.readNewestBelieved(now()) : lag.lowestDeciding);",
+        from: "return resolved.version >= (isRejected ? lag.readNewestBelieved(now()) : lag.lowestDeciding);",
         name: "an outdated version may answer 404",
-        to: "return route === undefined ? version > 0 : version >= lag.lowestDeciding;",
+        to: "return isRejected ? resolved.version > 0 : resolved.version >= lag.lowestDeciding;",
     },
     {
         file: RESOLVER,
@@ -164,7 +164,7 @@
     },
     {
         file: RESOLVER,
-        from: "if (decision === undefined || this.#isFinal(decision)) {",
+        from: "if (decision === undefined || this.#isFinal(question, decision)) {",
         name: "the version of another daemon that is replaced may answer 404",
         to: "if (decision?.version !== 0) {",
     },
