--- a/src/transport/traffic/RequestRouter.ts
+++ b/src/transport/traffic/RequestRouter.ts
@@ -2,7 +2,6 @@
 import { RouteStatistics } from "../../coordination/placement/index.js";
 import { getPath, WeightedRoundRobin } from "../../coordination/routing/index.js";
 import { Access } from "../../coordination/tenants/index.js";
-import { copyRequestHeaders } from "../../protocol/framing/index.js";
 import type { RoutePolicy, Tenant, TrafficConfiguration } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
 import type { OwnedRequest } from "../ownership/index.js";
@@ -12,6 +11,7 @@
 import type { AnsweredRequest } from "./DaemonAnswers.js";
 import { ForwardedRequest } from "./ForwardedRequest.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
+import { buildForwardedHeaders } from "./PlannedRequest.js";
 
 export interface RequestRouterOptions extends Omit<ForwardingContext, "reroute"> {
     readonly log: PartLogger;
@@ -51,8 +51,6 @@
     readonly release: () => void;
 }
 
-/** Headers that delimit a body; dropped, because the body is forwarded with its own length. */
-const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
 const UNAUTHORIZED_STATUS = 401;
 const NOT_FOUND_STATUS = 404;
 
@@ -194,7 +192,7 @@
             callerService: this.#options.readCallerService(),
             confirmedAgeMs: decision.confirmedAgeMs,
             deadlineAt: arrivedAt + Math.min(budgetMs, route.timeoutMs),
-            headers: this.#copyHeaders(exchange),
+            headers: buildForwardedHeaders(exchange.request.rawHeaders, this.#options.dialect),
             isNested: parent !== undefined,
             isRetry: parent?.isRetry === true,
             method: exchange.request.method ?? "",
@@ -272,18 +270,6 @@
         }
     }
 
-    #copyHeaders({ request }: CallerExchange): string[] {
-        const copied = copyRequestHeaders(request.rawHeaders);
-        const kept: string[] = [];
-        for (let index = 0; index + 1 < copied.length; index += 2) {
-            const name = copied[index] as string;
-            if (!FRAMING_HEADERS.has(name) && !this.#options.dialect.isSystemHeader(name)) {
-                kept.push(name, copied[index + 1] as string);
-            }
-        }
-        return kept;
-    }
-
     #getStatistics(route: string): RouteStatistics {
         let statistics = this.#statisticsByRoute.get(route);
         if (statistics === undefined) {
