Send the body of a large upload only once a slot is promised, and in parts

Cause: a body of up to 360 kB was sent with its request, so that a refusal cost the link all of its bytes and small messages waited behind it. Change: a request of kind upload with 16 kB or more goes out without its body (laterBodyBytes tells its size). After the owner's offer the body follows in requestData, paced like large answers, and then proceed; the offer stays open while parts arrive. A body of another length than was said is refused, and parts stop when the request ends. 100 Continue is sent only once the route, the key and the stated length are accepted. A connection whose server has answered before it has read the whole body isn't used again.

--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -98,7 +98,7 @@
     targetLeftMs: numberCodec,
     budgetLeftMs: numberCodec,
     callerService: name,
-}, { tenant: createOptionalCodec(name) });
+}, { tenant: createOptionalCodec(name), laterBodyBytes: createOptionalCodec(integer) });
 
 /** Number of the version in force; undefined when none is. */
 const version = createOptionalCodec(integer);
@@ -269,6 +269,8 @@
         checksum: name,
         compressedParts: bytesCodec,
     },
+    /** Part of the body of a request that has an offer; `proceed` follows the last one. */
+    requestData: { stream: integer, body: bytesCodec },
 } as const;
 
 /** Optional fields that were added later, which daemons before them ignore. */
--- a/src/transport/ownership/OwnedRequest.ts
+++ b/src/transport/ownership/OwnedRequest.ts
@@ -11,6 +11,8 @@
     /** Names and values alternate; without hop-by-hop headers and headers that delimit the body. */
     readonly headers: readonly string[];
     readonly body: Uint8Array;
+    /** Size of a body that follows once the request has an offer; undefined when `body` is all. */
+    readonly laterBodyBytes?: number | undefined;
     readonly route: string;
     readonly service: string;
     /** Version of the configuration that chose the route and the service. */
@@ -72,8 +74,10 @@
 
 /** Controls a request that was submitted to an owner. */
 export interface RequestHandle {
-    /** Accepts an offer. */
-    proceed(): void;
+    /** Accepts an offer; `body` is one that was not sent with the request. */
+    proceed(body?: Uint8Array): void;
+    /** Keeps an offer open while the body arrives. */
+    renewOffer?(): void;
     /** Cancels the request; no event follows. */
     cancel(): void;
     /** Pauses the data of a streamed answer until `resume`. */
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -57,6 +57,7 @@
     readonly isNested: boolean;
     readonly targetAt: number;
     readonly deadlineAt: number;
+    #request: OwnedRequest;
     #phase: number = Phase.Waiting;
     #connection: ServerConnection | undefined;
     /** Server to which the request was sent. */
@@ -71,12 +72,13 @@
     #answerKind: "answer" | "declined" = "answer";
 
     constructor(
-        readonly request: OwnedRequest,
+        request: OwnedRequest,
         private readonly events: RequestEvents,
         private readonly arrivedAt: number,
         private readonly context: ExecutionContext,
         readonly answerBytes: number,
     ) {
+        this.#request = request;
         this.route = request.route;
         this.priority = request.priority;
         this.isNested = request.isNested;
@@ -84,6 +86,10 @@
         this.deadlineAt = arrivedAt + request.budgetLeftMs;
     }
 
+    get request(): OwnedRequest {
+        return this.#request;
+    }
+
     get hasStarted(): boolean {
         return this.#phase !== Phase.Waiting;
     }
@@ -100,13 +106,21 @@
             return;
         }
         this.#phase = Phase.Offered;
-        this.#cancelTimer = scheduleTimeout(realTimers, OFFER_TIMEOUT_MS, () => this.withdrawOffer());
+        this.renewOffer();
         this.events.onOffer();
     }
 
-    proceed(): void {
+    renewOffer(): void {
+        if (this.#phase === Phase.Offered) {
+            this.#cancelTimer();
+            this.#cancelTimer = scheduleTimeout(realTimers, OFFER_TIMEOUT_MS, () => this.withdrawOffer());
+        }
+    }
+
+    proceed(body = this.#request.body): void {
         if (this.#phase === Phase.Offered) {
             this.#cancelTimer();
+            this.#request = { ...this.#request, body };
             this.#run();
         }
     }
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -21,6 +21,7 @@
 import { isReset } from "../connections/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
+import { copyHeaders, describeEnd, describeProgress } from "./AnswerDescriptions.js";
 import { createAnswerParser, readPieceBytes } from "./AnswerParser.js";
 import type { AnswerParser } from "./AnswerParser.js";
 import {
@@ -444,6 +445,8 @@
         }
         this.#passBodyOn();
         this.#exchange = undefined;
+        // A server that has answered before it has read the whole body may take what follows for the rest of it.
+        this.#isReusable &&= this.#socket.writableLength === 0;
         // The reader of this answer may have paused the socket, which would block the next answer.
         this.#isPausedByReader = false;
         this.#socket.resume();
@@ -499,30 +502,3 @@
         }
     }
 }
-
-function describeEnd(end: ConnectionEnd): string {
-    return end === ConnectionEnd.Reset ? "reset the connection" : "closed the connection";
-}
-
-function describeProgress(result: AnswerResult, bodyBytes: number): string {
-    return result === AnswerResult.Cut
-        ? `the answer is cut after ${bodyBytes} bytes of its body`
-        : "there is no answer";
-}
-
-/** Copies headers into a map, by lower-case names; returns the first of those that occur once which is there again. */
-function copyHeaders(
-    headers: readonly string[],
-    map: Map<string, string>,
-    isSingle: (name: string) => boolean,
-): string | undefined {
-    let repeated: string | undefined;
-    for (let index = 0; index + 1 < headers.length; index += 2) {
-        const name = (headers[index] as string).toLowerCase();
-        if (map.has(name) && isSingle(name)) {
-            repeated ??= name;
-        }
-        map.set(name, headers[index + 1] as string);
-    }
-    return repeated;
-}
--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -1,10 +1,12 @@
 /** Owner's side of a session: requests that another daemon places at this daemon's backend server. */
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { FrameConnection } from "../../protocol/peer/index.js";
+import { RefusalReason } from "../../protocol/request/index.js";
 import { encodeSessionMessage, isGossip, isSequenced, ReliableChannel } from "../../protocol/session/index.js";
 import type { GossipMessage, SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
 import type { RequestEvents, RequestHandle } from "../ownership/index.js";
 import { addTransit, handleGossip } from "./HandleGossip.js";
+import { ArrivingBody } from "./LaterBody.js";
 import { recordSent } from "./MessageTraffic.js";
 import type { SessionDependencies } from "./SessionTypes.js";
 import { TransitBound } from "./TransitBound.js";
@@ -13,6 +15,8 @@
     readonly requestId: string;
     readonly receivedAt: number;
     handle: RequestHandle | undefined;
+    /** Body that follows the request; undefined when it came with it. */
+    readonly body: ArrivingBody | undefined;
     isPaused: boolean;
     /** Parts of its answer that wait for the link. */
     waitingParts: number;
@@ -126,7 +130,10 @@
                 this.#submit(message);
                 return;
             case "proceed":
-                this.#streams.get(message.stream)?.handle?.proceed();
+                this.#proceed(message.stream);
+                return;
+            case "requestData":
+                this.#addBodyPart(message);
                 return;
             case "cancel":
                 this.#cancelStream(message.stream);
@@ -201,7 +208,9 @@
     }
 
     #submit(message: SessionMessageOf<"request">): void {
+        const { laterBodyBytes } = message.request;
         const stream: Stream = {
+            body: laterBodyBytes === undefined ? undefined : new ArrivingBody(laterBodyBytes),
             handle: undefined,
             isEnded: false,
             isPaused: false,
@@ -224,6 +233,47 @@
         }
     }
 
+    #addBodyPart({ body, stream: id }: SessionMessageOf<"requestData">): void {
+        const stream = this.#streams.get(id);
+        if (stream === undefined) {
+            return;
+        }
+        stream.handle?.renewOffer?.();
+        if (stream.body?.add(body) !== true) {
+            this.#refuseBody(id, stream);
+        }
+    }
+
+    #proceed(id: number): void {
+        const stream = this.#streams.get(id);
+        const body = stream?.body?.take();
+        if (stream?.body !== undefined && body === undefined) {
+            this.#refuseBody(id, stream);
+            return;
+        }
+        stream?.handle?.proceed(body);
+    }
+
+    /** Refuses a request whose body has another length than was said. */
+    #refuseBody(id: number, stream: Stream): void {
+        this.#dependencies.log.warn(`the body of a request of ${this.peerId} has another length than was said.`, {
+            peer: this.peerId,
+            requestId: stream.requestId,
+        });
+        stream.isEnded = true;
+        this.#streams.delete(id);
+        stream.handle?.cancel();
+        this.#channel.send({
+            detail: "the body has another length than was said",
+            kind: "refused",
+            load: this.#dependencies.readLoad(),
+            reason: RefusalReason.BadRequest,
+            retryAfterMs: 0,
+            stream: id,
+            version: this.#dependencies.readVersion(),
+        });
+    }
+
     #cancelStream(id: number): void {
         const stream = this.#streams.get(id);
         if (stream !== undefined) {
--- a/src/transport/sessions/MessageTraffic.ts
+++ b/src/transport/sessions/MessageTraffic.ts
@@ -12,6 +12,7 @@
     configurationDifference: LinkTrafficKind.Versions,
     configurationRequest: LinkTrafficKind.Versions,
     request: LinkTrafficKind.Requests,
+    requestData: LinkTrafficKind.Requests,
 };
 
 export function recordSent(uplink: UplinkSender, kind: SessionMessageKind, bytes: number): void {
@@ -21,9 +22,9 @@
     }
 }
 
-/** Whether the message is a part of a large answer, which waits for the link before it is sent. */
+/** Whether the message is a part of a large answer or body, which waits for the link before it is sent. */
 function isPaced(kind: SessionMessageKind, bytes: number): boolean {
-    return kind === "answerData" || kind === "answer" && bytes >= LARGE_ANSWER_BYTES;
+    return kind === "answerData" || kind === "requestData" || kind === "answer" && bytes >= LARGE_ANSWER_BYTES;
 }
 
 export function recordReceived(
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -14,7 +14,9 @@
 import { scheduleTimeout } from "../timers/index.js";
 import { consumeFrames } from "./ConsumeFrames.js";
 import { addTransit, handleGossip } from "./HandleGossip.js";
+import { sendLaterBody, splitLaterBody } from "./LaterBody.js";
 import { recordReceived, recordSent } from "./MessageTraffic.js";
+import { handleRequestMessage, isLastMessage, updateTimeLeft } from "./RequestMessages.js";
 import {
     DISCONNECTED_OWNER_TICKS,
     HANDSHAKE_TIMEOUT_MS,
@@ -150,7 +152,8 @@
             submittedAt: this.#options.now(),
         };
         this.#pending.set(stream, pending);
-        this.#channel.send({ kind: "request", request, stream, version: this.#options.readVersion() });
+        const sent = splitLaterBody(request);
+        this.#channel.send({ kind: "request", request: sent, stream, version: this.#options.readVersion() });
         this.#pingIfSilent(pending.submittedAt);
         return {
             cancel: () => {
@@ -160,15 +163,29 @@
             },
             pause: () => this.#channel.send({ kind: "pause", stream }),
             proceed: () => {
-                if (this.#pending.has(stream)) {
-                    pending.hasProceeded = true;
-                    this.#channel.send({ kind: "proceed", stream });
+                if (sent === request) {
+                    this.#proceed(stream, pending);
+                    return;
                 }
+                sendLaterBody(
+                    request.body,
+                    this.#options.uplink,
+                    () => this.#pending.get(stream) === pending,
+                    body => this.#channel.send({ body, kind: "requestData", stream }),
+                    () => this.#proceed(stream, pending),
+                );
             },
             resume: () => this.#channel.send({ kind: "resume", stream }),
         };
     }
 
+    #proceed(stream: number, pending: PendingRequest): void {
+        if (this.#pending.get(stream) === pending) {
+            pending.hasProceeded = true;
+            this.#channel.send({ kind: "proceed", stream });
+        }
+    }
+
     /** Asks for the status of the other daemon, without waiting for the next ping; false when it isn't reachable. */
     requestStatus(now: number): boolean {
         if (!this.isUsable(now)) {
@@ -478,38 +495,10 @@
         if (events === undefined) {
             return;
         }
-        switch (message.kind) {
-            case "offer":
-                events.onOffer();
-                return;
-            case "answerHead":
-                events.onHead(message);
-                return;
-            case "answerData":
-                events.onData(message.body);
-                return;
-            default:
-                this.#pending.delete(message.stream);
-        }
-        switch (message.kind) {
-            case "refused":
-                events.onRefused(message, message.load);
-                return;
-            case "declined":
-                events.onDeclined(message.detail, message.load);
-                return;
-            case "unknown":
-                events.onOutcomeUnknown(message.detail, message.load);
-                return;
-            case "answer":
-                events.onAnswer(message, message.body, message.load);
-                return;
-            case "answerEnd":
-                events.onEnd(message.load);
-                return;
-            case "answerCut":
-                events.onAnswerAborted(message.detail, message.load);
+        if (isLastMessage(message)) {
+            this.#pending.delete(message.stream);
         }
+        handleRequestMessage(message, events);
     }
 
     /**
@@ -534,22 +523,10 @@
         }
     }
 
-    /** Subtracts the elapsed time from the time left of a request that is sent again. */
     #updateTimeLeft(message: SessionMessage): SessionMessage {
-        if (message.kind !== "request") {
-            return message;
-        }
-        const submittedAt = this.#pending.get(message.stream)?.submittedAt;
-        const { request } = message;
-        const elapsedMs = submittedAt === undefined ? request.budgetLeftMs : this.#options.now() - submittedAt;
-        return {
-            ...message,
-            request: {
-                ...request,
-                budgetLeftMs: request.budgetLeftMs - elapsedMs,
-                targetLeftMs: request.targetLeftMs - elapsedMs,
-            },
-        };
+        return message.kind === "request"
+            ? updateTimeLeft(message, this.#pending.get(message.stream)?.submittedAt, this.#options.now())
+            : message;
     }
 
     /** Abandons the session for a new one, after the owner lost its state or stayed unreachable. */
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -73,7 +73,7 @@
         });
         this.#server.maxHeadersCount = 0;
         registerPacedRequests(this.#server, options.costlyReads, options.now);
-        const handle = (request: IncomingMessage, response: ServerResponse): void => {
+        const handle = (request: IncomingMessage, response: ServerResponse, onAccepted = () => undefined): void => {
             response.sendDate = false;
             this.#openRequests++;
             this.#lastRequestAt = options.now();
@@ -82,16 +82,17 @@
                 this.#openRequests--;
                 this.#busySockets.delete(request.socket);
             });
-            void this.#handleRequest(request, response).catch((error: unknown) => {
+            void this.#handleRequest(request, response, onAccepted).catch((error: unknown) => {
                 options.log.error("request failed with an internal error.", { err: error });
                 response.destroy();
             });
         };
-        this.#server.on("request", handle);
-        this.#server.on("checkContinue", (request: IncomingMessage, response: ServerResponse) => {
-            response.writeContinue();
-            handle(request, response);
-        });
+        this.#server.on("request", (request, response) => handle(request, response));
+        // A caller that asks first sends its body only once it is wanted.
+        this.#server.on(
+            "checkContinue",
+            (request, response) => handle(request, response, () => void response.writeContinue()),
+        );
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
             options.log.info(`closed the connection of a caller: ${error.message}.`, { code: error.code });
             if (
@@ -186,7 +187,12 @@
         );
     }
 
-    async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    /** `onAccepted` is called before the body is read. */
+    async #handleRequest(
+        request: IncomingMessage,
+        response: ServerResponse,
+        onAccepted: () => void,
+    ): Promise<void> {
         const arrivedAt = this.#options.now();
         const exchange = new CallerExchange(
             request,
@@ -227,7 +233,7 @@
             this.#refuse(exchange, { decision, requestId }, "this daemon is stopping");
             return;
         }
-        const body = await this.#bodyReader.read(request, configuration.limits.bodyBytes);
+        const body = await this.#bodyReader.read(request, configuration.limits.bodyBytes, onAccepted);
         await waitForPendingReads();
         if (exchange.hasCallerLeft && this.#drainStartedAt === undefined && this.#options.tryReset(requestId)) {
             this.#resetWaitingConnections();
--- a/src/transport/traffic/RequestBodyReader.ts
+++ b/src/transport/traffic/RequestBodyReader.ts
@@ -19,8 +19,11 @@
 export class RequestBodyReader {
     #bufferedBytes = 0;
 
-    /** Reads a body of at most `limitBytes`, which counts against the memory limit until `release`. */
-    async read(request: IncomingMessage, limitBytes: number): Promise<BodyReadResult> {
+    /**
+     * Reads a body of at most `limitBytes`, which counts against the memory limit until `release`. `onAccepted` is called before
+     * the first byte is read; a body whose stated length is over a limit isn't read.
+     */
+    async read(request: IncomingMessage, limitBytes: number, onAccepted = () => {}): Promise<BodyReadResult> {
         const contentLength = Number(request.headers["content-length"] ?? 0);
         if (contentLength > limitBytes) {
             return { kind: BodyReadFault.TooLarge };
@@ -31,6 +34,7 @@
         if (this.#bufferedBytes + contentLength > BUFFERED_BODIES_LIMIT_BYTES) {
             return { kind: BodyReadFault.MemoryLimit };
         }
+        onAccepted();
         const chunks: Buffer[] = [];
         let length = 0;
         let fault: BodyReadFault | undefined;
