Show tenants to operators, with counts of their requests and never a key

Cause: operators have to see which tenants are in force and how their requests end, for up to 10,000 tenants. Change: /tenants on the metrics address lists names, numbers of keys, limits and counts; metrics count the requests of 100 tenants singly and the rest together.

--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -6,6 +6,8 @@
 import type { QuarantineManager } from "../quarantine/index.js";
 import type { RouteQueries, RouteResolver } from "../routes/index.js";
 import type { SessionManager } from "../sessions/index.js";
+import { listTenantCounters } from "../tenants/index.js";
+import type { TenantMetrics } from "../tenants/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 import type { DelayMonitor } from "./DelayMonitor.js";
 import type { Gauge } from "./MetricsText.js";
@@ -27,6 +29,7 @@
     readonly routeResolver: RouteResolver;
     readonly sessionSelector: SessionSelector;
     readonly sessions: SessionManager;
+    readonly tenantMetrics: TenantMetrics;
     readonly uplink: UplinkSender;
     countReachable(): number;
     readDroppedLines(): number;
@@ -42,6 +45,7 @@
         ...listConfigurationGauges(sources),
         ...listMeshGauges(sources),
         ...listLinkGauges(sources),
+        ...listTenantCounters(sources.tenantMetrics),
     ];
 }
 
--- a/src/transport/sidecar/OperatorEndpoint.ts
+++ b/src/transport/sidecar/OperatorEndpoint.ts
@@ -1,20 +1,23 @@
 /** Calls of operators and their tools: metrics, and requests in quarantine. */
 import type { QuarantineManager } from "../quarantine/index.js";
+import type { ReportedTenant } from "../tenants/index.js";
 import type { EndpointAnswer, EndpointHandler } from "./HttpEndpoint.js";
 
 const QUARANTINE_PATH = "/quarantine";
+const TENANTS_PATH = "/tenants";
 const RELEASE_PATTERN = /^\/quarantine\/([A-Za-z0-9_-]{1,64})\/release$/;
 const JSON_TYPE = "application/json";
 const MS_PER_SECOND = 1_000;
 
 /**
- * Answers `GET /quarantine`, a list of `{fingerprint, servers, ageS}`, and `POST /quarantine/<fingerprint>/release`, which
+ * Answers `GET /tenants`, a list of tenants with their numbers of keys, `GET /quarantine`, a list of `{fingerprint, servers, ageS}`, and `POST /quarantine/<fingerprint>/release`, which
  * lets the request run again at all daemons; any other GET is answered with the metrics.
  */
 export function answerOperator(
     quarantine: QuarantineManager,
     renderMetrics: () => string,
     now: () => number,
+    listTenants: () => readonly ReportedTenant[],
 ): EndpointHandler {
     return ({ method, path }): EndpointAnswer => {
         if (method === "POST") {
@@ -22,6 +25,9 @@
             const isReleased = fingerprint !== undefined && quarantine.release(fingerprint);
             return buildJson(isReleased ? 200 : 404, { isReleased });
         }
+        if (path === TENANTS_PATH) {
+            return buildJson(200, listTenants());
+        }
         if (path === QUARANTINE_PATH) {
             const quarantined = quarantine.listQuarantines().map(({ at, crashIds, fingerprint }) => ({
                 ageS: (now() - at) / MS_PER_SECOND,
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,7 +1,6 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
 import { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
-import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
@@ -19,14 +18,16 @@
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
 import type { HostAndPort } from "../settings/index.js";
+import { listReportedTenants, TenantMetrics } from "../tenants/index.js";
 import { AgeClock, realTimers } from "../timers/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
-import { UplinkSender } from "../uplink/index.js";
+import type { UplinkSender } from "../uplink/index.js";
 import { listGauges } from "./DaemonGauges.js";
 import { DelayMonitor } from "./DelayMonitor.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { Isolation } from "./Isolation.js";
+import { computeLinkRate, createUplink } from "./LinkRate.js";
 import { renderMetrics } from "./MetricsText.js";
 import { answerOperator } from "./OperatorEndpoint.js";
 import { OverloadMonitor } from "./OverloadMonitor.js";
@@ -41,8 +42,6 @@
 const MEMBER_REMOVAL_INTERVAL_MS = 10_000;
 /** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
 const SESSION_UPDATE_INTERVAL_MS = 250;
-/** Bytes a millisecond in one Mbit/s. */
-const BYTES_PER_MS_AND_MEGABIT = 125;
 /** Number of services up to which sessions are opened before the first request. */
 const MAXIMUM_PREPARED_SERVICES = 16;
 /**
@@ -120,6 +119,7 @@
     readonly #delays: DelayMonitor;
     readonly #overload: OverloadMonitor;
     readonly #metrics = createRequestMetrics();
+    readonly #tenantMetrics = new TenantMetrics();
     readonly #retryBudgets: RetryBudgets;
     readonly #ageClock: AgeClock;
     readonly #lag = new VersionLag();
@@ -140,12 +140,8 @@
         this.#settings = settings;
         this.#dependencies = dependencies;
         const { createPartLogger, now, random } = dependencies;
-        const linkBytesPerMs = settings.linkMegabitsPerSecond * BYTES_PER_MS_AND_MEGABIT;
-        this.#uplink = new UplinkSender(
-            new LinkBudget(linkBytesPerMs).isBottleneck ? new LinkPacer(linkBytesPerMs) : undefined,
-            now,
-            bytes => this.#admission.recordSmallLinkUse(bytes),
-        );
+        const linkBytesPerMs = computeLinkRate(settings);
+        this.#uplink = createUplink(linkBytesPerMs, now, bytes => this.#admission.recordSmallLinkUse(bytes));
         this.#log = createPartLogger("daemon");
         this.#delays = new DelayMonitor(this.#log, () => this.#sessions.countBufferedBytes());
         this.#overload = new OverloadMonitor({
@@ -358,7 +354,7 @@
             random,
             readCallerService: () => settings.service,
             readConfiguration: () => this.#configurationManager.configuration,
-            recorder: combineRecorders([this.#metrics, createAccessLog(requestLog)]),
+            recorder: combineRecorders([this.#metrics, this.#tenantMetrics, createAccessLog(requestLog)]),
             recordRequest: (service, isNested) => {
                 this.#usedServices.add(service);
                 if (!isNested) {
@@ -394,8 +390,9 @@
         };
         await open(reportAddress, answerReports);
         await open(readyAddress, call => answerReady(this.#isReady())(call));
+        const listTenants = () => listReportedTenants(this.#configurationManager.configuration, this.#tenantMetrics);
         if (metricsAddress !== undefined) {
-            await open(metricsAddress, answerOperator(this.#quarantine, () => this.#renderMetrics(), now));
+            await open(metricsAddress, answerOperator(this.#quarantine, () => this.#renderMetrics(), now, listTenants));
         }
         this.#configurationManager.start();
         this.#overload.start();
@@ -603,6 +600,7 @@
                 routeResolver: this.#routeResolver,
                 sessionSelector: this.#sessionSelector,
                 sessions: this.#sessions,
+                tenantMetrics: this.#tenantMetrics,
                 uplink: this.#uplink,
             }),
         );
