--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -103,7 +103,11 @@
     targetLeftMs: numberCodec,
     budgetLeftMs: numberCodec,
     callerService: name,
-}, { tenant: createOptionalCodec(name), baseline: createOptionalCodec(baselineCodec) });
+}, {
+    tenant: createOptionalCodec(name),
+    baseline: createOptionalCodec(baselineCodec),
+    laterBodyBytes: createOptionalCodec(integer),
+});
 
 /** Number of the version in force; undefined when none is. */
 const version = createOptionalCodec(integer);
@@ -276,6 +280,8 @@
     },
     /** Orders of roll-outs with what is known of them: news, or all after a connection. */
     rolloutReports: rolloutRecordFields,
+    /** Part of the body of a request that has an offer; `proceed` follows the last one. */
+    requestData: { stream: integer, body: bytesCodec },
 } as const;
 
 /** Optional fields that were added later, which daemons before them ignore. */
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -58,6 +58,7 @@
     readonly tenant: string | undefined;
     readonly targetAt: number;
     readonly deadlineAt: number;
+    #request: OwnedRequest;
     #phase: number = Phase.Waiting;
     #connection: ServerConnection | undefined;
     /** Server to which the request was sent. */
@@ -72,12 +73,13 @@
     #answerKind: "answer" | "declined" = "answer";
 
     constructor(
-        readonly request: OwnedRequest,
+        request: OwnedRequest,
         private readonly events: RequestEvents,
         private readonly arrivedAt: number,
         private readonly context: ExecutionContext,
         readonly answerBytes: number,
     ) {
+        this.#request = request;
         this.route = request.route;
         this.priority = request.priority;
         this.isNested = request.isNested;
@@ -86,6 +88,10 @@
         this.deadlineAt = arrivedAt + request.budgetLeftMs;
     }
 
+    get request(): OwnedRequest {
+        return this.#request;
+    }
+
     get hasStarted(): boolean {
         return this.#phase !== Phase.Waiting;
     }
@@ -102,13 +108,21 @@
             return;
         }
         this.#phase = Phase.Offered;
-        this.#cancelTimer = scheduleTimeout(realTimers, OFFER_TIMEOUT_MS, () => this.withdrawOffer());
+        this.renewOffer();
         this.events.onOffer();
     }
 
-    proceed(): void {
+    renewOffer(): void {
+        if (this.#phase === Phase.Offered) {
+            this.#cancelTimer();
+            this.#cancelTimer = scheduleTimeout(realTimers, OFFER_TIMEOUT_MS, () => this.withdrawOffer());
+        }
+    }
+
+    proceed(body = this.#request.body): void {
         if (this.#phase === Phase.Offered) {
             this.#cancelTimer();
+            this.#request = { ...this.#request, body };
             this.#run();
         }
     }
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -7,6 +7,8 @@
 import type { RolloutManager } from "../rollouts/index.js";
 import type { RouteQueries, RouteResolver } from "../routes/index.js";
 import type { SessionManager } from "../sessions/index.js";
+import { listTenantCounters } from "../tenants/index.js";
+import type { TenantMetrics } from "../tenants/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 import type { DelayMonitor } from "./DelayMonitor.js";
 import type { Gauge } from "./MetricsText.js";
@@ -30,6 +32,7 @@
     readonly routeResolver: RouteResolver;
     readonly sessionSelector: SessionSelector;
     readonly sessions: SessionManager;
+    readonly tenantMetrics: TenantMetrics;
     readonly uplink: UplinkSender;
     countReachable(): number;
     readDroppedLines(): number;
@@ -46,6 +49,7 @@
         ...listMeshGauges(sources),
         ...listLinkGauges(sources),
         ...listRolloutGauges(sources),
+        ...listTenantCounters(sources.tenantMetrics),
     ];
 }
 
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,7 +1,6 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
 import { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
-import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { GossipMessage } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
@@ -20,14 +19,16 @@
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
 import type { HostAndPort } from "../settings/index.js";
+import { listReportedTenants, TenantMetrics } from "../tenants/index.js";
 import { AgeClock, realTimers } from "../timers/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
-import { UplinkSender } from "../uplink/index.js";
+import type { UplinkSender } from "../uplink/index.js";
 import { listGauges } from "./DaemonGauges.js";
 import { DelayMonitor } from "./DelayMonitor.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { Isolation } from "./Isolation.js";
+import { computeLinkRate, createUplink } from "./LinkRate.js";
 import { MemberRemoval } from "./MemberRemoval.js";
 import { renderMetrics } from "./MetricsText.js";
 import { answerOperator } from "./OperatorEndpoint.js";
@@ -43,8 +44,6 @@
 
 /** Interval at which the choice of sessions is checked; a new record is followed at the next check. */
 const SESSION_UPDATE_INTERVAL_MS = 250;
-/** Bytes a millisecond in one Mbit/s. */
-const BYTES_PER_MS_AND_MEGABIT = 125;
 /**
  * Share of the time between SIGTERM and SIGKILL after which a planned stop ends running requests. The stop
  * ends in the last sixth of that time.
@@ -111,6 +110,7 @@
     readonly #delays: DelayMonitor;
     readonly #overload: OverloadMonitor;
     readonly #metrics = createRequestMetrics();
+    readonly #tenantMetrics = new TenantMetrics();
     readonly #retryBudgets: RetryBudgets;
     readonly #ageClock: AgeClock;
     readonly #lag = new VersionLag();
@@ -132,12 +132,8 @@
         this.#settings = settings;
         this.#dependencies = dependencies;
         const { createPartLogger, now, random } = dependencies;
-        const linkBytesPerMs = settings.linkMegabitsPerSecond * BYTES_PER_MS_AND_MEGABIT;
-        this.#uplink = new UplinkSender(
-            new LinkBudget(linkBytesPerMs).isBottleneck ? new LinkPacer(linkBytesPerMs) : undefined,
-            now,
-            bytes => this.#admission.recordSmallLinkUse(bytes),
-        );
+        const linkBytesPerMs = computeLinkRate(settings);
+        this.#uplink = createUplink(linkBytesPerMs, now, bytes => this.#admission.recordSmallLinkUse(bytes));
         this.#log = createPartLogger("daemon");
         this.#delays = new DelayMonitor(this.#log, () => this.#sessions.countBufferedBytes());
         this.#overload = new OverloadMonitor({
@@ -380,7 +376,7 @@
             random,
             readCallerService: () => settings.service,
             readConfiguration: () => this.#configurationManager.configuration,
-            recorder: combineRecorders([this.#metrics, createAccessLog(requestLog)]),
+            recorder: combineRecorders([this.#metrics, this.#tenantMetrics, createAccessLog(requestLog)]),
             recordRequest: (service, isNested) => {
                 this.#usedServices.add(service);
                 if (!isNested) {
@@ -417,9 +413,13 @@
         };
         await open(reportAddress, answerReports);
         await open(readyAddress, call => answerReady(this.#isReady())(call));
+        const listTenants = () => listReportedTenants(this.#configurationManager.configuration, this.#tenantMetrics);
         if (metricsAddress !== undefined) {
-            const answer = answerOperator(this.#quarantine, () => this.#renderMetrics(), now, this.#rollouts);
-            await open(metricsAddress, answer);
+            const renderMetrics = (): string => this.#renderMetrics();
+            await open(
+                metricsAddress,
+                answerOperator(this.#quarantine, renderMetrics, now, listTenants, this.#rollouts),
+            );
         }
         this.#configurationManager.start();
         this.#overload.start();
@@ -603,6 +603,7 @@
                 routeResolver: this.#routeResolver,
                 sessionSelector: this.#sessionSelector,
                 sessions: this.#sessions,
+                tenantMetrics: this.#tenantMetrics,
                 uplink: this.#uplink,
             }),
         );
