Add the decisions of quotas: loans, grants and limits over a window

Cause: limits of tenants hold over all daemons, also where these don't know of each other. Change: each daemon owns one part of all limits and lends it to one process of an allocator, which grants whole requests in a window to the daemons with demand. What was used counts for one window after the end of a grant or loan.

--- /dev/null
+++ b/src/coordination/quotas/index.ts
@@ -0,0 +1,16 @@
+export { AllocatorChoice } from "./AllocatorChoice.js";
+export type { AllocatorCandidate } from "./AllocatorChoice.js";
+export { GRANT_LEDGER_RULES } from "./GrantLedger.js";
+export { ALLOCATOR_RULES, QuotaAllocator } from "./QuotaAllocator.js";
+export type { AllocatorRules, HeldShare } from "./QuotaAllocator.js";
+export { CLIENT_RULES, QuotaClient } from "./QuotaClient.js";
+export type { ClientRules, QuotaClientOptions } from "./QuotaClient.js";
+export { HOLDER_RULES, QuotaHolder } from "./QuotaHolder.js";
+export type { HolderRules, TenantUse } from "./QuotaHolder.js";
+export type { DemandEntry, GrantEntry, QuotaDemand, QuotaGrant } from "./QuotaMessages.js";
+export { LENDER_RULES, ShareLender } from "./ShareLender.js";
+export type { LenderRules } from "./ShareLender.js";
+export { computeFairLevel, computeTargets } from "./ShareTargets.js";
+export { computeWindowLimit, TenantLimits } from "./TenantLimits.js";
+export type { LimitSource, TenantLimit } from "./TenantLimits.js";
+export { WindowCounter } from "./WindowCounter.js";
