Apply the limits of tenants between daemons

Cause: the decisions of quotas need messages, timers, logs and metrics. Change: QuotaManager with the messages quotaDemand and quotaGrant, sessions with the first two daemons by rank as allocators, gauges, /quotas for operators. Without PAPAYATURN_QUOTA_WINDOW or tenants with limits nothing is sent.

--- a/src/coordination/quotas/AllocatorChoice.ts
+++ b/src/coordination/quotas/AllocatorChoice.ts
@@ -22,6 +22,11 @@
         return this.#current;
     }
 
+    /** Orders daemons by their rank as allocators. */
+    rank(candidates: readonly AllocatorCandidate[]): readonly string[] {
+        return [...candidates].sort(compareRanks).map(({ id }) => id);
+    }
+
     /** Returns the allocator; undefined while no candidate can be reached. An unreachable one is replaced at once. */
     update(candidates: Iterable<AllocatorCandidate>, now: number): string | undefined {
         let best: AllocatorCandidate | undefined;
--- a/src/protocol/session/SessionMessages.ts
+++ b/src/protocol/session/SessionMessages.ts
@@ -39,6 +39,8 @@
 const DOMAINS_LIMIT = 1_024;
 const WATCHES_LIMIT = 16;
 const TARGETS_LIMIT = 1_024;
+/** Above the number of tenants that the project aims at. */
+const QUOTA_ENTRIES_LIMIT = 16_384;
 /** Far above the number of verdicts that one request can get. */
 const REVISION_LIMIT = 1_000_000;
 
@@ -261,6 +263,29 @@
         checksum: name,
         compressedParts: bytesCodec,
     },
+    /** Loan of the sender's share of all quotas, and its demand, to an allocator (`QuotaMessages.ts`). */
+    quotaDemand: {
+        sentAt: integer,
+        run: integer,
+        sequence: integer,
+        allocatorRun: integer,
+        grantSequence: integer,
+        shareDivisor: integer,
+        table: integer,
+        entries: createListCodec(
+            createRecordCodec({ tenant: integer, wanted: integer, used: integer, refused: integer }),
+            QUOTA_ENTRIES_LIMIT,
+        ),
+    },
+    /** What an allocator grants to the receiver. */
+    quotaGrant: {
+        run: integer,
+        sequence: integer,
+        holderRun: integer,
+        demandSequence: integer,
+        table: integer,
+        entries: createListCodec(createRecordCodec({ tenant: integer, quota: integer }), QUOTA_ENTRIES_LIMIT),
+    },
 } as const;
 
 /** Optional fields that were added later, which daemons before them ignore. */
@@ -295,6 +320,8 @@
     "memberBuckets",
     "memberDigests",
     "members",
+    "quotaDemand",
+    "quotaGrant",
     "routeAnswer",
     "routeQuery",
     "status",
--- a/src/transport/sessions/HandleGossip.ts
+++ b/src/transport/sessions/HandleGossip.ts
@@ -13,7 +13,7 @@
         onStatus({ ...addTransit(message, measureTransit(message.sentAt)), id });
     }
     else {
-        onGossip(id, message);
+        onGossip(id, message, message.kind === "quotaDemand" ? measureTransit(message.sentAt) : Infinity);
     }
 }
 
--- a/src/transport/sessions/MessageTraffic.ts
+++ b/src/transport/sessions/MessageTraffic.ts
@@ -11,6 +11,8 @@
     configuration: LinkTrafficKind.Versions,
     configurationDifference: LinkTrafficKind.Versions,
     configurationRequest: LinkTrafficKind.Versions,
+    quotaDemand: LinkTrafficKind.Quotas,
+    quotaGrant: LinkTrafficKind.Quotas,
     request: LinkTrafficKind.Requests,
 };
 
--- a/src/transport/sessions/SessionTypes.ts
+++ b/src/transport/sessions/SessionTypes.ts
@@ -48,8 +48,11 @@
     readVersion(): number | undefined;
     /** Called with the version in force at another daemon, which comes with its requests and answers. */
     onVersion(id: string, version: number): void;
-    /** Called with a message that concerns neither a request nor the session. */
-    onGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void;
+    /**
+     * Called with a message that concerns neither a request nor the session, and the longest time that it can have been on
+     * its way; Infinity if that isn't known or the kind doesn't tell when it was sent.
+     */
+    onGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>, transitMs: number): void;
     /** Called when a connection to another daemon is usable, of either side. */
     onConnected(id: string): void;
     /** Sends large answers at the rate that the link allows. */
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -4,6 +4,7 @@
 import type { CostlyReads } from "../input/index.js";
 import type { AdmissionController } from "../ownership/index.js";
 import type { QuarantineManager } from "../quarantine/index.js";
+import type { QuotaManager } from "../quotas/index.js";
 import type { RouteQueries, RouteResolver } from "../routes/index.js";
 import type { SessionManager } from "../sessions/index.js";
 import type { UplinkSender } from "../uplink/index.js";
@@ -23,6 +24,7 @@
     readonly now: () => number;
     readonly overload: OverloadMonitor;
     readonly quarantine: QuarantineManager;
+    readonly quotas: QuotaManager | undefined;
     readonly routeQueries: RouteQueries;
     readonly routeResolver: RouteResolver;
     readonly sessionSelector: SessionSelector;
@@ -42,6 +44,7 @@
         ...listConfigurationGauges(sources),
         ...listMeshGauges(sources),
         ...listLinkGauges(sources),
+        ...listQuotaGauges(sources.quotas),
     ];
 }
 
@@ -124,3 +127,14 @@
         })),
     ];
 }
+
+function listQuotaGauges(quotas: QuotaManager | undefined): readonly Gauge[] {
+    return quotas === undefined ? [] : [
+        { name: "quota_limited_tenants", read: () => quotas.limitedTenants },
+        { name: "quota_lent_share", read: () => quotas.readLentShare() },
+        { name: "quota_requests_total{result=\"served\"}", read: () => quotas.totals.served },
+        { name: "quota_requests_total{result=\"refused\"}", read: () => quotas.totals.refused },
+        { name: "quota_demands_sent_total", read: () => quotas.totals.demands },
+        { name: "quota_grants_sent_total", read: () => quotas.totals.grants },
+    ];
+}
--- a/src/transport/sidecar/OperatorEndpoint.ts
+++ b/src/transport/sidecar/OperatorEndpoint.ts
@@ -1,18 +1,22 @@
-/** Calls of operators and their tools: metrics, and requests in quarantine. */
+/** Calls of operators and their tools: metrics, requests in quarantine, and limits of tenants. */
 import type { QuarantineManager } from "../quarantine/index.js";
+import type { QuotaManager, QuotaReport } from "../quotas/index.js";
 import type { EndpointAnswer, EndpointHandler } from "./HttpEndpoint.js";
 
 const QUARANTINE_PATH = "/quarantine";
+const QUOTAS_PATH = "/quotas";
 const RELEASE_PATTERN = /^\/quarantine\/([A-Za-z0-9_-]{1,64})\/release$/;
 const JSON_TYPE = "application/json";
 const MS_PER_SECOND = 1_000;
 
 /**
  * Answers `GET /quarantine`, a list of `{fingerprint, servers, ageS}`, and `POST /quarantine/<fingerprint>/release`, which
- * lets the request run again at all daemons; any other GET is answered with the metrics.
+ * lets the request run again at all daemons. `GET /quotas` is answered with the limits of tenants and their use where the
+ * daemon applies them. Any other GET is answered with the metrics.
  */
 export function answerOperator(
     quarantine: QuarantineManager,
+    quotas: QuotaManager | undefined,
     renderMetrics: () => string,
     now: () => number,
 ): EndpointHandler {
@@ -30,10 +34,33 @@
             }));
             return buildJson(200, quarantined);
         }
+        if (path === QUOTAS_PATH && quotas !== undefined) {
+            return buildJson(200, summarizeQuotas(quotas.describe()));
+        }
         return { body: renderMetrics(), contentType: "text/plain; version=0.0.4", status: 200 };
     };
 }
 
+function summarizeQuotas({ allocator, isOwnShareUsed, lentShare, tenants, windowMs }: QuotaReport): object {
+    return {
+        allocator,
+        isOwnShareUsed,
+        lentShare,
+        tenants: tenants.map(({ demandPerSecond, limit, quota, refused, served, shares, used }) => ({
+            burst: limit.burst,
+            demandPerS: demandPerSecond,
+            quota,
+            ratePerS: limit.ratePerSecond,
+            refused,
+            served,
+            shares: shares.map(share => ({ daemon: share.id, quota: share.quota })),
+            tenant: limit.name,
+            used,
+        })),
+        windowS: windowMs / MS_PER_SECOND,
+    };
+}
+
 function buildJson(status: number, body: unknown): EndpointAnswer {
     return { body: JSON.stringify(body), contentType: JSON_TYPE, status };
 }
--- a/src/transport/sidecar/SessionSelector.ts
+++ b/src/transport/sidecar/SessionSelector.ts
@@ -33,6 +33,8 @@
     readSelf(): Member;
     /** Services to which callers of this daemon may send requests. */
     listServices(): Iterable<string>;
+    /** Lists daemons with which sessions are kept besides, passing over those that are excluded. */
+    listExtra?(isExcluded: (id: string) => boolean): Iterable<string>;
 }
 
 interface Widening {
@@ -86,10 +88,10 @@
     }
 
     #selectWanted(isExcluded: (id: string) => boolean, now: number): Set<string> {
-        const { listServices, readSelf, table } = this.#options;
+        const { listExtra, listServices, readSelf, table } = this.#options;
         const self = readSelf();
         this.#neighbours = selectNeighbours(table, self, isExcluded);
-        const wanted = new Set(this.#neighbours);
+        const wanted = new Set([...this.#neighbours, ...listExtra?.(isExcluded) ?? []]);
         const position = this.#computePosition(self);
         for (const service of listServices()) {
             const servers = this.#serversByService.get(service);
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -3,7 +3,6 @@
 import { DecisionAges, deriveFreshnessLimits, VersionLag } from "../../coordination/distribution/index.js";
 import { LinkBudget, LinkPacer } from "../../coordination/scheduling/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
-import type { GossipMessage } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort } from "../../state/store/index.js";
 import { ConfigurationManager, MemberGossip, MemberRegistry } from "../directory/index.js";
@@ -15,6 +14,7 @@
 import { AdmissionController, checkHealth } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { QuarantineArchive, QuarantineManager } from "../quarantine/index.js";
+import type { QuotaManager } from "../quotas/index.js";
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../routes/index.js";
 import { SessionManager } from "../sessions/index.js";
 import type { LocalStatus } from "../sessions/index.js";
@@ -22,8 +22,12 @@
 import { AgeClock, realTimers } from "../timers/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import { UplinkSender } from "../uplink/index.js";
+import { createQuotas } from "./CreateQuotas.js";
+import type { ListTenants } from "./CreateQuotas.js";
 import { listGauges } from "./DaemonGauges.js";
 import { DelayMonitor } from "./DelayMonitor.js";
+import { dispatchGossip } from "./DispatchGossip.js";
+import type { GossipParts } from "./DispatchGossip.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { renderMetrics } from "./MetricsText.js";
@@ -32,6 +36,7 @@
 import { buildMember } from "./OwnRecord.js";
 import { RetryBudgets } from "./RetryBudgets.js";
 import { SessionSelector } from "./SessionSelector.js";
+import { planReload } from "./SettingsReload.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 
 /** Time without any reachable daemon after which this one is not ready, so that callers go elsewhere. */
@@ -75,6 +80,8 @@
     readonly random: () => number;
     readonly createSessionId: () => string;
     readonly readDroppedLines: () => number;
+    /** Lists the tenants whose limits hold; none if omitted. */
+    readonly listTenants?: ListTenants;
 }
 
 export interface Sidecar {
@@ -92,15 +99,6 @@
     return sidecar;
 }
 
-/** Settings that `reload` applies. */
-const RELOADABLE_SETTINGS: ReadonlySet<string> = new Set([
-    "graceMs",
-    "retryRatio",
-    "retrySlack",
-    "retryWindowMs",
-    "storeUrl",
-]);
-
 class RunningSidecar implements Sidecar {
     #settings: SidecarSettings;
     readonly #dependencies: SidecarDependencies;
@@ -124,6 +122,7 @@
     readonly #ageClock: AgeClock;
     readonly #lag = new VersionLag();
     readonly #decisionAges: DecisionAges;
+    readonly #quotas: QuotaManager | undefined;
     readonly #routeQueries: RouteQueries;
     readonly #routeResolver: RouteResolver;
     readonly #endpoints: Server[] = [];
@@ -160,6 +159,17 @@
             onLost: ms => this.#delays.recordLostTime(ms),
             readWallClock: dependencies.readWallClock,
         });
+        this.#quotas = createQuotas({
+            ageClock: this.#ageClock,
+            createPartLogger,
+            listTenants: dependencies.listTenants ?? (() => []),
+            now,
+            random,
+            readConfiguration: () => this.#configurationManager,
+            readRegistry: () => this.#memberRegistry,
+            readSessions: () => this.#sessions,
+            settings,
+        });
         const self = buildMember(settings, dependencies.readWallClock());
         this.#quarantine = new QuarantineManager({
             deleteQuarantine: fingerprint => void this.#quarantineArchive.delete(fingerprint),
@@ -238,7 +248,7 @@
             onEnded: id => this.#configurationManager.recordEnd(id),
             onVersion: (id, version) => this.#configurationManager.recordVersion(id, version),
             onConnected: id => this.#quarantine.sendAll(id),
-            onGossip: (id, message) => this.#handleGossip(id, message),
+            onGossip: (id, message, transitMs) => dispatchGossip(this.#listGossipParts(), id, message, transitMs),
             onLoad: (id, load) => this.#serverDirectory.recordLoad(id, load),
             onMembers: members => this.#memberGossip.announce(this.#memberRegistry.merge(members)),
             onServerIdentity: server => {
@@ -271,6 +281,7 @@
             timers: realTimers,
         });
         this.#sessionSelector = new SessionSelector({
+            listExtra: isExcluded => this.#quotas?.listWanted(isExcluded) ?? [],
             listServices: () => this.#listServices(),
             log: createPartLogger("sessions"),
             now,
@@ -300,6 +311,7 @@
             now: this.#ageClock.now,
             onChange: configuration => {
                 this.#callerListener.applyConfiguration(configuration);
+                this.#quotas?.applyTenants();
                 this.#announceStatus();
             },
             isRegistered: () => this.#memberRegistry.isRegistered,
@@ -394,11 +406,15 @@
         await open(reportAddress, answerReports);
         await open(readyAddress, call => answerReady(this.#isReady())(call));
         if (metricsAddress !== undefined) {
-            await open(metricsAddress, answerOperator(this.#quarantine, () => this.#renderMetrics(), now));
+            await open(
+                metricsAddress,
+                answerOperator(this.#quarantine, this.#quotas, () => this.#renderMetrics(), now),
+            );
         }
         this.#configurationManager.start();
         this.#overload.start();
         this.#quarantine.start();
+        this.#quotas?.start();
         if (!this.#settings.isFirstStart) {
             void this.#quarantineArchive.load();
         }
@@ -419,6 +435,7 @@
         const begin = this.#dependencies.now();
         const longestMs = this.#settings.graceMs * STOP_GRACE_SHARE;
         this.#admission.beginStop();
+        this.#quotas?.end();
         this.#memberRegistry.stop();
         this.#memberGossip.announce([this.#memberRegistry.leave()]);
         this.#memberGossip.flush();
@@ -436,16 +453,8 @@
     }
 
     reload(settings: SidecarSettings): void {
-        const before = this.#settings as unknown as Record<string, unknown>;
-        const changed = Object.entries(settings)
-            .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(before[name]))
-            .map(([name]) => name);
-        const ignored = changed.filter(name => !RELOADABLE_SETTINGS.has(name));
-        const followed = changed.filter(name => RELOADABLE_SETTINGS.has(name));
-        this.#settings = {
-            ...this.#settings,
-            ...Object.fromEntries(Object.entries(settings).filter(([name]) => RELOADABLE_SETTINGS.has(name))),
-        };
+        const { followed, ignored, settings: next } = planReload(this.#settings, settings);
+        this.#settings = next;
         this.#log.info("settings were reloaded.", { followed, ignored });
     }
 
@@ -462,6 +471,7 @@
         this.#uplink.stop();
         this.#overload.stop();
         this.#quarantine.stop();
+        this.#quotas?.stop();
         this.#quarantineArchive.stop();
         this.#configurationManager.stop();
         await this.#sessions.stop();
@@ -506,29 +516,14 @@
         ids.forEach(id => this.#sessions.sendGossip(id, status));
     }
 
-    #handleGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void {
-        switch (message.kind) {
-            case "configuration":
-                this.#configurationManager.applyCompressed(message, id);
-                return;
-            case "configurationDifference":
-                this.#configurationManager.applyDifference(message, id);
-                return;
-            case "configurationRequest":
-                this.#configurationManager.answerRequest(id, message.baseChecksum);
-                return;
-            case "crashes":
-                this.#quarantine.handle(id, message);
-                return;
-            case "routeAnswer":
-                this.#routeQueries.handleAnswer(id, message);
-                return;
-            case "routeQuery":
-                this.#routeQueries.answerQuery(id, message);
-                return;
-            default:
-                this.#memberGossip.handle(id, message);
-        }
+    #listGossipParts(): GossipParts {
+        return {
+            configurationManager: this.#configurationManager,
+            memberGossip: this.#memberGossip,
+            quarantine: this.#quarantine,
+            quotas: this.#quotas,
+            routeQueries: this.#routeQueries,
+        };
     }
 
     /** Services for which sessions are kept: those of the callers' requests, and all while they are few. */
@@ -598,6 +593,7 @@
                 now: this.#ageClock.now,
                 overload: this.#overload,
                 quarantine: this.#quarantine,
+                quotas: this.#quotas,
                 readDroppedLines: this.#dependencies.readDroppedLines,
                 readStoreBytes: () => this.#dependencies.store.readReceivedBytes(),
                 routeQueries: this.#routeQueries,
--- a/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedDaemon.ts
@@ -160,6 +160,8 @@
                         this.#queries.answerQuery(id, message);
                         return;
                     case "crashes":
+                    case "quotaDemand":
+                    case "quotaGrant":
                         return;
                     default:
                         this.#gossip.handle(id, message);
--- a/src/transport/sidecar/index.ts
+++ b/src/transport/sidecar/index.ts
@@ -1,3 +1,5 @@
+export { createQuotas } from "./CreateQuotas.js";
+export type { ListTenants, QuotaSources } from "./CreateQuotas.js";
 export type { EndpointAnswer, EndpointHandler, EndpointRequest } from "./HttpEndpoint.js";
 export { createUtilizationReader } from "./OverloadMonitor.js";
 export { startSidecar } from "./Sidecar.js";
--- a/src/transport/uplink/LinkTraffic.ts
+++ b/src/transport/uplink/LinkTraffic.ts
@@ -10,6 +10,8 @@
     Answers: "answers",
     /** Copies and differences of versions, and requests for them. */
     Versions: "versions",
+    /** Demands and grants of quotas. */
+    Quotas: "quotas",
     /** All other messages between daemons, such as handshakes, pings and records. */
     Sessions: "sessions",
 } as const;
