--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -4,6 +4,7 @@
 import type { CostlyReads } from "../input/index.js";
 import type { AdmissionController } from "../ownership/index.js";
 import type { QuarantineManager } from "../quarantine/index.js";
+import type { QuotaManager } from "../quotas/index.js";
 import type { RolloutManager } from "../rollouts/index.js";
 import type { RouteQueries, RouteResolver } from "../routes/index.js";
 import type { SessionManager } from "../sessions/index.js";
@@ -28,6 +29,7 @@
     readonly quarantine: QuarantineManager;
     /** Undefined where there are no roll-outs. */
     readonly rollouts: RolloutManager | undefined;
+    readonly quotas: QuotaManager | undefined;
     readonly routeQueries: RouteQueries;
     readonly routeResolver: RouteResolver;
     readonly sessionSelector: SessionSelector;
@@ -50,6 +52,7 @@
         ...listLinkGauges(sources),
         ...listRolloutGauges(sources),
         ...listTenantCounters(sources.tenantMetrics),
+        ...listQuotaGauges(sources.quotas),
     ];
 }
 
@@ -143,3 +146,14 @@
         })),
     ];
 }
+
+function listQuotaGauges(quotas: QuotaManager | undefined): readonly Gauge[] {
+    return quotas === undefined ? [] : [
+        { name: "quota_limited_tenants", read: () => quotas.limitedTenants },
+        { name: "quota_lent_share", read: () => quotas.readLentShare() },
+        { name: "quota_requests_total{result=\"served\"}", read: () => quotas.totals.served },
+        { name: "quota_requests_total{result=\"refused\"}", read: () => quotas.totals.refused },
+        { name: "quota_demands_sent_total", read: () => quotas.totals.demands },
+        { name: "quota_grants_sent_total", read: () => quotas.totals.grants },
+    ];
+}
--- a/src/transport/sidecar/SessionSelector.ts
+++ b/src/transport/sidecar/SessionSelector.ts
@@ -36,6 +36,8 @@
     readonly rollouts?: Pick<RolloutManager, "listTargetIds" | "listWantedIds"> | undefined;
     /** Services to which callers of this daemon may send requests. */
     listServices(): Iterable<string>;
+    /** Lists daemons with which sessions are kept besides, passing over those that are excluded. */
+    listExtra?(isExcluded: (id: string) => boolean): Iterable<string>;
 }
 
 interface Widening {
@@ -89,10 +91,14 @@
     }
 
     #selectWanted(isExcluded: (id: string) => boolean, now: number): Set<string> {
-        const { listServices, readSelf, rollouts, table } = this.#options;
+        const { listExtra, listServices, readSelf, rollouts, table } = this.#options;
         const self = readSelf();
         this.#neighbours = selectNeighbours(table, self, isExcluded);
-        const wanted = new Set([...this.#neighbours, ...rollouts?.listWantedIds(listServices()) ?? []]);
+        const wanted = new Set([
+            ...this.#neighbours,
+            ...listExtra?.(isExcluded) ?? [],
+            ...rollouts?.listWantedIds(listServices()) ?? [],
+        ]);
         const position = this.#computePosition(self);
         for (const service of listServices()) {
             const servers = this.#serversByService.get(service);
--- a/src/transport/sidecar/SettingsReload.ts
+++ b/src/transport/sidecar/SettingsReload.ts
@@ -1,6 +1,7 @@
+/** Tells which of the changed settings a running daemon follows. */
 import type { SidecarSettings } from "./SidecarSettings.js";
 
-/** Settings that are applied without a restart. */
+/** Settings that a reload applies; the others need a restart. */
 const RELOADABLE_SETTINGS: ReadonlySet<string> = new Set([
     "graceMs",
     "retryRatio",
@@ -9,26 +10,24 @@
     "storeUrl",
 ]);
 
-export interface MergedSettings {
-    readonly merged: SidecarSettings;
-    /** Names of the changed settings that apply now. */
+export interface SettingsReload {
+    readonly settings: SidecarSettings;
+    /** Names of the changed settings that are in force now, and of those that aren't. */
     readonly followed: readonly string[];
-    /** Names of the changed settings that need a restart. */
     readonly ignored: readonly string[];
 }
 
-/** Takes over those of the changed settings that need no restart. */
-export function mergeSettings(present: SidecarSettings, settings: SidecarSettings): MergedSettings {
-    const before = present as unknown as Record<string, unknown>;
-    const changed = Object.entries(settings)
-        .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(before[name]))
+export function planReload(before: SidecarSettings, after: SidecarSettings): SettingsReload {
+    const known = before as unknown as Record<string, unknown>;
+    const changed = Object.entries(after)
+        .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(known[name]))
         .map(([name]) => name);
     return {
         followed: changed.filter(name => RELOADABLE_SETTINGS.has(name)),
         ignored: changed.filter(name => !RELOADABLE_SETTINGS.has(name)),
-        merged: {
-            ...present,
-            ...Object.fromEntries(Object.entries(settings).filter(([name]) => RELOADABLE_SETTINGS.has(name))),
+        settings: {
+            ...before,
+            ...Object.fromEntries(Object.entries(after).filter(([name]) => RELOADABLE_SETTINGS.has(name))),
         },
     };
 }
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -2,7 +2,6 @@
 import type { Server } from "node:http";
 import { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
-import type { GossipMessage } from "../../protocol/session/index.js";
 import type { Member } from "../../state/members/index.js";
 import type { MeshStorePort } from "../../state/store/index.js";
 import { ConfigurationManager, MemberGossip, MemberRegistry } from "../directory/index.js";
@@ -14,6 +13,7 @@
 import { AdmissionController, checkHealth } from "../ownership/index.js";
 import type { PeerNetwork } from "../peer/index.js";
 import { QuarantineArchive, QuarantineManager } from "../quarantine/index.js";
+import type { QuotaManager } from "../quotas/index.js";
 import type { RolloutManager } from "../rollouts/index.js";
 import { findOutdatedRefusal, RouteQueries, RouteResolver } from "../routes/index.js";
 import { SessionManager } from "../sessions/index.js";
@@ -23,8 +23,11 @@
 import { AgeClock, realTimers } from "../timers/index.js";
 import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
 import type { UplinkSender } from "../uplink/index.js";
+import { createQuotas } from "./CreateQuotas.js";
 import { listGauges } from "./DaemonGauges.js";
 import { DelayMonitor } from "./DelayMonitor.js";
+import { dispatchGossip } from "./DispatchGossip.js";
+import type { GossipParts } from "./DispatchGossip.js";
 import { openEndpoint } from "./HttpEndpoint.js";
 import type { EndpointHandler } from "./HttpEndpoint.js";
 import { Isolation } from "./Isolation.js";
@@ -37,7 +40,7 @@
 import { RetryBudgets } from "./RetryBudgets.js";
 import { createRollouts } from "./RolloutWiring.js";
 import { SessionSelector } from "./SessionSelector.js";
-import { mergeSettings } from "./SettingsReload.js";
+import { planReload } from "./SettingsReload.js";
 import { deriveVersionLimits } from "./SidecarSettings.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 import { UsedServices } from "./UsedServices.js";
@@ -115,6 +118,7 @@
     readonly #ageClock: AgeClock;
     readonly #lag = new VersionLag();
     readonly #decisionAges: DecisionAges;
+    readonly #quotas: QuotaManager | undefined;
     readonly #routeQueries: RouteQueries;
     readonly #routeResolver: RouteResolver;
     readonly #endpoints: Server[] = [];
@@ -148,6 +152,16 @@
             onLost: ms => this.#delays.recordLostTime(ms),
             readWallClock: dependencies.readWallClock,
         });
+        this.#quotas = createQuotas({
+            ageClock: this.#ageClock,
+            createPartLogger,
+            now,
+            random,
+            readConfiguration: () => this.#configurationManager,
+            readRegistry: () => this.#memberRegistry,
+            readSessions: () => this.#sessions,
+            settings,
+        });
         const self = buildMember(settings, dependencies.readWallClock());
         this.#quarantine = new QuarantineManager({
             deleteQuarantine: fingerprint => void this.#quarantineArchive.delete(fingerprint),
@@ -233,7 +247,7 @@
                 this.#quarantine.sendAll(id);
                 this.#rollouts?.sendAll(id);
             },
-            onGossip: (id, message) => this.#handleGossip(id, message),
+            onGossip: (id, message, transitMs) => dispatchGossip(this.#listGossipParts(), id, message, transitMs),
             onLoad: (id, load) => this.#serverDirectory.recordLoad(id, load),
             onMembers: members => this.#memberGossip.announce(this.#memberRegistry.merge(members)),
             onServerIdentity: server => {
@@ -285,6 +299,7 @@
         });
         this.#sessionSelector = new SessionSelector({
             rollouts: this.#rollouts,
+            listExtra: isExcluded => this.#quotas?.listWanted(isExcluded) ?? [],
             listServices: () => this.#usedServices.list(this.#configurationManager.configuration),
             log: createPartLogger("sessions"),
             now,
@@ -318,6 +333,7 @@
             now: this.#ageClock.now,
             onChange: configuration => {
                 this.#callerListener.applyConfiguration(configuration);
+                this.#quotas?.applyTenants();
                 this.#announceStatus();
             },
             isRegistered: () => this.#memberRegistry.isRegistered,
@@ -389,6 +405,7 @@
             selfId: settings.id,
             recordRelayedAnswer: bytes => this.#admission.recordLinkUse(bytes),
             resolveRoute: question => this.#routeResolver.resolveRoute(question),
+            takeQuota: tenant => this.#quotas?.take(tenant, this.#ageClock.now()),
             takeRetry: service => this.#retryBudgets.takeRetry(service),
             timers: realTimers,
             tryReset: requestId => this.#overload.tryReset(requestId),
@@ -418,12 +435,13 @@
             const renderMetrics = (): string => this.#renderMetrics();
             await open(
                 metricsAddress,
-                answerOperator(this.#quarantine, renderMetrics, now, listTenants, this.#rollouts),
+                answerOperator(this.#quarantine, this.#quotas, renderMetrics, now, listTenants, this.#rollouts),
             );
         }
         this.#configurationManager.start();
         this.#overload.start();
         this.#quarantine.start();
+        this.#quotas?.start();
         if (!this.#settings.isFirstStart) {
             void this.#quarantineArchive.load();
         }
@@ -445,6 +463,7 @@
         const begin = this.#dependencies.now();
         const longestMs = this.#settings.graceMs * STOP_GRACE_SHARE;
         this.#admission.beginStop();
+        this.#quotas?.end();
         this.#memberRegistry.stop();
         this.#memberGossip.announce([this.#memberRegistry.leave()]);
         this.#memberGossip.flush();
@@ -462,8 +481,8 @@
     }
 
     reload(settings: SidecarSettings): void {
-        const { followed, ignored, merged } = mergeSettings(this.#settings, settings);
-        this.#settings = merged;
+        const { followed, ignored, settings: next } = planReload(this.#settings, settings);
+        this.#settings = next;
         this.#log.info("settings were reloaded.", { followed, ignored });
     }
 
@@ -481,6 +500,7 @@
         this.#uplink.stop();
         this.#overload.stop();
         this.#quarantine.stop();
+        this.#quotas?.stop();
         this.#quarantineArchive.stop();
         this.#configurationManager.stop();
         await this.#sessions.stop();
@@ -525,32 +545,15 @@
         ids.forEach(id => this.#sessions.sendGossip(id, status));
     }
 
-    #handleGossip(id: string, message: Exclude<GossipMessage, { readonly kind: "status"; }>): void {
-        switch (message.kind) {
-            case "configuration":
-                this.#configurationManager.applyCompressed(message, id);
-                return;
-            case "configurationDifference":
-                this.#configurationManager.applyDifference(message, id);
-                return;
-            case "configurationRequest":
-                this.#configurationManager.answerRequest(id, message.baseChecksum);
-                return;
-            case "crashes":
-                this.#quarantine.handle(id, message);
-                return;
-            case "rolloutReports":
-                this.#rollouts?.handle(id, message);
-                return;
-            case "routeAnswer":
-                this.#routeQueries.handleAnswer(id, message);
-                return;
-            case "routeQuery":
-                this.#routeQueries.answerQuery(id, message);
-                return;
-            default:
-                this.#memberGossip.handle(id, message);
-        }
+    #listGossipParts(): GossipParts {
+        return {
+            configurationManager: this.#configurationManager,
+            memberGossip: this.#memberGossip,
+            quarantine: this.#quarantine,
+            quotas: this.#quotas,
+            rollouts: this.#rollouts,
+            routeQueries: this.#routeQueries,
+        };
     }
 
     #updateSessions(): void {
@@ -596,6 +599,7 @@
                 now: this.#ageClock.now,
                 overload: this.#overload,
                 quarantine: this.#quarantine,
+                quotas: this.#quotas,
                 readDroppedLines: this.#dependencies.readDroppedLines,
                 rollouts: this.#rollouts,
                 readStoreBytes: () => this.#dependencies.store.readReceivedBytes(),
--- a/src/transport/sidecar/index.ts
+++ b/src/transport/sidecar/index.ts
@@ -1,3 +1,4 @@
+export { createQuotas } from "./CreateQuotas.js";
 export type { EndpointAnswer, EndpointHandler, EndpointRequest } from "./HttpEndpoint.js";
 export { createUtilizationReader } from "./OverloadMonitor.js";
 export { startSidecar } from "./Sidecar.js";
