Refuse an upload as not run when its body was still being sent at its deadline

Cause: an accepted offer counted as a request that may have run, although its body had not been sent yet. Change: the handle of a request tells that its body is being sent; at the deadline such a request gets 503 with a time to come back, and not 504.

--- a/src/transport/ownership/OwnedRequest.ts
+++ b/src/transport/ownership/OwnedRequest.ts
@@ -76,6 +76,8 @@
 export interface RequestHandle {
     /** Accepts an offer; `body` is one that was not sent with the request. */
     proceed(body?: Uint8Array): void;
+    /** Whether the body of an accepted request is still being sent, so that the request can't have run. */
+    isSending?(): boolean;
     /** Keeps an offer open while the body arrives. */
     renewOffer?(): void;
     /** Cancels the request; no event follows. */
--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -161,6 +161,7 @@
                     this.#channel.send({ kind: "cancel", stream });
                 }
             },
+            isSending: () => sent !== request && !pending.hasProceeded,
             pause: () => this.#channel.send({ kind: "pause", stream }),
             proceed: () => {
                 if (sent === request) {
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -569,7 +569,7 @@
         }
         const mayRun = this.#hasUnknownOutcome
             || isRepeatable(this.#plan.route.kind) && this.#attempts.size > 0
-            || [...this.#attempts].some(({ hasProceeded }) => hasProceeded);
+            || [...this.#attempts].some(({ handle, hasProceeded }) => hasProceeded && handle?.isSending?.() !== true);
         for (const attempt of [...this.#attempts]) {
             if (
                 this.#context.now() - attempt.sentAt
