--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -482,7 +482,9 @@
         }
         const mayRun = this.#hasUnknownOutcome
             || isRepeatable(this.#plan.route.kind) && this.#attempts.openCount > 0
-            || this.#attempts.listOpen().some(({ hasProceeded }) => hasProceeded);
+            || this.#attempts.listOpen().some(({ handle, hasProceeded }) =>
+                hasProceeded && handle?.isSending?.() !== true
+            );
         for (const attempt of this.#attempts.listOpen()) {
             if (
                 this.#context.now() - attempt.sentAt
