Keep a candidate's evidence over a restart of its daemon, and end roll-outs' fields with the order

Cause: the report that others return to a restarted owner was dropped when its order was merged, and the new report, with a lower sequence number, was ignored; after a success all loads and requests went on to carry roll-out fields; a version that was replaced long ago counted as serving while the store was silent. Change: the remembered report is applied once order and version are known, and a new one is sent; a final order ends the fields, the reports on it and the versions that it took out of use. Candidates tell their slack each 0.5 s. The property test of the ledger compares reports only while the order runs, since they are no longer sent after it.

--- a/src/coordination/rollouts/RolloutLedger.ts
+++ b/src/coordination/rollouts/RolloutLedger.ts
@@ -48,16 +48,24 @@
         }
     }
 
+    /** Versions that serve, as far as known; after a final status only those that it leaves in use. */
     listVersions(service: string): ReadonlySet<string> {
-        return this.#versions.get(service) ?? new Set();
+        const versions = this.#versions.get(service) ?? new Set();
+        const order = this.#services.get(service)?.order;
+        if (order === undefined || !isFinal(order.state)) {
+            return versions;
+        }
+        const isTargetInUse = order.state === RolloutState.Succeeded;
+        return new Set([...versions].filter(version => (version === order.targetVersion) === isTargetInUse));
     }
 
+    /** Lists all records, without reports on orders that are over. */
     listRecords(): RolloutRecords {
         const services = [...this.#services.values()];
         return {
             decisions: services.flatMap(({ decisions }) => [...decisions.values()]),
             orders: services.map(({ order }) => order),
-            reports: services.flatMap(({ reports }) => [...reports.values()]),
+            reports: services.flatMap(({ order, reports }) => isFinal(order.state) ? [] : [...reports.values()]),
             versions: [...this.#versions].flatMap(([service, versions]) =>
                 [...versions].map(softwareVersion => ({ service, softwareVersion }))
             ),
--- a/src/transport/rollouts/CandidateGate.ts
+++ b/src/transport/rollouts/CandidateGate.ts
@@ -60,6 +60,8 @@
     #inForceBase: number | undefined;
     #trackedBase: number | undefined;
     #sequence = 0;
+    /** Last report of this owner from before a restart. */
+    #remembered: OwnerReport | undefined;
     /** Whether another daemon has told what it knows. */
     #hasHeardPeer = false;
 
@@ -96,6 +98,7 @@
             this.#isOrderRead = false;
             this.#evidence = new VersionEvidence();
             this.#slackUsed = 0;
+            this.#restoreEvidence();
             this.#options.onVersion(softwareVersion);
         }
         this.update();
@@ -149,7 +152,9 @@
 
     readLoad(): RolloutLoad | undefined {
         const order = this.#options.ledger.find(this.#options.service)?.order;
-        return order === undefined || this.#phase === undefined || this.#phase === OwnerPhase.Open
+        const isPlain = this.#phase === undefined || this.#phase === OwnerPhase.Open
+            || this.#phase === OwnerPhase.Promoted && isFinal(order?.state);
+        return order === undefined || this.#phase === undefined || isPlain
             ? undefined
             : { orderRevision: order.base, phase: this.#phase, slackLeft: this.#computeSlackLeft() };
     }
@@ -195,13 +200,15 @@
         };
     }
 
-    /** Takes over the evidence of the own server that another daemon remembers from before a restart. */
-    restore({ sequence, slackUsed, softwareVersion, sums }: OwnerReport): void {
-        this.#sequence = Math.max(this.#sequence, sequence);
-        if (softwareVersion === this.#softwareVersion) {
-            this.#slackUsed = Math.max(this.#slackUsed, slackUsed);
-            this.#evidence.restore(sums);
+    /** Takes over a report of this owner from before a restart, which another daemon remembers; false if it is known. */
+    restore(report: OwnerReport): boolean {
+        if (report.sequence <= this.#sequence) {
+            return false;
         }
+        this.#sequence = report.sequence;
+        this.#remembered = report;
+        this.#restoreEvidence();
+        return true;
     }
 
     #trackOrder(rollout: Rollout | undefined): void {
@@ -222,6 +229,19 @@
         this.#inForceBase = knowsOthers && versions.has(targetVersion) && versions.size === 1 ? base : undefined;
         this.#evidence = new VersionEvidence();
         this.#slackUsed = 0;
+        this.#restoreEvidence();
+    }
+
+    #restoreEvidence(): void {
+        const order = this.#options.ledger.find(this.#options.service)?.order;
+        const remembered = this.#remembered;
+        if (
+            remembered !== undefined && order !== undefined && remembered.softwareVersion === this.#softwareVersion
+            && remembered.targetVersion === order.targetVersion && remembered.orderRevision >= order.base
+        ) {
+            this.#slackUsed = Math.max(this.#slackUsed, remembered.slackUsed);
+            this.#evidence.restore(remembered.sums);
+        }
     }
 
     /** Whether the gate stays closed since an order may exist that isn't known yet. */
--- a/src/transport/rollouts/RolloutConstants.ts
+++ b/src/transport/rollouts/RolloutConstants.ts
@@ -1,7 +1,9 @@
 /** Interval at which orders are looked at; a step of an order is at most this late. */
 export const TICK_MS = 100;
-/** Interval at which owners of candidates spread their sums, and their load with the slack that is left. */
+/** Interval at which owners of candidates spread their sums. */
 export const REPORT_INTERVAL_MS = 1_000;
+/** Interval at which owners of candidates tell callers' daemons their load, with the slack that is left. */
+export const LOAD_INTERVAL_MS = 500;
 /** Time in which news is gathered before it is passed on, unless it closes or opens gates. */
 export const NEWS_BATCH_MS = 150;
 /** Time after which a gate opens without an answer of the store, unless another version serves. */
--- a/src/transport/rollouts/RolloutManager.ts
+++ b/src/transport/rollouts/RolloutManager.ts
@@ -31,6 +31,7 @@
 import { OrderWatcher } from "./OrderWatcher.js";
 import {
     GONE_MS,
+    LOAD_INTERVAL_MS,
     MAXIMUM_WATCHED_OWNERS,
     NEW_VERSION_WATCH_MS,
     REPORT_INTERVAL_MS,
@@ -79,6 +80,9 @@
     #isStopped = false;
     #reportedAt = -Infinity;
     #hasNewEvidence = false;
+    /** Whether the other daemons know an older report of this owner with a higher sequence number. */
+    #isReportOutdated = false;
+    #announcedAt = -Infinity;
     /** Time since which fewer watchers than wanted can be reached; undefined while enough can. */
     #missingSince: number | undefined;
     #writerRank = Infinity;
@@ -162,10 +166,10 @@
     handle(id: string, message: RolloutMessage): void {
         const records = this.#gossip.decode(message);
         const own = records.reports.find(({ ownerId }) => ownerId === this.#options.selfId);
-        if (own !== undefined) {
-            this.gate.restore(own);
-        }
         this.#apply({ ...records, reports: records.reports.filter(report => report !== own) }, id);
+        if (own !== undefined && this.gate.restore(own)) {
+            this.#isReportOutdated = true;
+        }
         this.gate.recordPeer();
     }
 
@@ -312,16 +316,19 @@
         }
         const known = rollout.reports.get(selfId);
         const report = this.gate.buildReport(rollout);
-        const isChanged = known?.phase !== report.phase || known.isDrained !== report.isDrained
+        const isChanged = this.#isReportOutdated || known?.phase !== report.phase
+            || known.isDrained !== report.isDrained
             || known.softwareVersion !== report.softwareVersion;
         const isDue = now() - this.#reportedAt >= REPORT_INTERVAL_MS;
         const hasNewSums = known !== undefined && countAnswers(known.sums) !== countAnswers(report.sums);
         if (isForced && isChanged || isChanged || isDue && hasNewSums) {
             this.#reportedAt = now();
+            this.#isReportOutdated = false;
             this.#apply({ ...NO_RECORDS, reports: [report] }, undefined);
         }
-        else if (isDue && this.gate.phase === OwnerPhase.Candidate) {
-            this.#reportedAt = now();
+        if (this.gate.phase === OwnerPhase.Candidate && now() - this.#announcedAt >= LOAD_INTERVAL_MS) {
+            // Callers that send nothing here learn of the slack that is left.
+            this.#announcedAt = now();
             announceLoad();
         }
     }
@@ -349,6 +356,7 @@
             return;
         }
         this.#gossip.announce(news, source);
+        this.#hasNewEvidence ||= reports.length > 0 && this.gate.phase === OwnerPhase.Candidate;
         for (const { service } of [...orders, ...decisions]) {
             const rollout = this.#ledger.find(service);
             if (rollout !== undefined) {
