--- a/src/coordination/retries/SharedRetryBudget.ts
+++ b/src/coordination/retries/SharedRetryBudget.ts
@@ -21,6 +21,8 @@
 
 /** Part of the mesh's limits that the daemons use. */
 export const SHARED_RETRY_BUDGET_SHARE = 0.7;
+/** Part of the budget up to which requests are hedged. */
+const HEDGED_PART = 0.5;
 /** Number of parts into which the window is divided for counting. */
 const SLICES = 20;
 
@@ -44,7 +46,16 @@
     }
 
     /** Takes one retry from the budget; false when it is exhausted. */
-    takeRetry({ daemons, ratio, slack, windowMs }: SharedRetryLimits, now: number): boolean {
+    takeRetry(limits: SharedRetryLimits, now: number): boolean {
+        return this.#take(limits, 1, now);
+    }
+
+    /** Takes one hedge from the budget, of which half is left to retries after failures; false when there is none. */
+    takeHedge(limits: SharedRetryLimits, now: number): boolean {
+        return this.#take(limits, HEDGED_PART, now);
+    }
+
+    #take({ daemons, ratio, slack, windowMs }: SharedRetryLimits, part: number, now: number): boolean {
         const current = this.#getSlice(windowMs, now);
         let requests = 0;
         let retries = 0;
@@ -52,7 +63,7 @@
             requests += slice.requests;
             retries += slice.retries;
         }
-        if (retries + 1 > SHARED_RETRY_BUDGET_SHARE * (ratio * requests + slack / Math.max(1, daemons))) {
+        if (retries + 1 > part * SHARED_RETRY_BUDGET_SHARE * (ratio * requests + slack / Math.max(1, daemons))) {
             return false;
         }
         current.retries++;
--- a/src/coordination/retries/__tests__/unit/SharedRetryBudget.test.ts
+++ b/src/coordination/retries/__tests__/unit/SharedRetryBudget.test.ts
@@ -105,4 +105,15 @@
         expect(budget.takeRetry(limits, 1)).toBe(false);
         expect(budget.takeRetry(limits, WINDOW_MS * 2)).toBe(false);
     });
+
+    it("leaves half of it to retries after failures, whatever is hedged", () => {
+        const budget = new SharedRetryBudget();
+        const limits = { daemons: 1, ratio: RATIO, slack: 0, windowMs: WINDOW_MS };
+        for (let index = 0; index < 100; index++) {
+            budget.recordRequest(WINDOW_MS, 0);
+        }
+        const hedges = Array.from({ length: 20 }, () => budget.takeHedge(limits, 1)).filter(Boolean).length;
+        const retries = Array.from({ length: 20 }, () => budget.takeRetry(limits, 1)).filter(Boolean).length;
+        expect([hedges, retries]).toEqual([7, 7]);
+    });
 });
