Hedge repeatable requests, within the operator's share

Cause: the decision on hedges was not used; HEDGE_SHARE, HEDGE_MINIMUM_DELAY and HEDGE_EXCLUDED_ROUTES had no effect.

Change: RequestHedge asks after the delay of its route whether a second server would answer first, and looks again a few times. HedgeManager keeps the budget and the latencies of routes. The first answer cancels the other attempt at its server; the time that it took counts as a lower bound, and no failure is counted. When one of the two fails, the other one goes on without a further repeat. The settings are followed at a reload (SettingsReload, out of Sidecar.ts). Calls of repeated requests are not hedged and take tokens. Metrics: events hedged and not-hedged, hedge_share, hedge_tokens; placements have the cause hedge and the end cancelled. A latency longer than all known ones counts as one more that was not seen, so that a request that takes longer than any before is hedged. The estimate of lost answers moves from RouteStatistics to RouteLatencies, with its two tests. With a share of 0 no hedge is scheduled, and the repeat of lost answers is as before.

--- a/src/coordination/hedging/LatencyDistribution.ts
+++ b/src/coordination/hedging/LatencyDistribution.ts
@@ -18,6 +18,9 @@
     readonly survival: number;
 }
 
+/** Latencies longer than all known ones: a request that takes longer than any before is not about to be answered. */
+const UNSEEN_LATENCIES = 1;
+
 export class LatencyDistribution {
     readonly #latencies: Latency[] = [];
     #recorded = 0;
@@ -43,8 +46,7 @@
     /** Probability that no answer has come after `untilMs`, if none has come after `fromMs`. */
     estimateSurvival(fromMs: number, untilMs: number): number {
         this.#update();
-        const from = this.#readSurvival(fromMs);
-        return from === 0 ? 0 : this.#readSurvival(untilMs) / from;
+        return this.#readSurvival(untilMs) / this.#readSurvival(fromMs);
     }
 
     #add(latency: Latency): void {
@@ -77,7 +79,7 @@
     let survival = 1;
     sorted.forEach(({ isLowerBound, ms }, index) => {
         if (!isLowerBound) {
-            survival *= 1 - 1 / (sorted.length - index);
+            survival *= 1 - 1 / (sorted.length - index + UNSEEN_LATENCIES);
             steps.push({ ms, survival });
         }
     });
--- a/src/coordination/placement/__tests__/unit/HedgeReplay.test.ts
+++ b/src/coordination/hedging/__tests__/unit/LostAnswerReplay.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "vitest";
 import { createSeededRandom } from "../../../../state/shared/index.js";
-import { RouteStatistics } from "../../index.js";
+import { RouteLatencies } from "../../index.js";
 
 /** Status lookups that their servers run, but of which some answers are lost on the way. */
 const LOST_ANSWERS = { budgetMs: 2_500, lostShare: 0.05, meanWorkMs: 220, requests: 4_000, seed: 17, targetMs: 600 };
@@ -14,9 +14,9 @@
 }
 
 /** Replays the requests and hedges each one that has no answer after the delay that `getHedgeDelay` returns. */
-function replay(getHedgeDelay: (statistics: RouteStatistics) => number | undefined): Outcome {
+function replay(getHedgeDelay: (latencies: RouteLatencies) => number | undefined): Outcome {
     const random = createSeededRandom(LOST_ANSWERS.seed);
-    const statistics = new RouteStatistics();
+    const latencies = new RouteLatencies();
     const drawLatency = (): number => {
         const workMs = LOST_ANSWERS.meanWorkMs * (0.5 + random());
         return random() < LOST_ANSWERS.lostShare ? Infinity : workMs;
@@ -24,14 +24,14 @@
     let benefit = 0;
     let hedged = 0;
     for (let count = 0; count < LOST_ANSWERS.requests; count++) {
-        const hedgeDelayMs = getHedgeDelay(statistics) ?? Infinity;
+        const hedgeDelayMs = getHedgeDelay(latencies) ?? Infinity;
         const [firstMs, secondMs] = [drawLatency(), drawLatency()];
         const isHedged = firstMs > hedgeDelayMs;
         const latencyMs = isHedged ? Math.min(firstMs, hedgeDelayMs + secondMs) : firstMs;
         hedged += Number(isHedged);
         if (latencyMs <= LOST_ANSWERS.budgetMs) {
             benefit += latencyMs <= LOST_ANSWERS.targetMs ? 1 : LATE_BENEFIT_SHARE;
-            statistics.recordAnswer(latencyMs, 1_000);
+            latencies.recordAnswer(latencyMs);
         }
     }
     return { benefit, hedged };
@@ -42,7 +42,7 @@
 describe("hedged requests", () => {
     it("yield more benefit than no hedging when answers are lost, within the retry budget", () => {
         const before = replay(() => undefined);
-        const after = replay(statistics => statistics.estimateHedgeDelay());
+        const after = replay(latencies => latencies.estimateLostDelay());
         const lost = LOST_ANSWERS.requests - before.benefit;
         process.stdout.write(
             `lost answers: benefit ${
--- a/src/coordination/hedging/index.ts
+++ b/src/coordination/hedging/index.ts
@@ -3,3 +3,4 @@
 export type { HedgeCandidate, HedgeQuery, HedgeSelection, HedgeSettings } from "./HedgeSelection.js";
 export { MAXIMUM_CHECKS } from "./HedgingConstants.js";
 export { LatencyDistribution } from "./LatencyDistribution.js";
+export { RouteLatencies } from "./RouteLatencies.js";
--- a/src/coordination/placement/__tests__/unit/Placement.test.ts
+++ b/src/coordination/placement/__tests__/unit/Placement.test.ts
@@ -147,14 +147,4 @@
         expect(statistics.recordTimeBudget(1_900, 10)).toBe(600);
         expect(statistics.recordTimeBudget(2_500, 20)).toBe(0);
     });
-
-    it("give a hedge delay only after enough answers", () => {
-        const statistics = new RouteStatistics();
-        expect(statistics.estimateHedgeDelay()).toBeUndefined();
-        for (let count = 0; count < 40; count++) {
-            statistics.recordAnswer(200 + count % 10, 1_000);
-        }
-        expect(statistics.estimateHedgeDelay()).toBeGreaterThan(200);
-        expect(statistics.estimateHedgeDelay()).toBeLessThan(600);
-    });
 });
--- a/src/coordination/recording/RequestRecorder.ts
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -46,7 +46,7 @@
 
 /** An event that is counted by kind and reason. */
 export interface CountedEvent {
-    readonly kind: "refused" | "retried" | "ejected";
+    readonly kind: "refused" | "retried" | "ejected" | "hedged" | "not-hedged";
     readonly reason: string;
     readonly service: string | undefined;
     readonly class: string | undefined;
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -6,6 +6,7 @@
 import type { QuarantineManager } from "../quarantine/index.js";
 import type { RouteQueries, RouteResolver } from "../routes/index.js";
 import type { SessionManager } from "../sessions/index.js";
+import type { HedgeManager } from "../traffic/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 import type { DelayMonitor } from "./DelayMonitor.js";
 import type { Gauge } from "./MetricsText.js";
@@ -18,6 +19,7 @@
     readonly configurationManager: ConfigurationManager;
     readonly decisionAges: DecisionAges;
     readonly delays: DelayMonitor;
+    readonly hedging: HedgeManager;
     readonly lag: VersionLag;
     readonly memberRegistry: MemberRegistry;
     readonly now: () => number;
@@ -45,7 +47,7 @@
     ];
 }
 
-function listServerGauges({ admission, quarantine }: GaugeSources): readonly Gauge[] {
+function listServerGauges({ admission, hedging, quarantine }: GaugeSources): readonly Gauge[] {
     const load = () => admission.readLoad();
     return [
         { name: "server_running", read: () => load().running },
@@ -54,6 +56,8 @@
         { name: "server_link_wait_seconds", read: () => (load().link?.waitMs ?? 0) / MS_PER_SECOND },
         { name: "server_limit_per_second", read: () => load().limitPerSecond ?? Infinity },
         { name: "quarantined_requests", read: () => quarantine.listQuarantines().length },
+        { name: "hedge_share", read: () => hedging.share },
+        { name: "hedge_tokens", read: () => hedging.readTokens() },
         { name: "crash_suspects", read: () => quarantine.suspectCount },
     ];
 }
--- a/src/transport/sidecar/RetryBudgets.ts
+++ b/src/transport/sidecar/RetryBudgets.ts
@@ -1,5 +1,6 @@
 /** The retry budget of each service, of which this daemon has its part. */
 import { SharedRetryBudget } from "../../coordination/retries/index.js";
+import type { SharedRetryLimits } from "../../coordination/retries/index.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 
 export interface RetryBudgetsOptions {
@@ -29,20 +30,28 @@
 
     /** Takes one retry; false when the budget of the service is exhausted. */
     takeRetry(service: string): boolean {
-        const { countDaemons, now, onExhausted, readSettings } = this.#options;
-        const { retryRatio, retrySlack, retryWindowMs } = readSettings();
-        const daemons = countDaemons();
-        const isTaken = this.#getBudget(service).takeRetry({
+        const isTaken = this.#getBudget(service).takeRetry(this.#readLimits(), this.#options.now());
+        if (!isTaken) {
+            this.#options.onExhausted(service);
+        }
+        return isTaken;
+    }
+
+    /** Takes one hedge; false when the rest of the budget is left to retries after failures. */
+    takeHedge(service: string): boolean {
+        return this.#getBudget(service).takeHedge(this.#readLimits(), this.#options.now());
+    }
+
+    #readLimits(): SharedRetryLimits {
+        const { retryRatio, retrySlack, retryWindowMs } = this.#options.readSettings();
+        const daemons = this.#options.countDaemons();
+        return {
             daemons: daemons ?? 1,
             ratio: retryRatio,
             // Without the number of daemons, this one can't know its part of the slack.
             slack: daemons === undefined ? 0 : retrySlack,
             windowMs: retryWindowMs,
-        }, now());
-        if (!isTaken) {
-            onExhausted(service);
-        }
-        return isTaken;
+        };
     }
 
     #getBudget(service: string): SharedRetryBudget {
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -20,7 +20,7 @@
 import type { LocalStatus } from "../sessions/index.js";
 import type { HostAndPort } from "../settings/index.js";
 import { AgeClock, realTimers } from "../timers/index.js";
-import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
+import { CallerListener, computeDistance, HedgeManager, ServerDirectory } from "../traffic/index.js";
 import { UplinkSender } from "../uplink/index.js";
 import { listGauges } from "./DaemonGauges.js";
 import { DelayMonitor } from "./DelayMonitor.js";
@@ -32,6 +32,7 @@
 import { buildMember } from "./OwnRecord.js";
 import { RetryBudgets } from "./RetryBudgets.js";
 import { SessionSelector } from "./SessionSelector.js";
+import { mergeSettings } from "./SettingsReload.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 
 /** Time without any reachable daemon after which this one is not ready, so that callers go elsewhere. */
@@ -92,15 +93,6 @@
     return sidecar;
 }
 
-/** Settings that `reload` applies. */
-const RELOADABLE_SETTINGS: ReadonlySet<string> = new Set([
-    "graceMs",
-    "retryRatio",
-    "retrySlack",
-    "retryWindowMs",
-    "storeUrl",
-]);
-
 class RunningSidecar implements Sidecar {
     #settings: SidecarSettings;
     readonly #dependencies: SidecarDependencies;
@@ -121,6 +113,7 @@
     readonly #overload: OverloadMonitor;
     readonly #metrics = createRequestMetrics();
     readonly #retryBudgets: RetryBudgets;
+    readonly #hedging: HedgeManager;
     readonly #ageClock: AgeClock;
     readonly #lag = new VersionLag();
     readonly #decisionAges: DecisionAges;
@@ -345,6 +338,18 @@
                 this.#metrics.count({ class: undefined, kind: "refused", reason: "repeat-budget", service }),
             readSettings: () => this.#settings,
         });
+        this.#hedging = new HedgeManager({
+            directory: this.#serverDirectory,
+            log: requestLog,
+            now,
+            random,
+            readSettings: () => ({
+                excludedRoutes: this.#settings.hedgeExcludedRoutes,
+                minimumDelayMs: this.#settings.hedgeMinimumDelayMs,
+                share: this.#settings.hedgeShare,
+            }),
+            takeHedge: service => this.#retryBudgets.takeHedge(service),
+        });
         this.#callerListener = new CallerListener({
             costlyReads: this.#costlyReads,
             dialect: dependencies.dialect,
@@ -352,6 +357,7 @@
             findRunning: requestId => this.#admission.findRunning(requestId),
             findRestriction: request => this.#quarantine.findRestriction(request),
             findSuspicion: request => this.#quarantine.findSuspicion(request),
+            hedging: this.#hedging,
             log: requestLog,
             now,
             random,
@@ -436,16 +442,8 @@
     }
 
     reload(settings: SidecarSettings): void {
-        const before = this.#settings as unknown as Record<string, unknown>;
-        const changed = Object.entries(settings)
-            .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(before[name]))
-            .map(([name]) => name);
-        const ignored = changed.filter(name => !RELOADABLE_SETTINGS.has(name));
-        const followed = changed.filter(name => RELOADABLE_SETTINGS.has(name));
-        this.#settings = {
-            ...this.#settings,
-            ...Object.fromEntries(Object.entries(settings).filter(([name]) => RELOADABLE_SETTINGS.has(name))),
-        };
+        const { followed, ignored, settings: merged } = mergeSettings(this.#settings, settings);
+        this.#settings = merged;
         this.#log.info("settings were reloaded.", { followed, ignored });
     }
 
@@ -593,6 +591,7 @@
                 decisionAges: this.#decisionAges,
                 countReachable: () => this.#listReachable().length,
                 delays: this.#delays,
+                hedging: this.#hedging,
                 lag: this.#lag,
                 memberRegistry: this.#memberRegistry,
                 now: this.#ageClock.now,
--- a/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
@@ -7,6 +7,7 @@
 import type { Timers } from "../../../timers/index.js";
 import { CallerExchange } from "../../../traffic/CallerExchange.js";
 import type { ServerDirectory } from "../../../traffic/index.js";
+import { HedgeManager } from "../../../traffic/index.js";
 import { RequestRouter } from "../../../traffic/RequestRouter.js";
 import type { RequestRouterOptions } from "../../../traffic/RequestRouter.js";
 import { UplinkSender } from "../../../uplink/index.js";
@@ -69,6 +70,11 @@
             findRestriction: () => undefined,
             findRunning: () => undefined,
             findSuspicion: () => undefined,
+            hedging: new HedgeManager({
+                ...options,
+                readSettings: () => ({ excludedRoutes: [], minimumDelayMs: 0, share: 0 }),
+                takeHedge: () => false,
+            }),
             readCallerService: () => options.service,
             recorder: { count: () => undefined, record: () => undefined },
             recordRelayedAnswer: () => undefined,
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -13,16 +13,16 @@
 import { AnswerStream } from "./AnswerStream.js";
 import type { CallerExchange } from "./CallerExchange.js";
 import type { ForwardingContext, ForwardingPlan } from "./ForwardingPlan.js";
-import { RequestAttempts } from "./RequestAttempts.js";
+import { HEDGE_CAUSE, RequestAttempts } from "./RequestAttempts.js";
 import type { Attempt } from "./RequestAttempts.js";
 import { buildRequestRecord, FIRST_SERVER_FAILURE, Hop } from "./RequestEnd.js";
+import { RequestHedge } from "./RequestHedge.js";
 import type { Owner } from "./ServerDirectory.js";
 import {
     DEADLINE_GRACE_MS,
     DEFAULT_RETRY_AFTER_MS,
     MAXIMUM_PLACEMENTS,
     MAXIMUM_REROUTES,
-    MINIMUM_HEDGE_DELAY_MS,
     MINIMUM_RETRY_TIME_MS,
     STALLED_STREAM_MS,
 } from "./TrafficConstants.js";
@@ -56,11 +56,15 @@
     #lastDetail = "";
     #queuedMs = 0;
     #cancelDeadline: () => void = () => undefined;
-    #cancelHedge: () => void = () => undefined;
+    readonly #hedge: RequestHedge;
     #isComplete = false;
 
     constructor(context: ForwardingContext, plan: ForwardingPlan, exchange: CallerExchange, onComplete: () => void) {
         this.#attempts = new RequestAttempts(context, plan);
+        this.#hedge = new RequestHedge(context, plan, this.#attempts, {
+            repeat: () => this.#placeRetry("overdue"),
+            send: placement => this.#send(placement, HEDGE_CAUSE),
+        });
         this.#context = context;
         this.#plan = plan;
         this.#exchange = exchange;
@@ -76,7 +80,9 @@
             () => this.#handleDeadline(),
         );
         this.#place(false);
-        this.#scheduleHedge();
+        if (!this.#isComplete) {
+            this.#hedge.schedule();
+        }
     }
 
     /** Places the request at the best owner; without one, completes it unless an attempt is still open. */
@@ -275,6 +281,7 @@
         }
         this.#queuedMs = head.queuedMs;
         if (head.status < FIRST_SERVER_FAILURE) {
+            this.#recordBegin(attempt);
             this.#recordSuccess(attempt, body.length);
             attempt.owner.statistics.recordSuccess(this.#plan.route.name, head.workMs, this.#context.now());
             this.#completeWithAnswer({ body, head, owner: attempt.owner });
@@ -323,7 +330,7 @@
 
     #clearTimers(): void {
         this.#cancelDeadline();
-        this.#cancelHedge();
+        this.#hedge.stop();
     }
 
     #beginStream(attempt: Attempt, head: AnswerHead): void {
@@ -332,6 +339,8 @@
         }
         const statedBytes = parseStatedLength(head.headers);
         this.#stream = new AnswerStream(attempt, statedBytes);
+        this.#hedge.stop();
+        this.#recordBegin(attempt);
         this.#queuedMs = head.queuedMs;
         attempt.owner.statistics.recordSuccess(this.#plan.route.name, head.workMs, this.#context.now());
         this.#attempts.cancelAll(attempt);
@@ -357,11 +366,20 @@
         return isStreaming;
     }
 
+    /** Records the begin of an answer; that of a hedge says nothing of how long the first server would have taken. */
+    #recordBegin({ isHedge, sentAt }: Attempt): void {
+        if (!isHedge) {
+            this.#plan.latencies.distribution.record(this.#context.now() - sentAt);
+        }
+        this.#hedge.recordAnswer(isHedge);
+    }
+
     #recordSuccess(attempt: Attempt, bytes: number): void {
         if (attempt.owner.id !== this.#context.selfId) {
             this.#context.recordRelayedAnswer(bytes);
         }
-        this.#plan.statistics.recordAnswer(this.#context.now() - attempt.sentAt, bytes);
+        this.#plan.latencies.recordAnswer(this.#context.now() - attempt.sentAt);
+        this.#plan.statistics.recordAnswer(bytes);
     }
 
     #retryIfRepeatable(detail: string): void {
@@ -384,7 +402,9 @@
     #placeRetry(reason: string): void {
         const { route, service } = this.#plan;
         const openAttempts = this.#attempts.openCount;
-        if (this.#isComplete || this.#handleRestriction()) {
+        // Of a hedged request, one of the two goes on when the other fails.
+        const isStillHedged = this.#attempts.isHedged && openAttempts > 0;
+        if (this.#isComplete || isStillHedged || this.#handleRestriction()) {
             return;
         }
         const placement = this.#selectPlacement(this.#attempts.serversReached > 0);
@@ -403,19 +423,6 @@
         }
     }
 
-    /** Schedules a hedged request for an answer that is probably lost. */
-    #scheduleHedge(): void {
-        const hedgeDelayMs = this.#plan.statistics.estimateHedgeDelay();
-        if (hedgeDelayMs === undefined || !isRepeatable(this.#plan.route.kind) || this.#isComplete) {
-            return;
-        }
-        this.#cancelHedge = this.#context.timers.after(Math.max(MINIMUM_HEDGE_DELAY_MS, hedgeDelayMs), () => {
-            if (this.#stream === undefined) {
-                this.#placeRetry("overdue");
-            }
-        });
-    }
-
     /** Ends an attempt; false when it had ended before or the request is complete. */
     #endAttempt(attempt: Attempt, load: OwnerLoad | undefined, end: string): boolean {
         return this.#attempts.end(attempt, load, end) && !this.#isComplete;
--- a/src/transport/traffic/ForwardingPlan.ts
+++ b/src/transport/traffic/ForwardingPlan.ts
@@ -1,4 +1,5 @@
 /** What a request of a caller needs to be forwarded. */
+import type { RouteLatencies } from "../../coordination/hedging/index.js";
 import type { RouteStatistics } from "../../coordination/placement/index.js";
 import type { RequestRecorder } from "../../coordination/recording/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
@@ -8,11 +9,13 @@
 import type { Suspicion } from "../quarantine/index.js";
 import type { Timers } from "../timers/index.js";
 import type { CallerExchange } from "./CallerExchange.js";
+import type { HedgeManager } from "./HedgeManager.js";
 import type { ServerDirectory } from "./ServerDirectory.js";
 
 export interface ForwardingContext {
     readonly dialect: Dialect;
     readonly directory: ServerDirectory;
+    readonly hedging: HedgeManager;
     readonly selfId: string;
     readonly recorder: RequestRecorder;
     readonly now: () => number;
@@ -60,4 +63,5 @@
     /** The caller's own deadline. */
     readonly callerDeadlineAt: number;
     readonly statistics: RouteStatistics;
+    readonly latencies: RouteLatencies;
 }
--- a/src/transport/traffic/RequestAttempts.ts
+++ b/src/transport/traffic/RequestAttempts.ts
@@ -6,12 +6,16 @@
 import { PlacementHistory } from "./PlacementHistory.js";
 import type { Owner } from "./ServerDirectory.js";
 
+/** Cause of a placement that is a hedge, in the access log. */
+export const HEDGE_CAUSE = "hedge";
+
 export class Attempt {
     handle: RequestHandle | undefined;
     hasProceeded = false;
     isEnded = false;
 
-    constructor(readonly owner: Owner, readonly sentAt: number) {}
+    /** `isHedge`: sent while another owner has the request, as a hedge. */
+    constructor(readonly owner: Owner, readonly sentAt: number, readonly isHedge: boolean) {}
 
     /** Tells the owner to run the request for which it has offered a slot. */
     proceed(): void {
@@ -28,6 +32,7 @@
     readonly #plan: ForwardingPlan;
     readonly #open = new Set<Attempt>();
     readonly #excludedOwners = new Set<string>();
+    #isHedged = false;
     #placementCount = 0;
     #serversReached = 0;
 
@@ -41,6 +46,11 @@
         return this.#excludedOwners;
     }
 
+    /** Whether a hedge was sent. */
+    get isHedged(): boolean {
+        return this.#isHedged;
+    }
+
     get openCount(): number {
         return this.#open.size;
     }
@@ -70,9 +80,11 @@
         buildEvents: (attempt: Attempt) => SessionRequestEvents,
     ): void {
         const now = this.#context.now();
-        const attempt = new Attempt(owner, now);
+        const isHedge = cause === HEDGE_CAUSE;
+        const attempt = new Attempt(owner, now, isHedge);
         const request = this.#buildRequest(now);
         this.history.recordPlacement(owner, cause, latencyMs, now);
+        this.#isHedged ||= isHedge;
         this.#placementCount++;
         this.#serversReached++;
         this.#excludedOwners.add(owner.id);
@@ -109,7 +121,14 @@
             this.#open.delete(attempt);
             attempt.owner.statistics.recordEnd();
             attempt.owner.statistics.ejection.recordInconclusive();
-            attempt.owner.statistics.recordUnfinished(this.#plan.route.name, this.#context.now() - attempt.sentAt);
+            const elapsedMs = this.#context.now() - attempt.sentAt;
+            attempt.owner.statistics.recordUnfinished(this.#plan.route.name, elapsedMs);
+            if (!attempt.isHedge) {
+                this.#plan.latencies.distribution.recordLowerBound(elapsedMs);
+            }
+            if (this.#isHedged) {
+                this.history.recordEnd(attempt.owner.id, "cancelled");
+            }
             attempt.handle?.cancel();
         }
     }
--- a/src/transport/traffic/RequestRouter.ts
+++ b/src/transport/traffic/RequestRouter.ts
@@ -75,6 +75,7 @@
     applyConfiguration({ routesByHost }: TrafficConfiguration): void {
         this.#roundRobin.reset();
         const names = new Set([...routesByHost.values()].flat().map(route => route.name));
+        this.#options.hedging.applyRoutes(names);
         for (const name of this.#statisticsByRoute.keys()) {
             if (!names.has(name)) {
                 this.#statisticsByRoute.delete(name);
@@ -137,7 +138,7 @@
         const parent = callerHeaders.parentId === undefined
             ? undefined
             : this.#options.findRunning(callerHeaders.parentId);
-        this.#recordRequest(service, parent);
+        this.#recordRequest(service, route, parent);
         const plan = {
             arrivedAt,
             body,
@@ -148,6 +149,7 @@
             headers: this.#copyHeaders(exchange),
             isNested: parent !== undefined,
             isRetry: parent?.isRetry === true,
+            latencies: this.#options.hedging.getLatencies(route.name),
             method: exchange.request.method ?? "",
             requestId,
             reroutes: 0,
@@ -192,6 +194,7 @@
             ...plan,
             confirmedAgeMs,
             deadlineAt: Math.min(callerDeadlineAt, arrivedAt + route.timeoutMs),
+            latencies: this.#options.hedging.getLatencies(route.name),
             reroutes: plan.reroutes + 1,
             revision,
             route,
@@ -203,10 +206,14 @@
         new ForwardedRequest(this.#context, next, exchange, onComplete).start();
     }
 
-    #recordRequest(service: string, parent: OwnedRequest | undefined): void {
+    #recordRequest(service: string, route: RoutePolicy, parent: OwnedRequest | undefined): void {
         this.#options.recordRequest(service, parent !== undefined);
-        if (parent?.isRetry === true) {
+        if (parent === undefined) {
+            this.#options.hedging.recordRequest(route);
+        }
+        else if (parent.isRetry) {
             this.#options.recordRetry(service);
+            this.#options.hedging.recordRepeatedCall();
         }
     }
 
--- a/src/transport/traffic/ServerDirectory.ts
+++ b/src/transport/traffic/ServerDirectory.ts
@@ -1,6 +1,7 @@
 /** Backend servers at which requests can be placed, with the statistics of each. */
+import type { HedgeCandidate } from "../../coordination/hedging/index.js";
 import { Distance, OwnerStatistics } from "../../coordination/placement/index.js";
-import type { OwnerLoad, PlacementCandidate } from "../../coordination/placement/index.js";
+import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { Member } from "../../state/members/index.js";
 import { rankByRendezvousHash } from "../../state/shared/index.js";
 import type { AdmissionController, OwnedRequest, RequestHandle } from "../ownership/index.js";
@@ -8,7 +9,7 @@
 import { MAXIMUM_EJECTED_SHARE } from "./TrafficConstants.js";
 
 /** An owner of a server, this daemon or another one. */
-export interface Owner extends PlacementCandidate {
+export interface Owner extends HedgeCandidate {
     readonly service: string;
     submit(request: OwnedRequest, events: SessionRequestEvents): RequestHandle;
 }
@@ -151,7 +152,7 @@
             owners = new Map();
             this.#ownersByService.set(service, owners);
         }
-        owners.set(member.id, { id: member.id, service, statistics, submit });
+        owners.set(member.id, { failureDomain: member.failureDomain, id: member.id, service, statistics, submit });
     }
 
     #computeDistance(member: Member): Distance {
