Don't repeat calls of repeated requests while hedging is on

Cause: a call of a hedged request was not hedged, but could still be repeated as probably lost, at each service of a chain.

With a share of 0 nothing changes.

--- a/src/transport/traffic/HedgeManager.ts
+++ b/src/transport/traffic/HedgeManager.ts
@@ -10,7 +10,6 @@
 import { isRepeatable } from "../../state/traffic/index.js";
 import type { RoutePolicy } from "../../state/traffic/index.js";
 import type { PartLogger } from "../logging/index.js";
-import type { ForwardingPlan } from "./ForwardingPlan.js";
 import type { Owner, ServerDirectory } from "./ServerDirectory.js";
 
 export interface HedgeManagerOptions {
@@ -85,9 +84,9 @@
         }
     }
 
-    /** Time after which a request is hedged; undefined when it is not hedged. Calls of repeated requests never are. */
-    computeDelay({ isRetry, route }: ForwardingPlan): number | undefined {
-        return isRetry || !isRepeatable(route.kind)
+    /** Time after which a request is hedged; undefined when its route is not hedged. */
+    computeDelay(route: RoutePolicy): number | undefined {
+        return !isRepeatable(route.kind)
             ? undefined
             : computeHedgeDelay(this.#options.readSettings(), route.name, this.getLatencies(route.name).distribution);
     }
--- a/src/transport/traffic/RequestHedge.ts
+++ b/src/transport/traffic/RequestHedge.ts
@@ -34,8 +34,10 @@
 
     /** Schedules both kinds of second requests. */
     schedule(): void {
-        const { latencies, route } = this.#plan;
-        if (!isRepeatable(route.kind)) {
+        const { isRetry, latencies, route } = this.#plan;
+        // A second request for a call of a repeated request would multiply the repeats at each service of the chain.
+        const isRepeatedCall = isRetry && this.#context.hedging.share > 0;
+        if (!isRepeatable(route.kind) || isRepeatedCall) {
             return;
         }
         const lostDelayMs = latencies.estimateLostDelay();
@@ -46,7 +48,7 @@
                 }
             });
         }
-        const delayMs = this.#context.hedging.computeDelay(this.#plan);
+        const delayMs = this.#context.hedging.computeDelay(route);
         if (delayMs !== undefined) {
             this.#scheduleCheck(delayMs, delayMs);
         }
