Let a hedge go before the repeat of a lost answer, whatever the latencies

Cause: at a load of 41 on 7 processors the latencies of the warm-up were so uneven that the repeat of a probably lost answer came before the hedge; three tests of hedging, which rested on times, failed.

Change: where a request may be hedged, its repeat waits for twice the hedge delay at least.

With a share of 0 nothing changes.

--- a/src/transport/traffic/RequestHedge.ts
+++ b/src/transport/traffic/RequestHedge.ts
@@ -40,15 +40,17 @@
         if (!isRepeatable(route.kind) || isRepeatedCall) {
             return;
         }
+        const delayMs = this.#context.hedging.computeDelay(route);
         const lostDelayMs = latencies.estimateLostDelay();
         if (lostDelayMs !== undefined) {
-            this.#cancelRepeat = this.#context.timers.after(Math.max(MINIMUM_HEDGE_DELAY_MS, lostDelayMs), () => {
+            // Where a request may be hedged, its hedge goes first, also if the latencies are so uneven that the delays are reversed.
+            const repeatDelayMs = Math.max(MINIMUM_HEDGE_DELAY_MS, lostDelayMs, 2 * (delayMs ?? 0));
+            this.#cancelRepeat = this.#context.timers.after(repeatDelayMs, () => {
                 if (!this.#attempts.isHedged) {
                     this.#actions.repeat();
                 }
             });
         }
-        const delayMs = this.#context.hedging.computeDelay(route);
         if (delayMs !== undefined) {
             this.#scheduleCheck(delayMs, delayMs);
         }
