--- a/src/transport/sidecar/SettingsReload.ts
+++ b/src/transport/sidecar/SettingsReload.ts
@@ -2,8 +2,11 @@
 import type { SidecarSettings } from "./SidecarSettings.js";
 
 /** Settings that a reload applies; the others need a restart. */
-const RELOADABLE_SETTINGS: ReadonlySet<string> = new Set([
+const RELOADABLE_SETTINGS: ReadonlySet<string> = new Set<keyof SidecarSettings>([
     "graceMs",
+    "hedgeExcludedRoutes",
+    "hedgeMinimumDelayMs",
+    "hedgeShare",
     "retryRatio",
     "retrySlack",
     "retryWindowMs",
--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -21,7 +21,7 @@
 import type { HostAndPort } from "../settings/index.js";
 import { listReportedTenants, TenantMetrics } from "../tenants/index.js";
 import { AgeClock, realTimers } from "../timers/index.js";
-import { CallerListener, computeDistance, ServerDirectory } from "../traffic/index.js";
+import { CallerListener, computeDistance, HedgeManager, ServerDirectory } from "../traffic/index.js";
 import type { UplinkSender } from "../uplink/index.js";
 import { createQuotas } from "./CreateQuotas.js";
 import { listGauges } from "./DaemonGauges.js";
@@ -115,6 +115,7 @@
     readonly #metrics = createRequestMetrics();
     readonly #tenantMetrics = new TenantMetrics();
     readonly #retryBudgets: RetryBudgets;
+    readonly #hedging: HedgeManager;
     readonly #ageClock: AgeClock;
     readonly #lag = new VersionLag();
     readonly #decisionAges: DecisionAges;
@@ -380,6 +381,18 @@
                 this.#metrics.count({ class: undefined, kind: "refused", reason: "repeat-budget", service }),
             readSettings: () => this.#settings,
         });
+        this.#hedging = new HedgeManager({
+            directory: this.#serverDirectory,
+            log: requestLog,
+            now,
+            random,
+            readSettings: () => ({
+                excludedRoutes: this.#settings.hedgeExcludedRoutes,
+                minimumDelayMs: this.#settings.hedgeMinimumDelayMs,
+                share: this.#settings.hedgeShare,
+            }),
+            takeHedge: service => this.#retryBudgets.takeHedge(service),
+        });
         this.#callerListener = new CallerListener({
             costlyReads: this.#costlyReads,
             dialect: dependencies.dialect,
@@ -387,6 +400,7 @@
             findRunning: requestId => this.#admission.findRunning(requestId),
             findRestriction: request => this.#quarantine.findRestriction(request),
             findSuspicion: request => this.#quarantine.findSuspicion(request),
+            hedging: this.#hedging,
             log: requestLog,
             now,
             random,
@@ -594,6 +608,7 @@
                 decisionAges: this.#decisionAges,
                 countReachable: () => this.#listReachable().length,
                 delays: this.#delays,
+                hedging: this.#hedging,
                 lag: this.#lag,
                 memberRegistry: this.#memberRegistry,
                 now: this.#ageClock.now,
--- a/src/transport/traffic/RequestRouter.ts
+++ b/src/transport/traffic/RequestRouter.ts
@@ -81,6 +81,7 @@
     applyConfiguration({ routesByHost }: TrafficConfiguration): void {
         this.#roundRobin.reset();
         const names = new Set([...routesByHost.values()].flat().map(route => route.name));
+        this.#options.hedging.applyRoutes(names);
         for (const name of this.#statisticsByRoute.keys()) {
             if (!names.has(name)) {
                 this.#statisticsByRoute.delete(name);
@@ -184,7 +185,7 @@
         const statistics = this.#getStatistics(route.name);
         const spentMs = statistics.recordTimeBudget(budgetMs, arrivedAt);
         const parent = this.#findParent(callerHeaders.parentId);
-        this.#recordRequest(service, parent);
+        this.#recordRequest(service, route, parent);
         const plan = {
             arrivedAt,
             body,
@@ -195,6 +196,7 @@
             headers: buildForwardedHeaders(exchange.request.rawHeaders, this.#options.dialect),
             isNested: parent !== undefined,
             isRetry: parent?.isRetry === true,
+            latencies: this.#options.hedging.getLatencies(route.name),
             method: exchange.request.method ?? "",
             requestId,
             reroutes: 0,
@@ -247,6 +249,7 @@
             ...plan,
             confirmedAgeMs,
             deadlineAt: Math.min(callerDeadlineAt, arrivedAt + route.timeoutMs),
+            latencies: this.#options.hedging.getLatencies(route.name),
             reroutes: plan.reroutes + 1,
             revision,
             route,
@@ -263,10 +266,14 @@
         return parentId === undefined ? undefined : this.#options.findRunning(parentId);
     }
 
-    #recordRequest(service: string, parent: OwnedRequest | undefined): void {
+    #recordRequest(service: string, route: RoutePolicy, parent: OwnedRequest | undefined): void {
         this.#options.recordRequest(service, parent !== undefined);
-        if (parent?.isRetry === true) {
+        if (parent === undefined) {
+            this.#options.hedging.recordRequest(route);
+        }
+        else if (parent.isRetry) {
             this.#options.recordRetry(service);
+            this.#options.hedging.recordRepeatedCall();
         }
     }
 
