--- a/src/coordination/quotas/DemandEstimate.ts
+++ b/src/coordination/quotas/DemandEstimate.ts
@@ -3,7 +3,7 @@
 
 /** The faster average notices a wave within a second; the slower one keeps tenants that send a request every few seconds. */
 const FAST_TIME_MS = 700;
-const SLOW_TIME_MS = 6_000;
+const SLOW_TIME_MS = 3_000;
 
 export class DemandEstimate {
     #fast = 0;
