--- a/src/transport/traffic/__tests__/unit/PlannedRequest.test.ts
+++ b/src/transport/traffic/__tests__/unit/PlannedRequest.test.ts
@@ -1,5 +1,6 @@
 /** Guards against a tenant that is served by the priority of its route, and against keys or limits that other daemons get. */
 import { expect, it } from "vitest";
+import { RouteLatencies } from "../../../../coordination/hedging/index.js";
 import { RouteStatistics } from "../../../../coordination/placement/index.js";
 import { RequestKind } from "../../../../state/traffic/index.js";
 import type { ForwardingPlan } from "../../ForwardingPlan.js";
@@ -15,6 +16,7 @@
     headers: [],
     isNested: false,
     isRetry: false,
+    latencies: new RouteLatencies(),
     method: "GET",
     requestId: "r-1",
     reroutes: 0,
--- a/src/transport/traffic/__tests__/unit/RequestRouter.test.ts
+++ b/src/transport/traffic/__tests__/unit/RequestRouter.test.ts
@@ -12,6 +12,7 @@
 import type { RouteDecision } from "../../../routes/index.js";
 import { realTimers } from "../../../timers/index.js";
 import type { CallerExchange } from "../../CallerExchange.js";
+import { HedgeManager } from "../../HedgeManager.js";
 import { RequestRouter } from "../../RequestRouter.js";
 import type { FoundRoute, RequestRouterOptions } from "../../RequestRouter.js";
 import type { ServerDirectory } from "../../ServerDirectory.js";
@@ -48,6 +49,11 @@
     const recorded: RequestRecord[] = [];
     let decided: RouteDecision = DECISION;
     const dialect = createTestDialect();
+    const directory = {
+        estimateSlotWait: () => 100,
+        listCandidates: () => [],
+        listIncludingEjected: () => [],
+    } as unknown as ServerDirectory;
     const router = new RequestRouter({
         dialect: {
             ...dialect,
@@ -57,14 +63,18 @@
                 parentId: headers["x-parent"] as string | undefined,
             }),
         },
-        directory: {
-            estimateSlotWait: () => 100,
-            listCandidates: () => [],
-            listIncludingEjected: () => [],
-        } as unknown as ServerDirectory,
+        directory,
         findRestriction: () => undefined,
         findRunning: () => undefined,
         findSuspicion: () => undefined,
+        hedging: new HedgeManager({
+            directory,
+            log: createSilentLogger(),
+            now: () => 1_000,
+            random: () => 0.5,
+            readSettings: () => ({ excludedRoutes: [], minimumDelayMs: 0, share: 0 }),
+            takeHedge: () => false,
+        }),
         log: createSilentLogger(),
         now: () => 1_000,
         random: () => 0.5,
