Order servers by the expected wait only while answers will be in time

Change: below a probability of 0.85 of an answer in time, servers are ordered by the value of the answer, as before. A request that was refused in another failure domain is placed in its own one only, and the next failure domain is used as before.

--- a/src/coordination/placement/Placement.ts
+++ b/src/coordination/placement/Placement.ts
@@ -21,6 +21,11 @@
 const BYTES_PER_KILOBYTE = 1_000;
 /** Probability of an answer before the deadline below which a request is not placed at an owner. */
 const MINIMUM_ANSWER_PROBABILITY = 0.1;
+/**
+ * Probability of an answer in time from which servers are ordered by the expected wait. Below it all servers are busy: an
+ * order by the wait spreads the overload evenly, so that most answers are a little late instead of some being refused.
+ */
+const CERTAIN_IN_TIME_PROBABILITY = 0.85;
 /** Probability of an answer in time from which a request is placed whatever its bytes cost. */
 const LIKELY_IN_TIME_PROBABILITY = 0.5;
 /**
@@ -55,21 +60,30 @@
     random: Random,
 ): Placement<T> | undefined {
     const all = [...candidates];
-    const isOrderedByCompletion = all.some(({ statistics }) => statistics.tellsWorkFactor);
+    const isWorkFactorTold = all.some(({ statistics }) => statistics.tellsWorkFactor);
     let best: Placement<T> | undefined;
+    let quickest: Placement<T> & { readonly inTime: number; } | undefined;
     for (const candidate of all) {
+        if (isWorkFactorTold && query.hasCrossed === true && candidate.statistics.distance !== Distance.SameDomain) {
+            continue;
+        }
         const latencyMs = candidate.statistics.estimateLatency(query, now);
         const { inTime, linkCost, served, value } = estimateResult(candidate.statistics, query, latencyMs, now);
-        const score = isOrderedByCompletion
-            ? -computeCompletionCost(candidate.statistics, query, linkCost, now)
-            : value + random() * SCORE_JITTER;
-        const isWorthwhile = served >= MINIMUM_ANSWER_PROBABILITY
-            && (value > 0 || inTime >= LIKELY_IN_TIME_PROBABILITY);
-        if (isWorthwhile && (best === undefined || score > best.score)) {
+        const score = value + random() * SCORE_JITTER;
+        if (served < MINIMUM_ANSWER_PROBABILITY || value <= 0 && inTime < LIKELY_IN_TIME_PROBABILITY) {
+            continue;
+        }
+        if (best === undefined || score > best.score) {
             best = { candidate, latencyMs, score };
         }
+        if (isWorkFactorTold) {
+            const quickness = -computeCompletionCost(candidate.statistics, query, linkCost, now);
+            if (quickest === undefined || quickness > quickest.score) {
+                quickest = { candidate, inTime, latencyMs, score: quickness };
+            }
+        }
     }
-    return best;
+    return quickest !== undefined && quickest.inTime >= CERTAIN_IN_TIME_PROBABILITY ? quickest : best;
 }
 
 function estimateResult(statistics: OwnerStatistics, query: PlacementQuery, latencyMs: number, now: number) {
--- a/src/coordination/placement/PlacementTypes.ts
+++ b/src/coordination/placement/PlacementTypes.ts
@@ -40,6 +40,8 @@
 export interface PlacementQuery {
     readonly route: string;
     readonly isNested: boolean;
+    /** Whether it was refused in another failure domain already, so that its bytes have crossed a costly link. */
+    readonly hasCrossed?: boolean;
     /** Time left until the target latency is exceeded; may be negative. */
     readonly targetLeftMs: number;
     /** Time left until the deadline, after which an answer is useless. */
--- a/src/coordination/placement/__tests__/unit/UnevenServers.test.ts
+++ b/src/coordination/placement/__tests__/unit/UnevenServers.test.ts
@@ -34,6 +34,8 @@
         expect(outcome.inTime).toBeGreaterThan(0.95 * outcome.possibleInTime);
         expect(outcome.busiestOverMean).toBeLessThan(1.15);
         expect(outcome.refusedShare).toBeLessThan(0.01);
+        // The bytes of a request that was refused in another domain have been paid for once.
+        expect(outcome.crossedAgain).toBe(0);
     });
 
     it("keeps equal servers without waves at least as even as without the factor, and most requests in their domain", () => {
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -118,6 +118,7 @@
             budgetLeftMs: leftMs,
             bytes: this.#plan.body.length + statistics.answerBytes,
             excluded: this.#attempts.excludedOwners,
+            hasCrossed: this.#attempts.hasCrossed,
             isNested: this.#plan.isNested,
             now,
             route: route.name,
--- a/src/transport/traffic/RequestAttempts.ts
+++ b/src/transport/traffic/RequestAttempts.ts
@@ -1,4 +1,5 @@
 /** Attempts of one request, each at another owner: sends, ends and cancels them, and counts the servers reached. */
+import { Distance } from "../../coordination/placement/index.js";
 import type { OwnerLoad } from "../../coordination/placement/index.js";
 import type { RequestHandle } from "../ownership/index.js";
 import type { SessionRequestEvents } from "../sessions/index.js";
@@ -34,6 +35,7 @@
     readonly #plan: ForwardingPlan;
     readonly #open = new Set<Attempt>();
     readonly #excludedOwners = new Set<string>();
+    #hasCrossed = false;
     #isHedged = false;
     #placementCount = 0;
     #serversReached = 0;
@@ -57,6 +59,11 @@
         return this.#open.size;
     }
 
+    /** Whether an attempt was sent to another failure domain. */
+    get hasCrossed(): boolean {
+        return this.#hasCrossed;
+    }
+
     get placementCount(): number {
         return this.#placementCount;
     }
@@ -87,6 +94,7 @@
         const request = buildOwnedRequest(this.#plan, { baseline, isRetry: this.#serversReached > 0 }, now);
         this.history.recordPlacement(owner, cause, latencyMs, now);
         this.#isHedged ||= isHedge;
+        this.#hasCrossed ||= owner.statistics.distance !== Distance.SameDomain;
         this.#placementCount++;
         this.#serversReached++;
         this.#excludedOwners.add(owner.id);
