Move the dependencies of a daemon out of Sidecar.ts

Change: the interfaces of its dependencies and its control have a file of their own. No behaviour changes.

--- a/src/transport/sidecar/Sidecar.ts
+++ b/src/transport/sidecar/Sidecar.ts
@@ -1,17 +1,13 @@
 /** Assembles a daemon that runs on a platform beside a backend server. */
 import type { Server } from "node:http";
 import { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
-import type { Dialect } from "../../protocol/dialect/index.js";
 import type { Member } from "../../state/members/index.js";
-import type { MeshStorePort } from "../../state/store/index.js";
 import { ConfigurationManager, MemberGossip, MemberRegistry } from "../directory/index.js";
-import type { DecodeConfiguration } from "../directory/index.js";
 import { CostlyReads } from "../input/index.js";
 import { createAccessLog } from "../logging/index.js";
-import type { CreatePartLogger, PartLogger } from "../logging/index.js";
+import type { PartLogger } from "../logging/index.js";
 import { combineRecorders, createRequestMetrics } from "../metrics/index.js";
 import { AdmissionController, checkHealth } from "../ownership/index.js";
-import type { PeerNetwork } from "../peer/index.js";
 import { QuarantineArchive, QuarantineManager } from "../quarantine/index.js";
 import type { QuotaManager } from "../quotas/index.js";
 import type { RolloutManager } from "../rollouts/index.js";
@@ -41,6 +37,7 @@
 import { createRollouts } from "./RolloutWiring.js";
 import { SessionSelector } from "./SessionSelector.js";
 import { planReload } from "./SettingsReload.js";
+import type { Sidecar, SidecarDependencies } from "./SidecarDependencies.js";
 import { deriveVersionLimits } from "./SidecarSettings.js";
 import type { SidecarSettings } from "./SidecarSettings.js";
 import { UsedServices } from "./UsedServices.js";
@@ -53,41 +50,6 @@
  */
 const STOP_GRACE_SHARE = 0.87;
 
-/** Dependencies of a daemon besides its settings. */
-export interface SidecarDependencies {
-    readonly createPartLogger: CreatePartLogger;
-    readonly dialect: Dialect;
-    readonly store: MeshStorePort;
-    readonly decodeConfiguration: DecodeConfiguration;
-    readonly network: PeerNetwork;
-    /** Answers the platform's readiness checks. */
-    readonly answerReady: (isReady: boolean) => EndpointHandler;
-    /** Answers reports of the backend server. */
-    readonly answerReports: (
-        admission: AdmissionController,
-        log: PartLogger,
-        service: string,
-        readWallClock: () => number,
-    ) => EndpointHandler;
-    readonly now: () => number;
-    /** Share of the time since the last call in which the event loop wasn't idle. */
-    readonly readUtilization: () => number;
-    /** Unix milliseconds. */
-    readonly readWallClock: () => number;
-    readonly random: () => number;
-    readonly createSessionId: () => string;
-    readonly readDroppedLines: () => number;
-}
-
-export interface Sidecar {
-    /** Planned stop: waits for requests in flight, within the grace period. */
-    stop(): Promise<void>;
-    /** Applies changed settings; those of ports and of the daemon's identity need a restart. */
-    reload(settings: SidecarSettings): void;
-    /** Closes everything at once, as a crash does; for tests. */
-    closeAbruptly(): Promise<void>;
-}
-
 export async function startSidecar(settings: SidecarSettings, dependencies: SidecarDependencies): Promise<Sidecar> {
     const sidecar = new RunningSidecar(settings, dependencies);
     await sidecar.start();
