Move the decision whose answer a head is out of ServerConnection

Change: protocol/answers decides by the head, the request that waits and the dialect. No decision changes; the mutant that delivers the answer of another request follows its text.

--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -6,6 +6,7 @@
  */
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import { AnswerMatch, matchAnswer } from "../../protocol/answers/index.js";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import {
     AnswerResult,
@@ -17,11 +18,10 @@
     selectAnswerFraming,
 } from "../../protocol/framing/index.js";
 import type { AnswerFraming } from "../../protocol/framing/index.js";
-import { isValidHeaderList } from "../../protocol/request/index.js";
 import { isReset } from "../connections/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
-import { copyHeaders, describeEnd, describeProgress } from "./AnswerDescriptions.js";
+import { describeEnd, describeProgress } from "./AnswerDescriptions.js";
 import { createAnswerParser, readPieceBytes } from "./AnswerParser.js";
 import type { AnswerParser } from "./AnswerParser.js";
 import {
@@ -68,7 +68,6 @@
     readonly shouldKeepAlive: boolean;
 }
 
-const FIRST_FAILURE_STATUS = 300;
 const SKIP_BODY = 1;
 
 export class ServerConnection implements CostlyReader {
@@ -393,37 +392,25 @@
             this.#isReusable = false;
             return undefined;
         }
-        if (!isValidHeaderList(head.headers)) {
-            this.#failExchange("the head of the answer has a malformed header");
+        const { headers, statusCode: status, versionMinor: minorVersion } = head;
+        const waiting = { isFirst: this.#earlierExchanges === 0, requestId: exchange.requestId };
+        const answer = matchAnswer({ headers, status }, waiting, this.#dialect);
+        if (answer.kind === AnswerMatch.Malformed) {
+            this.#failExchange(answer.detail);
             this.#closeSocket();
             return undefined;
         }
-        const { statusCode: status, versionMinor: minorVersion } = head;
-        const headers = new Map<string, string>();
-        const repeated = copyHeaders(head.headers, headers, name => this.#dialect.isSingleAnswerHeader(name));
-        if (repeated !== undefined) {
-            this.#failExchange(`the head of the answer has ${repeated} twice`);
-            this.#closeSocket();
-            return undefined;
-        }
-        const statement = this.#dialect.parseServerHeaders(status, headers);
+        const { statement } = answer;
+        const isOwn = answer.kind === AnswerMatch.Own;
         this.#isReusable &&= head.shouldKeepAlive;
-        // Without an id, a failure may be the late second answer to an earlier request.
-        const mayBelongToOther = status < FIRST_FAILURE_STATUS || this.#earlierExchanges > 0;
-        if (statement.requestId === undefined && mayBelongToOther) {
-            this.#failExchange(`an answer with status ${status} names no request`);
-            this.#closeSocket();
-            return undefined;
-        }
-        const isOwn = statement.requestId === undefined || statement.requestId === exchange.requestId;
         const context = { isHead: isOwn && exchange.isHead, minorVersion, status };
-        const framing = selectAnswerFraming(head.headers, context).extract();
+        const framing = selectAnswerFraming(headers, context).extract();
         if (typeof framing === "string") {
             this.#failExchange(`the head of the answer is malformed: ${framing}`);
             this.#closeSocket();
             return undefined;
         }
-        this.#isReusable &&= framing.kind !== FramingKind.Chunks || !hasTwoFramings(head.headers);
+        this.#isReusable &&= framing.kind !== FramingKind.Chunks || !hasTwoFramings(headers);
         const bodyAdvice = framing.kind === FramingKind.None ? SKIP_BODY : undefined;
         if (!isOwn) {
             return bodyAdvice;
@@ -434,7 +421,7 @@
         }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
         exchange.framing = framing;
-        exchange.events.onHead(status, head.headers, framing, statement);
+        exchange.events.onHead(status, headers, framing, statement);
         return bodyAdvice;
     }
 
