--- a/src/coordination/recording/RequestRecorder.ts
+++ b/src/coordination/recording/RequestRecorder.ts
@@ -32,6 +32,8 @@
     readonly hop: string | undefined;
     /** Id of the member that answered. */
     readonly server: string | undefined;
+    /** By which the server marks the run whose answer was passed on. */
+    readonly signature?: string | undefined;
     readonly latencyMs: number;
     readonly queuedMs: number;
     /** Why the request was not answered normally. */
--- a/src/protocol/answers/AnswerMatching.ts
+++ b/src/protocol/answers/AnswerMatching.ts
@@ -54,6 +54,13 @@
     return { kind: isOwn ? AnswerMatch.Own : AnswerMatch.Other, statement };
 }
 
+/** Returns the request that an answer names; undefined when it names none. */
+export function findAnsweredRequest({ headers, status }: AnswerHeadLines, dialect: Dialect): string | undefined {
+    const map = new Map<string, string>();
+    copyHeaders(headers, map, () => false);
+    return dialect.parseServerHeaders(status, map).requestId;
+}
+
 /** Copies headers into a map, by lower-case names; returns the first of those that occur once which is there again. */
 function copyHeaders(
     headers: readonly string[],
--- a/src/protocol/dialect/Dialect.ts
+++ b/src/protocol/dialect/Dialect.ts
@@ -71,6 +71,8 @@
     parseServerHeaders(status: number, headers: ReadonlyMap<string, string>): ServerAnswerHeaders;
     /** Whether a header of an answer, in lower case, occurs once: one that repeats it was put together from two answers. */
     isSingleAnswerHeader(name: string): boolean;
+    /** Finds the signature by which a server marks one run of a request; names and values of headers alternate. */
+    findSignature(headers: readonly string[]): string | undefined;
     parseHealthAnswer(status: number, headers: IncomingHttpHeaders): HealthAnswer;
     /** Builds the headers that tell a caller when to retry; names and values alternate. */
     buildRetryAfterHeaders(retryAfterMs: number): string[];
--- a/src/state/members/MemberTable.ts
+++ b/src/state/members/MemberTable.ts
@@ -1,7 +1,8 @@
+import { hashText } from "../shared/index.js";
 import type { Member } from "./Member.js";
 import { compareRecords, isPresent } from "./MemberMerge.js";
 import type { DigestWords } from "./RecordHash.js";
-import { formatRecordKey, hashText, toDigest, toggleHash } from "./RecordHash.js";
+import { formatRecordKey, toDigest, toggleHash } from "./RecordHash.js";
 
 /** Number of digest buckets of a failure domain: about 22 records each at the target of 1,400 members. */
 export const DIGEST_BUCKETS = 64;
--- a/src/state/members/RecordHash.ts
+++ b/src/state/members/RecordHash.ts
@@ -1,20 +1,10 @@
+import { hashText } from "../shared/index.js";
 import type { Member } from "./Member.js";
 
 /** The 21 high bits that a JavaScript number represents exactly together with a 32-bit low word. */
 const HIGH_WORD_MASK = 0x1F_FFFF;
 const HIGH_WORD_FACTOR = 0x1_0000_0000;
 
-/** Hashes a text to 32 bits (FNV-1a with a final avalanche). */
-export function hashText(text: string, seed: number): number {
-    let hash = (0x811C9DC5 ^ seed) >>> 0;
-    for (let index = 0; index < text.length; index++) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
-    }
-    hash = Math.imul(hash ^ (hash >>> 16), 0x85EBCA6B);
-    hash = Math.imul(hash ^ (hash >>> 13), 0xC2B2AE35);
-    return (hash ^ (hash >>> 16)) >>> 0;
-}
-
 /** Digest of a set: the XOR of its elements' hashes, as two words. */
 export interface DigestWords {
     high: number;
--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -27,6 +27,7 @@
 import { CLOSED_RETRY_AFTER_MS, MINIMUM_BUDGET_MS } from "./OwnershipConstants.js";
 import { isWellFormed } from "./RequestEncoder.js";
 import { RequestExecution } from "./RequestExecution.js";
+import { SecondAnswerMonitor } from "./SecondAnswers.js";
 import { ServerConfirmation } from "./ServerConfirmation.js";
 import type { ConfirmationDependencies } from "./ServerConfirmation.js";
 import { ServerConnectionPool } from "./ServerConnectionPool.js";
@@ -71,6 +72,7 @@
 
 export class AdmissionController {
     readonly registration: ServerRegistration;
+    readonly secondAnswers: SecondAnswerMonitor;
     readonly #confirmation: ServerConfirmation | undefined;
     readonly #options: AdmissionControllerOptions;
     readonly #workTimeEstimator = new WorkTimeEstimator();
@@ -107,11 +109,8 @@
             this.#rateLimit,
             this.#link,
         );
-        this.#connectionPool = new ServerConnectionPool(
-            options.dialect,
-            options.now,
-            options.costlyReads,
-        );
+        this.secondAnswers = new SecondAnswerMonitor(options.log);
+        this.#connectionPool = new ServerConnectionPool({ ...options, secondAnswers: this.secondAnswers });
         this.#crashDetector = new CrashDetector(options);
     }
 
--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -6,6 +6,14 @@
 
 export type AnswerParser = InstanceType<typeof HTTPParser>;
 
+/** Head of an answer; names and values of headers alternate. */
+export interface ParsedHead {
+    readonly statusCode: number;
+    readonly versionMinor: number;
+    readonly headers: readonly string[];
+    readonly shouldKeepAlive: boolean;
+}
+
 /** Parts of the parser that its types declare private. */
 interface ParserState {
     BODY_CHUNKHEAD: () => void;
@@ -38,6 +46,17 @@
     return parser;
 }
 
+/** Reads the first head of some bytes; undefined when there is no whole one. */
+export function readHead(bytes: Buffer, maximumHeadBytes: number): ParsedHead | undefined {
+    const parser = createAnswerParser(maximumHeadBytes);
+    let head: ParsedHead | undefined;
+    parser.onHeadersComplete = (parsed: ParsedHead) => {
+        head ??= parsed;
+    };
+    parser.execute(bytes);
+    return head;
+}
+
 /** Returns how many of the next bytes belong to one piece of a body: a chunk, or a body with a length or without end. */
 export function readPieceBytes(parser: AnswerParser): number {
     const { body_bytes: pieceBytes, state } = parser as unknown as ParserState;
--- /dev/null
+++ b/src/transport/ownership/SecondAnswers.ts
@@ -0,0 +1,78 @@
+/**
+ * Counts and logs answers of the own server that no request waits for, and requests that reach the server again, so that
+ * an answer of an earlier run can be told from other faults.
+ */
+import type { PartLogger } from "../logging/index.js";
+
+/** When an answer came that no request waits for. */
+export const DropMoment = {
+    /** In one read with the answer before it. */
+    Following: "following",
+    /** While no request uses the connection. */
+    Idle: "idle",
+    /** While another request waits on the connection. */
+    Waiting: "waiting",
+} as const;
+export type DropMoment = (typeof DropMoment)[keyof typeof DropMoment];
+
+export interface DroppedAnswer {
+    readonly moment: DropMoment;
+    /** Undefined when no whole head has arrived. */
+    readonly status: number | undefined;
+    /** Request that the answer names; undefined when it names none. */
+    readonly requestId: string | undefined;
+    /** Request that waits on the connection. */
+    readonly waitingId: string | undefined;
+}
+
+const INTERVAL_MS = 1_000;
+const LINES_PER_INTERVAL = 10;
+
+export class SecondAnswerMonitor {
+    readonly #log: PartLogger;
+    readonly #dropped = new Map<DropMoment, number>(Object.values(DropMoment).map(moment => [moment, 0]));
+    #repeats = 0;
+    #intervalStartedAt = -Infinity;
+    #lines = 0;
+    #unlogged = 0;
+
+    constructor(log: PartLogger) {
+        this.#log = log;
+    }
+
+    /** Requests so far that would have gone, or went, over a connection that has carried their id. */
+    get repeats(): number {
+        return this.#repeats;
+    }
+
+    countDropped(moment: DropMoment): number {
+        return this.#dropped.get(moment) ?? 0;
+    }
+
+    recordDropped({ moment, requestId, status, waitingId }: DroppedAnswer, now: number): void {
+        this.#dropped.set(moment, this.countDropped(moment) + 1);
+        const fields = { moment, requestId, status, waitingRequestId: waitingId };
+        this.#logLine("dropped an answer of the server that no request waits for.", fields, now);
+    }
+
+    recordRepeat(requestId: string, now: number): void {
+        this.#repeats++;
+        this.#logLine("a request reaches the server again, over a connection that has carried its id.", {
+            requestId,
+        }, now);
+    }
+
+    #logLine(sentence: string, fields: Readonly<Record<string, unknown>>, now: number): void {
+        if (now - this.#intervalStartedAt >= INTERVAL_MS) {
+            this.#intervalStartedAt = now;
+            this.#lines = 0;
+        }
+        if (this.#lines >= LINES_PER_INTERVAL) {
+            this.#unlogged++;
+            return;
+        }
+        this.#lines++;
+        this.#log.info(sentence, this.#unlogged > 0 ? { ...fields, unloggedBefore: this.#unlogged } : fields);
+        this.#unlogged = 0;
+    }
+}
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -6,7 +6,7 @@
  */
 import { connect } from "node:net";
 import type { Socket } from "node:net";
-import { AnswerMatch, matchAnswer } from "../../protocol/answers/index.js";
+import { AnswerMatch, matchAnswer, SentRequestIds } from "../../protocol/answers/index.js";
 import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
 import {
     AnswerResult,
@@ -22,8 +22,8 @@
 import type { CostlyReader, CostlyReads } from "../input/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
 import { describeEnd, describeProgress } from "./AnswerDescriptions.js";
-import { createAnswerParser, readPieceBytes } from "./AnswerParser.js";
-import type { AnswerParser } from "./AnswerParser.js";
+import { createAnswerParser, readHead, readPieceBytes } from "./AnswerParser.js";
+import type { AnswerParser, ParsedHead } from "./AnswerParser.js";
 import {
     ANSWER_HEADER_LIMIT_BYTES,
     CONNECT_TIMEOUT_MS,
@@ -34,6 +34,7 @@
     MAXIMUM_SLICE_BYTES,
     MINIMUM_SLICE_BYTES,
 } from "./OwnershipConstants.js";
+import { DropMoment } from "./SecondAnswers.js";
 
 /** Events of one request on a connection. Exactly one of `onEnd`, `onNotSent` and `onBroken` is called last. */
 export interface ExchangeEvents {
@@ -61,22 +62,26 @@
     framing: AnswerFraming | undefined;
 }
 
-interface ParsedHead {
-    readonly statusCode: number;
-    readonly versionMinor: number;
-    readonly headers: readonly string[];
-    readonly shouldKeepAlive: boolean;
+export interface ServerConnectionOptions {
+    readonly address: string;
+    readonly port: number;
+    readonly dialect: Dialect;
+    readonly now: () => number;
+    readonly costlyReads: CostlyReads;
+    onIdle(connection: ServerConnection): void;
+    onClose(connection: ServerConnection): void;
+    /** Called with an answer that no request waits for; `head` is undefined when it has not arrived as a whole. */
+    onDropped(head: ParsedHead | undefined, moment: DropMoment, waitingId?: string): void;
 }
 
 const SKIP_BODY = 1;
 
 export class ServerConnection implements CostlyReader {
     readonly #socket: Socket;
+    readonly #options: ServerConnectionOptions;
     readonly #dialect: Dialect;
     readonly #now: () => number;
     readonly #costlyReads: CostlyReads;
-    readonly #onIdle: (connection: ServerConnection) => void;
-    readonly #onClose: (connection: ServerConnection) => void;
     readonly #parser: AnswerParser;
     #exchange: Exchange | undefined;
     #isConnected = false;
@@ -91,6 +96,7 @@
     #foreignBodyBytes = 0;
     /** Ids of the requests that the server has declined here; a faulty one may write a refusal once more. */
     readonly #declinedIds = new Set<string>();
+    readonly #sentIds = new SentRequestIds();
     #idleTimeoutMs = Infinity;
     #idleSince = 0;
     /** Bytes that were read from the socket and wait to be parsed. */
@@ -105,20 +111,12 @@
     /** What is to be done once no bytes wait any more, after the socket has ended or closed. */
     #finishes: (() => void)[] = [];
 
-    constructor(
-        address: string,
-        port: number,
-        dialect: Dialect,
-        now: () => number,
-        costlyReads: CostlyReads,
-        onFree: (connection: ServerConnection) => void,
-        onClose: (connection: ServerConnection) => void,
-    ) {
+    constructor(options: ServerConnectionOptions) {
+        const { address, costlyReads, dialect, now, port } = options;
+        this.#options = options;
         this.#dialect = dialect;
         this.#now = now;
         this.#costlyReads = costlyReads;
-        this.#onIdle = onFree;
-        this.#onClose = onClose;
         this.#parser = this.#createParser();
         this.#socket = connect({ host: address, noDelay: true, port });
         const cancelTimeout = scheduleTimeout(
@@ -173,6 +171,11 @@
         return this.#declinedIds.has(requestId);
     }
 
+    /** Whether this connection has carried a request with this id. */
+    hasSent(requestId: string): boolean {
+        return this.#sentIds.has(requestId);
+    }
+
     markIdle(now: number): void {
         this.#idleSince = now;
     }
@@ -180,6 +183,7 @@
     /** Sends one request; the connection must be idle. */
     send(requestId: string, isHead: boolean, bytes: Uint8Array, events: ExchangeEvents): void {
         this.#exchange = { bytes, events, framing: undefined, isHead, isSent: false, requestId };
+        this.#sentIds.add(requestId);
         this.#earlierExchanges++;
         this.#workMs = 0;
         this.#receivedBytes = 0;
@@ -258,6 +262,10 @@
     #handleData(chunk: Buffer): void {
         if (this.#exchange === undefined) {
             // Data without a request in flight; the next request must not get it as its answer.
+            this.#options.onDropped(
+                readHead(chunk.subarray(0, MINIMUM_SLICE_BYTES), MINIMUM_SLICE_BYTES),
+                DropMoment.Idle,
+            );
             this.#socket.destroy();
             return;
         }
@@ -390,6 +398,7 @@
         const exchange = this.#exchange;
         if (exchange === undefined || exchange.framing !== undefined) {
             this.#isReusable = false;
+            this.#options.onDropped(head, DropMoment.Following);
             return undefined;
         }
         const { headers, statusCode: status, versionMinor: minorVersion } = head;
@@ -413,6 +422,7 @@
         this.#isReusable &&= framing.kind !== FramingKind.Chunks || !hasTwoFramings(headers);
         const bodyAdvice = framing.kind === FramingKind.None ? SKIP_BODY : undefined;
         if (!isOwn) {
+            this.#options.onDropped(head, DropMoment.Waiting, exchange.requestId);
             return bodyAdvice;
         }
         if (statement.isNotRun || statement.isMisdirected) {
@@ -442,7 +452,7 @@
             // Runs after the rest of the chunk is parsed: data after the answer makes the connection unusable.
             queueMicrotask(() => {
                 if (this.#isReusable && !this.#isClosed && this.#exchange === undefined) {
-                    this.#onIdle(this);
+                    this.#options.onIdle(this);
                 }
             });
         }
@@ -471,7 +481,7 @@
         }
         this.#isClosed = true;
         this.#failExchange(detail, true);
-        this.#onClose(this);
+        this.#options.onClose(this);
     }
 
     #failExchange(detail: string, isClosed = false): void {
--- a/src/transport/ownership/ServerConnectionPool.ts
+++ b/src/transport/ownership/ServerConnectionPool.ts
@@ -1,21 +1,28 @@
 /** Connections of an owner to its backend server: one request at a time on each, the most recently used first. */
+import { findAnsweredRequest } from "../../protocol/answers/index.js";
 import type { Dialect } from "../../protocol/dialect/index.js";
 import type { CostlyReads } from "../input/index.js";
 import { IDLE_TIMEOUT_MARGIN_MS, MAXIMUM_FRESH_IDLE_MS, MAXIMUM_IDLE_MS } from "./OwnershipConstants.js";
+import type { SecondAnswerMonitor } from "./SecondAnswers.js";
 import { ServerConnection } from "./ServerConnection.js";
 
+export interface ServerConnectionPoolOptions {
+    readonly dialect: Dialect;
+    readonly now: () => number;
+    readonly costlyReads: CostlyReads;
+    readonly secondAnswers: SecondAnswerMonitor;
+}
+
 export class ServerConnectionPool {
-    readonly #dialect: Dialect;
+    readonly #options: ServerConnectionPoolOptions;
     readonly #now: () => number;
     #target: { readonly address: string; readonly port: number; } | undefined;
     #idle: ServerConnection[] = [];
     readonly #open = new Set<ServerConnection>();
-    readonly #costlyReads: CostlyReads;
 
-    constructor(dialect: Dialect, now: () => number, costlyReads: CostlyReads) {
-        this.#dialect = dialect;
-        this.#now = now;
-        this.#costlyReads = costlyReads;
+    constructor(options: ServerConnectionPoolOptions) {
+        this.#options = options;
+        this.#now = options.now;
     }
 
     /** Open connections, including idle ones. */
@@ -42,26 +49,35 @@
         const last = this.#idle[index];
         if (last !== undefined && (!isFresh || now - last.idleSince <= MAXIMUM_FRESH_IDLE_MS)) {
             this.#idle.splice(index, 1);
+            if (last.hasSent(requestId)) {
+                this.#options.secondAnswers.recordRepeat(requestId, now);
+            }
             return last;
         }
         if (this.#target === undefined) {
             return undefined;
         }
-        const connection = new ServerConnection(
-            this.#target.address,
-            this.#target.port,
-            this.#dialect,
-            this.#now,
-            this.#costlyReads,
-            free => {
-                free.markIdle(this.#now());
-                this.#idle.push(free);
-            },
-            closed => {
+        const { costlyReads, dialect, secondAnswers } = this.#options;
+        const connection = new ServerConnection({
+            ...this.#target,
+            costlyReads,
+            dialect,
+            now: this.#now,
+            onClose: closed => {
                 this.#open.delete(closed);
                 this.#idle = this.#idle.filter(other => other !== closed);
             },
-        );
+            onDropped: (head, moment, waitingId) => {
+                const requestId = head === undefined
+                    ? undefined
+                    : findAnsweredRequest({ headers: head.headers, status: head.statusCode }, dialect);
+                secondAnswers.recordDropped({ moment, requestId, status: head?.statusCode, waitingId }, this.#now());
+            },
+            onIdle: free => {
+                free.markIdle(this.#now());
+                this.#idle.push(free);
+            },
+        });
         this.#open.add(connection);
         return connection;
     }
--- a/src/transport/sidecar/DaemonGauges.ts
+++ b/src/transport/sidecar/DaemonGauges.ts
@@ -2,6 +2,7 @@
 import type { DecisionAges, VersionLag } from "../../coordination/distribution/index.js";
 import type { ConfigurationManager, MemberRegistry } from "../directory/index.js";
 import type { CostlyReads } from "../input/index.js";
+import { DropMoment } from "../ownership/index.js";
 import type { AdmissionController } from "../ownership/index.js";
 import type { QuarantineManager } from "../quarantine/index.js";
 import type { QuotaManager } from "../quotas/index.js";
@@ -66,6 +67,11 @@
         { name: "server_open", read: () => Number(load().isOpen) },
         { name: "server_link_wait_seconds", read: () => (load().link?.waitMs ?? 0) / MS_PER_SECOND },
         { name: "server_limit_per_second", read: () => load().limitPerSecond ?? Infinity },
+        ...Object.values(DropMoment).map(moment => ({
+            name: `server_answers_dropped_total{moment="${moment}"}`,
+            read: () => admission.secondAnswers.countDropped(moment),
+        })),
+        { name: "server_repeated_requests_total", read: () => admission.secondAnswers.repeats },
         { name: "quarantined_requests", read: () => quarantine.listQuarantines().length },
         { name: "hedge_share", read: () => hedging.share },
         { name: "hedge_tokens", read: () => hedging.readTokens() },
--- a/src/transport/traffic/ForwardedRequest.ts
+++ b/src/transport/traffic/ForwardedRequest.ts
@@ -16,7 +16,7 @@
 import type { SelectedOwner } from "./OwnerSelection.js";
 import { HEDGE_CAUSE, RequestAttempts } from "./RequestAttempts.js";
 import type { Attempt } from "./RequestAttempts.js";
-import { buildRequestRecord, FIRST_SERVER_FAILURE, Hop } from "./RequestEnd.js";
+import { buildRequestRecord, findFault, FIRST_SERVER_FAILURE, Hop } from "./RequestEnd.js";
 import { RequestHedge } from "./RequestHedge.js";
 import type { Owner } from "./ServerDirectory.js";
 import {
@@ -55,7 +55,8 @@
     #stream: AnswerStream | undefined;
     #fallbackAnswer: ServerAnswer | undefined;
     #lastDetail = "";
-    #queuedMs = 0;
+    /** Of the last answer. */
+    #head: AnswerHead | undefined;
     #cancelDeadline: () => void = () => undefined;
     readonly #hedge: RequestHedge;
     #isComplete = false;
@@ -244,7 +245,7 @@
         if (!this.#endAttempt(attempt, load, `status ${head.status}`)) {
             return;
         }
-        this.#queuedMs = head.queuedMs;
+        this.#head = head;
         if (head.status < FIRST_SERVER_FAILURE) {
             this.#recordBegin(attempt);
             this.#recordSuccess(attempt, body.length);
@@ -306,7 +307,7 @@
         this.#stream = new AnswerStream(attempt, statedBytes);
         this.#hedge.stop();
         this.#recordBegin(attempt);
-        this.#queuedMs = head.queuedMs;
+        this.#head = head;
         attempt.owner.statistics.recordSuccess(this.#plan.route.name, head.workMs, this.#context.now());
         this.#attempts.cancelAll(attempt);
         const fault = findFault(() => this.#exchange.sendHead(head, statedBytes));
@@ -562,26 +563,15 @@
 
     #recordEnd(owner: Owner | undefined, status: number, outcome: Outcome, detail: string): void {
         this.#context.recorder.record(
-            buildRequestRecord(this.#plan, this.#attempts, {
+            buildRequestRecord(this.#plan, this.#attempts, this.#context.dialect, {
                 detail,
+                head: this.#head,
                 hop: owner === undefined ? undefined : owner.id === this.#context.selfId ? Hop.Local : Hop.Relayed,
                 latencyMs: this.#context.now() - this.#plan.arrivedAt,
                 outcome,
-                queuedMs: this.#queuedMs,
                 server: owner?.id,
                 status,
             }),
         );
     }
 }
-
-/** Runs an action that writes an answer; returns why it can't be written, so that no caller is left without one. */
-function findFault(write: () => void): string | undefined {
-    try {
-        write();
-        return undefined;
-    }
-    catch (error) {
-        return `the answer can't be written: ${(error as Error).message}`;
-    }
-}
