--- a/src/transport/ownership/OwnershipConstants.ts
+++ b/src/transport/ownership/OwnershipConstants.ts
@@ -44,5 +44,3 @@
 export const FOREIGN_BODY_LIMIT_BYTES = 1_048_576;
 /** Body bytes after which the rest of an answer that says that the request was not run is no longer read. */
 export const DECLINED_BODY_LIMIT_BYTES = 65_536;
-/** Declined requests after which a connection is not used again, so that their ids take bounded memory. */
-export const MAXIMUM_DECLINED_IDS = 256;
--- a/src/transport/ownership/SecondAnswers.ts
+++ b/src/transport/ownership/SecondAnswers.ts
@@ -40,7 +40,7 @@
         this.#log = log;
     }
 
-    /** Requests so far that would have gone, or went, over a connection that has carried their id. */
+    /** Requests so far that were kept from a connection which has carried their id. */
     get repeats(): number {
         return this.#repeats;
     }
@@ -57,7 +57,7 @@
 
     recordRepeat(requestId: string, now: number): void {
         this.#repeats++;
-        this.#logLine("a request reaches the server again, over a connection that has carried its id.", {
+        this.#logLine("a request reaches the server again, and not over the connection that has carried its id.", {
             requestId,
         }, now);
     }
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -30,7 +30,6 @@
     FOREIGN_BODY_LIMIT_BYTES,
     FRAMING_BYTES_PER_BODY_BYTE,
     LONG_SLICE_MS,
-    MAXIMUM_DECLINED_IDS,
     MAXIMUM_SLICE_BYTES,
     MINIMUM_SLICE_BYTES,
 } from "./OwnershipConstants.js";
@@ -94,8 +93,6 @@
     #receivedBytes = 0;
     #ownBodyBytes = 0;
     #foreignBodyBytes = 0;
-    /** Ids of the requests that the server has declined here; a faulty one may write a refusal once more. */
-    readonly #declinedIds = new Set<string>();
     readonly #sentIds = new SentRequestIds();
     #idleTimeoutMs = Infinity;
     #idleSince = 0;
@@ -166,12 +163,7 @@
         return this.#isClosed;
     }
 
-    /** Whether a second copy of an earlier refusal would look like the answer to this request. */
-    hasDeclined(requestId: string): boolean {
-        return this.#declinedIds.has(requestId);
-    }
-
-    /** Whether this connection has carried a request with this id. */
+    /** Whether a late answer to an earlier request would look like the answer to one with this id. */
     hasSent(requestId: string): boolean {
         return this.#sentIds.has(requestId);
     }
@@ -184,6 +176,7 @@
     send(requestId: string, isHead: boolean, bytes: Uint8Array, events: ExchangeEvents): void {
         this.#exchange = { bytes, events, framing: undefined, isHead, isSent: false, requestId };
         this.#sentIds.add(requestId);
+        this.#isReusable &&= !this.#sentIds.isFull;
         this.#earlierExchanges++;
         this.#workMs = 0;
         this.#receivedBytes = 0;
@@ -425,10 +418,6 @@
             this.#options.onDropped(head, DropMoment.Waiting, exchange.requestId);
             return bodyAdvice;
         }
-        if (statement.isNotRun || statement.isMisdirected) {
-            this.#declinedIds.add(exchange.requestId);
-            this.#isReusable &&= this.#declinedIds.size < MAXIMUM_DECLINED_IDS;
-        }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
         exchange.framing = framing;
         exchange.events.onHead(status, headers, framing, statement);
--- a/src/transport/ownership/ServerConnectionPool.ts
+++ b/src/transport/ownership/ServerConnectionPool.ts
@@ -39,24 +39,28 @@
     }
 
     /**
-     * Returns an idle or new connection for a request. `isFresh` excludes idle ones that the server may have closed
-     * meanwhile.
+     * Returns an idle or new connection for a request, which has carried no other one with its id: a late answer to that
+     * one would look like the answer to this one. `isFresh` excludes idle ones that the server may have closed meanwhile.
      */
     acquire(requestId: string, isFresh: boolean): ServerConnection | undefined {
         const now = this.#now();
         this.#closeExpired(now);
-        const index = this.#idle.findLastIndex(connection => !connection.hasDeclined(requestId));
+        const index = this.#idle.findLastIndex(connection => !connection.hasSent(requestId));
+        if (index < this.#idle.length - 1) {
+            this.#options.secondAnswers.recordRepeat(requestId, now);
+        }
         const last = this.#idle[index];
         if (last !== undefined && (!isFresh || now - last.idleSince <= MAXIMUM_FRESH_IDLE_MS)) {
             this.#idle.splice(index, 1);
-            if (last.hasSent(requestId)) {
-                this.#options.secondAnswers.recordRepeat(requestId, now);
-            }
             return last;
         }
         if (this.#target === undefined) {
             return undefined;
         }
+        if (index < 0) {
+            // Takes the place of one that the request can't use, so that repeats don't add to the server's connections.
+            this.#idle.shift()?.destroy();
+        }
         const { costlyReads, dialect, secondAnswers } = this.#options;
         const connection = new ServerConnection({
             ...this.#target,
--- a/src/transport/ownership/__tests__/unit/RepeatedIds.test.ts
+++ b/src/transport/ownership/__tests__/unit/RepeatedIds.test.ts
@@ -87,3 +87,27 @@
         expect(await send("a")).toBe("answer 500 own");
     });
 });
+
+/** Guards against a server whose connections are used up by callers that repeat a request, or whose ids take unbounded memory. */
+describe("the connections of a server", () => {
+    it("don't become more while a request comes again and again", async () => {
+        const { send, server } = await openAdmission((socket, id) => {
+            socket.write(formatFailure(id, "own"));
+        });
+        for (let run = 0; run < 40; run++) {
+            expect(await send("a")).toBe("answer 500 own");
+            await waitForIdle();
+            expect(server.connections.filter(({ destroyed }) => !destroyed).length).toBeLessThanOrEqual(2);
+        }
+    });
+
+    it("are replaced before one has carried more ids than it remembers", async () => {
+        const { send, server } = await openAdmission((socket, id) => {
+            socket.write(formatAnswer(id, "own"));
+        });
+        for (let run = 0; run < 1_030; run++) {
+            expect(await send(`a${run}`)).toBe("answer 200 own");
+        }
+        expect(server.connections.length).toBe(2);
+    });
+});
