--- a/src/protocol/answers/AnswerMatching.ts
+++ b/src/protocol/answers/AnswerMatching.ts
@@ -18,6 +18,8 @@
 
 export interface AnswerHeadLines {
     readonly status: number;
+    /** Text of the status line after the status. */
+    readonly reason: string;
     readonly headers: readonly string[];
 }
 
@@ -29,15 +31,21 @@
 }
 
 const FIRST_FAILURE_STATUS = 300;
+/** Begin of a status line (RFC 9112 section 4) within a text. */
+const STATUS_LINE_PATTERN = /HTTP\/1\.\d \d{3}(?: |$)/;
 
 export function matchAnswer(
-    { headers, status }: AnswerHeadLines,
+    head: AnswerHeadLines,
     waiting: WaitingRequest,
     dialect: Dialect,
 ): MatchedAnswer {
+    const { headers, status } = head;
     if (!isValidHeaderList(headers)) {
         return { detail: "the head of the answer has a malformed header", kind: AnswerMatch.Malformed };
     }
+    if (hasSecondStatusLine(head)) {
+        return { detail: "the head of the answer contains another status line", kind: AnswerMatch.Malformed };
+    }
     const map = new Map<string, string>();
     const repeated = copyHeaders(headers, map, name => dialect.isSingleAnswerHeader(name));
     if (repeated !== undefined) {
@@ -54,8 +62,19 @@
     return { kind: isOwn ? AnswerMatch.Own : AnswerMatch.Other, statement };
 }
 
+/**
+ * Whether a head holds the begin of another one. Where an answer breaks off in its head, the next one on the connection
+ * continues the line, and its headers follow, so that the status of one stands above the headers of the other.
+ */
+function hasSecondStatusLine({ headers, reason }: AnswerHeadLines): boolean {
+    return STATUS_LINE_PATTERN.test(reason) || headers.some(text => STATUS_LINE_PATTERN.test(text));
+}
+
 /** Returns the request that an answer names; undefined when it names none. */
-export function findAnsweredRequest({ headers, status }: AnswerHeadLines, dialect: Dialect): string | undefined {
+export function findAnsweredRequest(
+    { headers, status }: Pick<AnswerHeadLines, "headers" | "status">,
+    dialect: Dialect,
+): string | undefined {
     const map = new Map<string, string>();
     copyHeaders(headers, map, () => false);
     return dialect.parseServerHeaders(status, map).requestId;
--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -9,6 +9,7 @@
 /** Head of an answer; names and values of headers alternate. */
 export interface ParsedHead {
     readonly statusCode: number;
+    readonly statusMessage: string;
     readonly versionMinor: number;
     readonly headers: readonly string[];
     readonly shouldKeepAlive: boolean;
