--- a/src/protocol/answers/AnswerMatching.ts
+++ b/src/protocol/answers/AnswerMatching.ts
@@ -53,15 +53,22 @@
     }
     const statement = dialect.parseServerHeaders(status, map);
     if (statement.requestId === undefined) {
-        // Without an id, a failure may be the late second answer to an earlier request.
-        return status < FIRST_FAILURE_STATUS || !waiting.isFirst
-            ? { detail: `an answer with status ${status} names no request`, kind: AnswerMatch.Malformed }
-            : { kind: AnswerMatch.Own, statement };
+        return matchUnnamed(status, statement, waiting);
     }
     const isOwn = statement.requestId === waiting.requestId;
     return { kind: isOwn ? AnswerMatch.Own : AnswerMatch.Other, statement };
 }
 
+/** Servers name the request in their answers, but a failure may come from what stands before them. */
+function matchUnnamed(status: number, statement: ServerAnswerHeaders, { isFirst }: WaitingRequest): MatchedAnswer {
+    const isSuccess = status < FIRST_FAILURE_STATUS;
+    if (isFirst !== isSuccess) {
+        // A success after another answer is a second one to an earlier request, so that the own one is still to come.
+        return { kind: isFirst ? AnswerMatch.Own : AnswerMatch.Other, statement };
+    }
+    return { detail: `an answer with status ${status} names no request`, kind: AnswerMatch.Malformed };
+}
+
 /**
  * Whether a head holds the begin of another one. Where an answer breaks off in its head, the next one on the connection
  * continues the line, and its headers follow, so that the status of one stands above the headers of the other.
--- a/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
+++ b/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
@@ -124,6 +124,39 @@
     });
 });
 
+/** Guards against a request that fails because of a second answer to an earlier one, although its own answer follows. */
+describe("a second answer that names no request, on a connection that is in use again", () => {
+    it.each([0, 10])("is dropped when it comes %i ms before the own answer", async delayMs => {
+        const { admission } = await openAdmission((socket, id, count) => {
+            if (count === 1) {
+                socket.write(formatAnswer(id, "first"));
+                return;
+            }
+            const second = formatAnswer(id, "second");
+            socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok${delayMs === 0 ? second : ""}`);
+            if (delayMs > 0) {
+                setTimeout(() => socket.write(second), delayMs);
+            }
+        });
+        const first = recordRequest();
+        admission.submit(createOwnedRequest("a"), first.listener);
+        await first.end;
+        await expectIdle();
+        const second = recordRequest();
+        admission.submit(createOwnedRequest("b"), second.listener);
+        expect(await second.end).toBe("answer 200 second");
+    });
+
+    it("is no answer to the first request on a connection", async () => {
+        const { admission } = await openAdmission((socket, id) => {
+            socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok${formatAnswer(id, "own")}`);
+        });
+        const request = recordRequest();
+        admission.submit(createOwnedRequest("a"), request.listener);
+        expect(await request.end).toBe("unknown");
+    });
+});
+
 /** Guards against an answer that broke off halfway and is passed on as complete. */
 describe("an answer that ends early", () => {
     const chunked = (id: string) =>
