--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -416,6 +416,10 @@
         const bodyAdvice = framing.kind === FramingKind.None ? SKIP_BODY : undefined;
         if (!isOwn) {
             this.#options.onDropped(head, DropMoment.Waiting, exchange.requestId);
+            if (framing.kind === FramingKind.Close) {
+                this.#failExchange("an answer to another request lasts until the end of the connection");
+                this.#closeSocket();
+            }
             return bodyAdvice;
         }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
--- a/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
+++ b/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
@@ -157,6 +157,28 @@
     });
 });
 
+/** Guards against a request that waits to its deadline for an answer that can't follow on its connection. */
+describe("a second answer that ends with its connection, before the next answer", () => {
+    it("ends the request that waits at once, with an unknown outcome", async () => {
+        const { admission } = await openAdmission((socket, id, count) => {
+            socket.write(
+                count === 1
+                    ? formatAnswer(id, "first")
+                    : `HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n${formatAnswer(id, "second")}`,
+            );
+        });
+        const first = recordRequest();
+        admission.submit(createOwnedRequest("a"), first.listener);
+        await first.end;
+        await expectIdle();
+        const second = recordRequest();
+        const startedAt = performance.now();
+        admission.submit(createOwnedRequest("b"), second.listener);
+        expect(await second.end).toBe("unknown");
+        expect(performance.now() - startedAt).toBeLessThan(1_000);
+    });
+});
+
 /** Guards against an answer that broke off halfway and is passed on as complete. */
 describe("an answer that ends early", () => {
     const chunked = (id: string) =>
