Let a connection end with the session that was abandoned over it

What callers saw: an answer without a stated length could lack a part and still look whole, or a request got no answer until its deadline. No such case is known from a deployment; both were found by reading and shown by tests.

Cause: a daemon that abandons its session with an owner starts a new one, whose counts of messages begin at 0, but went on reading the connection of the former one. Where the owner didn't take what it was sent (96 MB unacknowledged), an answer that still came over that connection was counted for the new session. Its acknowledgements then went beyond what it had received, and a part that was lost with the next connection wasn't sent again. Where the session was abandoned while a handshake was under way, the new one continued with the owner's count of the former one, and took its own first requests for received: they were never sent.

Change: messages of a connection are handled only while the session in whose name it was opened goes on; otherwise the connection is closed.

--- a/src/transport/sessions/OwnerSession.ts
+++ b/src/transport/sessions/OwnerSession.ts
@@ -298,9 +298,8 @@
     async #connect(): Promise<void> {
         this.#isConnecting = true;
         const attempt = ++this.#connectAttempts;
-        const { address, peerPort } = this.#member;
         try {
-            const connection = await this.#options.network.connect(address, peerPort);
+            const connection = await this.#options.network.connect(this.#member.address, this.#member.peerPort);
             if (this.#isClosed) {
                 connection.close();
                 return;
@@ -347,13 +346,14 @@
 
     async #runConnection(connection: FrameConnection): Promise<void> {
         this.#helloSentAt = this.#options.now();
+        const sessionId = this.#sessionId;
         const frame = encodeSessionMessage({
             ...this.#options.readStatus(),
             kind: "hello",
             member: this.#options.readSelf(),
             received: this.#channel.received,
             server: this.#server,
-            sessionId: this.#sessionId,
+            sessionId,
             target: this.#member.id,
         });
         recordSent(this.#options.uplink, "hello", frame.length);
@@ -367,6 +367,11 @@
         try {
             await consumeFrames(connection, (message, bytes) => {
                 recordReceived(this.#options.uplink, message.kind, bytes);
+                if (this.#sessionId !== sessionId) {
+                    // The session was abandoned meanwhile; the new one doesn't count the messages of this connection.
+                    connection.close();
+                    return;
+                }
                 this.#lastHeardAt = this.#options.now();
                 this.#unansweredSince = undefined;
                 this.#unansweredTicks = 0;
@@ -438,9 +443,8 @@
     }
 
     #recordLoad(load: OwnerLoad): void {
-        const server = this.#server;
-        if (server !== undefined && server.limitPerSecond !== load.limitPerSecond) {
-            this.#server = { ...server, limitPerSecond: load.limitPerSecond };
+        if (this.#server !== undefined && this.#server.limitPerSecond !== load.limitPerSecond) {
+            this.#server = { ...this.#server, limitPerSecond: load.limitPerSecond };
         }
         this.#options.onLoad(this.#member.id, load);
     }
@@ -450,7 +454,9 @@
             // The owner has created a new session under the same id.
             this.#failPendingRequests("the daemon of the server has restarted");
         }
-        if (!this.#channel.attach(connection, welcome.received, message => this.#updateTimeLeft(message))) {
+        const refresh = (message: SessionMessage): SessionMessage =>
+            updateTimeLeft(message, this.#pending, this.#options.now());
+        if (!this.#channel.attach(connection, welcome.received, refresh)) {
             this.#resetSession("the session can't be resumed");
             connection.close();
             return;
@@ -524,12 +530,6 @@
         }
     }
 
-    #updateTimeLeft(message: SessionMessage): SessionMessage {
-        return message.kind === "request"
-            ? updateTimeLeft(message, this.#pending.get(message.stream)?.submittedAt, this.#options.now())
-            : message;
-    }
-
     /** Abandons the session for a new one, after the owner lost its state or stayed unreachable. */
     #resetSession(detail: string): void {
         this.#sessionId = this.#options.createSessionId();
--- a/src/transport/sessions/RequestMessages.ts
+++ b/src/transport/sessions/RequestMessages.ts
@@ -1,5 +1,5 @@
 /** What the caller's side of a session does with the messages of one request. */
-import type { SessionMessage, SessionMessageOf } from "../../protocol/session/index.js";
+import type { SessionMessage } from "../../protocol/session/index.js";
 import type { SessionRequestEvents } from "./OwnerSession.js";
 
 /** Whether no message on the request follows. */
@@ -39,13 +39,17 @@
     }
 }
 
-/** Subtracts the elapsed time from the time left of a request that is sent again. */
+/** Subtracts the elapsed time from the time left of a request that is sent again; other messages stay as they are. */
 export function updateTimeLeft(
-    message: SessionMessageOf<"request">,
-    submittedAt: number | undefined,
+    message: SessionMessage,
+    pending: ReadonlyMap<number, { readonly submittedAt: number; }>,
     now: number,
 ): SessionMessage {
-    const { request } = message;
+    if (message.kind !== "request") {
+        return message;
+    }
+    const { request, stream } = message;
+    const submittedAt = pending.get(stream)?.submittedAt;
     const elapsedMs = submittedAt === undefined ? request.budgetLeftMs : now - submittedAt;
     return {
         ...message,
