Run no request of a session that was closed before the request arrived

What callers saw: nothing of its own; the server ran a request whose caller had been told that the outcome is unknown and whose daemon had placed it elsewhere. For one that may run once, only an offer was made, and withdrawn later.

Cause: when a daemon opens a new session, the owner closes the former one, but went on handling what still arrived over its connection. Two connections may deliver in any order, and up to 256 messages wait in one while the process is held.

Evidence: AbandonedSessions.test.ts, "runs no request that arrives after the session that follows it", red before: one run starts after the hello of the next session has overtaken the request.

Change: a closed session has no connection any more, so that its messages are ignored like those of earlier ones.

--- a/src/transport/sessions/CallerSession.ts
+++ b/src/transport/sessions/CallerSession.ts
@@ -151,7 +151,7 @@
         }
     }
 
-    /** Cancels all requests and closes the connection. */
+    /** Cancels all requests and closes the connection; what still arrives over it is ignored. */
     close(): void {
         for (const stream of this.#streams.values()) {
             stream.isEnded = true;
@@ -159,6 +159,7 @@
         }
         this.#streams.clear();
         this.#connection?.close();
+        this.#connection = undefined;
     }
 
     #answerPing(message: SessionMessageOf<"ping">): void {
--- a/src/transport/sessions/__tests__/unit/AbandonedSessions.test.ts
+++ b/src/transport/sessions/__tests__/unit/AbandonedSessions.test.ts
@@ -1,4 +1,7 @@
-/** Guards against requests and parts of answers that get lost since a connection goes on with the counts of an abandoned session. */
+/**
+ * Guards against requests and parts of answers that get lost since a connection goes on with the counts of an abandoned
+ * session, and against requests that reach a server although their session was abandoned before they arrived.
+ */
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { ReliableChannel } from "../../../../protocol/session/index.js";
 import { runTurns } from "../fixtures/DrawnNetwork.js";
@@ -66,4 +69,23 @@
         world.checkEnds();
         expect([world.submits[1]?.end, world.violation]).toEqual(["end", undefined]);
     });
+
+    it("runs no request that arrives after the session that follows it", async () => {
+        const world = new SessionWorld();
+        world.startOwner();
+        world.startCaller();
+        for (let round = 0; round < 4; round++) {
+            world.network.deliverAll();
+            await runTurns(2);
+        }
+        world.submit(0);
+        world.replaceSession();
+        await runTurns(2);
+        // The hello of the next session overtakes the request.
+        world.network.deliver(1, 1);
+        await runTurns(2);
+        world.network.deliverAll();
+        await runTurns(2);
+        expect([world.submits[0]?.end, world.runs.length]).toEqual(["unknown: the record was removed", 0]);
+    });
 });
