Close a connection whose answer names another attempt at the own interface

What callers saw: after a server had answered one request twice, 502 for each of the requests that followed on the same connection while it was busy, each with "the server sent the answer of another request".

Cause: the duplicate was taken for the answer of the next request, recognized by its attempt id and discarded. The connection was kept, so that the answer which belonged to that request was taken for that of the one after it, and so on.

Evidence: BrokenAnswers.test.ts, "loses one request to a duplicate answer, and none of those after it", red before: all of five requests after the duplicate end with 502.

Change: an answer that names another attempt, of a server or of another daemon, ends its attempt and its connection.

Not changed: a server that omits the attempt id may still have a duplicate taken for the next answer.

--- a/src/transport/proxy/AttemptHandler.ts
+++ b/src/transport/proxy/AttemptHandler.ts
@@ -20,7 +20,9 @@
 export type AnswerDecision =
     | { readonly kind: "deliver"; readonly outcome: Outcome; }
     /** The answer is read and discarded; the attempt ends with `result`. */
-    | { readonly kind: "withhold"; readonly result: AttemptResult; };
+    | { readonly kind: "withhold"; readonly result: AttemptResult; }
+    /** It answers another request, as would all later answers on its connection, which is closed. */
+    | { readonly kind: "foreign"; readonly result: AttemptResult; };
 
 /** Options of one attempt to execute a request at a server or through a daemon. */
 export interface AttemptOptions {
@@ -96,6 +98,11 @@
         }
         this.#status = status;
         this.#decision = this.#options.classifyAnswer(status, headers);
+        if (this.#decision.kind === "foreign") {
+            this.#settle(this.#decision.result);
+            controller.abort(new Error("the answer belongs to another request"));
+            return;
+        }
         if (this.#decision.kind === "withhold") {
             return;
         }
@@ -134,7 +141,7 @@
         if (decision === undefined || this.#isSettled) {
             return;
         }
-        if (decision.kind === "withhold") {
+        if (decision.kind !== "deliver") {
             this.#settle(decision.result);
             return;
         }
--- a/src/transport/proxy/LocalExecution.ts
+++ b/src/transport/proxy/LocalExecution.ts
@@ -177,7 +177,7 @@
 ): AnswerDecision {
     if (answeredAttempt !== undefined && answeredAttempt !== attempt) {
         return {
-            kind: "withhold",
+            kind: "foreign",
             result: {
                 kind: "unknown",
                 status: NO_ANSWER_STATUS,
--- a/src/transport/proxy/RelayedExecution.ts
+++ b/src/transport/proxy/RelayedExecution.ts
@@ -106,11 +106,8 @@
     headers: IncomingHttpHeaders,
 ): AnswerDecision {
     if (headers[MeshHeader.Attempt] !== attempt) {
-        return buildWithheldDecision({
-            kind: "unknown",
-            status: NO_ANSWER_STATUS,
-            detail: `daemon ${owner.id} sent the answer of another request`,
-        });
+        const detail = `daemon ${owner.id} sent the answer of another request`;
+        return { kind: "foreign", result: { kind: "unknown", status: NO_ANSWER_STATUS, detail } };
     }
     const load = parseLoadReport(readHeader(headers, MeshHeader.Load));
     if (load !== undefined) {
