Send no refusal of malformed bytes while an earlier request on the connection is open

What callers saw: a caller that sends two requests on one connection without waiting, and malformed bytes after them, could get the refusal of those bytes (400) as the answer of its second request, which was running, or in the middle of that answer's body.

Cause: a connection counted as busy until the first of its answers was complete, whatever else was open on it.

Evidence: PipelinedRequests.test.ts, both cases red before: "400 Bad Request" follows the first answer while the second request runs, and follows 100,000 bytes of the second answer's body.

Change: the open requests of a connection are counted; while there is one, malformed bytes close the connection.

Measured: both cases pass in four runs, and the 26 tests of callers' listeners and hostile input that were run with them.

--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -52,8 +52,8 @@
     readonly #server: Server;
     readonly #bodyReader = new RequestBodyReader();
     readonly #router: RequestRouter;
-    /** Connections with a request whose answer is not complete; a refusal of later bytes would mix with it. */
-    readonly #busySockets = new WeakSet<Socket>();
+    /** Requests of a connection whose answers are not complete; a refusal of later bytes would mix with them. */
+    readonly #openBySocket = new WeakMap<Socket, number>();
     #openRequests = 0;
     #lastRequestAt = 0;
     #drainStartedAt: number | undefined;
@@ -77,10 +77,10 @@
             response.sendDate = false;
             this.#openRequests++;
             this.#lastRequestAt = options.now();
-            this.#busySockets.add(request.socket);
+            this.#addOpen(request.socket, 1);
             response.once("close", () => {
                 this.#openRequests--;
-                this.#busySockets.delete(request.socket);
+                this.#addOpen(request.socket, -1);
             });
             void this.#handleRequest(request, response, onAccepted).catch((error: unknown) => {
                 options.log.error("request failed with an internal error.", { err: error });
@@ -96,7 +96,8 @@
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
             options.log.info(`closed the connection of a caller: ${error.message}.`, { code: error.code });
             if (
-                error.code?.startsWith(PARSE_ERROR_PREFIX) === true && socket.writable && !this.#busySockets.has(socket)
+                error.code?.startsWith(PARSE_ERROR_PREFIX) === true && socket.writable
+                && !this.#openBySocket.get(socket)
             ) {
                 socket.end(formatParseRefusal(error.code));
             }
@@ -153,6 +154,10 @@
         this.#server.closeAllConnections();
     }
 
+    #addOpen(socket: Socket, requests: number): void {
+        this.#openBySocket.set(socket, (this.#openBySocket.get(socket) ?? 0) + requests);
+    }
+
     /** Resets the connections that wait to be accepted, whose callers may come back at once, and listens again. */
     #resetWaitingConnections(): void {
         const address = this.#server.address() as AddressInfo | null;
