Send no refusal at the own interface's ports while an earlier request may run

What callers saw: malformed bytes, or a CONNECT, behind a whole request got their refusal as the answer of that request: 400 with the outcome "not run", while the server ran it; or the refusal's bytes stood in the body of its answer.

Cause: a refusal of what can't be parsed was written to the connection whatever was open on it.

Evidence: BrokenAnswers.test.ts, "sends no refusal of later bytes in place of an answer, or within it", both cases red before.

Change: a connection with a request that was read completely and isn't answered yet is closed instead. A request whose own body is malformed is refused as before.

--- a/src/transport/connections/index.ts
+++ b/src/transport/connections/index.ts
@@ -1,1 +1,2 @@
+export { OpenRequests } from "./OpenRequests.js";
 export { isReset } from "./SocketEnd.js";
--- a/src/transport/proxy/RequestProxy.ts
+++ b/src/transport/proxy/RequestProxy.ts
@@ -6,6 +6,7 @@
 import { deriveRelayToken, isValidHeaderList, RefusalReason } from "../../protocol/request/index.js";
 import type { LoadReport } from "../../protocol/request/index.js";
 import type { MemberState } from "../../state/members/index.js";
+import { OpenRequests } from "../connections/index.js";
 import { AgeClock } from "../timers/index.js";
 import { handleCallerRequest } from "./CallerRequestHandler.js";
 import { ConnectionPools } from "./ConnectionPools.js";
@@ -16,6 +17,7 @@
 import type { LeaseRenewer } from "./LeaseRenewer.js";
 import { OwnServer } from "./OwnServer.js";
 import { formatParseRefusal } from "./PlainAnswer.js";
+import type { ParseRefusalReason } from "./PlainAnswer.js";
 import { CALLER_IDLE_TIMEOUT_MS, HEADER_MAXIMUM_BYTES, HEADER_TIMEOUT_MS } from "./ProxyConstants.js";
 import type { ProxyContext, RequestProxyOptions } from "./ProxyContext.js";
 import { handleRelayRequest } from "./RelayRequestHandler.js";
@@ -165,12 +167,22 @@
     });
     // Node silently drops headers beyond a maximum count; the size limit bounds them instead.
     server.maxHeadersCount = 0;
+    const requests = new OpenRequests();
+    const refuse: RefuseParsing = (socket, reason) => {
+        if (requests.hasWhole(socket)) {
+            socket.destroy();
+        }
+        else {
+            socket.end(formatParseRefusal(reason));
+        }
+    };
     const createListener =
         (expectsContinue: boolean) => (request: Parameters<RequestHandler>[0], response: ServerResponse) => {
             if (!isValidHeaderList(request.rawHeaders)) {
-                request.socket.end(formatParseRefusal(RefusalReason.BadRequest));
+                refuse(request.socket, RefusalReason.BadRequest);
                 return;
             }
+            requests.add(request, response);
             const closed = new Promise<void>(resolve => response.once("close", resolve));
             const done = handle(request, response, expectsContinue).catch((error: unknown) => {
                 options.log("warn", "proxy: request failed with an internal error.", { error: String(error) });
@@ -181,21 +193,23 @@
         };
     server.on("request", createListener(false));
     server.on("checkContinue", createListener(true));
-    server.on("connect", (_request, socket: Socket) => {
-        socket.end(formatParseRefusal(RefusalReason.BadRequest));
-    });
-    server.on("clientError", handleParseError);
+    server.on("connect", (_request, socket: Socket) => refuse(socket, RefusalReason.BadRequest));
+    server.on("clientError", (error, socket: Socket) => handleParseError(error, socket, refuse));
     return server;
 }
 
-/** Refuses a message that could not be parsed and closes its connection. */
-function handleParseError(error: NodeJS.ErrnoException, socket: Socket): void {
+/** Refuses what can't be parsed, unless an earlier request on the connection may run, and closes the connection. */
+type RefuseParsing = (socket: Socket, reason: ParseRefusalReason) => void;
+
+function handleParseError(error: NodeJS.ErrnoException, socket: Socket, refuse: RefuseParsing): void {
     if (!socket.writable || socket.bytesWritten > 0 && error.code === "ECONNRESET") {
         socket.destroy();
         return;
     }
-    const reason = error.code === "HPE_HEADER_OVERFLOW" ? RefusalReason.HeadersTooLarge : RefusalReason.BadRequest;
-    socket.end(formatParseRefusal(reason));
+    refuse(
+        socket,
+        error.code === "HPE_HEADER_OVERFLOW" ? RefusalReason.HeadersTooLarge : RefusalReason.BadRequest,
+    );
 }
 
 function openPort(server: Server, port: number, address: string): Promise<number> {
--- a/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
+++ b/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
@@ -1,7 +1,8 @@
+import { connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { startBackend, startRawServer } from "../fixtures/BackendServer.js";
 import { createTeardowns, sendRaw, sendRequest } from "../fixtures/Caller.js";
-import { buildDocument, startMesh } from "../fixtures/Mesh.js";
+import { buildDocument, LOOPBACK, startMesh } from "../fixtures/Mesh.js";
 
 const teardowns = createTeardowns();
 afterEach(() => teardowns.run());
@@ -138,6 +139,40 @@
         expect([await first, ...others.sort()]).toEqual(["own answer", "502", ...Array(4).fill("own answer")]);
     });
 
+    it.each([
+        "malformed\r\n\r\n",
+        "CONNECT 127.0.0.1:80 HTTP/1.1\r\nhost: a\r\n\r\n",
+    ])("sends no refusal of later bytes in place of an answer, or within it: %j", async later => {
+        const LENGTH = 1_000;
+        for (const sent of [0, 10]) {
+            let hasArrived = false;
+            const server = await startRawServer(socket => {
+                hasArrived = true;
+                if (sent > 0) {
+                    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${LENGTH}\r\n\r\n${"b".repeat(sent)}`);
+                }
+            });
+            const mesh = await startMesh(buildDocument({ retry: NO_RETRIES }), [{
+                id: "owner",
+                serverPort: server.port,
+            }]);
+            teardowns.add(() => server.stop());
+            teardowns.add(() => mesh.stop());
+            let received = "";
+            const caller = connect(mesh.getProxy("owner").requestPort, LOOPBACK);
+            caller.on("data", (data: Buffer) => {
+                received += data.toString();
+            });
+            caller.on("error", () => undefined);
+            const closed = new Promise(resolve => caller.once("close", resolve));
+            caller.write("GET /status HTTP/1.1\r\nhost: a\r\n\r\n");
+            await expect.poll(() => hasArrived && received.endsWith("b".repeat(sent))).toBe(true);
+            caller.write(later);
+            await closed;
+            expect(received).not.toContain("400 Bad Request");
+        }
+    });
+
     it("answers 502 when a daemon returns the answer of another request", async () => {
         const forged = await startBackend((_received, _request, response) => {
             response.setHeader("papayaturn-outcome", "answered");
--- a/src/transport/traffic/CallerListener.ts
+++ b/src/transport/traffic/CallerListener.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { isValidHeaderList } from "../../protocol/request/index.js";
 import type { RoutePolicy, TrafficConfiguration } from "../../state/traffic/index.js";
+import { OpenRequests } from "../connections/index.js";
 import { registerPacedRequests } from "../input/index.js";
 import type { CostlyReads } from "../input/index.js";
 import { sleepFor } from "../timers/index.js";
@@ -52,8 +53,7 @@
     readonly #server: Server;
     readonly #bodyReader = new RequestBodyReader();
     readonly #router: RequestRouter;
-    /** Requests of a connection whose answers are not complete; a refusal of later bytes would mix with them. */
-    readonly #openBySocket = new WeakMap<Socket, number>();
+    readonly #requests = new OpenRequests();
     #openRequests = 0;
     #lastRequestAt = 0;
     #drainStartedAt: number | undefined;
@@ -77,11 +77,8 @@
             response.sendDate = false;
             this.#openRequests++;
             this.#lastRequestAt = options.now();
-            this.#addOpen(request.socket, 1);
-            response.once("close", () => {
-                this.#openRequests--;
-                this.#addOpen(request.socket, -1);
-            });
+            this.#requests.add(request, response);
+            response.once("close", () => this.#openRequests--);
             void this.#handleRequest(request, response, onAccepted).catch((error: unknown) => {
                 options.log.error("request failed with an internal error.", { err: error });
                 response.destroy();
@@ -96,8 +93,7 @@
         this.#server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
             options.log.info(`closed the connection of a caller: ${error.message}.`, { code: error.code });
             if (
-                error.code?.startsWith(PARSE_ERROR_PREFIX) === true && socket.writable
-                && !this.#openBySocket.get(socket)
+                error.code?.startsWith(PARSE_ERROR_PREFIX) === true && socket.writable && !this.#requests.has(socket)
             ) {
                 socket.end(formatParseRefusal(error.code));
             }
@@ -154,10 +150,6 @@
         this.#server.closeAllConnections();
     }
 
-    #addOpen(socket: Socket, requests: number): void {
-        this.#openBySocket.set(socket, (this.#openBySocket.get(socket) ?? 0) + requests);
-    }
-
     /** Resets the connections that wait to be accepted, whose callers may come back at once, and listens again. */
     #resetWaitingConnections(): void {
         const address = this.#server.address() as AddressInfo | null;
