Keep connections of an earlier server from the requests of the next one

What callers saw: a request for a server that had just reported in place of another one went to that other one, over a connection that was in use at the change. It answered 421, and the daemon took the later server for gone: it got no request until it started again. A late 421 to a request for the earlier server did the same. Cause: the pool closed idle connections only, and took those in use back whatever server they led to; a 421 was held against the server that was registered when it came. Change: a connection is kept only for the server for which it was opened; a 421 counts against the server to which the request was sent.

--- a/src/transport/ownership/AdmissionController.ts
+++ b/src/transport/ownership/AdmissionController.ts
@@ -221,12 +221,11 @@
             this.#rateLimit.update(undefined, now);
             this.#workTimeEstimator.reset();
             this.#workFactor.record(undefined, now);
-            this.#connectionPool.closeIdle();
         }
         if (isOther || previous.phase !== report.phase) {
             this.#options.log.info(`server ${report.serverId} is ${report.phase}.`, { report });
         }
-        this.#connectionPool.setTarget(report.address, report.port);
+        this.#connectionPool.setTarget(report.address, report.port, isOther);
         if (this.registration.server !== undefined) {
             this.#options.findRolloutGate?.()?.acceptServer(this.registration.server);
         }
@@ -276,7 +275,7 @@
                 onServerBroken: (server, running, report) => this.#checkForCrash(server, running, report),
                 onServerUnreachable: detail => this.#recordUnreachable(detail),
                 onServerReached: () => this.registration.markReachable(),
-                onServerReplaced: () => this.#recordReplaced(),
+                onServerReplaced: server => this.#recordReplaced(server),
                 readLoad: () => this.readLoad(),
                 readServer: () => this.registration.server,
                 recordAnswerSize: (route, expectedBytes, bytes) => {
@@ -456,9 +455,9 @@
         }
     }
 
-    #recordReplaced(): void {
+    #recordReplaced(intended: RegisteredServer): void {
         const server = this.registration.server;
-        if (server !== undefined) {
+        if (server !== undefined && isSameStart(server, intended)) {
             this.#options.log.warn(`another server answers at the address of ${server.serverId}.`, { server });
             this.registration.markReplaced(server.serverId);
             this.#refuseQueuedUnlessOpen(this.#options.now());
--- a/src/transport/ownership/RequestExecution.ts
+++ b/src/transport/ownership/RequestExecution.ts
@@ -43,8 +43,8 @@
     findRestriction(request: OwnedRequest): OwnerRefusal | undefined;
     /** Called with what a server says of itself in an answer. */
     onStatement(server: RegisteredServer, statement: ServerAnswerHeaders): void;
-    /** Called when another server answers at the address. */
-    onServerReplaced(): void;
+    /** Called when another server answers at the address of the one to which a request was sent. */
+    onServerReplaced(intended: RegisteredServer): void;
     /** `hadSlot` tells whether a slot has to be released. */
     onExecutionEnd(execution: RequestExecution, hadSlot: boolean): void;
 }
@@ -212,11 +212,13 @@
         statement: ServerAnswerHeaders,
     ): void {
         this.context.onServerReached();
-        if (statement.isMisdirected) {
-            this.context.onServerReplaced();
-        }
-        else if (this.#server !== undefined) {
-            this.context.onStatement(this.#server, statement);
+        if (this.#server !== undefined) {
+            if (statement.isMisdirected) {
+                this.context.onServerReplaced(this.#server);
+            }
+            else {
+                this.context.onStatement(this.#server, statement);
+            }
         }
         this.#answerKind = statement.isNotRun || statement.isMisdirected ? "declined" : "answer";
         const workMs = this.context.now() - this.#startedAt;
--- a/src/transport/ownership/ServerConnectionPool.ts
+++ b/src/transport/ownership/ServerConnectionPool.ts
@@ -16,6 +16,7 @@
 export class ServerConnectionPool {
     readonly #options: ServerConnectionPoolOptions;
     readonly #now: () => number;
+    /** A new object for each server, so that connections to an earlier one are known. */
     #target: { readonly address: string; readonly port: number; } | undefined;
     #idle: ServerConnection[] = [];
     readonly #open = new Set<ServerConnection>();
@@ -30,11 +31,18 @@
         return this.#open.size;
     }
 
-    /** Sets the server's address; idle connections to another one are closed. */
-    setTarget(address: string, port: number): void {
-        if (this.#target?.address !== address || this.#target.port !== port) {
+    /**
+     * Sets the address of the server. Connections to another address, or to the server before one that `isOther`, are closed
+     * at once or when their requests have ended.
+     */
+    setTarget(address: string, port: number, isOther = false): void {
+        if (isOther || this.#target?.address !== address || this.#target.port !== port) {
             this.#target = { address, port };
-            this.closeIdle();
+            const idle = this.#idle;
+            this.#idle = [];
+            for (const connection of idle) {
+                connection.destroy();
+            }
         }
     }
 
@@ -54,7 +62,8 @@
             this.#idle.splice(index, 1);
             return last;
         }
-        if (this.#target === undefined) {
+        const target = this.#target;
+        if (target === undefined) {
             return undefined;
         }
         if (index < 0) {
@@ -63,7 +72,7 @@
         }
         const { costlyReads, dialect, secondAnswers } = this.#options;
         const connection = new ServerConnection({
-            ...this.#target,
+            ...target,
             costlyReads,
             dialect,
             now: this.#now,
@@ -78,6 +87,10 @@
                 secondAnswers.recordDropped({ moment, requestId, status: head?.statusCode, waitingId }, this.#now());
             },
             onIdle: free => {
+                if (this.#target !== target) {
+                    free.destroy();
+                    return;
+                }
                 free.markIdle(this.#now());
                 this.#idle.push(free);
             },
@@ -86,14 +99,6 @@
         return connection;
     }
 
-    closeIdle(): void {
-        const idle = this.#idle;
-        this.#idle = [];
-        for (const connection of idle) {
-            connection.destroy();
-        }
-    }
-
     closeAll(): void {
         for (const connection of this.#open) {
             connection.destroy();
