Bound the lines on second answers by kind and by the length of ids

Cause: an id in an answer may have 60 KB, and ten repeats a second kept the lines of dropped answers from being written. Change: each kind has its own ten lines a second, with the first 128 characters of an id.

--- a/src/transport/ownership/SecondAnswers.ts
+++ b/src/transport/ownership/SecondAnswers.ts
@@ -2,7 +2,7 @@
  * Counts and logs answers of the own server that no request waits for, and requests that reach the server again, so that
  * an answer of an earlier run can be told from other faults.
  */
-import type { PartLogger } from "../logging/index.js";
+import type { LogFields, PartLogger } from "../logging/index.js";
 
 /** When an answer came that no request waits for. */
 export const DropMoment = {
@@ -27,17 +27,48 @@
 
 const INTERVAL_MS = 1_000;
 const LINES_PER_INTERVAL = 10;
+/** Characters of an id that are logged; ids in answers have any length. */
+const LOGGED_ID_LENGTH = 128;
 
-export class SecondAnswerMonitor {
-    readonly #log: PartLogger;
-    readonly #dropped = new Map<DropMoment, number>(Object.values(DropMoment).map(moment => [moment, 0]));
-    #repeats = 0;
+/** Writes a number of lines an interval; the first one after that says how many were left out. */
+class LimitedLines {
+    readonly #write: (fields: LogFields) => void;
     #intervalStartedAt = -Infinity;
     #lines = 0;
     #unlogged = 0;
 
+    constructor(write: (fields: LogFields) => void) {
+        this.#write = write;
+    }
+
+    write(fields: LogFields, now: number): void {
+        if (now - this.#intervalStartedAt >= INTERVAL_MS) {
+            this.#intervalStartedAt = now;
+            this.#lines = 0;
+        }
+        if (this.#lines >= LINES_PER_INTERVAL) {
+            this.#unlogged++;
+            return;
+        }
+        this.#lines++;
+        this.#write(this.#unlogged > 0 ? { ...fields, unloggedBefore: this.#unlogged } : fields);
+        this.#unlogged = 0;
+    }
+}
+
+export class SecondAnswerMonitor {
+    readonly #droppedLines: LimitedLines;
+    readonly #repeatLines: LimitedLines;
+    readonly #dropped = new Map<DropMoment, number>(Object.values(DropMoment).map(moment => [moment, 0]));
+    #repeats = 0;
+
     constructor(log: PartLogger) {
-        this.#log = log;
+        this.#droppedLines = new LimitedLines(fields =>
+            log.info("dropped an answer of the server that no request waits for.", fields)
+        );
+        this.#repeatLines = new LimitedLines(fields =>
+            log.info("a request reaches the server again, and not over the connection that has carried its id.", fields)
+        );
     }
 
     /** Requests so far that were kept from a connection which has carried their id. */
@@ -51,28 +82,17 @@
 
     recordDropped({ moment, requestId, status, waitingId }: DroppedAnswer, now: number): void {
         this.#dropped.set(moment, this.countDropped(moment) + 1);
-        const fields = { moment, requestId, status, waitingRequestId: waitingId };
-        this.#logLine("dropped an answer of the server that no request waits for.", fields, now);
+        const fields = {
+            moment,
+            requestId: requestId?.slice(0, LOGGED_ID_LENGTH),
+            status,
+            waitingRequestId: waitingId?.slice(0, LOGGED_ID_LENGTH),
+        };
+        this.#droppedLines.write(fields, now);
     }
 
     recordRepeat(requestId: string, now: number): void {
         this.#repeats++;
-        this.#logLine("a request reaches the server again, and not over the connection that has carried its id.", {
-            requestId,
-        }, now);
-    }
-
-    #logLine(sentence: string, fields: Readonly<Record<string, unknown>>, now: number): void {
-        if (now - this.#intervalStartedAt >= INTERVAL_MS) {
-            this.#intervalStartedAt = now;
-            this.#lines = 0;
-        }
-        if (this.#lines >= LINES_PER_INTERVAL) {
-            this.#unlogged++;
-            return;
-        }
-        this.#lines++;
-        this.#log.info(sentence, this.#unlogged > 0 ? { ...fields, unloggedBefore: this.#unlogged } : fields);
-        this.#unlogged = 0;
+        this.#repeatLines.write({ requestId: requestId.slice(0, LOGGED_ID_LENGTH) }, now);
     }
 }
