Open a replacing connection once the server has closed the one before

What callers saw: an unknown outcome for requests that come again with their ids while all connections that a server takes are in use. Cause: the connection that takes the place of an idle one was opened while the server still counted the old one, and was reset. Change: the old one is closed in order, and the new one opened when the server has closed its side too, after 20 ms at the latest.

--- a/src/transport/ownership/OwnershipConstants.ts
+++ b/src/transport/ownership/OwnershipConstants.ts
@@ -1,5 +1,7 @@
 /** The server is on the same VM: a connection that takes longer than this is not going to succeed. */
 export const CONNECT_TIMEOUT_MS = 400;
+/** Time for the server to close its side of a connection that another one replaces. */
+export const ORDERLY_CLOSE_TIMEOUT_MS = 20;
 /** Connections idle for longer than this are closed, well before the idle timeout of the users' servers (10 s). */
 export const MAXIMUM_IDLE_MS = 6_000;
 /**
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -4,10 +4,9 @@
  * that are no body, loses the connection. What was read at once is parsed in slices, which wait for their share of the
  * processor while the server cuts its answer into tiny parts.
  */
-import { connect } from "node:net";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import { AnswerMatch, matchAnswer, SentRequestIds } from "../../protocol/answers/index.js";
-import type { Dialect, ServerAnswerHeaders } from "../../protocol/dialect/index.js";
+import type { Dialect } from "../../protocol/dialect/index.js";
 import {
     AnswerResult,
     classifyAnswer,
@@ -17,7 +16,6 @@
     isFinalStatus,
     selectAnswerFraming,
 } from "../../protocol/framing/index.js";
-import type { AnswerFraming } from "../../protocol/framing/index.js";
 import { isReset } from "../connections/index.js";
 import type { CostlyReader, CostlyReads } from "../input/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
@@ -32,34 +30,10 @@
     LONG_SLICE_MS,
     MAXIMUM_SLICE_BYTES,
     MINIMUM_SLICE_BYTES,
+    ORDERLY_CLOSE_TIMEOUT_MS,
 } from "./OwnershipConstants.js";
 import { DropMoment } from "./SecondAnswers.js";
-
-/** Events of one request on a connection. Exactly one of `onEnd`, `onNotSent` and `onBroken` is called last. */
-export interface ExchangeEvents {
-    onHead(
-        status: number,
-        headers: readonly string[],
-        framing: AnswerFraming,
-        statement: ServerAnswerHeaders,
-    ): void;
-    onData(body: Uint8Array): void;
-    onEnd(): void;
-    /** No byte was sent: the connection could not be made. */
-    onNotSent(detail: string): void;
-    /** The server ended the connection (`isClosed`), or its answer was malformed, after the request was sent. */
-    onBroken(detail: string, isClosed: boolean): void;
-}
-
-interface Exchange {
-    readonly requestId: string;
-    readonly isHead: boolean;
-    readonly bytes: Uint8Array;
-    readonly events: ExchangeEvents;
-    isSent: boolean;
-    /** Framing of its own answer; undefined until that has begun. */
-    framing: AnswerFraming | undefined;
-}
+import type { Exchange, ExchangeEvents } from "./ServerExchange.js";
 
 export interface ServerConnectionOptions {
     readonly address: string;
@@ -67,6 +41,8 @@
     readonly dialect: Dialect;
     readonly now: () => number;
     readonly costlyReads: CostlyReads;
+    /** Calls its argument, which connects, at once or later. */
+    scheduleConnect(connect: () => void): void;
     onIdle(connection: ServerConnection): void;
     onClose(connection: ServerConnection): void;
     /** Called with an answer that no request waits for; `head` is undefined when it has not arrived as a whole. */
@@ -76,7 +52,7 @@
 const SKIP_BODY = 1;
 
 export class ServerConnection implements CostlyReader {
-    readonly #socket: Socket;
+    readonly #socket = new Socket();
     readonly #options: ServerConnectionOptions;
     readonly #dialect: Dialect;
     readonly #now: () => number;
@@ -115,7 +91,8 @@
         this.#now = now;
         this.#costlyReads = costlyReads;
         this.#parser = this.#createParser();
-        this.#socket = connect({ host: address, noDelay: true, port });
+        this.#socket.setNoDelay(true);
+        options.scheduleConnect(() => this.#socket.connect({ host: address, port }));
         const cancelTimeout = scheduleTimeout(
             realTimers,
             CONNECT_TIMEOUT_MS,
@@ -212,6 +189,16 @@
         this.#socket.destroy();
     }
 
+    /** Closes an idle connection; calls `onClosed` once the server has closed its side too, or after a while. */
+    closeInOrder(onClosed: () => void): void {
+        const cancelTimeout = scheduleTimeout(realTimers, ORDERLY_CLOSE_TIMEOUT_MS, () => this.#socket.destroy());
+        this.#socket.once("close", () => {
+            cancelTimeout();
+            onClosed();
+        });
+        this.#socket.end();
+    }
+
     /** Parses what waits, as far as its share of the processor goes. */
     readOn(): void {
         this.#isWaitingForShare = false;
--- a/src/transport/ownership/ServerConnectionPool.ts
+++ b/src/transport/ownership/ServerConnectionPool.ts
@@ -66,10 +66,8 @@
         if (target === undefined) {
             return undefined;
         }
-        if (index < 0) {
-            // Takes the place of one that the request can't use, so that repeats don't add to the server's connections.
-            this.#idle.shift()?.destroy();
-        }
+        // Takes the place of one that the request can't use, so that repeats don't add to the server's connections.
+        const replaced = index < 0 ? this.#idle.shift() : undefined;
         const { costlyReads, dialect, secondAnswers } = this.#options;
         const connection = new ServerConnection({
             ...target,
@@ -94,6 +92,7 @@
                 free.markIdle(this.#now());
                 this.#idle.push(free);
             },
+            scheduleConnect: connect => replaced === undefined ? connect() : replaced.closeInOrder(connect),
         });
         this.#open.add(connection);
         return connection;
