--- a/src/protocol/answers/AnswerMatching.ts
+++ b/src/protocol/answers/AnswerMatching.ts
@@ -18,8 +18,6 @@
 
 export interface AnswerHeadLines {
     readonly status: number;
-    /** Text of the status line after the status. */
-    readonly reason: string;
     readonly headers: readonly string[];
 }
 
@@ -35,17 +33,13 @@
 const STATUS_LINE_PATTERN = /HTTP\/1\.\d \d{3}(?: |$)/;
 
 export function matchAnswer(
-    head: AnswerHeadLines,
+    { headers, status }: AnswerHeadLines,
     waiting: WaitingRequest,
     dialect: Dialect,
 ): MatchedAnswer {
-    const { headers, status } = head;
     if (!isValidHeaderList(headers)) {
         return { detail: "the head of the answer has a malformed header", kind: AnswerMatch.Malformed };
     }
-    if (hasSecondStatusLine(head)) {
-        return { detail: "the head of the answer contains another status line", kind: AnswerMatch.Malformed };
-    }
     const map = new Map<string, string>();
     const repeated = copyHeaders(headers, map, name => dialect.isSingleAnswerHeader(name));
     if (repeated !== undefined) {
@@ -70,16 +64,16 @@
 }
 
 /**
- * Whether a head holds the begin of another one. Where an answer breaks off in its head, the next one on the connection
- * continues the line, and its headers follow, so that the status of one stands above the headers of the other.
+ * Whether a line of an answer holds the begin of another one. Where an answer breaks off in a line, the next one on the
+ * connection continues it, and what follows is read as the rest of the answer that broke off.
  */
-function hasSecondStatusLine({ headers, reason }: AnswerHeadLines): boolean {
-    return STATUS_LINE_PATTERN.test(reason) || headers.some(text => STATUS_LINE_PATTERN.test(text));
+export function hasStatusLine(line: string): boolean {
+    return STATUS_LINE_PATTERN.test(line);
 }
 
 /** Returns the request that an answer names; undefined when it names none. */
 export function findAnsweredRequest(
-    { headers, status }: Pick<AnswerHeadLines, "headers" | "status">,
+    { headers, status }: AnswerHeadLines,
     dialect: Dialect,
 ): string | undefined {
     const map = new Map<string, string>();
--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -1,5 +1,6 @@
 /** Parser of servers' answers that takes nothing but what RFC 9112 allows, so that no fault changes a body's length. */
 import { HTTPParser } from "http-parser-js";
+import { hasStatusLine } from "../../protocol/answers/index.js";
 import { isBodilessStatus, isMalformedFramingField, isValidStatus } from "../../protocol/framing/index.js";
 
 HTTPParser.encoding = "latin1";
@@ -9,7 +10,6 @@
 /** Head of an answer; names and values of headers alternate. */
 export interface ParsedHead {
     readonly statusCode: number;
-    readonly statusMessage: string;
     readonly versionMinor: number;
     readonly headers: readonly string[];
     readonly shouldKeepAlive: boolean;
@@ -67,7 +67,15 @@
     return state === "BODY_CHUNK" || state === "BODY_SIZED" ? pieceBytes ?? 0 : 0;
 }
 
+/** Heads of any status, trailers and extensions of chunks are checked alike: a failure that one of them takes up is lost. */
+function expectNoStatusLine(line: string): void {
+    if (hasStatusLine(line)) {
+        throw new Error("a line contains another status line");
+    }
+}
+
 function appendField(line: string, headers: string[]): void {
+    expectNoStatusLine(line);
     const continuation = headers.length === 0 ? null : CONTINUATION_PATTERN.exec(line);
     if (continuation !== null) {
         headers.push(`${headers.pop() ?? ""} ${continuation[1] ?? ""}`);
@@ -97,6 +105,7 @@
     if (!isValidStatus(status)) {
         throw new Error(`the status line is "${line.slice(0, QUOTED_LINE_LENGTH)}"`);
     }
+    expectNoStatusLine(message);
     state.info.versionMajor = 1;
     state.info.versionMinor = Number(minor);
     state.info.statusCode = status;
@@ -112,6 +121,7 @@
     if (line === undefined) {
         return;
     }
+    expectNoStatusLine(line);
     const size = CHUNK_SIZE_PATTERN.exec(line)?.[1];
     if (size === undefined) {
         throw new Error("the size of a chunk is no number");
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -381,9 +381,9 @@
             this.#options.onDropped(head, DropMoment.Following);
             return undefined;
         }
-        const { headers, statusCode: status, statusMessage: reason, versionMinor: minorVersion } = head;
+        const { headers, statusCode: status, versionMinor: minorVersion } = head;
         const waiting = { isFirst: this.#earlierExchanges === 0, requestId: exchange.requestId };
-        const answer = matchAnswer({ headers, reason, status }, waiting, this.#dialect);
+        const answer = matchAnswer({ headers, status }, waiting, this.#dialect);
         if (answer.kind === AnswerMatch.Malformed) {
             this.#failExchange(answer.detail);
             this.#closeSocket();
