--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -20,6 +20,7 @@
     BODY_CHUNKHEAD: () => void;
     RESPONSE_LINE: () => void;
     readonly consumeLine: () => string | undefined;
+    readonly line: string;
     readonly info: { statusCode: number; statusMessage: string; versionMajor: number; versionMinor: number; };
     body_bytes: number | null;
     state: string;
@@ -58,6 +59,12 @@
     return head;
 }
 
+/** Whether all bytes so far belong to answers that have ended. */
+export function isBetweenAnswers(parser: AnswerParser): boolean {
+    const { line, state } = parser as unknown as ParserState;
+    return state === "RESPONSE_LINE" && line === "";
+}
+
 /** Returns how many of the next bytes belong to one piece of a body: a chunk, or a body with a length or without end. */
 export function readPieceBytes(parser: AnswerParser): number {
     const { body_bytes: pieceBytes, state } = parser as unknown as ParserState;
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -20,7 +20,7 @@
 import type { CostlyReader, CostlyReads } from "../input/index.js";
 import { realTimers, scheduleTimeout } from "../timers/index.js";
 import { describeEnd, describeProgress } from "./AnswerDescriptions.js";
-import { createAnswerParser, readHead, readPieceBytes } from "./AnswerParser.js";
+import { createAnswerParser, isBetweenAnswers, readHead, readPieceBytes } from "./AnswerParser.js";
 import type { AnswerParser, ParsedHead } from "./AnswerParser.js";
 import {
     ANSWER_HEADER_LIMIT_BYTES,
@@ -430,17 +430,22 @@
         exchange.events.onEnd();
         if (this.#isReusable && !this.#isClosed) {
             // Runs after the rest of the chunk is parsed: data after the answer makes the connection unusable.
-            queueMicrotask(() => {
-                if (this.#isReusable && !this.#isClosed && this.#exchange === undefined) {
-                    this.#options.onIdle(this);
-                }
-            });
+            queueMicrotask(() => this.#becomeIdle());
         }
         else {
             this.#closeSocket();
         }
     }
 
+    #becomeIdle(): void {
+        if (this.#unparsed !== undefined || !isBetweenAnswers(this.#parser)) {
+            this.#closeSocket();
+        }
+        else if (this.#isReusable && !this.#isClosed) {
+            this.#options.onIdle(this);
+        }
+    }
+
     #handleSocketEnd(wasReset: boolean): void {
         this.#isReusable = false;
         const end = wasReset ? ConnectionEnd.Reset : ConnectionEnd.Closed;
