--- a/src/protocol/answers/AnswerMatching.ts
+++ b/src/protocol/answers/AnswerMatching.ts
@@ -26,6 +26,8 @@
     readonly requestId: string;
     /** Whether the connection has carried no other request before. */
     readonly isFirst: boolean;
+    /** Whether an earlier answer on the connection has named its request. */
+    readonly areAnswersNamed: boolean;
 }
 
 const FIRST_FAILURE_STATUS = 300;
@@ -54,11 +56,18 @@
 }
 
 /** Servers name the request in their answers, but a failure may come from what stands before them. */
-function matchUnnamed(status: number, statement: ServerAnswerHeaders, { isFirst }: WaitingRequest): MatchedAnswer {
+function matchUnnamed(
+    status: number,
+    statement: ServerAnswerHeaders,
+    { areAnswersNamed, isFirst }: WaitingRequest,
+): MatchedAnswer {
     const isSuccess = status < FIRST_FAILURE_STATUS;
-    if (isFirst !== isSuccess) {
-        // A success after another answer is a second one to an earlier request, so that the own one is still to come.
-        return { kind: isFirst ? AnswerMatch.Own : AnswerMatch.Other, statement };
+    if (isFirst && !isSuccess) {
+        return { kind: AnswerMatch.Own, statement };
+    }
+    if (areAnswersNamed && isSuccess) {
+        // A second answer to an earlier request, so that the own one is still to come.
+        return { kind: AnswerMatch.Other, statement };
     }
     return { detail: `an answer with status ${status} names no request`, kind: AnswerMatch.Malformed };
 }
--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -63,6 +63,8 @@
     #isClosed = false;
     #isReusable = true;
     #isInterim = false;
+    /** Whether an answer has named its request. */
+    #areAnswersNamed = false;
     /** Number of requests that were sent before the present one. */
     #earlierExchanges = -1;
     /** Bytes since the present request was sent: all, and those of bodies of its own answer and of others. */
@@ -382,7 +384,11 @@
             return undefined;
         }
         const { headers, statusCode: status, versionMinor: minorVersion } = head;
-        const waiting = { isFirst: this.#earlierExchanges === 0, requestId: exchange.requestId };
+        const waiting = {
+            areAnswersNamed: this.#areAnswersNamed,
+            isFirst: this.#earlierExchanges === 0,
+            requestId: exchange.requestId,
+        };
         const answer = matchAnswer({ headers, status }, waiting, this.#dialect);
         if (answer.kind === AnswerMatch.Malformed) {
             this.#failExchange(answer.detail);
@@ -410,6 +416,7 @@
             return bodyAdvice;
         }
         this.#idleTimeoutMs = statement.idleTimeoutMs ?? Infinity;
+        this.#areAnswersNamed ||= statement.requestId !== undefined;
         exchange.framing = framing;
         exchange.events.onHead(status, headers, framing, statement);
         return bodyAdvice;
