Give the search's platform a signature of answers

The record of a request has the signature of its answer since; the simulated platform of the search has none. 77 tests of the search, in four files, failed with 'dialect.findSignature is not a function' or for want of the answers that this took away; all pass.

--- a/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
+++ b/src/transport/sidecar/__tests__/search/SimulatedCallers.ts
@@ -43,6 +43,7 @@
 /** Headers of the simulated platform: a request has an id only. */
 const DIALECT = {
     buildRetryAfterHeaders: () => [],
+    findSignature: () => undefined,
     isSystemHeader: (name: string) => name === ID_HEADER,
     parseCallerHeaders: (headers: IncomingMessage["headers"]) => {
         const requestId = headers[ID_HEADER] as string;
