--- a/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
+++ b/src/transport/proxy/__tests__/unit/BrokenAnswers.test.ts
@@ -173,6 +173,37 @@
         }
     });
 
+    // Listed in KNOWN-RED.txt, 24.
+    it.fails("passes no duplicate answer on as the next one when a server omits the attempt's id", async () => {
+        let sendDuplicate: () => void = () => undefined;
+        let hasFirst = false;
+        const server = await startRawServer((socket, data) => {
+            const number = (data.split(" ")[1] ?? "").slice(-3);
+            const answer = `HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n${number}`;
+            hasFirst ||= number === "100";
+            sendDuplicate();
+            sendDuplicate = () => undefined;
+            setTimeout(() => {
+                socket.write(answer);
+                if (number === "100") {
+                    sendDuplicate = () => socket.write(answer);
+                }
+            }, 10);
+        });
+        const service = { queue: { deadlineMs: 1_000, length: 20 }, retry: NO_RETRIES };
+        const mesh = await startMesh(buildDocument(service), [{ id: "owner", serverPort: server.port, slots: 1 }]);
+        teardowns.add(() => server.stop());
+        teardowns.add(() => mesh.stop());
+        const send = async (number: number): Promise<string> => {
+            const { status, text } = await sendRequest(`${mesh.getUrl("owner")}/status/${number}`);
+            return status === 200 && text !== String(number) ? "another request's answer" : "own answer or failure";
+        };
+        const first = send(100);
+        await expect.poll(() => hasFirst).toBe(true);
+        const others = await Promise.all([101, 102, 103].map(send));
+        expect([await first, ...others]).toEqual(Array(4).fill("own answer or failure"));
+    });
+
     it("answers 502 when a daemon returns the answer of another request", async () => {
         const forged = await startBackend((_received, _request, response) => {
             response.setHeader("papayaturn-outcome", "answered");
