--- a/src/transport/traffic/RequestEnd.ts
+++ b/src/transport/traffic/RequestEnd.ts
@@ -11,6 +11,9 @@
 /** Lowest status by which a server says that it has failed. */
 export const FIRST_SERVER_FAILURE = 500;
 
+/** Characters of a signature that are logged; a server may send one of any length. */
+const LOGGED_SIGNATURE_LENGTH = 128;
+
 export interface RequestEnd {
     /** Why the request was not answered normally; empty otherwise. */
     readonly detail: string;
@@ -46,7 +49,7 @@
         revision: plan.revision,
         route: route.name,
         service,
-        signature: isPassedOn ? dialect.findSignature(head.headers) : undefined,
+        signature: isPassedOn ? dialect.findSignature(head.headers)?.slice(0, LOGGED_SIGNATURE_LENGTH) : undefined,
         tenant: plan.tenant?.name,
         version: plan.version,
     };
