--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -19,7 +19,9 @@
 interface ParserState {
     BODY_CHUNKHEAD: () => void;
     RESPONSE_LINE: () => void;
-    readonly consumeLine: () => string | undefined;
+    consumeLine: () => string | undefined;
+    readonly chunk: Buffer;
+    readonly offset: number;
     readonly line: string;
     readonly info: { statusCode: number; statusMessage: string; versionMajor: number; versionMinor: number; };
     body_bytes: number | null;
@@ -36,6 +38,9 @@
 const CONTINUATION_PATTERN = /^[ \t]+(.*?)[ \t]*$/;
 const CHUNK_SIZE_PATTERN = /^([0-9A-Fa-f]{1,12})[ \t]*(;.*)?$/;
 const HEXADECIMAL = 16;
+const CARRIAGE_RETURN = 0x0D;
+/** Begin of the names of the parser's states between the chunks of a body. */
+const CHUNK_STATE_PREFIX = "BODY_CHUNK";
 
 /** Creates a parser; `execute` returns an error for a malformed answer. */
 export function createAnswerParser(maximumHeadBytes: number): AnswerParser {
@@ -45,6 +50,8 @@
     const state = parser as unknown as ParserState;
     state.BODY_CHUNKHEAD = () => parseChunkHead(state);
     state.RESPONSE_LINE = () => parseStatusLine(state);
+    const consumeLine = state.consumeLine.bind(state);
+    state.consumeLine = () => consumeStrictly(state, consumeLine);
     return parser;
 }
 
@@ -74,6 +81,21 @@
     return state === "BODY_CHUNK" || state === "BODY_SIZED" ? pieceBytes ?? 0 : 0;
 }
 
+/**
+ * Consumes a line; those between chunks have to end with CR and LF (RFC 9112 section 7.1), as a chunk that breaks off may
+ * be filled up by what comes later, up to a line feed.
+ */
+function consumeStrictly(state: ParserState, consumeLine: () => string | undefined): string | undefined {
+    const { line: earlier, offset } = state;
+    const line = consumeLine();
+    const lastIndex = state.offset - 2;
+    const hasReturn = lastIndex < offset ? earlier.endsWith("\r") : state.chunk[lastIndex] === CARRIAGE_RETURN;
+    if (line !== undefined && !hasReturn && state.state.startsWith(CHUNK_STATE_PREFIX)) {
+        throw new Error("a line between chunks ends with a line feed alone");
+    }
+    return line;
+}
+
 /** Heads of any status, trailers and extensions of chunks are checked alike: a failure that one of them takes up is lost. */
 function expectNoStatusLine(line: string): void {
     if (hasStatusLine(line)) {
--- a/src/transport/ownership/__tests__/unit/AnswerParser.test.ts
+++ b/src/transport/ownership/__tests__/unit/AnswerParser.test.ts
@@ -40,6 +40,9 @@
     "a chunk size that is no number": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n\r\n",
     "an empty chunk size": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n\r\n\r\n",
     "a negative chunk size": "Transfer-Encoding: chunked\r\n\r\n-0\r\n\r\n",
+    "a line feed alone after a chunk": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\n0\r\n\r\n",
+    "a line feed alone after a chunk size": "Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+    "a line feed alone at the end of the chunks": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\n",
     "a malformed trailer": "Transfer-Encoding: chunked\r\n\r\n0\r\nx y\r\n\r\n",
 };
 
--- a/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
+++ b/src/transport/ownership/__tests__/unit/FaultyServers.test.ts
@@ -210,6 +210,24 @@
     });
 });
 
+/** Guards against an answer in chunks that is cut, and passed on as complete with bytes that the server sends later. */
+describe("an answer in chunks with a line feed alone", () => {
+    const head = (id: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+    it.each([
+        ["after the data of a chunk", "4\r\nabcd\n3\r\nefg\r\n0\r\n\r\n"],
+        ["after the size of a chunk", "4\nabcd\r\n3\r\nefg\r\n0\r\n\r\n"],
+        ["after the size of the last chunk", "4\r\nabcd\r\n3\r\nefg\r\n0\n\r\n"],
+    ])("%s is unknown", async (_name, chunks) => {
+        const { admission } = await openAdmission((socket, id) => {
+            socket.write(head(id) + chunks);
+        });
+        const request = recordRequest();
+        admission.submit(createOwnedRequest("a"), request.listener);
+        expect(await request.end).toBe("unknown");
+    });
+});
+
 /** Guards against an empty answer, framed as a whole one, in place of an answer whose head was cut. */
 describe("an answer whose head is cut", () => {
     const head = (id: string, fields: string): string => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${fields}\r\n`;
