Open no connection for a request that was cancelled while it waited

Cause: a socket that is destroyed before it connects is opened again by a later connect, so that a cancelled repeat left a connection that no one uses or closes. Evidence: RepeatedIds.test.ts, 'don't become more by a request that is cancelled …', 2 connections before, 1 now.

--- a/src/transport/ownership/ServerConnection.ts
+++ b/src/transport/ownership/ServerConnection.ts
@@ -94,7 +94,12 @@
         this.#costlyReads = costlyReads;
         this.#parser = this.#createParser();
         this.#socket.setNoDelay(true);
-        options.scheduleConnect(() => this.#socket.connect({ host: address, port }));
+        options.scheduleConnect(() => {
+            // A socket that was closed while it waited would be opened again.
+            if (!this.#socket.destroyed) {
+                this.#socket.connect({ host: address, port });
+            }
+        });
         const cancelTimeout = scheduleTimeout(
             realTimers,
             CONNECT_TIMEOUT_MS,
--- a/src/transport/ownership/__tests__/unit/RepeatedIds.test.ts
+++ b/src/transport/ownership/__tests__/unit/RepeatedIds.test.ts
@@ -101,6 +101,17 @@
         }
     });
 
+    it("don't become more by a request that is cancelled while its connection waits for the one that it replaces", async () => {
+        const { admission, send, server } = await openAdmission((socket, id) => {
+            socket.write(formatFailure(id, "own"));
+        });
+        await send("a");
+        await waitForIdle();
+        admission.submit(createOwnedRequest("a"), recordRequest().listener).cancel();
+        await new Promise(resolve => setTimeout(resolve, 60));
+        expect(server.connections.length).toBe(1);
+    });
+
     it("are replaced before one has carried more ids than it remembers", async () => {
         const { send, server } = await openAdmission((socket, id) => {
             socket.write(formatAnswer(id, "own"));
