--- a/src/protocol/answers/AnswerMatching.ts
+++ b/src/protocol/answers/AnswerMatching.ts
@@ -31,9 +31,8 @@
 }
 
 const FIRST_FAILURE_STATUS = 300;
-/** Begin of a status line (RFC 9112 section 4) within a text. */
-const STATUS_LINE_PATTERN = /HTTP\/1\.\d \d{3}(?: |$)/;
 
+/** Decides by its head whether an answer is that of the request that waits; errors are returned as malformed answers. */
 export function matchAnswer(
     { headers, status }: AnswerHeadLines,
     waiting: WaitingRequest,
@@ -72,19 +71,8 @@
     return { detail: `an answer with status ${status} names no request`, kind: AnswerMatch.Malformed };
 }
 
-/**
- * Whether a line of an answer holds the begin of another one. Where an answer breaks off in a line, the next one on the
- * connection continues it, and what follows is read as the rest of the answer that broke off.
- */
-export function hasStatusLine(line: string): boolean {
-    return STATUS_LINE_PATTERN.test(line);
-}
-
 /** Returns the request that an answer names; undefined when it names none. */
-export function findAnsweredRequest(
-    { headers, status }: AnswerHeadLines,
-    dialect: Dialect,
-): string | undefined {
+export function findAnsweredRequest({ headers, status }: AnswerHeadLines, dialect: Dialect): string | undefined {
     const map = new Map<string, string>();
     copyHeaders(headers, map, () => false);
     return dialect.parseServerHeaders(status, map).requestId;
--- a/src/transport/ownership/AnswerParser.ts
+++ b/src/transport/ownership/AnswerParser.ts
@@ -1,6 +1,5 @@
 /** Parser of servers' answers that takes nothing but what RFC 9112 allows, so that no fault changes a body's length. */
 import { HTTPParser } from "http-parser-js";
-import { hasStatusLine } from "../../protocol/answers/index.js";
 import { isBodilessStatus, isMalformedFramingField, isValidStatus } from "../../protocol/framing/index.js";
 
 HTTPParser.encoding = "latin1";
@@ -30,6 +29,8 @@
 
 /** Of HTTP/1.x, whose later minor versions are read like 1.1. */
 const STATUS_LINE_PATTERN = /^HTTP\/1\.(\d) (\d{3})(?: (.*))?$/;
+/** Begin of a status line within another line. */
+const STATUS_LINE_BEGIN_PATTERN = /HTTP\/1\.\d \d{3}(?: |$)/;
 /** Characters of a malformed status line that are quoted in the log. */
 const QUOTED_LINE_LENGTH = 40;
 
@@ -96,9 +97,12 @@
     return line;
 }
 
-/** Heads of any status, trailers and extensions of chunks are checked alike: a failure that one of them takes up is lost. */
+/**
+ * Requires that a line holds no begin of another answer. Where an answer breaks off in a line of a head, of trailers or of
+ * a chunk's extensions, the next one on the connection continues it, and would be read as the rest of it.
+ */
 function expectNoStatusLine(line: string): void {
-    if (hasStatusLine(line)) {
+    if (STATUS_LINE_BEGIN_PATTERN.test(line)) {
         throw new Error("a line contains another status line");
     }
 }
--- a/src/transport/ownership/ServerConnectionPool.ts
+++ b/src/transport/ownership/ServerConnectionPool.ts
@@ -32,8 +32,8 @@
     }
 
     /**
-     * Sets the address of the server. Connections to another address, or to the server before one that `isOther`, are closed
-     * at once or when their requests have ended.
+     * Sets the address of the server. `isOther` tells that it isn't the one before, whose connections are closed at once or
+     * when their requests have ended; so are those to another address.
      */
     setTarget(address: string, port: number, isOther = false): void {
         if (isOther || this.#target?.address !== address || this.#target.port !== port) {
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Returns an idle or new connection for a request, which has carried no other one with its id: a late answer to that
-     * one would look like the answer to this one. `isFresh` excludes idle ones that the server may have closed meanwhile.
+     * Returns an idle or new connection that hasn't carried the request's id before: a late answer to the earlier request
+     * would look like the answer to this one. `isFresh` excludes idle ones that the server may have closed meanwhile.
      */
     acquire(requestId: string, isFresh: boolean): ServerConnection | undefined {
         const now = this.#now();
